chore(workspace): set up toolchain, design page and package interfaces

Cause: the repository was empty. Change: npm workspace with formatter, linter, type check and mocha; docs/design.md; error kinds, shared model, timer service, and the interfaces between the packages. Conclusion: the packages can be built in parallel against fixed interfaces.

--- /dev/null
+++ b/packages/errors/src/errorAnswer.ts
@@ -0,0 +1,61 @@
+import { ErrorKind } from "./errorKind.ts";
+
+/** What a failure says about the execution of the work that was asked for. */
+export const Outcome = {
+    NotRun: "not_run",
+    Unknown: "unknown",
+} as const;
+
+export type Outcome = (typeof Outcome)[keyof typeof Outcome];
+
+/** The answer that belongs to an error kind. */
+export interface ErrorAnswer {
+    /** HTTP status code towards callers and operators. */
+    readonly httpStatus: number;
+    /** Exit code of the command line. */
+    readonly exitCode: number;
+    /** `not_run` is a promise: the work was never started and never will be under this request. */
+    readonly outcome: Outcome;
+    /** Whether the same call may succeed later without a change by the caller. */
+    readonly retryable: boolean;
+}
+
+function answer(httpStatus: number, exitCode: number, outcome: Outcome, retryable: boolean): ErrorAnswer {
+    return { httpStatus, exitCode, outcome, retryable };
+}
+
+/** The table from error kind to answer. The type makes a missing kind a compile error. */
+export const errorAnswers: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+    [ErrorKind.InvalidRequest]: answer(400, 2, Outcome.NotRun, false),
+    [ErrorKind.InvalidConfiguration]: answer(422, 3, Outcome.NotRun, false),
+    [ErrorKind.InvalidSettings]: answer(500, 2, Outcome.NotRun, false),
+    [ErrorKind.BodyTooLarge]: answer(413, 2, Outcome.NotRun, false),
+    [ErrorKind.KeyMissing]: answer(401, 4, Outcome.NotRun, false),
+    [ErrorKind.KeyRejected]: answer(401, 4, Outcome.NotRun, false),
+    [ErrorKind.TeamMismatch]: answer(403, 4, Outcome.NotRun, false),
+    [ErrorKind.QueueNotFound]: answer(404, 5, Outcome.NotRun, false),
+    [ErrorKind.ServiceNotFound]: answer(404, 5, Outcome.NotRun, false),
+    [ErrorKind.JobNotFound]: answer(404, 5, Outcome.NotRun, false),
+    [ErrorKind.IdempotencyKeyConflict]: answer(409, 6, Outcome.NotRun, false),
+    [ErrorKind.NeverRunnable]: answer(422, 7, Outcome.NotRun, false),
+    [ErrorKind.TeamLimitReached]: answer(429, 8, Outcome.NotRun, true),
+    [ErrorKind.NoCapacity]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.Overloaded]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.Draining]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.NotOwner]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.ShardNotReady]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.FailureDomainOut]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.ConfigurationConflict]: answer(409, 6, Outcome.NotRun, false),
+    [ErrorKind.ConfigurationTooOld]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.StoreUnavailable]: answer(503, 9, Outcome.NotRun, true),
+    [ErrorKind.StoreOutcomeUnknown]: answer(504, 10, Outcome.Unknown, true),
+    [ErrorKind.PeerUnreachable]: answer(503, 9, Outcome.NotRun, true),
+    [ErrorKind.TargetUnreachable]: answer(502, 9, Outcome.NotRun, true),
+    [ErrorKind.TargetRefused]: answer(502, 9, Outcome.NotRun, true),
+    [ErrorKind.StaleEpoch]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.StaleBoot]: answer(503, 8, Outcome.NotRun, true),
+    [ErrorKind.DeadlineExceeded]: answer(504, 8, Outcome.NotRun, true),
+    [ErrorKind.OutcomeUnknown]: answer(504, 10, Outcome.Unknown, false),
+    [ErrorKind.Cancelled]: answer(409, 11, Outcome.NotRun, false),
+    [ErrorKind.Internal]: answer(500, 1, Outcome.Unknown, false),
+};
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,2 @@
+/** Job records in the platform's table: durable acceptance, group commit, idempotent submissions and recovery. */
+export {};
--- /dev/null
+++ b/packages/limits/src/grantLedger.ts
@@ -0,0 +1,31 @@
+import type { ServiceError } from "@tanagerlink/errors";
+import type { ShardId } from "@tanagerlink/model";
+import type { Result } from "neverthrow";
+
+/** State of one team's grant in one shard. */
+export interface GrantState {
+    readonly shard: ShardId;
+    readonly team: string;
+    readonly granted: number;
+    /** Units in use, including those held back for work that may be running unseen. */
+    readonly used: number;
+    /** Units that waiting work would use. */
+    readonly wanted: number;
+}
+
+/** Grants of the shards that this process owns. */
+export interface GrantLedger extends AsyncDisposable {
+    /** Begins to manage a shard; `running` are the units found in use by recovery. Usable after it resolves. */
+    open(shard: ShardId, epoch: number): Promise<Result<void, ServiceError>>;
+    close(shard: ShardId): void;
+    /** Takes one unit at once or refuses with `team_limit_reached`. */
+    reserve(shard: ShardId, team: string): Result<void, ServiceError>;
+    /** Counts a unit that runs already, found by recovery, even beyond the grant. */
+    adopt(shard: ShardId, team: string): void;
+    release(shard: ShardId, team: string): void;
+    /** Units that may be in use unseen on targets which were not read yet; they lower what `reserve` gives. */
+    holdBack(shard: ShardId, team: string, units: number): void;
+    /** Current need beyond what is used; the ledger asks for grants accordingly. */
+    want(shard: ShardId, team: string, units: number): void;
+    state(): readonly GrantState[];
+}
--- /dev/null
+++ b/packages/platform/src/objectStore.ts
@@ -0,0 +1,8 @@
+import type { ServiceError } from "@tanagerlink/errors";
+import type { Result } from "neverthrow";
+
+/** The platform's object store. Objects are immutable under a name that is used once. */
+export interface ObjectStore {
+    put(name: string, content: Uint8Array): Promise<Result<void, ServiceError>>;
+    get(name: string): Promise<Result<Uint8Array | undefined, ServiceError>>;
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Routing of requests to the executors of a shard: slots, choice by free slots and latency, bounded queue, load
+ * shedding, retries within a budget and outlier ejection.
+ */
+export * from "./executorPool.ts";
--- /dev/null
+++ b/packages/targets/src/workerClient.ts
@@ -0,0 +1,95 @@
+import type { ServiceError } from "@tanagerlink/errors";
+import type { Resources } from "@tanagerlink/model";
+import type { Result } from "neverthrow";
+
+/** Optional capabilities of a worker; what replaces a missing one is in docs/design.md, section 4. */
+export interface WorkerCapabilities {
+    readonly fencing: boolean;
+    readonly deduplication: boolean;
+    readonly listing: boolean;
+    readonly leaseTimer: boolean;
+}
+
+export const WorkerTaskState = {
+    Running: "running",
+    Succeeded: "succeeded",
+    Failed: "failed",
+    Stopped: "stopped",
+    LeaseExpired: "lease_expired",
+} as const;
+export type WorkerTaskState = (typeof WorkerTaskState)[keyof typeof WorkerTaskState];
+
+/** One task as a worker reports it. */
+export interface WorkerTask {
+    readonly job: string;
+    readonly task: number;
+    readonly attempt: number;
+    readonly team: string;
+    readonly size: Resources;
+    readonly state: WorkerTaskState;
+    /** Observed use; lags behind. */
+    readonly usage: Resources | undefined;
+    readonly exitCode: number | undefined;
+}
+
+/** State of a worker, answered to `attach` and to `heartbeat`. */
+export interface WorkerReport {
+    readonly worker: string;
+    readonly bootId: string;
+    readonly epoch: number;
+    readonly capacity: Resources;
+    readonly capabilities: WorkerCapabilities;
+    readonly leaving: boolean;
+    /** All running tasks, and ended ones that were not acknowledged yet. */
+    readonly tasks: readonly WorkerTask[];
+}
+
+export interface TaskStart {
+    readonly epoch: number;
+    readonly bootId: string;
+    readonly job: string;
+    readonly task: number;
+    readonly attempt: number;
+    readonly team: string;
+    readonly size: Resources;
+    readonly leaseMilliseconds: number;
+    readonly payload: string;
+}
+
+/** Identifies one attempt of one task. */
+export interface TaskAttempt {
+    readonly job: string;
+    readonly task: number;
+    readonly attempt: number;
+}
+
+export interface HeartbeatRequest {
+    readonly epoch: number;
+    readonly bootId: string;
+    /** Attempts whose leases are renewed. */
+    readonly renew: readonly TaskAttempt[];
+    /** Ended attempts whose result the owner has recorded; the worker may forget them. */
+    readonly acknowledge: readonly TaskAttempt[];
+}
+
+/**
+ * One worker. Errors: `target_unreachable` when the call certainly had no effect, `outcome_unknown` when it may have,
+ * `stale_epoch` (detail `epoch`: the higher one), `stale_boot` and `target_refused` when the worker refused it.
+ */
+export interface WorkerClient {
+    readonly id: string;
+    attach(shard: string, epoch: number): Promise<Result<WorkerReport, ServiceError>>;
+    heartbeat(request: HeartbeatRequest): Promise<Result<WorkerReport, ServiceError>>;
+    /** Answers with the state of the attempt. A repeated start of the same attempt is not run again. */
+    start(start: TaskStart): Promise<Result<WorkerTask, ServiceError>>;
+    stop(epoch: number, attempt: TaskAttempt): Promise<Result<void, ServiceError>>;
+    /** Saves progress, then stops; the next attempt continues from it. */
+    checkpoint(epoch: number, attempt: TaskAttempt): Promise<Result<void, ServiceError>>;
+    /** Caps the use of a task to its declared size. */
+    throttle(epoch: number, attempt: TaskAttempt): Promise<Result<void, ServiceError>>;
+}
+
+/** Makes clients; calls are bounded by a deadline and use a bounded number of connections. */
+export interface WorkerClientFactory extends AsyncDisposable {
+    client(id: string, address: string): WorkerClient;
+}
--- /dev/null
+++ b/packages/timers/src/systemTimers.ts
@@ -0,0 +1,69 @@
+import { performance } from "node:perf_hooks";
+import type { Subscription, Timers } from "./timers.ts";
+
+class SystemSubscription implements Subscription {
+    active = true;
+    private readonly handle: NodeJS.Timeout;
+    private readonly repeats: boolean;
+
+    constructor(handle: NodeJS.Timeout, repeats: boolean) {
+        this.handle = handle;
+        this.repeats = repeats;
+    }
+
+    [Symbol.dispose](): void {
+        this.active = false;
+        if (this.repeats) {
+            clearInterval(this.handle);
+        }
+        else {
+            clearTimeout(this.handle);
+        }
+    }
+}
+
+/** Timers on the clocks of the operating system. */
+export class SystemTimers implements Timers {
+    private readonly reportFailure: (failure: unknown) => void;
+
+    /** `reportFailure` receives whatever a timed action throws; a failing action must not end the process. */
+    constructor(reportFailure: (failure: unknown) => void) {
+        this.reportFailure = reportFailure;
+    }
+
+    now(): number {
+        return performance.now();
+    }
+
+    wallClock(): number {
+        return Date.now();
+    }
+
+    every(periodMilliseconds: number, action: () => void | Promise<void>): Subscription {
+        let running = false;
+        const handle = setInterval(() => {
+            if (running) {
+                return;
+            }
+            running = true;
+            void this.run(action).finally(() => {
+                running = false;
+            });
+        }, periodMilliseconds);
+        return new SystemSubscription(handle, true);
+    }
+
+    after(delayMilliseconds: number, action: () => void | Promise<void>): Subscription {
+        const handle = setTimeout(() => void this.run(action), delayMilliseconds);
+        return new SystemSubscription(handle, false);
+    }
+
+    private async run(action: () => void | Promise<void>): Promise<void> {
+        try {
+            await action();
+        }
+        catch (failure) {
+            this.reportFailure(failure);
+        }
+    }
+}
