chore(stand-ins): reserve one module for each stand-in

Cause: two parts of the work write stand-ins at the same time. Change: separate modules behind one public surface. Before and after: no behaviour. Conclusion: none.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,7 @@
-export {};
+/**
+ * Small stand-ins of what the system talks to: the platform, workers and executors. Used by tests, the quickstart and
+ * benchmarks. Each keeps a record of what really happened, which tests check instead of the product's own account.
+ */
+export * from "./executorStandIn.ts";
+export * from "./platformStandIn.ts";
+export * from "./workerStandIn.ts";
