--- a/packages/model/src/shard.ts
+++ b/packages/model/src/shard.ts
@@ -1,3 +1,5 @@
+import type { Resources } from "./resources.ts";
+
 /** Identifier of a shard, `<failure domain>/<index>`. */
 export type ShardId = string;
 
@@ -24,6 +26,7 @@
     readonly largestProcessorMillis: number;
     readonly largestMemoryMebibytes: number;
     readonly largestAccelerators: number;
+    readonly capacity: Resources;
     readonly queuedTasks: number;
     readonly services: readonly ServiceSummary[];
     readonly teams: readonly TeamSummary[];
--- a/packages/ownership/src/shardOwnership.ts
+++ b/packages/ownership/src/shardOwnership.ts
@@ -42,6 +42,8 @@
     superseded(shard: ShardId, epoch: number, higherEpoch: number): void;
     /** Workers that the shard should have; written to the row before any new one is used. */
     setRoster(shard: ShardId, workers: readonly string[]): void;
+    /** Whether a worker is in the stored roster; only then may it get new work. */
+    rosterContains(shard: ShardId, worker: string): boolean;
     /** Stops acquiring, and hands every owned shard over; resolves when all rows are released or the time is up. */
     releaseAll(withinMilliseconds: number): Promise<void>;
 }
--- a/packages/policy/src/schedulingPolicy.ts
+++ b/packages/policy/src/schedulingPolicy.ts
@@ -18,6 +18,8 @@
     /** Declared run time of a task in seconds; `undefined` for services. */
     readonly runSeconds: number | undefined;
     readonly allAtOnce: boolean;
+    /** Whether a running task may be checkpointed for urgent work; false for non-idempotent jobs. */
+    readonly preemptible: boolean;
     /** Indices of the tasks that wait. */
     readonly waitingTasks: readonly number[];
     /** Monotonic milliseconds since when the job waits. */
@@ -37,6 +39,8 @@
     readonly runSeconds: number | undefined;
     readonly startedAt: number;
     readonly allAtOnce: boolean;
+    /** Whether the task may be checkpointed for urgent work; false for non-idempotent jobs. */
+    readonly preemptible: boolean;
 }
 
 /** Start `task` of `job` on `worker`. All placements of one gang come in one decision. */
@@ -118,6 +122,10 @@
     /** One round, bounded to `maximumPlacements`. Placed tasks count as running until `taskEnded`. */
     round(now: number, limits: LimitGate, maximumPlacements: number): RoundResult;
     freeResources(): Resources;
+    /** Sum of the capacities of all workers. */
+    totalCapacity(): Resources;
+    /** Largest capacity of a worker in each component. */
+    largestWorker(): Resources;
     waitingTaskCount(): number;
     describe(): unknown;
 }
--- /dev/null
+++ b/packages/scheduler/src/jobRouter.ts
@@ -0,0 +1,111 @@
+/** Chooses the shard for a submission and carries it there. */
+import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import {
+    type ConfigurationSnapshot,
+    failureDomainOfShard,
+    FailureDomainState,
+    fitsInto,
+    type JobSpecification,
+    multiplyResources,
+    type Resources,
+} from "@tanagerlink/model";
+import { err, type Result } from "neverthrow";
+import type { FleetView } from "./fleetView.ts";
+import type { JobStatus, Submission } from "./submission.ts";
+import type { ShardHeadline } from "./summaryPayload.ts";
+
+/** Shards that are tried for one submission. */
+const MAXIMUM_ATTEMPTS = 4;
+
+/** Refusals after which another shard may accept the job. Each of them says that the job was not accepted. */
+const TRY_ANOTHER_SHARD: ReadonlySet<ErrorKind> = new Set([
+    ErrorKind.NotOwner,
+    ErrorKind.ShardNotReady,
+    ErrorKind.PeerUnreachable,
+    ErrorKind.Overloaded,
+    ErrorKind.FailureDomainOut,
+    ErrorKind.NeverRunnable,
+    ErrorKind.Draining,
+]);
+
+/** What the router needs besides the view of the fleet. */
+export interface JobRouterDependencies {
+    readonly failureDomain: string;
+    readonly fleet: FleetView;
+    readonly configuration: () => ConfigurationSnapshot | undefined;
+    readonly submitTo: (submission: Submission) => Promise<Result<JobStatus, ServiceError>>;
+    readonly identify: (shard: string) => string;
+}
+
+/** Routes submissions. */
+export class JobRouter {
+    private readonly dependencies: JobRouterDependencies;
+
+    constructor(dependencies: JobRouterDependencies) {
+        this.dependencies = dependencies;
+    }
+
+    /** Submits to the best shard, and to the next ones while the answer says that the job was not accepted. */
+    async submit(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
+        const candidates = this.candidates(draft.specification);
+        let refusal: ServiceError = serviceError(
+            ErrorKind.NoCapacity,
+            "no shard of an active failure domain can be reached; check the entry processes of the failure domains",
+        );
+        for (const headline of candidates.slice(0, MAXIMUM_ATTEMPTS)) {
+            const id = this.dependencies.identify(headline.shard);
+            const result = await this.dependencies.submitTo({ ...draft, id, shard: headline.shard });
+            if (result.isOk() || !TRY_ANOTHER_SHARD.has(result.error.kind)) {
+                return result;
+            }
+            refusal = moreTelling(refusal, result.error);
+        }
+        return err(refusal);
+    }
+
+    /** Shards that may run the job, best first. */
+    candidates(specification: JobSpecification): ShardHeadline[] {
+        const configuration = this.dependencies.configuration();
+        const allowed = new Set(specification.failureDomains);
+        return this.dependencies.fleet.headlines()
+            .filter(headline => {
+                const failureDomain = failureDomainOfShard(headline.shard);
+                const state = configuration?.failureDomains[failureDomain]?.state;
+                return headline.ready && state === FailureDomainState.Active
+                    && (allowed.size === 0 || allowed.has(failureDomain));
+            })
+            .map(headline => ({ headline, cost: this.cost(headline, specification) }))
+            .sort((left, right) => left.cost - right.cost)
+            .map(({ headline }) => headline);
+    }
+
+    /**
+     * Lower is better: first whether the shape fits a worker at all, then whether the team has units there, then
+     * whether there is room now, then the own failure domain, then the shorter queue.
+     */
+    private cost(headline: ShardHeadline, specification: JobSpecification): number {
+        const { size, tasks, team } = specification;
+        const largest: Resources = {
+            processorMillis: headline.largestProcessorMillis,
+            memoryMebibytes: headline.largestMemoryMebibytes,
+            accelerators: headline.largestAccelerators,
+        };
+        const free: Resources = {
+            processorMillis: headline.freeProcessorMillis,
+            memoryMebibytes: headline.freeMemoryMebibytes,
+            accelerators: headline.freeAccelerators,
+        };
+        const neverFits = fitsInto(size, largest) ? 0 : 1;
+        const unusedGrant = this.dependencies.fleet.unusedGrant(headline.shard, team);
+        const withoutGrant = unusedGrant === undefined || unusedGrant > 0 ? 0 : 1;
+        const full = fitsInto(multiplyResources(size, tasks), free) ? 0 : 1;
+        const foreign = failureDomainOfShard(headline.shard) === this.dependencies.failureDomain ? 0 : 1;
+        const queue = headline.queuedTasks / (headline.queuedTasks + 1);
+        return neverFits * 16 + full * 8 + withoutGrant * 4 + foreign * 2 + queue;
+    }
+}
+
+/** A refusal that names a lasting reason tells the caller more than one about the shard's momentary state. */
+function moreTelling(known: ServiceError, next: ServiceError): ServiceError {
+    return known.kind === ErrorKind.NeverRunnable ? known : next;
+}
--- /dev/null
+++ b/packages/scheduler/src/peerMethods.ts
@@ -0,0 +1,73 @@
+/** Methods that the owner of a shard offers to other processes. */
+import type { PeerMethod } from "@tanagerlink/peer";
+import { WorkClass } from "@tanagerlink/model";
+import { z } from "zod";
+import { type JobStatus, jobStatusSchema, type Submission, submissionSchema } from "./submission.ts";
+
+const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array, "must be bytes");
+const headers = z.record(z.string(), z.string());
+
+const jobReferenceSchema = z.strictObject({ shard: z.string(), job: z.string() });
+
+/** Names a job and the shard that holds it. */
+export type JobReference = z.infer<typeof jobReferenceSchema>;
+
+const forwardedRequestSchema = z.strictObject({
+    shard: z.string(),
+    request: z.strictObject({
+        id: z.string(),
+        service: z.string(),
+        team: z.string(),
+        workClass: z.enum(WorkClass),
+        idempotent: z.boolean(),
+        method: z.string(),
+        path: z.string(),
+        headers,
+        body: bytes,
+        remainingMilliseconds: z.number(),
+    }),
+});
+
+/** A request together with the shard whose owner is to run it. */
+export type ForwardedRequest = z.infer<typeof forwardedRequestSchema>;
+
+const serviceAnswerSchema = z.strictObject({
+    requestId: z.string(),
+    status: z.int(),
+    headers,
+    body: bytes,
+    executor: z.string(),
+    shard: z.string(),
+    attempts: z.int(),
+});
+
+export type ForwardedAnswer = z.infer<typeof serviceAnswerSchema>;
+
+/** Accepting is idempotent: the submission carries the job's identifier. */
+export const submitMethod: PeerMethod<Submission, JobStatus> = {
+    name: "scheduler/submit",
+    request: submissionSchema,
+    answer: jobStatusSchema,
+    idempotent: true,
+};
+
+export const cancelMethod: PeerMethod<JobReference, JobStatus> = {
+    name: "scheduler/cancel",
+    request: jobReferenceSchema,
+    answer: jobStatusSchema,
+    idempotent: true,
+};
+
+export const statusMethod: PeerMethod<JobReference, JobStatus> = {
+    name: "scheduler/status",
+    request: jobReferenceSchema,
+    answer: jobStatusSchema,
+    idempotent: true,
+};
+
+/** Not idempotent as a call: the request inside may not be. */
+export const requestMethod: PeerMethod<ForwardedRequest, ForwardedAnswer> = {
+    name: "scheduler/request",
+    request: forwardedRequestSchema,
+    answer: serviceAnswerSchema,
+};
--- /dev/null
+++ b/packages/scheduler/src/recovery.ts
@@ -0,0 +1,81 @@
+/**
+ * Recovery of a shard by a new owner. Tasks accepted under an earlier epoch may still run on workers that were not
+ * read yet. They count as used units of their teams and wait, until all workers are read or their leases have ended.
+ */
+import { Reason, taskLeaseMilliseconds, TaskState } from "@tanagerlink/model";
+import type { JobEntry, TaskEntry } from "./jobEntry.ts";
+import { decide, type ShardContext } from "./shardContext.ts";
+import type { TaskLifecycle } from "./taskLifecycle.ts";
+import type { WorkerRegistry } from "./workerRegistry.ts";
+
+/** Tasks of earlier epochs of one shard. */
+export class Recovery {
+    private readonly context: ShardContext;
+    private readonly lifecycle: TaskLifecycle;
+    private readonly workers: WorkerRegistry;
+    private heldBack = new Map<string, number>();
+
+    constructor(context: ShardContext, lifecycle: TaskLifecycle, workers: WorkerRegistry) {
+        this.context = context;
+        this.lifecycle = lifecycle;
+        this.workers = workers;
+    }
+
+    /** Settles what can be settled now. Called after the jobs were loaded and then periodically. */
+    sweep(): void {
+        const recovering = this.context.book.recoveringTasks();
+        if (recovering.length > 0) {
+            const resolvedJobs = new Set<JobEntry>();
+            for (const { entry, task } of recovering) {
+                if (this.isResolved(entry)) {
+                    this.resolve(entry, task);
+                    resolvedJobs.add(entry);
+                }
+            }
+            for (const entry of resolvedJobs) {
+                this.lifecycle.enqueue(entry);
+            }
+        }
+        this.updateHeldBack();
+    }
+
+    /** Units that may be in use unseen, by team; they lower what the ledger gives. */
+    private updateHeldBack(): void {
+        const next = new Map<string, number>();
+        for (const { entry } of this.context.book.recoveringTasks()) {
+            const team = entry.record.specification.team;
+            next.set(team, (next.get(team) ?? 0) + 1);
+        }
+        for (const team of new Set([...this.heldBack.keys(), ...next.keys()])) {
+            this.context.dependencies.ledger.holdBack(this.context.shard, team, next.get(team) ?? 0);
+        }
+        this.heldBack = next;
+    }
+
+    private isResolved(entry: JobEntry): boolean {
+        if (this.workers.allAttached()) {
+            return true;
+        }
+        const { timers, settings } = this.context.dependencies;
+        const readySince = this.workers.readySince;
+        const lease = taskLeaseMilliseconds[entry.record.workClass] + settings.leaseMarginMilliseconds;
+        // The former owner renews leases until it has lost the majority, which is certain once this one is ready.
+        return readySince !== undefined && timers.now() - readySince > lease;
+    }
+
+    /** No read worker runs the task and no unread one can. */
+    private resolve(entry: JobEntry, task: TaskEntry): void {
+        task.recovering = false;
+        task.state = TaskState.Waiting;
+        const intent = entry.record.intents.find(candidate => candidate.task === task.index);
+        if (entry.record.specification.idempotent || intent === undefined) {
+            decide(this.context, entry, Reason.WaitingForCapacity, { task: task.index, detail: "found on no worker" });
+            return;
+        }
+        const session = this.workers.session(intent.worker);
+        const sameBoot = session?.attached === true && session.bootId === intent.bootId;
+        if (!sameBoot) {
+            this.lifecycle.outcomeUnknown(entry, task, `worker ${intent.worker}, which may have run it, is gone`);
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/reportHandler.ts
@@ -0,0 +1,219 @@
+/** Takes in the reports of workers: what runs, what has ended, and what should not run. */
+import { isFinished, JobState, Reason, TaskState } from "@tanagerlink/model";
+import { type WorkerReport, type WorkerTask, WorkerTaskState } from "@tanagerlink/targets";
+import { isActive, type JobEntry, type TaskEntry } from "./jobEntry.ts";
+import type { ShardContext } from "./shardContext.ts";
+import type { TaskLifecycle } from "./taskLifecycle.ts";
+import type { EndedTaskHandler, TaskStarter, TaskStopRequests } from "./taskStarter.ts";
+import type { UsageGuard } from "./usageGuard.ts";
+import type { ReportHandler } from "./workerRegistry.ts";
+import type { WorkerSession } from "./workerSession.ts";
+
+/** Parts that act on what a report says. */
+export interface ReportActions {
+    readonly lifecycle: TaskLifecycle;
+    readonly requests: TaskStopRequests;
+    readonly usage: UsageGuard;
+    readonly starter: () => TaskStarter;
+}
+
+/** Handles the reports of one shard's workers. */
+export class WorkerReports implements ReportHandler, EndedTaskHandler {
+    private readonly context: ShardContext;
+    private readonly actions: ReportActions;
+
+    constructor(context: ShardContext, actions: ReportActions) {
+        this.context = context;
+        this.actions = actions;
+    }
+
+    attached(session: WorkerSession, report: WorkerReport): void {
+        this.reported(session, report);
+    }
+
+    reported(session: WorkerSession, report: WorkerReport): void {
+        const listed = new Set<TaskEntry>();
+        for (const reported of report.tasks) {
+            const entry = this.context.book.get(reported.job);
+            const task = entry?.tasks[reported.task];
+            if (entry === undefined || task === undefined) {
+                this.stopUnknown(session, reported);
+                continue;
+            }
+            listed.add(task);
+            this.takeIn(session, entry, task, reported);
+        }
+        this.findMissing(session, listed);
+        this.actions.usage.examine(session.client.id, report);
+    }
+
+    /** Settles a task that a worker reports as ended. */
+    taskEnded(session: WorkerSession, entry: JobEntry, task: TaskEntry, reported: WorkerTask): void {
+        const worker = session.client.id;
+        const { policy, dependencies } = this.context;
+        if (reported.state === WorkerTaskState.Succeeded) {
+            policy.taskSucceededOn(worker);
+            void this.actions.lifecycle.succeeded(entry, task).then(durable => {
+                if (durable) {
+                    session.acknowledge(reported);
+                }
+            });
+            return;
+        }
+        session.acknowledge(reported);
+        if (reported.state === WorkerTaskState.Failed) {
+            dependencies.metrics.tasksEnded.increment({ result: "failed" });
+            policy.taskFailedOn(worker, entry.record.id, dependencies.timers.now());
+            this.taskFailed(entry, task, worker, reported);
+            return;
+        }
+        dependencies.metrics.tasksEnded.increment({ result: reported.state });
+        this.taskStopped(entry, task, worker, reported);
+    }
+
+    private takeIn(session: WorkerSession, entry: JobEntry, task: TaskEntry, reported: WorkerTask): void {
+        const current = isActive(task) && task.worker === session.client.id && task.attempt === reported.attempt;
+        const runs = reported.state === WorkerTaskState.Running;
+        if (current && runs) {
+            this.takeInRunning(entry, task);
+        }
+        else if (current) {
+            this.taskEnded(session, entry, task, reported);
+        }
+        else if (task.recovering && runs) {
+            this.actions.lifecycle.adopted(entry, task, session.client.id, session.bootId ?? "", reported.attempt);
+            this.takeInRunning(entry, task);
+        }
+        else if (task.recovering) {
+            this.takeInEndedWhileAway(session, entry, task, reported);
+        }
+        else if (runs) {
+            this.stopUnknown(session, reported);
+        }
+        else {
+            session.acknowledge(reported);
+        }
+    }
+
+    /** The task ended under an earlier owner, which may not have recorded it. */
+    private takeInEndedWhileAway(
+        session: WorkerSession,
+        entry: JobEntry,
+        task: TaskEntry,
+        reported: WorkerTask,
+    ): void {
+        if (reported.state === WorkerTaskState.Stopped && entry.record.specification.idempotent) {
+            // A later attempt may run on a worker that was not read yet, so the task goes on recovering.
+            session.acknowledge(reported);
+            return;
+        }
+        this.actions.lifecycle.adopted(entry, task, session.client.id, session.bootId ?? "", reported.attempt);
+        this.taskEnded(session, entry, task, reported);
+    }
+
+    private takeInRunning(entry: JobEntry, task: TaskEntry): void {
+        if (task.state === TaskState.Starting) {
+            this.actions.lifecycle.running(entry, task);
+        }
+        if (isFinished(entry.record.state) || task.stopping) {
+            this.actions.requests.stop(entry, task);
+        }
+    }
+
+    private stopUnknown(session: WorkerSession, reported: WorkerTask): void {
+        if (reported.state !== WorkerTaskState.Running) {
+            session.acknowledge(reported);
+            return;
+        }
+        void session.client.stop(this.context.epoch, reported).then(() => session.hurry());
+    }
+
+    /** Starts without an answer that the worker does not report are sent again under the same attempt. */
+    private findMissing(session: WorkerSession, listed: ReadonlySet<TaskEntry>): void {
+        const sentAt = session.lastExchangeSentAt;
+        for (const { entry, task } of this.context.book.tasksOn(session.client.id)) {
+            if (listed.has(task)) {
+                continue;
+            }
+            // A report asked for before the start was confirmed says nothing of the task.
+            if (task.state === TaskState.Running && task.startedAt < sentAt) {
+                this.vanished(session, entry, task);
+            }
+            else if (task.state === TaskState.Starting && !task.startInFlight && task.startSentAt > 0) {
+                this.settleMissingStart(session, entry, task);
+            }
+        }
+    }
+
+    private settleMissingStart(session: WorkerSession, entry: JobEntry, task: TaskEntry): void {
+        if (session.lastReport?.capabilities.deduplication === false) {
+            return;
+        }
+        if (isFinished(entry.record.state)) {
+            // The start may still be on its way; the worker counts its lease from an old report, so it ends by itself.
+            return;
+        }
+        void this.actions.starter().sendAgain(entry, task, session);
+    }
+
+    /** A running task that its worker no longer reports, under the same boot identifier. */
+    private vanished(session: WorkerSession, entry: JobEntry, task: TaskEntry): void {
+        const detail = `worker ${session.client.id} no longer reports the task`;
+        if (entry.record.specification.idempotent) {
+            this.actions.lifecycle.requeue(entry, task, Reason.WorkerLost, { detail });
+            if (entry.record.specification.allAtOnce) {
+                this.actions.lifecycle.dissolveGang(entry, Reason.WorkerLost);
+            }
+        }
+        else {
+            this.actions.lifecycle.outcomeUnknown(entry, task, detail);
+        }
+    }
+
+    private taskFailed(entry: JobEntry, task: TaskEntry, worker: string, reported: WorkerTask): void {
+        const detail = `exit code ${reported.exitCode ?? "unknown"} on worker ${worker}`;
+        const { lifecycle } = this.actions;
+        if (isFinished(entry.record.state)) {
+            this.freeEnded(entry, task, TaskState.Failed);
+            return;
+        }
+        const { idempotent, allAtOnce } = entry.record.specification;
+        if (!idempotent || this.context.policy.jobFailsEverywhere(entry.record.id)) {
+            this.freeEnded(entry, task, TaskState.Failed);
+            void lifecycle.finish(
+                entry,
+                JobState.Failed,
+                idempotent ? Reason.JobFailsEverywhere : Reason.TaskFailed,
+                detail,
+            );
+            return;
+        }
+        lifecycle.requeue(entry, task, Reason.TaskFailed, { detail, worker });
+        if (allAtOnce) {
+            lifecycle.dissolveGang(entry, Reason.TaskFailed);
+        }
+    }
+
+    private taskStopped(entry: JobEntry, task: TaskEntry, worker: string, reported: WorkerTask): void {
+        if (isFinished(entry.record.state)) {
+            this.freeEnded(entry, task, TaskState.Cancelled);
+            return;
+        }
+        const stoppedByOwner = task.stopping;
+        if (!entry.record.specification.idempotent && !stoppedByOwner) {
+            this.actions.lifecycle.outcomeUnknown(entry, task, `worker ${worker} ended the task: ${reported.state}`);
+            return;
+        }
+        this.actions.lifecycle.requeue(entry, task, stoppedByOwner ? Reason.Preempted : Reason.WorkerLost, { worker });
+        if (entry.record.specification.allAtOnce) {
+            this.actions.lifecycle.dissolveGang(entry, Reason.WaitingForGang);
+        }
+    }
+
+    private freeEnded(entry: JobEntry, task: TaskEntry, state: TaskState): void {
+        if (isActive(task)) {
+            this.actions.lifecycle.free(entry, task, undefined);
+        }
+        task.state = state;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/requestRouter.ts
@@ -0,0 +1,112 @@
+/** Chooses the owner of a free executor slot for a request, at most one hop away. */
+import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import {
+    type ConfigurationSnapshot,
+    failureDomainOfShard,
+    FailureDomainState,
+    type ServiceAnswer,
+    type ServiceRequest,
+} from "@tanagerlink/model";
+import type { Timers } from "@tanagerlink/timers";
+import { err, type Result } from "neverthrow";
+import type { FleetView } from "./fleetView.ts";
+import type { ShardHeadline } from "./summaryPayload.ts";
+
+/** Owners that are tried for one request; each refusal before was "not run". */
+const MAXIMUM_ATTEMPTS = 3;
+
+/** Refusals that say "not run" and after which another owner may have a slot. */
+const TRY_ANOTHER_OWNER: ReadonlySet<ErrorKind> = new Set([
+    ErrorKind.NotOwner,
+    ErrorKind.ShardNotReady,
+    ErrorKind.PeerUnreachable,
+    ErrorKind.Overloaded,
+    ErrorKind.NoCapacity,
+    ErrorKind.TargetUnreachable,
+    ErrorKind.TeamLimitReached,
+    ErrorKind.FailureDomainOut,
+    ErrorKind.ServiceNotFound,
+]);
+
+/** Extra cost of a hop to another process of the own failure domain, in milliseconds. */
+const HOP_COST_MILLISECONDS = 0.5;
+
+/** Extra cost of a hop to another failure domain, in milliseconds. */
+const FOREIGN_HOP_COST_MILLISECONDS = 4;
+
+/** Cost of a queue where no slot is free, in milliseconds. */
+const NO_FREE_SLOT_COST_MILLISECONDS = 100;
+
+/** What the router needs besides the view of the fleet. */
+export interface RequestRouterDependencies {
+    readonly node: string;
+    readonly failureDomain: string;
+    readonly timers: Timers;
+    readonly fleet: FleetView;
+    readonly configuration: () => ConfigurationSnapshot | undefined;
+    readonly dispatchTo: (
+        headline: ShardHeadline,
+        request: ServiceRequest,
+    ) => Promise<Result<ServiceAnswer, ServiceError>>;
+}
+
+/** Routes requests. */
+export class RequestRouter {
+    private readonly dependencies: RequestRouterDependencies;
+
+    constructor(dependencies: RequestRouterDependencies) {
+        this.dependencies = dependencies;
+    }
+
+    /** Runs a request. Another owner is tried only after an answer that says "not run". */
+    async dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
+        const { timers } = this.dependencies;
+        const deadline = timers.now() + request.remainingMilliseconds;
+        let refusal = serviceError(
+            ErrorKind.NoCapacity,
+            `no executor of service ${request.service} is known in an active failure domain`,
+        );
+        for (const headline of this.candidates(request.service).slice(0, MAXIMUM_ATTEMPTS)) {
+            const remainingMilliseconds = deadline - timers.now();
+            if (remainingMilliseconds <= 0) {
+                return err(serviceError(ErrorKind.DeadlineExceeded, "the deadline passed before the request was sent"));
+            }
+            const result = await this.dependencies.dispatchTo(headline, { ...request, remainingMilliseconds });
+            if (result.isOk() || !TRY_ANOTHER_OWNER.has(result.error.kind)) {
+                return result;
+            }
+            refusal = result.error;
+        }
+        return err(refusal);
+    }
+
+    /** Shards with executors of the service, cheapest first. */
+    candidates(service: string): ShardHeadline[] {
+        const configuration = this.dependencies.configuration();
+        return this.dependencies.fleet.headlines()
+            .filter(headline => {
+                const state = configuration?.failureDomains[failureDomainOfShard(headline.shard)]?.state;
+                return headline.ready && state === FailureDomainState.Active
+                    && headline.services.some(summary => summary.service === service);
+            })
+            .map(headline => ({ headline, cost: this.cost(headline, service) }))
+            .sort((left, right) => left.cost - right.cost)
+            .map(({ headline }) => headline);
+    }
+
+    private cost(headline: ShardHeadline, service: string): number {
+        const summary = headline.services.find(candidate => candidate.service === service);
+        const latency = summary?.latencyMilliseconds ?? 0;
+        const busy = (summary?.freeSlots ?? 0) > 0 ? 0 : NO_FREE_SLOT_COST_MILLISECONDS;
+        return busy + this.hopCost(headline) + latency;
+    }
+
+    private hopCost(headline: ShardHeadline): number {
+        if (headline.owner === this.dependencies.node) {
+            return 0;
+        }
+        return failureDomainOfShard(headline.shard) === this.dependencies.failureDomain
+            ? HOP_COST_MILLISECONDS
+            : FOREIGN_HOP_COST_MILLISECONDS;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/schedulerMetrics.ts
@@ -0,0 +1,58 @@
+/** Metrics of the scheduler. Labels are closed lists, so that their number stays bounded. */
+import type { Counter, Gauge, Histogram, Metrics } from "@tanagerlink/telemetry";
+
+/** Metrics that all shards of a process share. */
+export interface SchedulerMetrics {
+    readonly starts: Counter;
+    readonly startDelay: Histogram;
+    readonly preemptions: Counter;
+    readonly tasksEnded: Counter;
+    readonly roundTime: Histogram;
+    readonly waitingTasks: Gauge;
+    readonly runningTasks: Gauge;
+    readonly quarantinedWorkers: Gauge;
+}
+
+/** Registers the metrics of the scheduler. */
+export function createSchedulerMetrics(metrics: Metrics): SchedulerMetrics {
+    return {
+        starts: metrics.counter({
+            name: "tanagerlink_task_starts_total",
+            help: "Starts sent to workers, by class and result.",
+            labels: ["work_class", "result"],
+        }),
+        startDelay: metrics.histogram({
+            name: "tanagerlink_task_start_delay_seconds",
+            help: "Time between submission of a job and the confirmed start of a task.",
+            labels: ["work_class"],
+        }),
+        preemptions: metrics.counter({
+            name: "tanagerlink_preemptions_total",
+            help: "Tasks checkpointed to make room for urgent work.",
+        }),
+        tasksEnded: metrics.counter({
+            name: "tanagerlink_tasks_ended_total",
+            help: "Tasks that ended, by result.",
+            labels: ["result"],
+        }),
+        roundTime: metrics.histogram({
+            name: "tanagerlink_scheduling_round_seconds",
+            help: "Processor time of one scheduling round of one shard.",
+        }),
+        waitingTasks: metrics.gauge({
+            name: "tanagerlink_waiting_tasks",
+            help: "Tasks that wait in a shard owned by this process.",
+            labels: ["shard"],
+        }),
+        runningTasks: metrics.gauge({
+            name: "tanagerlink_running_tasks",
+            help: "Tasks that run in a shard owned by this process.",
+            labels: ["shard"],
+        }),
+        quarantinedWorkers: metrics.gauge({
+            name: "tanagerlink_quarantined_workers",
+            help: "Workers of a shard that get no work because everything they start fails.",
+            labels: ["shard"],
+        }),
+    };
+}
--- /dev/null
+++ b/packages/scheduler/src/schedulerService.ts
@@ -0,0 +1,235 @@
+/**
+ * All shards that one process owns. Follows ownership, membership and configuration, answers peers, and routes the
+ * submissions and requests of this process's callers.
+ */
+import { randomUUID } from "node:crypto";
+import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import {
+    type ConfigurationSnapshot,
+    type ServiceAnswer,
+    type ServiceRequest,
+    shardsOfFailureDomain,
+    type VmRecord,
+} from "@tanagerlink/model";
+import { type OwnedShard, type OwnershipListener, shardOfTarget } from "@tanagerlink/ownership";
+import type { PeerNetwork } from "@tanagerlink/peer";
+import type { Subscription } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import { FleetView } from "./fleetView.ts";
+import { JobRouter } from "./jobRouter.ts";
+import { cancelMethod, requestMethod, statusMethod, submitMethod } from "./peerMethods.ts";
+import { RequestRouter } from "./requestRouter.ts";
+import { ShardAccess } from "./shardAccess.ts";
+import type { ShardDependencies } from "./shardDependencies.ts";
+import { ShardScheduler } from "./shardScheduler.ts";
+import { type JobStatus, jobIdentifier, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
+import { headlineOf, SummaryFeed, type SummaryPayload } from "./summaryPayload.ts";
+
+/** Period of taking over the fleet's usage into the policies, in milliseconds. */
+const FLEET_USAGE_MILLISECONDS = 1_000;
+
+/** Targets of this failure domain as membership knows them. */
+export interface TargetView {
+    workers(): readonly VmRecord[];
+    executors(): readonly VmRecord[];
+}
+
+/** What the service is built from. */
+export interface SchedulerServiceOptions {
+    readonly node: string;
+    readonly failureDomain: string;
+    readonly dependencies: ShardDependencies;
+    readonly peers: PeerNetwork;
+    readonly targets: TargetView;
+}
+
+/** Scheduling part of one process. */
+export class SchedulerService implements OwnershipListener, AsyncDisposable {
+    readonly fleet: FleetView;
+
+    private readonly options: SchedulerServiceOptions;
+    private readonly shards = new Map<string, ShardScheduler>();
+    private readonly closingShards = new Set<Promise<void>>();
+    private readonly feed: SummaryFeed;
+    private readonly access: ShardAccess;
+    private readonly jobRouter: JobRouter;
+    private readonly requestRouter: RequestRouter;
+    private readonly subscription: Subscription;
+
+    constructor(options: SchedulerServiceOptions) {
+        this.options = options;
+        const { node, failureDomain, dependencies, peers } = options;
+        this.fleet = new FleetView(dependencies.timers);
+        this.feed = new SummaryFeed(failureDomain);
+        this.access = new ShardAccess({
+            node,
+            ownership: dependencies.ownership,
+            peers,
+            fleet: this.fleet,
+            local: shard => this.shards.get(shard),
+        });
+        this.jobRouter = new JobRouter({
+            failureDomain,
+            fleet: this.fleet,
+            configuration: dependencies.configuration,
+            submitTo: submission => this.access.submit(submission),
+            identify: shard => jobIdentifier(shard, randomUUID().replaceAll("-", "")),
+        });
+        this.requestRouter = new RequestRouter({
+            node,
+            failureDomain,
+            timers: dependencies.timers,
+            fleet: this.fleet,
+            configuration: dependencies.configuration,
+            dispatchTo: (headline, request) => this.access.dispatch(headline.shard, request),
+        });
+        this.answerPeers();
+        this.subscription = dependencies.timers.every(FLEET_USAGE_MILLISECONDS, () => this.spreadFleetUsage());
+    }
+
+    acquired(owned: OwnedShard): void {
+        const { logger } = this.options.dependencies;
+        logger.info({ shard: owned.shard, epoch: owned.epoch }, "shard acquired");
+        const scheduler = new ShardScheduler(owned.shard, owned.epoch, this.options.dependencies);
+        this.shards.set(owned.shard, scheduler);
+        scheduler.start(...this.targetsOf(owned.shard));
+    }
+
+    lost(shard: string, epoch: number): void {
+        const scheduler = this.shards.get(shard);
+        if (scheduler === undefined || scheduler.epoch !== epoch) {
+            return;
+        }
+        this.options.dependencies.logger.info({ shard, epoch }, "shard given up");
+        this.shards.delete(shard);
+        const closing = scheduler[Symbol.asyncDispose]();
+        this.closingShards.add(closing);
+        void closing.finally(() => this.closingShards.delete(closing));
+    }
+
+    /** Takes over a new list of workers and executors. */
+    targetsChanged(): void {
+        for (const scheduler of this.shards.values()) {
+            scheduler.setTargets(...this.targetsOf(scheduler.shard));
+        }
+    }
+
+    configurationChanged(configuration: ConfigurationSnapshot): void {
+        for (const scheduler of this.shards.values()) {
+            scheduler.configurationChanged(configuration);
+        }
+    }
+
+    /** Summaries for the next heartbeat. */
+    heartbeat(): SummaryPayload {
+        const own = Array.from(this.shards.values(), scheduler => scheduler.summary(this.options.node));
+        const payload = this.feed.payload(own, this.fleet.headlines());
+        this.fleet.learn({ shards: own.map(headlineOf), teams: payload.teams });
+        return payload;
+    }
+
+    /** Takes in the summaries of a peer's heartbeat. */
+    learn(payload: SummaryPayload): void {
+        this.fleet.learn(payload);
+        for (const { shard, owner, epoch } of payload.shards) {
+            this.options.dependencies.ownership.learnOwner({ shard, owner, epoch });
+        }
+    }
+
+    submit(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
+        return this.jobRouter.submit(draft);
+    }
+
+    /** Status of a job from its owner, or from the table when the owner can't be asked. */
+    async status(job: string): Promise<Result<JobStatus, ServiceError>> {
+        const shard = shardOfJob(job);
+        if (shard === undefined) {
+            return err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`));
+        }
+        const answer = await this.access.status(shard, job);
+        if (answer.isOk()) {
+            return answer;
+        }
+        const record = await this.options.dependencies.jobs.read(shard, job);
+        if (record.isErr()) {
+            return err(record.error);
+        }
+        return record.value === undefined
+            ? err(serviceError(ErrorKind.JobNotFound, `there is no job ${job}`))
+            : ok(statusOfRecord(record.value));
+    }
+
+    async cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
+        const shard = shardOfJob(job);
+        return shard === undefined
+            ? err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`))
+            : this.access.cancel(shard, job);
+    }
+
+    dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
+        return this.requestRouter.dispatch(request);
+    }
+
+    /** Requests in flight to executors, over all shards including those that are being given up. */
+    inFlightRequests(): number {
+        let count = 0;
+        for (const scheduler of this.shards.values()) {
+            count += scheduler.inFlightRequests();
+        }
+        return count;
+    }
+
+    describe(): unknown {
+        return {
+            shards: Array.from(this.shards.values(), scheduler => scheduler.describe()),
+            fleet: this.fleet.headlines(),
+        };
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.subscription[Symbol.dispose]();
+        const closing = Array.from(this.shards.values(), scheduler => scheduler[Symbol.asyncDispose]());
+        this.shards.clear();
+        await Promise.all([...closing, ...this.closingShards]);
+    }
+
+    private targetsOf(shard: string): [workers: VmRecord[], executors: VmRecord[]] {
+        const { targets, dependencies, failureDomain } = this.options;
+        const configuration = dependencies.configuration()?.failureDomains[failureDomain];
+        if (configuration === undefined) {
+            return [[], []];
+        }
+        const shards = shardsOfFailureDomain(configuration);
+        const belongs = (vm: VmRecord): boolean => shardOfTarget(vm.id, shards) === shard;
+        return [targets.workers().filter(belongs), targets.executors().filter(belongs)];
+    }
+
+    private spreadFleetUsage(): void {
+        const capacity = this.fleet.capacity();
+        for (const scheduler of this.shards.values()) {
+            scheduler.setFleetUsage(this.fleet.usageOutside(scheduler.shard), capacity);
+        }
+    }
+
+    private answerPeers(): void {
+        const { peers } = this.options;
+        peers.handle(submitMethod, submission =>
+            this.atOwner(submission.shard, scheduler => scheduler.submit(submission)));
+        peers.handle(cancelMethod, ({ shard, job }) => this.atOwner(shard, scheduler => scheduler.cancel(job)));
+        peers.handle(statusMethod, ({ shard, job }) =>
+            this.atOwner(shard, scheduler => Promise.resolve(scheduler.status(job))));
+        peers.handle(requestMethod, ({ shard, request }) =>
+            this.atOwner(shard, scheduler => scheduler.dispatch(request)));
+    }
+
+    /** A forwarded call is never forwarded again, which bounds the way of a request to one hop. */
+    private async atOwner<Answer>(
+        shard: string,
+        action: (scheduler: ShardScheduler) => Promise<Result<Answer, ServiceError>>,
+    ): Promise<Result<Answer, ServiceError>> {
+        const scheduler = this.shards.get(shard);
+        return scheduler === undefined
+            ? err(serviceError(ErrorKind.NotOwner, `process ${this.options.node} does not own shard ${shard}`))
+            : action(scheduler);
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/shardContext.ts
@@ -0,0 +1,59 @@
+/** What the parts of one shard's scheduler share: identity, dependencies and the book of jobs. */
+import type { ConfigurationSnapshot, Decision, JobRecord, Reason } from "@tanagerlink/model";
+import type { SchedulingPolicy } from "@tanagerlink/policy";
+import type { JobBook } from "./jobBook.ts";
+import { type JobEntry, recordDecision } from "./jobEntry.ts";
+import type { ShardDependencies } from "./shardDependencies.ts";
+
+/** One owned shard under one epoch. */
+export interface ShardContext {
+    readonly shard: string;
+    readonly failureDomain: string;
+    readonly epoch: number;
+    readonly dependencies: ShardDependencies;
+    readonly policy: SchedulingPolicy;
+    readonly book: JobBook;
+    /** Asks for a scheduling round as soon as the current work is done. */
+    requestRound(): void;
+}
+
+/** Optional facts of a decision. */
+export interface DecisionFacts {
+    readonly task?: number;
+    readonly worker?: string;
+    readonly detail?: string;
+}
+
+/** Records a decision with the configuration that caused it. */
+export function decide(context: ShardContext, entry: JobEntry, reason: Reason, facts: DecisionFacts = {}): void {
+    const configuration = context.dependencies.configuration();
+    const origin = originOf(configuration, entry.record, reason);
+    const decision: Decision = {
+        at: context.dependencies.timers.wallClock(),
+        reason,
+        configurationVersion: configuration?.version ?? 0,
+        ...facts,
+        ...(origin === undefined ? {} : { origin }),
+    };
+    recordDecision(entry, decision);
+    entry.lastHold = reason;
+}
+
+/** The configuration entry behind a reason: the failure domain, the team, or else the queue. */
+function originOf(
+    configuration: ConfigurationSnapshot | undefined,
+    record: JobRecord,
+    reason: Reason,
+): string | undefined {
+    if (configuration === undefined) {
+        return undefined;
+    }
+    const { team, queue } = record.specification;
+    if (reason === "failure_domain_out") {
+        return configuration.failureDomains[record.shard.slice(0, record.shard.lastIndexOf("/"))]?.origin;
+    }
+    if (reason === "waiting_for_limit" || reason === "waiting_for_share") {
+        return configuration.teams[team]?.origin;
+    }
+    return configuration.queues[queue]?.origin;
+}
--- /dev/null
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -0,0 +1,340 @@
+/**
+ * The scheduler of one owned shard under one epoch: accepts jobs, runs the policy against the attached workers, starts
+ * and follows tasks, and gives out the slots of the shard's executors.
+ */
+import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import {
+    type ConfigurationSnapshot,
+    failureDomainOfShard,
+    isFinished,
+    type JobRecord,
+    JobState,
+    Reason,
+    type Resources,
+    type ServiceAnswer,
+    type ServiceRequest,
+    type ShardSummary,
+    type VmRecord,
+} from "@tanagerlink/model";
+import type { DispatchGate, ExecutorPool } from "@tanagerlink/routing";
+import { sleep, type Subscription } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import { JobBook } from "./jobBook.ts";
+import { createJobEntry, describeSize, type JobEntry } from "./jobEntry.ts";
+import { Recovery } from "./recovery.ts";
+import { WorkerReports } from "./reportHandler.ts";
+import { SchedulingRounds } from "./schedulingRounds.ts";
+import { decide, type ShardContext } from "./shardContext.ts";
+import type { ShardDependencies } from "./shardDependencies.ts";
+import { ShardStatistics } from "./shardStatistics.ts";
+import { startRefusal } from "./startGate.ts";
+import type { JobStatus, Submission } from "./submission.ts";
+import { TaskLifecycle } from "./taskLifecycle.ts";
+import { TaskStarter, TaskStopRequests } from "./taskStarter.ts";
+import { UsageGuard } from "./usageGuard.ts";
+import { WorkerRegistry } from "./workerRegistry.ts";
+
+/** Period of checks on leases, availability and recovery, in milliseconds. */
+const SWEEP_MILLISECONDS = 200;
+
+/** Pause between attempts to read the jobs of a shard, in milliseconds. */
+const LOAD_RETRY_MILLISECONDS = 500;
+
+/** One owned shard. */
+export class ShardScheduler implements AsyncDisposable {
+    readonly shard: string;
+    readonly epoch: number;
+
+    private readonly context: ShardContext;
+    private readonly dependencies: ShardDependencies;
+    private readonly lifecycle: TaskLifecycle;
+    private readonly workers: WorkerRegistry;
+    private readonly recovery: Recovery;
+    private readonly rounds: SchedulingRounds;
+    private readonly executors: ExecutorPool;
+    private readonly statistics: ShardStatistics;
+    private readonly closing = new AbortController();
+    private readonly subscriptions: Subscription[] = [];
+    private loaded = false;
+    private loading: Promise<void> = Promise.resolve();
+
+    constructor(shard: string, epoch: number, dependencies: ShardDependencies) {
+        this.shard = shard;
+        this.epoch = epoch;
+        this.dependencies = dependencies;
+        this.context = {
+            shard,
+            failureDomain: failureDomainOfShard(shard),
+            epoch,
+            dependencies,
+            policy: dependencies.createPolicy(),
+            book: new JobBook(),
+            requestRound: () => this.rounds.request(),
+        };
+        const requests = new TaskStopRequests(this.context, worker => this.workers.session(worker));
+        this.lifecycle = new TaskLifecycle(this.context, requests);
+        const usage = new UsageGuard(this.context, this.lifecycle, requests);
+        const reports = new WorkerReports(this.context, {
+            lifecycle: this.lifecycle,
+            requests,
+            usage,
+            starter: () => starter,
+        });
+        const starter = new TaskStarter(this.context, this.lifecycle, reports);
+        this.workers = new WorkerRegistry(this.context, this.lifecycle, reports);
+        this.recovery = new Recovery(this.context, this.lifecycle, this.workers);
+        this.rounds = new SchedulingRounds(this.context, this.workers, starter, requests);
+        this.executors = dependencies.createExecutorPool(shard, epoch, this.dispatchGate());
+        this.statistics = new ShardStatistics(this.context, this.executors);
+    }
+
+    /** Opens the grants, reads the jobs and then begins to talk to the workers and to schedule. */
+    start(workers: readonly VmRecord[], executors: readonly VmRecord[]): void {
+        this.loading = this.run(workers, executors);
+    }
+
+    /** Whether the shard takes jobs. */
+    get ready(): boolean {
+        return this.loaded && !this.closing.signal.aborted;
+    }
+
+    setTargets(workers: readonly VmRecord[], executors: readonly VmRecord[]): void {
+        this.pendingTargets = { workers, executors };
+        if (this.loaded) {
+            this.workers.setWorkers(workers);
+            this.executors.setExecutors(executors);
+        }
+    }
+    private pendingTargets: { workers: readonly VmRecord[]; executors: readonly VmRecord[]; } | undefined;
+
+    configurationChanged(configuration: ConfigurationSnapshot): void {
+        this.context.policy.setSettings(configuration.policy);
+        const shares = Object.values(configuration.teams).map(team => [team.name, team.share] as const);
+        this.context.policy.setTeamShares(new Map(shares));
+        this.rounds.request();
+    }
+
+    /** Use of the teams in all other shards of the fleet. */
+    setFleetUsage(usage: ReadonlyMap<string, Resources>, capacity: Resources): void {
+        this.context.policy.setFleetUsage(usage, capacity);
+    }
+
+    /** Accepts a job durably. Repeating a submission answers with the first one's job. */
+    async submit(submission: Submission): Promise<Result<JobStatus, ServiceError>> {
+        const known = this.context.book.get(submission.id);
+        if (known !== undefined) {
+            return ok({ ...this.statistics.status(known), repeated: true });
+        }
+        const refusal = this.submissionRefusal(submission);
+        if (refusal !== undefined) {
+            return err(refusal);
+        }
+        const entry = this.createEntry(submission);
+        decide(this.context, entry, Reason.Accepted);
+        const accepted = await this.dependencies.jobs.accept(entry.record, submission.idempotencyKey);
+        if (accepted.isErr()) {
+            return err(accepted.error);
+        }
+        if (accepted.value.repeated) {
+            return ok(this.repeatedStatus(accepted.value.record));
+        }
+        if (this.closing.signal.aborted) {
+            // The job is durable; the next owner of the shard reads it.
+            return ok(this.statistics.status(entry));
+        }
+        this.context.book.add(entry);
+        this.lifecycle.enqueue(entry);
+        return ok(this.statistics.status(entry));
+    }
+
+    /** Cancels a job. The answer comes once the cancellation is durable. */
+    async cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
+        const entry = this.context.book.get(job);
+        if (entry === undefined) {
+            return err(this.jobNotFound(job));
+        }
+        if (isFinished(entry.record.state)) {
+            return ok(this.statistics.status(entry));
+        }
+        const durable = await this.lifecycle.finish(entry, JobState.Cancelled, Reason.CancelledByCaller);
+        if (!durable) {
+            return err(serviceError(ErrorKind.StoreOutcomeUnknown, `the cancellation of ${job} is not durable yet`));
+        }
+        return ok(this.statistics.status(entry));
+    }
+
+    /** Current state of a job with its decisions. */
+    status(job: string): Result<JobStatus, ServiceError> {
+        const entry = this.context.book.get(job);
+        return entry === undefined ? err(this.jobNotFound(job)) : ok(this.statistics.status(entry));
+    }
+
+    /** Runs a request on one of the shard's executors. */
+    dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
+        if (this.closing.signal.aborted) {
+            const message = `shard ${this.shard} is being handed over`;
+            return Promise.resolve(err(serviceError(ErrorKind.NotOwner, message)));
+        }
+        return this.executors.dispatch(request);
+    }
+
+    /** What other processes learn with each heartbeat. */
+    summary(owner: string): ShardSummary {
+        return this.statistics.summary(owner, this.ready && startRefusal(this.context) === undefined);
+    }
+
+    describe(): unknown {
+        return {
+            shard: this.shard,
+            epoch: this.epoch,
+            loaded: this.loaded,
+            refusal: startRefusal(this.context),
+            workers: this.workers.states(),
+            jobs: Array.from(this.context.book.entries(), entry => this.statistics.status(entry)),
+            executors: this.executors.describe(),
+            policy: this.context.policy.describe(),
+        };
+    }
+
+    /** Requests that are in flight to executors. */
+    inFlightRequests(): number {
+        return this.executors.inFlight();
+    }
+
+    /** Stops everything that starts work. Tasks go on running; requests in flight are finished. */
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.closing.abort();
+        for (const subscription of this.subscriptions) {
+            subscription[Symbol.dispose]();
+        }
+        this.rounds.stop();
+        await this.loading;
+        await this.workers[Symbol.asyncDispose]();
+        await this.executors[Symbol.asyncDispose]();
+        this.dependencies.ledger.close(this.shard);
+    }
+
+    private async run(workers: readonly VmRecord[], executors: readonly VmRecord[]): Promise<void> {
+        this.pendingTargets ??= { workers, executors };
+        const records = await this.load();
+        if (records === undefined) {
+            return;
+        }
+        const { timers } = this.dependencies;
+        for (const record of records) {
+            this.addLoaded(record);
+        }
+        this.loaded = true;
+        const configuration = this.dependencies.configuration();
+        if (configuration !== undefined) {
+            this.configurationChanged(configuration);
+        }
+        this.setTargets(this.pendingTargets.workers, this.pendingTargets.executors);
+        this.subscriptions.push(
+            timers.every(SWEEP_MILLISECONDS, () => this.sweep()),
+            timers.every(this.dependencies.settings.roundPeriodMilliseconds, () => this.rounds.request()),
+        );
+    }
+
+    /** Opens the grants and reads the jobs, through outages of the store, until the shard is given up. */
+    private async load(): Promise<readonly JobRecord[] | undefined> {
+        const { ledger, jobs, timers, logger } = this.dependencies;
+        while (!this.closing.signal.aborted) {
+            const opened = await ledger.open(this.shard, this.epoch);
+            const records = opened.isOk() ? await jobs.load(this.shard) : err(opened.error);
+            if (records.isOk()) {
+                return this.closing.signal.aborted ? undefined : records.value;
+            }
+            logger.warn({ shard: this.shard, error: records.error }, "jobs of the shard could not be read yet");
+            await sleep(timers, LOAD_RETRY_MILLISECONDS, this.closing.signal);
+        }
+        return undefined;
+    }
+
+    private addLoaded(record: JobRecord): void {
+        const { timers } = this.dependencies;
+        const recovering = record.acceptedEpoch < this.epoch && !isFinished(record.state);
+        const entry = createJobEntry(record, timers.now(), timers.wallClock(), recovering);
+        this.context.book.add(entry);
+        this.lifecycle.enqueue(entry);
+    }
+
+    private sweep(): void {
+        this.workers.sweep();
+        this.recovery.sweep();
+        this.statistics.sweep();
+        this.forgetFinishedJobs();
+    }
+
+    private forgetFinishedJobs(): void {
+        const { timers, settings } = this.dependencies;
+        const oldest = timers.wallClock() - settings.explanationMilliseconds;
+        for (const entry of this.context.book.entries()) {
+            if ((entry.record.finishedAt ?? Number.POSITIVE_INFINITY) < oldest) {
+                this.context.book.delete(entry.record.id);
+            }
+        }
+    }
+
+    private submissionRefusal(submission: Submission): ServiceError | undefined {
+        if (!this.ready) {
+            return serviceError(ErrorKind.ShardNotReady, `shard ${this.shard} is still being read by its new owner`);
+        }
+        const { maximumJobs } = this.dependencies.settings;
+        if (this.context.book.unfinishedJobs() >= maximumJobs) {
+            return serviceError(ErrorKind.Overloaded, `shard ${this.shard} has ${maximumJobs} unfinished jobs`);
+        }
+        const { size, tasks, allAtOnce } = submission.specification;
+        if (!this.workers.allAttached()) {
+            return undefined;
+        }
+        const feasibility = this.context.policy.feasibility(size, tasks, allAtOnce);
+        if (feasibility.feasible) {
+            return undefined;
+        }
+        return serviceError(
+            ErrorKind.NeverRunnable,
+            `${feasibility.reason}; the nearest shape that could run is ${describeSize(feasibility.nearest)}`,
+            { ...feasibility.nearest },
+        );
+    }
+
+    private createEntry(submission: Submission): JobEntry {
+        const { timers } = this.dependencies;
+        const record: JobRecord = {
+            id: submission.id,
+            specification: submission.specification,
+            workClass: submission.workClass,
+            shard: this.shard,
+            acceptedEpoch: this.epoch,
+            state: JobState.Queued,
+            submittedAt: submission.submittedAt,
+            succeededTasks: [],
+            intents: [],
+            decisions: [],
+        };
+        return createJobEntry(record, timers.now(), timers.wallClock(), false);
+    }
+
+    private repeatedStatus(record: JobRecord): JobStatus {
+        const entry = this.context.book.get(record.id);
+        const status = entry === undefined
+            ? this.statistics.statusOfRecord(record)
+            : this.statistics.status(entry);
+        return { ...status, repeated: true };
+    }
+
+    private dispatchGate(): DispatchGate {
+        return {
+            enter: team => {
+                const refusal = startRefusal(this.context);
+                return refusal === undefined ? this.dependencies.ledger.reserve(this.shard, team) : err(refusal);
+            },
+            leave: team => this.dependencies.ledger.release(this.shard, team),
+        };
+    }
+
+    private jobNotFound(job: string): ServiceError {
+        return serviceError(ErrorKind.JobNotFound, `shard ${this.shard} has no job ${job}`);
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -0,0 +1,214 @@
+/**
+ * Transitions of tasks between waiting, starting, running and ended, with everything each one entails: room in the
+ * policy, units of the team's grant, the durable record and the recorded decision.
+ */
+import { isFinished, type JobState, Reason, TaskState } from "@tanagerlink/model";
+import type { WaitingJob } from "@tanagerlink/policy";
+import { activeTasks, derivedState, isActive, type JobEntry, resetTask, type TaskEntry } from "./jobEntry.ts";
+import { decide, type DecisionFacts, type ShardContext } from "./shardContext.ts";
+
+/** Sends a stop for a task that runs; the worker's report settles the rest. */
+export interface TaskStopper {
+    stop(entry: JobEntry, task: TaskEntry): void;
+}
+
+/** Milliseconds in a second. */
+const SECOND = 1_000;
+
+/** Transitions of the tasks of one shard. */
+export class TaskLifecycle {
+    private readonly context: ShardContext;
+    private readonly stopper: TaskStopper;
+
+    constructor(context: ShardContext, stopper: TaskStopper) {
+        this.context = context;
+        this.stopper = stopper;
+    }
+
+    /** Puts the waiting tasks of a job into the queue of the policy. */
+    enqueue(entry: JobEntry): void {
+        const waiting = entry.tasks.filter(task => task.state === TaskState.Waiting && !task.recovering);
+        if (waiting.length > 0 && !isFinished(entry.record.state)) {
+            this.context.policy.addJob(waitingJob(entry, waiting));
+        }
+        this.context.requestRound();
+    }
+
+    /** A round placed the task: room and unit are taken already. */
+    placed(entry: JobEntry, task: TaskEntry, worker: string, attempt: number): void {
+        task.state = TaskState.Starting;
+        task.worker = worker;
+        task.attempt = attempt;
+        task.startInFlight = false;
+        this.context.book.occupy(entry, task, worker);
+    }
+
+    /** A worker reports a task that this owner did not start: it was started under an earlier epoch. */
+    adopted(entry: JobEntry, task: TaskEntry, worker: string, bootId: string, attempt: number): void {
+        const { specification, workClass } = entry.record;
+        const now = this.context.dependencies.timers.now();
+        resetTask(task);
+        task.state = TaskState.Running;
+        task.worker = worker;
+        task.bootId = bootId;
+        task.attempt = attempt;
+        task.startedAt = now;
+        task.renewedAt = now;
+        this.context.book.occupy(entry, task, worker);
+        this.context.dependencies.ledger.adopt(this.context.shard, specification.team);
+        this.context.policy.taskRunning({
+            job: entry.record.id,
+            task: task.index,
+            name: specification.name,
+            team: specification.team,
+            queue: specification.queue,
+            workClass,
+            worker,
+            size: specification.size,
+            runSeconds: specification.runSeconds,
+            startedAt: now,
+            allAtOnce: specification.allAtOnce,
+            preemptible: specification.idempotent,
+        });
+        this.refresh(entry);
+    }
+
+    /** The worker confirmed the start. */
+    running(entry: JobEntry, task: TaskEntry): void {
+        const { metrics, timers } = this.context.dependencies;
+        task.state = TaskState.Running;
+        task.startedAt = timers.now();
+        const workClass = entry.record.workClass;
+        metrics.starts.increment({ work_class: workClass, result: "started" });
+        metrics.startDelay.observe((timers.now() - entry.waitingSince) / SECOND, { work_class: workClass });
+        this.refresh(entry);
+    }
+
+    /** Frees room and unit of a task. `ranSeconds` only for a normal end, which feeds learning. */
+    free(entry: JobEntry, task: TaskEntry, ranSeconds: number | undefined): void {
+        this.context.book.vacate(task);
+        this.context.policy.taskEnded(entry.record.id, task.index, ranSeconds);
+        this.context.dependencies.ledger.release(this.context.shard, entry.record.specification.team);
+        this.context.requestRound();
+    }
+
+    /** Frees the task and lets it wait again. */
+    requeue(entry: JobEntry, task: TaskEntry, reason: Reason, facts: DecisionFacts = {}): void {
+        if (isActive(task)) {
+            this.free(entry, task, undefined);
+        }
+        resetTask(task);
+        if (isFinished(entry.record.state)) {
+            task.state = TaskState.Cancelled;
+            return;
+        }
+        decide(this.context, entry, reason, { task: task.index, ...facts });
+        this.context.policy.requeueTasks(entry.record.id, [task.index]);
+        this.refresh(entry);
+        this.context.requestRound();
+    }
+
+    /** The task ended well. The promise settles when this is durable. */
+    succeeded(entry: JobEntry, task: TaskEntry): Promise<boolean> {
+        const ranSeconds = (this.context.dependencies.timers.now() - task.startedAt) / SECOND;
+        if (isActive(task)) {
+            this.free(entry, task, ranSeconds);
+        }
+        task.state = TaskState.Succeeded;
+        task.recovering = false;
+        entry.record = { ...entry.record, succeededTasks: [...entry.record.succeededTasks, task.index] };
+        decide(this.context, entry, Reason.TaskSucceeded, {
+            task: task.index,
+            ...(task.worker === undefined ? {} : { worker: task.worker }),
+        });
+        this.context.dependencies.metrics.tasksEnded.increment({ result: "succeeded" });
+        this.refresh(entry);
+        return this.persist(entry);
+    }
+
+    /** Nobody can tell whether the task of a non-idempotent job ran to its end; it never starts again. */
+    outcomeUnknown(entry: JobEntry, task: TaskEntry, detail: string): void {
+        if (isActive(task)) {
+            this.free(entry, task, undefined);
+        }
+        task.recovering = false;
+        task.state = TaskState.OutcomeUnknown;
+        decide(this.context, entry, Reason.TaskOutcomeUnknown, { task: task.index, detail });
+        this.context.dependencies.metrics.tasksEnded.increment({ result: "outcome_unknown" });
+        this.refresh(entry);
+        void this.persist(entry);
+    }
+
+    /** Ends a job as a whole; what still runs is stopped. The promise settles when the end is durable. */
+    finish(entry: JobEntry, state: JobState, reason: Reason, detail?: string): Promise<boolean> {
+        entry.record = { ...entry.record, state, finishedAt: this.context.dependencies.timers.wallClock() };
+        decide(this.context, entry, reason, detail === undefined ? {} : { detail });
+        this.context.policy.removeJob(entry.record.id);
+        for (const task of entry.tasks) {
+            if (isActive(task)) {
+                this.stopper.stop(entry, task);
+            }
+            else if (task.state === TaskState.Waiting && !task.recovering) {
+                task.state = TaskState.Cancelled;
+            }
+        }
+        this.context.requestRound();
+        return this.persist(entry);
+    }
+
+    /**
+     * A member of a gang is gone: the others are stopped as well and the gang waits as a whole, since a partial gang
+     * would hold room without doing work.
+     */
+    dissolveGang(entry: JobEntry, reason: Reason): void {
+        for (const task of activeTasks(entry)) {
+            if (!task.stopping) {
+                this.stopper.stop(entry, task);
+            }
+        }
+        decide(this.context, entry, reason, { detail: "the other tasks of the gang are stopped and wait again" });
+    }
+
+    /** Writes the record; false when this owner may not write it any more. */
+    async persist(entry: JobEntry): Promise<boolean> {
+        const result = await this.context.dependencies.jobs.update(entry.record, this.context.epoch);
+        if (result.isErr()) {
+            this.context.dependencies.logger.warn(
+                { job: entry.record.id, shard: this.context.shard, error: result.error },
+                "job record could not be written; a newer owner of the shard keeps it",
+            );
+        }
+        return result.isOk();
+    }
+
+    /** Derives the job's state from its tasks and ends the job when all tasks have ended. */
+    private refresh(entry: JobEntry): void {
+        const state = derivedState(entry);
+        if (state === entry.record.state) {
+            return;
+        }
+        entry.record = isFinished(state)
+            ? { ...entry.record, state, finishedAt: this.context.dependencies.timers.wallClock() }
+            : { ...entry.record, state };
+        if (isFinished(state)) {
+            this.context.policy.removeJob(entry.record.id);
+        }
+    }
+}
+
+function waitingJob(entry: JobEntry, waiting: readonly TaskEntry[]): WaitingJob {
+    const { specification, workClass, id } = entry.record;
+    return {
+        id,
+        name: specification.name,
+        team: specification.team,
+        queue: specification.queue,
+        workClass,
+        size: specification.size,
+        runSeconds: specification.runSeconds,
+        allAtOnce: specification.allAtOnce,
+        preemptible: specification.idempotent,
+        waitingTasks: waiting.map(task => task.index),
+        waitingSince: entry.waitingSince,
+    };
+}
--- /dev/null
+++ b/packages/scheduler/src/taskStarter.ts
@@ -0,0 +1,199 @@
+/**
+ * Sends starts to workers. A start whose answer was lost is sent again to the same worker under the same attempt, never
+ * to another one, until the worker has said what became of it or the task's lease has ended.
+ */
+import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
+import { isFinished, Reason, type StartIntent, taskLeaseMilliseconds, TaskState } from "@tanagerlink/model";
+import { type WorkerTask, WorkerTaskState } from "@tanagerlink/targets";
+import { attemptOf, type JobEntry, type TaskEntry } from "./jobEntry.ts";
+import type { ShardContext } from "./shardContext.ts";
+import { startRefusal } from "./startGate.ts";
+import type { TaskLifecycle } from "./taskLifecycle.ts";
+import type { WorkerSession } from "./workerSession.ts";
+
+/** Attempts of one epoch; an attempt number is `epoch * ATTEMPTS_PER_EPOCH + counter` and so never repeats. */
+const ATTEMPTS_PER_EPOCH = 10_000_000;
+
+/** Receives what a worker says of a task that has ended by the time of the answer. */
+export interface EndedTaskHandler {
+    taskEnded(session: WorkerSession, entry: JobEntry, task: TaskEntry, reported: WorkerTask): void;
+}
+
+/** Starts tasks of one shard. */
+export class TaskStarter {
+    private readonly context: ShardContext;
+    private readonly lifecycle: TaskLifecycle;
+    private readonly ended: EndedTaskHandler;
+    private counter = 0;
+
+    constructor(context: ShardContext, lifecycle: TaskLifecycle, ended: EndedTaskHandler) {
+        this.context = context;
+        this.lifecycle = lifecycle;
+        this.ended = ended;
+    }
+
+    /** Starts a task that a round has placed. The room and the unit of the limit are taken already. */
+    async start(entry: JobEntry, task: TaskEntry, session: WorkerSession): Promise<void> {
+        this.counter++;
+        this.lifecycle.placed(entry, task, session.client.id, this.context.epoch * ATTEMPTS_PER_EPOCH + this.counter);
+        task.bootId = session.bootId;
+        const attempt = task.attempt;
+        if (!entry.record.specification.idempotent && !await this.recordIntent(entry, task)) {
+            this.abandon(entry, task, attempt, "the start could not be recorded first");
+            return;
+        }
+        await this.send(entry, task, session, attempt);
+    }
+
+    /** Sends a start again whose answer was lost. */
+    async sendAgain(entry: JobEntry, task: TaskEntry, session: WorkerSession): Promise<void> {
+        await this.send(entry, task, session, task.attempt);
+    }
+
+    private async send(entry: JobEntry, task: TaskEntry, session: WorkerSession, attempt: number): Promise<void> {
+        if (!this.isCurrent(task, attempt)) {
+            return;
+        }
+        const first = task.renewedAt === 0;
+        const bootId = task.bootId;
+        const refusal = this.refusal(entry, session, bootId);
+        if (refusal !== undefined || bootId === undefined) {
+            if (first) {
+                this.abandon(entry, task, attempt, refusal ?? "the worker was not read yet");
+            }
+            return;
+        }
+        const { specification, workClass, id } = entry.record;
+        task.renewedAt = this.context.dependencies.timers.now();
+        task.startSentAt = task.renewedAt;
+        task.startInFlight = true;
+        const result = await session.client.start({
+            epoch: this.context.epoch,
+            bootId,
+            job: id,
+            task: task.index,
+            attempt,
+            team: specification.team,
+            size: specification.size,
+            leaseMilliseconds: taskLeaseMilliseconds[workClass],
+            lastReport: session.reportSequence,
+            payload: specification.payload,
+        });
+        if (!this.isCurrent(task, attempt)) {
+            return;
+        }
+        task.startInFlight = false;
+        result.match(
+            reported => this.answered(entry, task, session, reported),
+            error => this.failed(entry, task, attempt, error, first),
+        );
+    }
+
+    private answered(entry: JobEntry, task: TaskEntry, session: WorkerSession, reported: WorkerTask): void {
+        if (reported.state === WorkerTaskState.Running) {
+            this.lifecycle.running(entry, task);
+        }
+        else {
+            this.ended.taskEnded(session, entry, task, reported);
+        }
+    }
+
+    private failed(entry: JobEntry, task: TaskEntry, attempt: number, error: ServiceError, first: boolean): void {
+        const { metrics, logger } = this.context.dependencies;
+        metrics.starts.increment({ work_class: entry.record.workClass, result: error.kind });
+        logger.debug({ job: entry.record.id, task: task.index, worker: task.worker, error }, "start not confirmed");
+        // A refusal of a repeated start says nothing of the first one, which may still arrive: the next report or the
+        // end of the lease settles it.
+        if (first && error.kind !== ErrorKind.OutcomeUnknown) {
+            this.abandon(entry, task, attempt, error.message);
+        }
+    }
+
+    /** Gives up a start that was certainly not sent or was refused. */
+    private abandon(entry: JobEntry, task: TaskEntry, attempt: number, detail: string): void {
+        if (!this.isCurrent(task, attempt)) {
+            return;
+        }
+        const worker = task.worker;
+        this.lifecycle.requeue(entry, task, Reason.WaitingForCapacity, {
+            detail,
+            ...(worker === undefined ? {} : { worker }),
+        });
+        if (entry.record.specification.allAtOnce) {
+            this.lifecycle.dissolveGang(entry, Reason.WaitingForGang);
+        }
+    }
+
+    private refusal(entry: JobEntry, session: WorkerSession, bootId: string | undefined): string | undefined {
+        if (isFinished(entry.record.state)) {
+            return "the job has ended";
+        }
+        if (!session.attached || session.bootId !== bootId) {
+            return "the worker was restarted or is not attached";
+        }
+        if (session.leaving) {
+            return "the worker is leaving";
+        }
+        return startRefusal(this.context)?.message;
+    }
+
+    private isCurrent(task: TaskEntry, attempt: number): boolean {
+        return task.attempt === attempt && task.state === TaskState.Starting;
+    }
+
+    private recordIntent(entry: JobEntry, task: TaskEntry): Promise<boolean> {
+        const intent: StartIntent = {
+            task: task.index,
+            attempt: task.attempt,
+            worker: task.worker ?? "",
+            bootId: task.bootId ?? "",
+        };
+        const others = entry.record.intents.filter(other => other.task !== task.index);
+        entry.record = { ...entry.record, intents: [...others, intent] };
+        return this.lifecycle.persist(entry);
+    }
+}
+
+/** Sends stops and checkpoints. Lost ones are sent again when the worker still reports the task. */
+export class TaskStopRequests {
+    private readonly context: ShardContext;
+    private readonly session: (worker: string) => WorkerSession | undefined;
+
+    constructor(context: ShardContext, session: (worker: string) => WorkerSession | undefined) {
+        this.context = context;
+        this.session = session;
+    }
+
+    stop(entry: JobEntry, task: TaskEntry): void {
+        task.stopping = true;
+        this.request(entry, task, session => session.client.stop(this.context.epoch, attemptOf(entry, task)));
+    }
+
+    checkpoint(entry: JobEntry, task: TaskEntry): void {
+        task.stopping = true;
+        this.request(entry, task, session => session.client.checkpoint(this.context.epoch, attemptOf(entry, task)));
+    }
+
+    throttle(entry: JobEntry, task: TaskEntry): void {
+        task.throttled = true;
+        this.request(entry, task, session => session.client.throttle(this.context.epoch, attemptOf(entry, task)));
+    }
+
+    private request(
+        entry: JobEntry,
+        task: TaskEntry,
+        send: (session: WorkerSession) => ReturnType<WorkerSession["client"]["stop"]>,
+    ): void {
+        const session = task.worker === undefined ? undefined : this.session(task.worker);
+        if (session === undefined) {
+            return;
+        }
+        void send(session).then(result => {
+            if (result.isErr()) {
+                const { logger } = this.context.dependencies;
+                logger.debug({ job: entry.record.id, task: task.index, error: result.error }, "control call failed");
+            }
+            session.hurry();
+        });
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/usageGuard.ts
@@ -0,0 +1,87 @@
+/**
+ * Keeps tasks that use more than they declared from harming others on the same worker: a task over its size is
+ * throttled first; while a worker's counted use exceeds its capacity, the tasks over their size leave it, newest
+ * batch task first: idempotent ones by checkpoint, others by a stop.
+ */
+import { fitsInto, isFinished, JobState, maximumResources, Reason, type Resources, WorkClass } from "@tanagerlink/model";
+import { addResources, noResources, subtractResources } from "@tanagerlink/model";
+import type { WorkerReport } from "@tanagerlink/targets";
+import type { TaskReference } from "./jobBook.ts";
+import { decide, type ShardContext } from "./shardContext.ts";
+import type { TaskLifecycle } from "./taskLifecycle.ts";
+import type { TaskStopRequests } from "./taskStarter.ts";
+
+/** Reacts to the usage that workers report. */
+export class UsageGuard {
+    private readonly context: ShardContext;
+    private readonly lifecycle: TaskLifecycle;
+    private readonly requests: TaskStopRequests;
+
+    constructor(context: ShardContext, lifecycle: TaskLifecycle, requests: TaskStopRequests) {
+        this.context = context;
+        this.lifecycle = lifecycle;
+        this.requests = requests;
+    }
+
+    /** Examines one report of a worker. */
+    examine(worker: string, report: WorkerReport): void {
+        const usages = new Map(report.tasks.map(task => [`${task.job}.${task.task}.${task.attempt}`, task.usage]));
+        const references = this.context.book.tasksOn(worker);
+        let total = noResources;
+        const counted = new Map<TaskReference, Resources>();
+        for (const reference of references) {
+            const { entry, task } = reference;
+            const usage = usages.get(`${entry.record.id}.${task.index}.${task.attempt}`) ?? noResources;
+            const size = maximumResources(entry.record.specification.size, usage);
+            counted.set(reference, size);
+            total = addResources(total, size);
+            this.applyUsage(reference, usage);
+        }
+        this.relieve(references, counted, total, report.capacity);
+    }
+
+    private applyUsage(reference: TaskReference, usage: Resources): void {
+        const { entry, task } = reference;
+        const { size } = entry.record.specification;
+        this.context.policy.taskUsage(entry.record.id, task.index, usage);
+        if (!fitsInto(usage, size) && !task.throttled && !task.stopping) {
+            decide(this.context, entry, Reason.Throttled, { task: task.index, detail: "uses more than its size" });
+            this.requests.throttle(entry, task);
+        }
+    }
+
+    private relieve(
+        references: readonly TaskReference[],
+        counted: ReadonlyMap<TaskReference, Resources>,
+        total: Resources,
+        capacity: Resources,
+    ): void {
+        let remaining = total;
+        const overSize = references.filter(({ task }) => task.throttled && !task.stopping).sort(newestBatchFirst);
+        for (const reference of overSize) {
+            if (fitsInto(remaining, capacity)) {
+                return;
+            }
+            remaining = subtractResources(remaining, counted.get(reference) ?? noResources);
+            this.remove(reference);
+        }
+    }
+
+    private remove({ entry, task }: TaskReference): void {
+        if (entry.record.specification.idempotent) {
+            decide(this.context, entry, Reason.StoppedOverSize, { task: task.index, detail: "checkpointed" });
+            this.requests.checkpoint(entry, task);
+            return;
+        }
+        if (!isFinished(entry.record.state)) {
+            const detail = "a task used more than its declared size and its worker was full; declare a larger size";
+            void this.lifecycle.finish(entry, JobState.Failed, Reason.StoppedOverSize, detail);
+        }
+    }
+}
+
+function newestBatchFirst(left: TaskReference, right: TaskReference): number {
+    const batch = Number(right.entry.record.workClass === WorkClass.Batch)
+        - Number(left.entry.record.workClass === WorkClass.Batch);
+    return batch !== 0 ? batch : right.task.startedAt - left.task.startedAt;
+}
--- /dev/null
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -0,0 +1,251 @@
+/**
+ * The workers of one shard: one session each, their availability for new work, and the tasks of workers that are gone
+ * or cannot be reached any more.
+ */
+import type { ServiceError } from "@tanagerlink/errors";
+import { FailureDomainState, Reason, taskLeaseMilliseconds, type VmRecord, VmState } from "@tanagerlink/model";
+import type { TaskAttempt, WorkerReport } from "@tanagerlink/targets";
+import { attemptOf, isActive, type JobEntry, leaseEnd, type TaskEntry } from "./jobEntry.ts";
+import type { ShardContext } from "./shardContext.ts";
+import type { TaskLifecycle } from "./taskLifecycle.ts";
+import { WorkerSession, type WorkerSessionHost, type WorkerSessionState } from "./workerSession.ts";
+
+/** Periods without an answer after which a worker gets no new work. */
+const SILENT_PERIODS = 3;
+
+/** Receives the reports of attached workers. */
+export interface ReportHandler {
+    attached(session: WorkerSession, report: WorkerReport): void;
+    reported(session: WorkerSession, report: WorkerReport): void;
+}
+
+/** Workers of one shard. */
+export class WorkerRegistry implements WorkerSessionHost, AsyncDisposable {
+    private readonly context: ShardContext;
+    private readonly lifecycle: TaskLifecycle;
+    private readonly reports: ReportHandler;
+    private readonly sessions = new Map<string, WorkerSession>();
+    private readonly absent = new Set<string>();
+    private everReady = false;
+    /** Monotonic time since when this owner has been allowed to start work. */
+    readySince: number | undefined;
+
+    constructor(context: ShardContext, lifecycle: TaskLifecycle, reports: ReportHandler) {
+        this.context = context;
+        this.lifecycle = lifecycle;
+        this.reports = reports;
+    }
+
+    session(worker: string): WorkerSession | undefined {
+        return this.sessions.get(worker);
+    }
+
+    states(): WorkerSessionState[] {
+        return Array.from(this.sessions.values(), session => session.state());
+    }
+
+    /** Takes over the list of workers of this shard. Workers that left the list are gone unless they still answer. */
+    setWorkers(workers: readonly VmRecord[]): void {
+        const listed = new Set(workers.map(worker => worker.id));
+        for (const worker of workers) {
+            this.absent.delete(worker.id);
+            this.addOrUpdate(worker);
+        }
+        for (const session of this.sessions.values()) {
+            if (!listed.has(session.client.id)) {
+                this.absent.add(session.client.id);
+            }
+        }
+        this.context.dependencies.ownership.setRoster(this.context.shard, Array.from(this.sessions.keys()));
+    }
+
+    /** Whether every worker of the stored roster was read under this epoch or is gone. */
+    allAttached(): boolean {
+        return Array.from(this.sessions.values()).every(session => session.lastReport !== undefined);
+    }
+
+    /** Periodic work: readiness, availability, and tasks whose leases have ended on silent workers. */
+    sweep(): void {
+        const { timers, ownership } = this.context.dependencies;
+        const mayStart = ownership.mayStart(this.context.shard, this.context.epoch);
+        if (mayStart && this.readySince === undefined) {
+            this.readySince = timers.now();
+            this.everReady = true;
+        }
+        for (const session of [...this.sessions.values()]) {
+            this.updateAvailability(session);
+            this.sweepSilentWorker(session);
+        }
+    }
+
+    attemptsToRenew(worker: string): readonly TaskAttempt[] {
+        const { ownership, timers } = this.context.dependencies;
+        // An owner that has lost both its lease and the majority may have a successor, which counts on the leases of
+        // unread workers to end. Before this owner was ready for the first time nobody counts on that yet.
+        if (this.everReady && !ownership.mayStart(this.context.shard, this.context.epoch)) {
+            return [];
+        }
+        const now = timers.now();
+        return this.context.book.tasksOn(worker).filter(({ task }) => !task.stopping).map(({ entry, task }) => {
+            if (task.renewedAt > 0) {
+                task.renewedAt = now;
+            }
+            return attemptOf(entry, task);
+        });
+    }
+
+    workerAttached(session: WorkerSession, report: WorkerReport): void {
+        this.context.policy.removeWorker(session.client.id);
+        this.context.policy.addWorker({ id: session.client.id, rack: session.vm.rack, capacity: report.capacity });
+        this.reports.attached(session, report);
+        this.updateAvailability(session);
+        this.context.requestRound();
+    }
+
+    workerReported(session: WorkerSession, report: WorkerReport): void {
+        this.reports.reported(session, report);
+        this.updateAvailability(session);
+    }
+
+    workerRestarted(session: WorkerSession, bootId: string): void {
+        this.endTasksOf(session.client.id, `worker ${session.client.id} was restarted`, task => task.bootId === bootId);
+    }
+
+    workerUnreachable(session: WorkerSession, error: ServiceError): void {
+        this.context.dependencies.logger.debug({ worker: session.client.id, error }, "worker did not answer");
+        this.updateAvailability(session);
+    }
+
+    epochAccepted(worker: string, sentAt: number): void {
+        this.context.dependencies.ownership.confirm(this.context.shard, this.context.epoch, worker, sentAt);
+    }
+
+    epochRefused(worker: string, error: ServiceError): void {
+        const higher = Number(error.detail?.["epoch"] ?? this.context.epoch + 1);
+        this.context.dependencies.logger.warn(
+            { worker, shard: this.context.shard, epoch: this.context.epoch, higher },
+            "worker follows a newer owner of the shard",
+        );
+        this.context.dependencies.ownership.superseded(this.context.shard, this.context.epoch, higher);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await Promise.all(Array.from(this.sessions.values(), session => session[Symbol.asyncDispose]()));
+    }
+
+    private addOrUpdate(vm: VmRecord): void {
+        const known = this.sessions.get(vm.id);
+        if (known !== undefined && known.vm.address === vm.address) {
+            known.vm = vm;
+            known.leaving = known.leaving || vm.state === VmState.Leaving;
+            this.updateAvailability(known);
+            return;
+        }
+        if (known !== undefined) {
+            // The same identifier at another address is a replaced VM; the old session's tasks wait for their leases.
+            void known[Symbol.asyncDispose]();
+        }
+        const { timers, workerClients, settings } = this.context.dependencies;
+        const session = new WorkerSession({
+            client: workerClients.client(vm.id, vm.address),
+            vm,
+            shard: this.context.shard,
+            epoch: this.context.epoch,
+            host: this,
+            timers,
+            periodMilliseconds: settings.workerHeartbeatMilliseconds,
+        });
+        session.leaving = vm.state === VmState.Leaving;
+        this.sessions.set(vm.id, session);
+        session.start();
+    }
+
+    private updateAvailability(session: WorkerSession): void {
+        if (session.lastReport === undefined) {
+            return;
+        }
+        const { timers, settings, configuration, ownership } = this.context.dependencies;
+        const silentSince = timers.now() - (session.lastContactAt ?? 0);
+        const silent = silentSince > SILENT_PERIODS * settings.workerHeartbeatMilliseconds;
+        const failureDomain = configuration()?.failureDomains[this.context.failureDomain];
+        const available = session.attached && !session.leaving && !silent
+            && failureDomain?.state === FailureDomainState.Active
+            && ownership.rosterContains(this.context.shard, session.client.id)
+            && this.capabilitiesAllowStarts(session.lastReport);
+        this.context.policy.setWorkerAvailable(session.client.id, available);
+    }
+
+    /** Without fencing or listing a worker can't refuse the former owner: its longest task lease is waited out. */
+    private capabilitiesAllowStarts(report: WorkerReport): boolean {
+        if (report.capabilities.fencing && report.capabilities.listing) {
+            return true;
+        }
+        const { timers, settings } = this.context.dependencies;
+        const longest = Math.max(...Object.values(taskLeaseMilliseconds)) + settings.leaseMarginMilliseconds;
+        return this.readySince !== undefined && timers.now() - this.readySince > longest;
+    }
+
+    private sweepSilentWorker(session: WorkerSession): void {
+        const { timers, settings } = this.context.dependencies;
+        const worker = session.client.id;
+        const silentFor = timers.now() - (session.lastContactAt ?? 0);
+        const answers = session.lastContactAt !== undefined
+            && silentFor <= SILENT_PERIODS * settings.workerHeartbeatMilliseconds;
+        if (answers) {
+            return;
+        }
+        if (this.absent.has(worker)) {
+            this.removeGoneWorker(session);
+            return;
+        }
+        // A worker without a lease timer of its own may run its tasks for ever; only a restart or its absence from the
+        // platform's list proves their end.
+        if (session.lastReport?.capabilities.leaseTimer === false) {
+            return;
+        }
+        const ended = (entry: JobEntry, task: TaskEntry): boolean =>
+            timers.now() > leaseEnd(entry, task, settings.leaseMarginMilliseconds);
+        for (const { entry, task } of this.context.book.tasksOn(worker)) {
+            if (ended(entry, task)) {
+                this.taskLost(entry, task, `the lease of the task on worker ${worker} ended`);
+            }
+        }
+    }
+
+    private removeGoneWorker(session: WorkerSession): void {
+        const worker = session.client.id;
+        this.endTasksOf(worker, `the platform no longer lists worker ${worker}`, () => true);
+        this.sessions.delete(worker);
+        this.absent.delete(worker);
+        this.context.policy.removeWorker(worker);
+        this.context.dependencies.ownership.setRoster(this.context.shard, Array.from(this.sessions.keys()));
+        void session[Symbol.asyncDispose]();
+    }
+
+    private endTasksOf(worker: string, detail: string, concerns: (task: TaskEntry) => boolean): void {
+        for (const { entry, task } of this.context.book.tasksOn(worker)) {
+            if (concerns(task)) {
+                this.taskLost(entry, task, detail);
+            }
+        }
+    }
+
+    private taskLost(entry: JobEntry, task: TaskEntry, detail: string): void {
+        if (!isActive(task)) {
+            return;
+        }
+        const worker = task.worker;
+        const { idempotent, allAtOnce } = entry.record.specification;
+        if (!idempotent && task.renewedAt > 0) {
+            this.lifecycle.outcomeUnknown(entry, task, detail);
+            return;
+        }
+        this.lifecycle.requeue(entry, task, Reason.WorkerLost, {
+            detail,
+            ...(worker === undefined ? {} : { worker }),
+        });
+        if (allAtOnce) {
+            this.lifecycle.dissolveGang(entry, Reason.WorkerLost);
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/workerSession.ts
@@ -0,0 +1,190 @@
+/**
+ * The conversation with one worker: attach under the shard's epoch, then heartbeats that renew task leases and bring
+ * back reports. One asynchronous task per worker, from `run` until the session is disposed.
+ */
+import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
+import type { VmRecord } from "@tanagerlink/model";
+import { sleep, type Timers } from "@tanagerlink/timers";
+import type { TaskAttempt, WorkerClient, WorkerReport } from "@tanagerlink/targets";
+
+/** What the session asks of the shard and tells it. All calls are synchronous. */
+export interface WorkerSessionHost {
+    /** Attempts on this worker whose leases are to be renewed. */
+    attemptsToRenew(worker: string): readonly TaskAttempt[];
+    /** The first report under this epoch and boot identifier. Everything that runs on the worker is in it. */
+    workerAttached(session: WorkerSession, report: WorkerReport): void;
+    workerReported(session: WorkerSession, report: WorkerReport): void;
+    /** The worker was restarted: nothing that ran under `bootId` runs any more. */
+    workerRestarted(session: WorkerSession, bootId: string): void;
+    workerUnreachable(session: WorkerSession, error: ServiceError): void;
+    /** The worker accepted the epoch in a request sent at `sentAt`. */
+    epochAccepted(worker: string, sentAt: number): void;
+    epochRefused(worker: string, error: ServiceError): void;
+}
+
+/** State of one worker as the dump shows it. */
+export interface WorkerSessionState {
+    readonly worker: string;
+    readonly attached: boolean;
+    readonly bootId: string | undefined;
+    readonly leaving: boolean;
+    readonly lastContactAt: number | undefined;
+}
+
+/** Upper bound of acknowledgements in one heartbeat, which bounds the size of the message. */
+const ACKNOWLEDGEMENTS_PER_HEARTBEAT = 500;
+
+/** Waiting time between attempts to reach a worker that does not answer, in heartbeat periods, at most. */
+const MAXIMUM_BACKOFF_PERIODS = 5;
+
+/** One worker of an owned shard. */
+export class WorkerSession implements AsyncDisposable {
+    readonly client: WorkerClient;
+    vm: VmRecord;
+    bootId: string | undefined;
+    attached = false;
+    leaving = false;
+    lastReport: WorkerReport | undefined;
+    lastContactAt: number | undefined;
+    /** Monotonic time at which the exchange that brought the last report was sent. */
+    lastExchangeSentAt = 0;
+    /** Sequence of the last report received, which tells the worker from when its leases count. */
+    reportSequence = 0;
+
+    private readonly epoch: number;
+    private readonly shard: string;
+    private readonly host: WorkerSessionHost;
+    private readonly timers: Timers;
+    private readonly periodMilliseconds: number;
+    private readonly acknowledgements: TaskAttempt[] = [];
+    private readonly closing = new AbortController();
+    private wake = new AbortController();
+    private failures = 0;
+    private finished: Promise<void> = Promise.resolve();
+
+    constructor(options: {
+        readonly client: WorkerClient;
+        readonly vm: VmRecord;
+        readonly shard: string;
+        readonly epoch: number;
+        readonly host: WorkerSessionHost;
+        readonly timers: Timers;
+        readonly periodMilliseconds: number;
+    }) {
+        this.client = options.client;
+        this.vm = options.vm;
+        this.shard = options.shard;
+        this.epoch = options.epoch;
+        this.host = options.host;
+        this.timers = options.timers;
+        this.periodMilliseconds = options.periodMilliseconds;
+    }
+
+    /** Begins the conversation. */
+    start(): void {
+        this.finished = this.run();
+    }
+
+    /** Queues an ended attempt for acknowledgement with the next heartbeat. */
+    acknowledge(attempt: TaskAttempt): void {
+        this.acknowledgements.push(attempt);
+    }
+
+    /** Sends the next heartbeat at once instead of at the end of the period. */
+    hurry(): void {
+        this.wake.abort();
+    }
+
+    state(): WorkerSessionState {
+        return {
+            worker: this.client.id,
+            attached: this.attached,
+            bootId: this.bootId,
+            leaving: this.leaving,
+            lastContactAt: this.lastContactAt,
+        };
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.closing.abort();
+        this.wake.abort();
+        await this.finished;
+    }
+
+    private async run(): Promise<void> {
+        while (!this.closing.signal.aborted) {
+            this.wake = new AbortController();
+            await this.exchange();
+            await this.pause();
+        }
+    }
+
+    private async exchange(): Promise<void> {
+        const sentAt = this.timers.now();
+        const acknowledged = this.acknowledgements.splice(0, ACKNOWLEDGEMENTS_PER_HEARTBEAT);
+        const result = this.attached && this.bootId !== undefined
+            ? await this.client.heartbeat({
+                epoch: this.epoch,
+                bootId: this.bootId,
+                lastReport: this.reportSequence,
+                renew: this.host.attemptsToRenew(this.client.id),
+                acknowledge: acknowledged,
+            })
+            : await this.client.attach(this.shard, this.epoch);
+        if (this.closing.signal.aborted) {
+            return;
+        }
+        if (result.isErr()) {
+            this.acknowledgements.push(...acknowledged);
+            this.failed(result.error);
+        }
+        else {
+            this.succeeded(result.value, sentAt);
+        }
+    }
+
+    private succeeded(report: WorkerReport, sentAt: number): void {
+        this.failures = 0;
+        this.lastContactAt = this.timers.now();
+        if (this.bootId !== undefined && this.bootId !== report.bootId) {
+            this.host.workerRestarted(this, this.bootId);
+            this.attached = false;
+        }
+        const first = !this.attached;
+        this.bootId = report.bootId;
+        this.reportSequence = report.sequence;
+        this.lastExchangeSentAt = sentAt;
+        this.leaving = this.leaving || report.leaving;
+        this.lastReport = report;
+        this.attached = true;
+        this.host.epochAccepted(this.client.id, sentAt);
+        if (first) {
+            this.host.workerAttached(this, report);
+        }
+        else {
+            this.host.workerReported(this, report);
+        }
+    }
+
+    private failed(error: ServiceError): void {
+        if (error.kind === ErrorKind.StaleEpoch) {
+            this.host.epochRefused(this.client.id, error);
+            return;
+        }
+        if (error.kind === ErrorKind.StaleBoot) {
+            // The next exchange attaches again and reports the restart with the new boot identifier.
+            this.attached = false;
+            return;
+        }
+        this.failures++;
+        this.host.workerUnreachable(this, error);
+    }
+
+    private async pause(): Promise<void> {
+        if (this.closing.signal.aborted) {
+            return;
+        }
+        const periods = Math.min(MAXIMUM_BACKOFF_PERIODS, Math.max(1, this.failures));
+        await sleep(this.timers, this.periodMilliseconds * periods, this.wake.signal);
+    }
+}
--- a/packages/targets/src/workerClient.ts
+++ b/packages/targets/src/workerClient.ts
@@ -37,6 +37,8 @@
     readonly worker: string;
     readonly bootId: string;
     readonly epoch: number;
+    /** Rises with each report under one boot identifier. Leases are counted from a report the owner has received. */
+    readonly sequence: number;
     readonly capacity: Resources;
     readonly capabilities: WorkerCapabilities;
     readonly leaving: boolean;
@@ -53,6 +55,11 @@
     readonly team: string;
     readonly size: Resources;
     readonly leaseMilliseconds: number;
+    /**
+     * Sequence of the last report that the owner received. The worker counts the lease from the moment it sent that
+     * report, which lies before the start was sent, so a start delivered late can't outlive the owner's own count.
+     */
+    readonly lastReport: number;
     readonly payload: string;
 }
 
@@ -66,6 +73,8 @@
 export interface HeartbeatRequest {
     readonly epoch: number;
     readonly bootId: string;
+    /** Sequence of the last report that the owner received; renewed leases count from the moment it was sent. */
+    readonly lastReport: number;
     /** Attempts whose leases are renewed. */
     readonly renew: readonly TaskAttempt[];
     /** Ended attempts whose result the owner has recorded; the worker may forget them. */
