feat(platform): add HTTP adapters, settled table, memory table and stand-in platform

Cause: the other parts need a table, an object store and a VM list to integrate against. Change: HttpTableService, HttpObjectStore and HttpVmList over undici with a time limit per call and checked answers; SettledTable reads the written rows after a lost answer and repeats a transaction that has left no trace; MemoryTableService with injected faults; a stand-in platform on a loopback port with outage, delay, silence, lost and malformed answers, partitions per failure domain, a lagging VM list and counters.

--- /dev/null
+++ b/packages/platform/src/httpObjectStore.ts
@@ -0,0 +1,43 @@
+/**
+ * The platform's object store over HTTP.
+ */
+import type { ServiceError } from "@tanagerlink/errors";
+import { err, ok, type Result } from "neverthrow";
+import { describeExchange, storeUnavailable } from "./checkedAnswer.ts";
+import { HttpPlatformClient, type HttpPlatformOptions } from "./httpPlatformClient.ts";
+import type { ObjectStore } from "./objectStore.ts";
+import { PlatformPath } from "./wireFormat.ts";
+
+/** `ObjectStore` over HTTP. A `put` may be repeated: an object never changes under its name. */
+export class HttpObjectStore implements ObjectStore, AsyncDisposable {
+    private readonly client: HttpPlatformClient;
+
+    constructor(options: HttpPlatformOptions) {
+        this.client = new HttpPlatformClient(options);
+    }
+
+    async put(name: string, content: Uint8Array): Promise<Result<void, ServiceError>> {
+        const exchange = await this.client.exchange("PUT", objectPath(name), content);
+        return exchange.answered && exchange.status === 200
+            ? ok(undefined)
+            : err(storeUnavailable(`store object ${name}`, describeExchange(exchange)));
+    }
+
+    async get(name: string): Promise<Result<Uint8Array | undefined, ServiceError>> {
+        const exchange = await this.client.exchange("GET", objectPath(name));
+        if (exchange.answered && exchange.status === 200) {
+            return ok(exchange.body);
+        }
+        return exchange.answered && exchange.status === 404
+            ? ok(undefined)
+            : err(storeUnavailable(`read object ${name}`, describeExchange(exchange)));
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.client[Symbol.asyncDispose]();
+    }
+}
+
+function objectPath(name: string): string {
+    return PlatformPath.Objects + encodeURIComponent(name);
+}
--- /dev/null
+++ b/packages/platform/src/httpTableService.ts
@@ -0,0 +1,77 @@
+/**
+ * The platform's table over HTTP. Every answer is checked before it is used, since a wrong row version would let a
+ * conditional write succeed that must fail.
+ */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import { err, ok, type Result } from "neverthrow";
+import { certainlyHadNoEffect, parseAnswer, storeUnavailable } from "./checkedAnswer.ts";
+import { HttpPlatformClient, type HttpPlatformOptions } from "./httpPlatformClient.ts";
+import type { RangeRequest, TableRow, TableService, TableTransaction, TransactionAnswer } from "./tableService.ts";
+import { PlatformPath, rangeAnswerSchema, readAnswerSchema, transactionAnswerSchema } from "./wireFormat.ts";
+
+/** `TableService` over HTTP. A malformed answer is `store_unavailable` for reads, unknown for transactions. */
+export class HttpTableService implements TableService, AsyncDisposable {
+    private readonly client: HttpPlatformClient;
+
+    constructor(options: HttpPlatformOptions) {
+        this.client = new HttpPlatformClient(options);
+    }
+
+    async read(key: string): Promise<Result<TableRow | undefined, ServiceError>> {
+        const exchange = await this.client.post(PlatformPath.TableRead, { key });
+        return parseAnswer(exchange, readAnswerSchema)
+            .andThen(({ row }) =>
+                row === undefined || row.key === key ? ok(row) : err("its answer is about another row")
+            )
+            .mapErr(reason => storeUnavailable(`read row ${key}`, reason));
+    }
+
+    async readRange(request: RangeRequest): Promise<Result<readonly TableRow[], ServiceError>> {
+        const exchange = await this.client.post(PlatformPath.TableRange, request);
+        return parseAnswer(exchange, rangeAnswerSchema)
+            .andThen(({ rows }) =>
+                answersRange(rows, request) ? ok(rows) : err("its answer does not match the requested range")
+            )
+            .mapErr(reason => storeUnavailable(`read rows ${request.prefix}*`, reason));
+    }
+
+    async transact(transaction: TableTransaction): Promise<Result<TransactionAnswer, ServiceError>> {
+        const exchange = await this.client.post(PlatformPath.TableTransact, transaction);
+        const answer = parseAnswer(exchange, transactionAnswerSchema)
+            .andThen(parsed =>
+                answersTransaction(parsed, transaction) ? ok(parsed) : err("its answer does not match the transaction")
+            );
+        return answer.mapErr(reason =>
+            certainlyHadNoEffect(exchange)
+                ? storeUnavailable("carry out a transaction", reason)
+                : serviceError(
+                    ErrorKind.StoreOutcomeUnknown,
+                    `The outcome of a transaction of the platform's table is unknown: ${reason}.`,
+                    { transaction: transaction.id },
+                )
+        );
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.client[Symbol.asyncDispose]();
+    }
+}
+
+function answersRange(rows: readonly TableRow[], request: RangeRequest): boolean {
+    let previous = request.after ?? "";
+    for (const row of rows) {
+        if (!row.key.startsWith(request.prefix) || row.key <= previous) {
+            return false;
+        }
+        previous = row.key;
+    }
+    return rows.length <= request.limit;
+}
+
+function answersTransaction(answer: TransactionAnswer, transaction: TableTransaction): boolean {
+    if (answer.committed) {
+        return transaction.writes.every(write => Object.hasOwn(answer.versions, write.key));
+    }
+    const keys = new Set([...transaction.writes, ...transaction.conditions].map(part => part.key));
+    return answer.conflicts.every(key => keys.has(key)) && answer.rows.every(row => keys.has(row.key));
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,7 +1,16 @@
 /**
  * Access to the platform: the transactional table service, the object store and the lagging list of VMs. Interfaces
- * with one HTTP adapter each, so that another platform needs only another adapter.
+ * with one HTTP adapter each, so that another platform needs only another adapter, and implementations in memory for
+ * tests.
  */
+export * from "./httpObjectStore.ts";
+export { DEFAULT_PLATFORM_CONNECTIONS, type HttpPlatformOptions } from "./httpPlatformClient.ts";
+export * from "./httpTableService.ts";
+export * from "./httpVmList.ts";
+export * from "./memoryObjectStore.ts";
+export * from "./memoryTableService.ts";
 export * from "./objectStore.ts";
+export * from "./settledTable.ts";
 export * from "./tableService.ts";
 export * from "./vmList.ts";
+export * from "./wireFormat.ts";
--- a/packages/platform/src/tableService.ts
+++ b/packages/platform/src/tableService.ts
@@ -6,7 +6,7 @@
     readonly key: string;
     /** JSON value. */
     readonly value: unknown;
-    /** Rises with each write of the row, starting at 1. */
+    /** Rises by one with each write of the row, starting at 1. */
     readonly version: number;
     /** Identifier of the transaction that wrote this version; settles answers that were lost. */
     readonly transactionId: string;
--- /dev/null
+++ b/packages/platform/src/wireFormat.ts
@@ -0,0 +1,54 @@
+/**
+ * Schemas of what the platform's HTTP interface sends and takes. The adapters check every answer against them, and the
+ * stand-in platform checks every request.
+ */
+import { vmRecordSchema } from "@tanagerlink/model";
+import { z } from "zod";
+
+/** Paths of the platform's HTTP interface below its base URL. */
+export const PlatformPath = {
+    /** POST, `readRequestSchema` to `readAnswerSchema`. */
+    TableRead: "/table/read",
+    /** POST, `rangeRequestSchema` to `rangeAnswerSchema`. */
+    TableRange: "/table/range",
+    /** POST, `transactionSchema` to `transactionAnswerSchema`. */
+    TableTransact: "/table/transact",
+    /** PUT and GET, followed by the encoded name. 404 means that there is no such object. */
+    Objects: "/objects/",
+    /** GET, `vmListAnswerSchema`. */
+    VirtualMachines: "/vms",
+} as const;
+
+export const tableRowSchema = z.object({
+    key: z.string().min(1),
+    value: z.unknown(),
+    version: z.int().min(1),
+    transactionId: z.string(),
+});
+
+export const readRequestSchema = z.object({ key: z.string().min(1) });
+/** `row` is left out when there is no such row. */
+export const readAnswerSchema = z.object({ row: tableRowSchema.optional() });
+
+export const rangeRequestSchema = z.object({
+    prefix: z.string(),
+    after: z.string().optional(),
+    limit: z.int().min(1).max(10_000),
+});
+export const rangeAnswerSchema = z.object({ rows: z.array(tableRowSchema) });
+
+const conditionSchema = z.object({ key: z.string().min(1), expectedVersion: z.int().min(0) });
+
+export const transactionSchema = z.object({
+    id: z.string().min(1),
+    conditions: z.array(conditionSchema),
+    /** A write without a value deletes the row. */
+    writes: z.array(conditionSchema.extend({ value: z.unknown().optional() })),
+});
+
+export const transactionAnswerSchema = z.discriminatedUnion("committed", [
+    z.object({ committed: z.literal(true), versions: z.record(z.string(), z.int().min(0)) }),
+    z.object({ committed: z.literal(false), conflicts: z.array(z.string()).min(1), rows: z.array(tableRowSchema) }),
+]);
+
+export const vmListAnswerSchema = z.object({ vms: z.array(vmRecordSchema) });
--- /dev/null
+++ b/packages/stand-ins/src/platformRoutes.ts
@@ -0,0 +1,119 @@
+/**
+ * HTTP interface of the stand-in platform.
+ */
+import type { HttpBindings } from "@hono/node-server";
+import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
+import {
+    PlatformPath,
+    type RangeRequest,
+    rangeRequestSchema,
+    readRequestSchema,
+    transactionSchema,
+} from "@tanagerlink/platform";
+import { type Context, Hono, type Next } from "hono";
+import type { z } from "zod";
+import type { PlatformParts } from "./platformStandIn.ts";
+
+interface Environment {
+    Bindings: HttpBindings;
+}
+
+/** @internal Builds the server's application; it answers at the root and below `/from/<failure domain>`. */
+export function platformApplication(parts: PlatformParts): Hono<Environment> {
+    const routes = new Hono<Environment>();
+    addTableRoutes(routes, parts);
+    addObjectRoutes(routes, parts);
+    routes.get(PlatformPath.VirtualMachines, context => {
+        parts.counts.vmListReads++;
+        return context.json({ vms: parts.vms.visible() });
+    });
+    const application = new Hono<Environment>();
+    application.use((context, next) => injectFaults(parts, context, next));
+    application.route("/", routes);
+    application.route("/from/:failureDomain", routes);
+    return application;
+}
+
+function addTableRoutes(routes: Hono<Environment>, { table }: PlatformParts): void {
+    routes.post(PlatformPath.TableRead, async context => {
+        const request = await parseBody(context, readRequestSchema);
+        return request === undefined ? badRequest(context) : (await table.read(request.key)).match(
+            row => context.json({ row }),
+            failure => failed(context, failure),
+        );
+    });
+    routes.post(PlatformPath.TableRange, async context => {
+        const request = await parseBody(context, rangeRequestSchema);
+        return request === undefined ? badRequest(context) : (await table.readRange(request as RangeRequest)).match(
+            rows => context.json({ rows }),
+            failure => failed(context, failure),
+        );
+    });
+    routes.post(PlatformPath.TableTransact, async context => {
+        const request = await parseBody(context, transactionSchema);
+        if (request === undefined) {
+            return badRequest(context);
+        }
+        const writes = request.writes.map(write => ({ ...write, value: write.value }));
+        return (await table.transact({ ...request, writes })).match(
+            answer => context.json(answer),
+            failure => failed(context, failure),
+        );
+    });
+}
+
+function addObjectRoutes(routes: Hono<Environment>, { objects, counts }: PlatformParts): void {
+    const path = `${PlatformPath.Objects}:name` as const;
+    routes.put(path, async context => {
+        counts.objectWrites++;
+        const content = new Uint8Array(await context.req.arrayBuffer());
+        return (await objects.put(context.req.param("name"), content)).match(
+            () => context.json({}),
+            failure => failed(context, failure),
+        );
+    });
+    routes.get(path, async context => {
+        counts.objectReads++;
+        return (await objects.get(context.req.param("name"))).match(
+            content => content === undefined ? context.notFound() : context.body(Uint8Array.from(content)),
+            failure => failed(context, failure),
+        );
+    });
+}
+
+async function injectFaults(parts: PlatformParts, context: Context<Environment>, next: Next): Promise<Response | void> {
+    const failureDomain = /^\/from\/([^/]+)\//.exec(context.req.path)?.[1];
+    const writes = context.req.path.endsWith(PlatformPath.TableTransact) || context.req.method === "PUT";
+    const fate = await parts.faults.meet(failureDomain && decodeURIComponent(failureDomain), writes);
+    if (fate === "silence") {
+        return new Promise(() => {});
+    }
+    if (fate === "refuse") {
+        return context.json({ message: "The platform is down." }, 503);
+    }
+    await next();
+    if (fate === "lose_answer") {
+        context.env.incoming.socket.destroy();
+    }
+    if (fate === "malform_answer") {
+        context.res = new Response('{"row":{"key":7}}');
+    }
+    return undefined;
+}
+
+async function parseBody<Schema extends z.ZodType>(
+    context: Context<Environment>,
+    schema: Schema,
+): Promise<z.infer<Schema> | undefined> {
+    const body: unknown = await context.req.json().catch(() => undefined);
+    const parsed = schema.safeParse(body);
+    return parsed.success ? parsed.data : undefined;
+}
+
+function badRequest(context: Context<Environment>): Response {
+    return context.json({ message: "The request does not have the agreed form." }, 400);
+}
+
+function failed(context: Context<Environment>, failure: ServiceError): Response {
+    return context.json({ message: failure.message }, failure.kind === ErrorKind.StoreUnavailable ? 503 : 504);
+}
--- a/packages/stand-ins/src/platformStandIn.ts
+++ b/packages/stand-ins/src/platformStandIn.ts
@@ -1,1 +1,98 @@
-export {};
+/**
+ * Stand-in of the platform: table, object store and lagging list of VMs behind one HTTP server on a loopback port that
+ * the system chooses. Tests inject outages, delay, silence and lost answers, and read what was really stored.
+ */
+import { serve } from "@hono/node-server";
+import { MemoryObjectStore, MemoryTableService, type TableCounters } from "@tanagerlink/platform";
+import { SystemTimers, type Timers } from "@tanagerlink/timers";
+import { type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { PlatformFaults } from "./platformFaults.ts";
+import { platformApplication } from "./platformRoutes.ts";
+import { LaggingVmList } from "./platformVmList.ts";
+
+/** Options of `startPlatformStandIn`. */
+export interface PlatformStandInOptions {
+    /** Age of the VM list that callers read. */
+    readonly lagMilliseconds?: number;
+    readonly timers?: Timers;
+}
+
+/** Calls carried out by the stand-in platform. */
+export interface PlatformCounters extends TableCounters {
+    objectReads: number;
+    objectWrites: number;
+    vmListReads: number;
+}
+
+/** A running stand-in of the platform. */
+export class PlatformStandIn implements AsyncDisposable {
+    /** Base URL for the HTTP adapters. */
+    readonly baseUrl: string;
+    /** The table itself, for tests that look at rows or write past the network. */
+    readonly table: MemoryTableService;
+    readonly objects: MemoryObjectStore;
+    readonly vms: LaggingVmList;
+    readonly faults: PlatformFaults;
+    private readonly server: Server;
+    private readonly counts: { objectReads: number; objectWrites: number; vmListReads: number; };
+
+    /** @internal */
+    constructor(parts: Omit<PlatformParts, "timers">, server: Server) {
+        const { port } = server.address() as AddressInfo;
+        this.baseUrl = `http://127.0.0.1:${port}`;
+        this.table = parts.table;
+        this.objects = parts.objects;
+        this.vms = parts.vms;
+        this.faults = parts.faults;
+        this.counts = parts.counts;
+        this.server = server;
+    }
+
+    /** Base URL for callers of one failure domain, which `faults.setPartitioned` can cut off from the platform. */
+    baseUrlFor(failureDomain: string): string {
+        return `${this.baseUrl}/from/${encodeURIComponent(failureDomain)}`;
+    }
+
+    counters(): PlatformCounters {
+        return { ...this.table.counters, ...this.counts };
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.server.closeAllConnections();
+        await closed;
+    }
+}
+
+/** @internal Parts that the routes of the stand-in use. */
+export interface PlatformParts {
+    readonly timers: Timers;
+    readonly table: MemoryTableService;
+    readonly objects: MemoryObjectStore;
+    readonly vms: LaggingVmList;
+    readonly faults: PlatformFaults;
+    readonly counts: { objectReads: number; objectWrites: number; vmListReads: number; };
+}
+
+/** Starts the stand-in platform; resolves when it listens. */
+export async function startPlatformStandIn(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
+    const timers = options.timers ?? new SystemTimers(failure => {
+        throw failure;
+    });
+    const parts: PlatformParts = {
+        timers,
+        table: new MemoryTableService(timers),
+        objects: new MemoryObjectStore(),
+        vms: new LaggingVmList(timers, options.lagMilliseconds ?? 0),
+        faults: new PlatformFaults(timers),
+        counts: { objectReads: 0, objectWrites: 0, vmListReads: 0 },
+    };
+    const application = platformApplication(parts);
+    const server = await new Promise<Server>(resolve => {
+        const listening = serve({ fetch: application.fetch, hostname: "127.0.0.1", port: 0 }, () => {
+            resolve(listening as Server);
+        });
+    });
+    return new PlatformStandIn(parts, server);
+}
--- /dev/null
+++ b/packages/stand-ins/src/platformVmList.ts
@@ -0,0 +1,53 @@
+/**
+ * List of VMs whose readers see the state of some time ago, as the platform's list lags behind the VMs.
+ */
+import type { VmRecord } from "@tanagerlink/model";
+import type { Timers } from "@tanagerlink/timers";
+
+interface ListState {
+    readonly since: number;
+    readonly records: readonly VmRecord[];
+}
+
+/** The VM list of the stand-in platform. */
+export class LaggingVmList {
+    lagMilliseconds: number;
+    private readonly timers: Timers;
+    private states: ListState[] = [];
+
+    constructor(timers: Timers, lagMilliseconds: number) {
+        this.timers = timers;
+        this.lagMilliseconds = lagMilliseconds;
+    }
+
+    /** The VMs as they are now, without lag. */
+    actual(): readonly VmRecord[] {
+        return this.states.at(-1)?.records ?? [];
+    }
+
+    /** Adds a VM or replaces its record. */
+    put(record: VmRecord): void {
+        this.replaceAll([...this.actual().filter(other => other.id !== record.id), record]);
+    }
+
+    remove(id: string): void {
+        this.replaceAll(this.actual().filter(record => record.id !== id));
+    }
+
+    replaceAll(records: readonly VmRecord[]): void {
+        this.forgetOutdated();
+        this.states.push({ since: this.timers.now(), records: [...records] });
+    }
+
+    /** The VMs as callers see them. */
+    visible(): readonly VmRecord[] {
+        return this.forgetOutdated()?.records ?? [];
+    }
+
+    private forgetOutdated(): ListState | undefined {
+        const horizon = this.timers.now() - this.lagMilliseconds;
+        const visible = this.states.findLastIndex(state => state.since <= horizon);
+        this.states = this.states.slice(Math.max(0, visible));
+        return visible < 0 ? undefined : this.states[0];
+    }
+}
