test(platform): guard settled outcomes and malformed platform answers

Cause: a wrong outcome of a transaction breaks conditional writes of every other part. Conclusion: every answer ends as a checked value or an error of the closed list.

--- /dev/null
+++ b/packages/platform/__tests__/httpAdapters.spec.ts
@@ -0,0 +1,78 @@
+import { ErrorKind } from "@tanagerlink/errors";
+import { SystemTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import fc from "fast-check";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { HttpObjectStore, HttpTableService, HttpVmList } from "../src/index.ts";
+
+const timers = new SystemTimers(failure => {
+    throw failure;
+});
+
+/** Text near to valid answers, so that the deeper checks are reached as well. */
+const nearlyValid = fc.record({
+    row: fc.oneof(
+        fc.jsonValue(),
+        fc.record({ key: fc.constantFrom("k", "other"), value: fc.jsonValue(), version: fc.integer() }),
+    ),
+    rows: fc.oneof(fc.jsonValue(), fc.array(fc.record({ key: fc.constantFrom("k", "a"), version: fc.integer() }))),
+    vms: fc.jsonValue(),
+    committed: fc.oneof(fc.boolean(), fc.jsonValue()),
+    versions: fc.oneof(fc.jsonValue(), fc.dictionary(fc.constantFrom("k", "x"), fc.integer())),
+    conflicts: fc.oneof(fc.jsonValue(), fc.array(fc.constantFrom("k", "x"))),
+}, { requiredKeys: [] }).map(answer => Buffer.from(JSON.stringify(answer)));
+
+const badBody = fc.oneof(fc.uint8Array(), fc.string().map(text => Buffer.from(text)), nearlyValid);
+const status = fc.constantFrom(200, 200, 200, 204, 301, 400, 404, 429, 500, 502, 503, 504);
+
+describe("HTTP adapters", () => {
+    let server: Server;
+    let next: { status: number; body: Uint8Array; };
+    let baseUrl: string;
+
+    before(async () => {
+        server = createServer((request, response) => {
+            request.resume();
+            response.writeHead(next.status).end(next.body);
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        baseUrl = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    });
+
+    after(() => server.close());
+
+    it("turn any answer into a checked value or an error of the closed list, and never claim a false outcome", async () => {
+        const options = { baseUrl, timers, callTimeoutMilliseconds: 5_000 };
+        await using table = new HttpTableService(options);
+        await using objects = new HttpObjectStore(options);
+        await using vms = new HttpVmList(options);
+        const transaction = { id: "t", conditions: [], writes: [{ key: "k", expectedVersion: 0, value: 1 }] };
+        await fc.assert(
+            fc.asyncProperty(status, badBody, async (code, body) => {
+                next = { status: code, body };
+                for (
+                    const read of [
+                        table.read("k"),
+                        table.readRange({ prefix: "k", limit: 5 }),
+                        vms.read(),
+                        objects.get("o"),
+                    ]
+                ) {
+                    (await read).mapErr(error => expect(error.kind).to.equal(ErrorKind.StoreUnavailable));
+                }
+                const answer = await table.transact(transaction);
+                const refused = code === 503 || (code >= 400 && code < 500);
+                answer.mapErr(error =>
+                    expect(error.kind).to.equal(refused ? ErrorKind.StoreUnavailable : ErrorKind.StoreOutcomeUnknown)
+                );
+                if (answer.isOk()) {
+                    expect(code).to.equal(200);
+                    expect(answer.value.committed ? Object.keys(answer.value.versions) : answer.value.conflicts)
+                        .to.include("k");
+                }
+            }),
+            { numRuns: 300 },
+        );
+    });
+});
--- a/packages/platform/src/memoryTableService.ts
+++ b/packages/platform/src/memoryTableService.ts
@@ -17,6 +17,10 @@
     loseAnswers: number;
     /** Number of next transactions that answer `store_outcome_unknown` without an effect. */
     loseRequests: number;
+    /** Number of next transactions that answer `store_outcome_unknown` at once and are carried out later. */
+    delayEffects: number;
+    /** Time until a transaction hit by `delayEffects` is carried out. */
+    effectDelayMilliseconds: number;
     /** Number of next transactions that answer with a conflict on all their rows and have no effect. */
     conflicts: number;
 }
@@ -42,6 +46,8 @@
         delayMilliseconds: 0,
         loseAnswers: 0,
         loseRequests: 0,
+        delayEffects: 0,
+        effectDelayMilliseconds: 200,
         conflicts: 0,
     };
     readonly counters: TableCounters = { reads: 0, rangeReads: 0, transactions: 0, rowsWritten: 0 };
@@ -86,6 +92,10 @@
             return err(unknownOutcome(transaction));
         }
         this.counters.transactions++;
+        if (this.takeFault("delayEffects")) {
+            this.timers.after(this.faults.effectDelayMilliseconds, () => void this.apply(transaction));
+            return err(unknownOutcome(transaction));
+        }
         if (this.takeFault("conflicts")) {
             return ok(this.conflict(transaction.writes.map(write => write.key)));
         }
@@ -102,7 +112,7 @@
             : ok(undefined);
     }
 
-    private takeFault(fault: "loseAnswers" | "loseRequests" | "conflicts"): boolean {
+    private takeFault(fault: "loseAnswers" | "loseRequests" | "delayEffects" | "conflicts"): boolean {
         if (this.faults[fault] <= 0) {
             return false;
         }
