--- /dev/null
+++ b/packages/settings/src/settingsTable.ts
@@ -0,0 +1,188 @@
+/**
+ * The one table of settings. Flags, environment variables, help text and the `Settings` type all derive from it.
+ */
+import type { z } from "zod";
+import { baseUrl, filePath, identifier, ipAndPort, oneOf, saltedHash, wholeNumber } from "./schemas.ts";
+
+/** One line of the table. */
+export interface SettingDefinition<Value> {
+    /** Flag without the leading dashes. */
+    readonly flag: string;
+    readonly environment: string;
+    /** Unit of the value; empty for text. */
+    readonly unit: string;
+    /** Text used when neither flag nor environment variable is given; `undefined` when there is no default. */
+    readonly default: string | undefined;
+    /** Whether the process cannot start without a value. */
+    readonly required: boolean;
+    /** Permitted values in words. */
+    readonly range: string;
+    readonly description: string;
+    readonly schema: z.ZodType<Value>;
+}
+
+const BYTES_PER_MEBIBYTE = 1_048_576;
+const DAY_SECONDS = 86_400;
+
+const LOG_LEVELS = ["trace", "debug", "info", "warn", "error", "fatal"] as const;
+
+type Line<Value> = Pick<SettingDefinition<Value>, "unit" | "range" | "schema" | "description">;
+
+function define<Value>(flag: string, required: boolean, standard: string | undefined, line: Line<Value>) {
+    const environment = `TANAGERLINK_${flag.toUpperCase().replaceAll("-", "_")}`;
+    return { flag, environment, default: standard, required, ...line };
+}
+
+function required<Value>(flag: string, line: Line<Value>): SettingDefinition<Value> {
+    return define(flag, true, undefined, line);
+}
+
+function optional<Value>(flag: string, line: Line<Value>): SettingDefinition<Value | undefined> {
+    return define<Value | undefined>(flag, false, undefined, line);
+}
+
+function text<Value>(flag: string, standard: string, line: Line<Value>): SettingDefinition<Value> {
+    return define(flag, false, standard, line);
+}
+
+function number(
+    flag: string,
+    unit: string,
+    [minimum, standard, maximum]: readonly [number, number, number],
+    description: string,
+): SettingDefinition<number> {
+    const range = `${minimum} to ${maximum}`;
+    return define(flag, false, String(standard), { unit, range, schema: wholeNumber(minimum, maximum), description });
+}
+
+/** Numbers are given as lowest, default and highest value. */
+export const settingsTable = {
+    nodeId: required("node-id", {
+        unit: "",
+        range: "1 to 128 characters",
+        schema: identifier(128),
+        description: "Identifier of this process, equal to the identifier of its VM in the platform's list.",
+    }),
+    failureDomain: required("failure-domain", {
+        unit: "",
+        range: "1 to 64 characters",
+        schema: identifier(64),
+        description: "Failure domain of this VM.",
+    }),
+    listenAddress: text("listen-address", "0.0.0.0:8080", {
+        unit: "",
+        range: "<ip>:<port>, port 0 picks a free one",
+        schema: ipAndPort(0),
+        description: "Address on which callers and operators are served.",
+    }),
+    peerAddress: required("peer-address", {
+        unit: "",
+        range: "<ip>:<port>",
+        schema: ipAndPort(1),
+        description: "Address on which other processes are served; equal to the address in the platform's list.",
+    }),
+    platformUrl: required("platform-url", {
+        unit: "",
+        range: "http or https URL",
+        schema: baseUrl,
+        description: "Base URL of the platform's table service, object store and VM list.",
+    }),
+    platformTimeoutMilliseconds: number(
+        "platform-timeout-milliseconds",
+        "milliseconds",
+        [50, 1_500, 30_000],
+        "Longest wait for one answer of the platform.",
+    ),
+    vmListPollMilliseconds: number(
+        "vm-list-poll-milliseconds",
+        "milliseconds",
+        [50, 1_000, 4_000],
+        "Period of reading the platform's VM list. A leaving target must receive nothing new after 5 s.",
+    ),
+    drainTimeoutSeconds: number(
+        "drain-timeout-seconds",
+        "seconds",
+        [1, 30, 3_600],
+        "Longest time between SIGTERM and the end of the process.",
+    ),
+    maximumConfigurationAgeSeconds: number(
+        "maximum-configuration-age-seconds",
+        "seconds",
+        [0, 0, DAY_SECONDS],
+        "New work is refused when the configuration was not confirmed for this long; 0 turns the check off.",
+    ),
+    maximumBodyBytes: number(
+        "maximum-body-bytes",
+        "bytes",
+        [1_024, 8 * BYTES_PER_MEBIBYTE, 64 * BYTES_PER_MEBIBYTE],
+        "Largest body of a request or an answer.",
+    ),
+    logLevel: text("log-level", "info", {
+        unit: "",
+        range: LOG_LEVELS.join(", "),
+        schema: oneOf(LOG_LEVELS),
+        description: "Lowest level that is logged.",
+    }),
+    shardLeaseMilliseconds: number(
+        "shard-lease-milliseconds",
+        "milliseconds",
+        [200, 6_000, 60_000],
+        "Length of a shard lease.",
+    ),
+    shardRenewalMilliseconds: number(
+        "shard-renewal-milliseconds",
+        "milliseconds",
+        [50, 2_000, 20_000],
+        "Period of lease renewals; at most half of the lease, so that one renewal may fail.",
+    ),
+    confirmationWindowMilliseconds: number(
+        "confirmation-window-milliseconds",
+        "milliseconds",
+        [100, 4_000, 60_000],
+        "Age up to which a worker's acceptance of an epoch counts while the table is down; below the lease.",
+    ),
+    workerHeartbeatMilliseconds: number(
+        "worker-heartbeat-milliseconds",
+        "milliseconds",
+        [50, 2_000, 10_000],
+        "Period of heartbeats to each worker; at most half of the confirmation window.",
+    ),
+    peerHeartbeatMilliseconds: number(
+        "peer-heartbeat-milliseconds",
+        "milliseconds",
+        [20, 500, 10_000],
+        "Period of heartbeats on each peer link.",
+    ),
+    peerSilenceMilliseconds: number(
+        "peer-silence-milliseconds",
+        "milliseconds",
+        [100, 2_000, 60_000],
+        "Silence after which a peer link is closed and replaced; at least twice the peer heartbeat.",
+    ),
+    explanationHours: number(
+        "explanation-hours",
+        "hours",
+        [0, 1, 168],
+        "Time for which a finished job can still be explained.",
+    ),
+    operatorKeyFile: optional("operator-key-file", {
+        unit: "",
+        range: "path",
+        schema: filePath,
+        description: "File with one operator a line, `<operator> scrypt:<salt>:<hash>`. Not with operator-token-hash.",
+    }),
+    operatorTokenHash: optional("operator-token-hash", {
+        unit: "",
+        range: "scrypt:<salt>:<hash>",
+        schema: saltedHash,
+        description:
+            "Salted hash of the single operator token. Without it and operator-key-file, operators are refused.",
+    }),
+} as const;
+
+/** Validated settings of one process; units are part of the names. */
+export type Settings = {
+    readonly [Name in keyof typeof settingsTable]: (typeof settingsTable)[Name] extends SettingDefinition<infer Value>
+        ? Value
+        : never;
+};
