--- /dev/null
+++ b/packages/stand-ins/src/workerLoopbackServer.ts
@@ -0,0 +1,68 @@
+/**
+ * HTTP server of a stand-in: on the loopback interface, on a port chosen by the system. Listening can be switched off
+ * and on again on the same port, so that clients meet a refused connection.
+ */
+import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
+import type { Hono } from "hono";
+import { once } from "node:events";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+const LOOPBACK = "127.0.0.1";
+
+/** Hono environment with the raw request and answer of Node.js. */
+export interface StandInEnvironment {
+    Bindings: HttpBindings;
+}
+
+/** A running HTTP server of a stand-in. */
+export interface LoopbackServer extends AsyncDisposable {
+    /** `ip:port`. */
+    readonly address: string;
+    /** Closes the listener and all connections, or listens again on the same port. */
+    setListening(listening: boolean): Promise<void>;
+}
+
+class NodeLoopbackServer implements LoopbackServer {
+    readonly address: string;
+    private readonly server: Server;
+
+    constructor(server: Server) {
+        this.server = server;
+        this.address = `${LOOPBACK}:${(server.address() as AddressInfo).port}`;
+    }
+
+    async setListening(listening: boolean): Promise<void> {
+        if (listening === this.server.listening) {
+            return;
+        }
+        if (listening) {
+            await listen(this.server, Number(this.address.split(":")[1]));
+            return;
+        }
+        const closed = once(this.server, "close");
+        this.server.close();
+        this.server.closeAllConnections();
+        await closed;
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.setListening(false);
+    }
+}
+
+async function listen(server: Server, port: number): Promise<void> {
+    const listening = once(server, "listening");
+    server.listen(port, LOOPBACK);
+    await listening;
+}
+
+/** Starts a server for the application on a port chosen by the system. */
+export async function startLoopbackServer(application: Hono<StandInEnvironment>): Promise<LoopbackServer> {
+    const server = createAdaptorServer({
+        fetch: application.fetch as Parameters<typeof createAdaptorServer>[0]["fetch"],
+        overrideGlobalObjects: false,
+    }) as Server;
+    await listen(server, 0);
+    return new NodeLoopbackServer(server);
+}
--- /dev/null
+++ b/packages/stand-ins/src/workerProtocol.ts
@@ -0,0 +1,56 @@
+/**
+ * Schemas of the JSON bodies of the worker protocol, as the stand-in checks them, and of the payload that tells a
+ * simulated worker how a task behaves.
+ */
+import { resourcesSchema } from "@tanagerlink/model";
+import { z } from "zod";
+
+const epoch = z.int().min(0);
+const attempt = z.object({ job: z.string(), task: z.int().min(0), attempt: z.int().min(0) });
+
+export const attachSchema = z.object({ shard: z.string(), epoch });
+
+export const heartbeatSchema = z.object({
+    epoch,
+    bootId: z.string(),
+    renew: z.array(attempt),
+    acknowledge: z.array(attempt),
+});
+
+export const startSchema = attempt.extend({
+    epoch,
+    bootId: z.string(),
+    team: z.string(),
+    size: resourcesSchema,
+    leaseMilliseconds: z.number().positive(),
+    payload: z.string(),
+});
+
+export const attemptSchema = z.object({ epoch, attempt });
+
+/** How a simulated task behaves. Without a run time it runs until it is stopped. */
+export const payloadSchema = z.object({
+    runMilliseconds: z.number().min(0).optional(),
+    exitCode: z.int().default(0),
+    usage: resourcesSchema.optional(),
+});
+
+export type TaskBehaviour = z.infer<typeof payloadSchema>;
+
+/** Reads the payload of a task; text that is no such object makes a task with default behaviour. */
+export function readBehaviour(payload: string, runMilliseconds: number | undefined): TaskBehaviour {
+    const parsed = payloadSchema.safeParse(parseJson(payload));
+    const behaviour = parsed.success ? parsed.data : { exitCode: 0 };
+    return behaviour.runMilliseconds === undefined && runMilliseconds !== undefined
+        ? { ...behaviour, runMilliseconds }
+        : behaviour;
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/workerRecord.ts
@@ -0,0 +1,131 @@
+/**
+ * What really happened on the simulated workers of one stand-in. Tests compare the product's account with it.
+ */
+import {
+    addResources,
+    fitsInto,
+    maximumResources,
+    noResources,
+    type Resources,
+    subtractResources,
+} from "@tanagerlink/model";
+import type { TaskStart, WorkerTaskState } from "@tanagerlink/targets";
+
+/** One run of one attempt. Times are milliseconds on the monotonic clock of the stand-in. */
+export interface AttemptRecord {
+    readonly worker: string;
+    readonly bootId: string;
+    readonly epoch: number;
+    readonly job: string;
+    readonly task: number;
+    readonly attempt: number;
+    readonly team: string;
+    readonly size: Resources;
+    readonly startedAt: number;
+    endedAt: number | undefined;
+    /** How the run ended; `lost` when the worker restarted under it. */
+    end: WorkerTaskState | "lost" | undefined;
+}
+
+/** A moment at which the running tasks of a worker exceeded its capacity. */
+export interface OvercommitRecord {
+    readonly worker: string;
+    readonly at: number;
+    readonly running: Resources;
+    readonly capacity: Resources;
+}
+
+interface WorkerLoad {
+    running: Resources;
+    highest: Resources;
+}
+
+/** Record of all workers of one stand-in. */
+export class WorkerRecord {
+    readonly attempts: AttemptRecord[] = [];
+    readonly overcommits: OvercommitRecord[] = [];
+    /** Calls refused because their epoch was lower than the highest one seen. */
+    staleEpochRefusals = 0;
+    staleBootRefusals = 0;
+    /** Starts of an attempt that had been seen before. */
+    repeatedStarts = 0;
+    private readonly loads = new Map<string, WorkerLoad>();
+    private readonly runningByTeam = new Map<string, number>();
+    private readonly highestByTeam = new Map<string, number>();
+
+    /** Notes the start of a run. */
+    begin(worker: string, bootId: string, capacity: Resources, start: TaskStart, now: number): AttemptRecord {
+        const { epoch, job, task, attempt, team, size } = start;
+        const record: AttemptRecord = {
+            worker,
+            bootId,
+            epoch,
+            job,
+            task,
+            attempt,
+            team,
+            size,
+            startedAt: now,
+            endedAt: undefined,
+            end: undefined,
+        };
+        this.attempts.push(record);
+        const load = this.loads.get(worker) ?? { running: noResources, highest: noResources };
+        this.loads.set(worker, load);
+        load.running = addResources(load.running, size);
+        load.highest = maximumResources(load.highest, load.running);
+        if (!fitsInto(load.running, capacity)) {
+            this.overcommits.push({ worker, at: now, running: load.running, capacity });
+        }
+        const ofTeam = (this.runningByTeam.get(team) ?? 0) + 1;
+        this.runningByTeam.set(team, ofTeam);
+        this.highestByTeam.set(team, Math.max(ofTeam, this.highestByTeam.get(team) ?? 0));
+        return record;
+    }
+
+    /** Notes the end of a run. */
+    finish(record: AttemptRecord, end: WorkerTaskState | "lost", now: number): void {
+        record.endedAt = now;
+        record.end = end;
+        const load = this.loads.get(record.worker);
+        if (load !== undefined) {
+            load.running = subtractResources(load.running, record.size);
+        }
+        this.runningByTeam.set(record.team, (this.runningByTeam.get(record.team) ?? 1) - 1);
+    }
+
+    /** Highest sum of sizes that ever ran on the worker at the same time, per component. */
+    highestRunning(worker: string): Resources {
+        return this.loads.get(worker)?.highest ?? noResources;
+    }
+
+    /** Sum of sizes that run on the worker now. */
+    running(worker: string): Resources {
+        return this.loads.get(worker)?.running ?? noResources;
+    }
+
+    /** Most tasks of the team that ever ran at the same time on the workers of this stand-in. */
+    highestOfTeam(team: string): number {
+        return this.highestByTeam.get(team) ?? 0;
+    }
+
+    /** Pairs of runs of the same task that overlapped in time, on any two workers or twice on one. */
+    overlaps(): [AttemptRecord, AttemptRecord][] {
+        const byTask = new Map<string, AttemptRecord[]>();
+        for (const record of this.attempts) {
+            const key = `${record.job}.${record.task}`;
+            byTask.set(key, [...byTask.get(key) ?? [], record]);
+        }
+        return [...byTask.values()].flatMap(overlapsOfTask);
+    }
+}
+
+function overlapsOfTask(records: readonly AttemptRecord[]): [AttemptRecord, AttemptRecord][] {
+    return records.flatMap((earlier, index) =>
+        records.slice(index + 1)
+            .filter(later =>
+                later.startedAt < (earlier.endedAt ?? Infinity) && earlier.startedAt < (later.endedAt ?? Infinity)
+            )
+            .map(later => [earlier, later] as [AttemptRecord, AttemptRecord])
+    );
+}
--- /dev/null
+++ b/packages/stand-ins/src/workerSimulation.ts
@@ -0,0 +1,288 @@
+/**
+ * One simulated worker: epochs, boot identifier, leases and running tasks. It accepts a start that exceeds its
+ * capacity and records it, so that tests see an overcommit instead of a refusal.
+ */
+import type { Resources } from "@tanagerlink/model";
+import {
+    type HeartbeatRequest,
+    type TaskAttempt,
+    type TaskStart,
+    type WorkerCapabilities,
+    type WorkerReport,
+    type WorkerTask,
+    WorkerTaskState,
+} from "@tanagerlink/targets";
+import type { Subscription, Timers } from "@tanagerlink/timers";
+import { randomUUID } from "node:crypto";
+import { readBehaviour, type TaskBehaviour } from "./workerProtocol.ts";
+import type { AttemptRecord, WorkerRecord } from "./workerRecord.ts";
+
+export const allCapabilities: WorkerCapabilities = {
+    fencing: true,
+    deduplication: true,
+    listing: true,
+    leaseTimer: true,
+};
+
+/** Fault switches of one worker. */
+export interface WorkerFaults {
+    /** Connections break before the call has an effect. */
+    unreachable: boolean;
+    /** Calls are accepted, have no effect and are never answered. */
+    silent: boolean;
+    /** Number of coming calls that take effect but whose connection breaks before the answer. */
+    loseAnswers: number;
+    /** Delay before each answer, after the effect. */
+    slowMilliseconds: number;
+    /** Every task started ends at once with exit code 1. */
+    failEverything: boolean;
+}
+
+/** Refusal of a call by the worker, as it travels in the answer body. */
+export interface WorkerRefusal {
+    readonly error: "stale_epoch" | "stale_boot";
+    readonly epoch: number;
+    readonly message: string;
+}
+
+export interface WorkerOptions {
+    readonly id: string;
+    readonly capacity: Resources;
+    readonly capabilities?: Partial<WorkerCapabilities>;
+}
+
+/** What all workers of one stand-in share. */
+export interface WorkerSurroundings {
+    readonly timers: Timers;
+    readonly record: WorkerRecord;
+    /** Milliseconds of work saved by checkpoints, by `<job>.<task>`. */
+    readonly progress: Map<string, number>;
+    readonly defaultRunMilliseconds: number | undefined;
+}
+
+interface Run {
+    readonly key: string;
+    readonly start: TaskStart;
+    readonly behaviour: TaskBehaviour;
+    readonly record: AttemptRecord;
+    state: WorkerTaskState;
+    exitCode: number | undefined;
+    throttled: boolean;
+    leaseEnd: number;
+    acknowledged: boolean;
+    runTimer: Subscription | undefined;
+    leaseTimer: Subscription | undefined;
+}
+
+function attemptKey(attempt: TaskAttempt): string {
+    return `${attempt.job}.${attempt.task}.${attempt.attempt}`;
+}
+
+/** State machine of one worker. Methods return a refusal where the worker refuses the call. */
+export class SimulatedWorker {
+    readonly id: string;
+    readonly capacity: Resources;
+    readonly capabilities: WorkerCapabilities;
+    readonly faults: WorkerFaults = {
+        unreachable: false,
+        silent: false,
+        loseAnswers: 0,
+        slowMilliseconds: 0,
+        failEverything: false,
+    };
+    leaving = false;
+    bootId: string = randomUUID();
+    epoch = 0;
+    private readonly surroundings: WorkerSurroundings;
+    private readonly runs = new Map<string, Run>();
+
+    constructor(options: WorkerOptions, surroundings: WorkerSurroundings) {
+        this.id = options.id;
+        this.capacity = options.capacity;
+        this.capabilities = { ...allCapabilities, ...options.capabilities };
+        this.surroundings = surroundings;
+    }
+
+    /** Tasks that run now. */
+    runningCount(): number {
+        return [...this.runs.values()].filter(run => run.state === WorkerTaskState.Running).length;
+    }
+
+    /** Restarts the worker: new boot identifier; epoch, tasks and memory of attempts are lost. */
+    restart(): void {
+        for (const run of this.runs.values()) {
+            this.finish(run, WorkerTaskState.Stopped, undefined, "lost");
+        }
+        this.runs.clear();
+        this.epoch = 0;
+        this.bootId = randomUUID();
+    }
+
+    attach(epoch: number): WorkerReport | WorkerRefusal {
+        return this.fence(epoch) ?? this.report();
+    }
+
+    heartbeat(request: HeartbeatRequest): WorkerReport | WorkerRefusal {
+        const refusal = this.fence(request.epoch) ?? this.checkBoot(request.bootId);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        for (const attempt of request.renew) {
+            const run = this.runs.get(attemptKey(attempt));
+            if (run !== undefined) {
+                run.leaseEnd = this.now() + run.start.leaseMilliseconds;
+            }
+        }
+        for (const attempt of request.acknowledge) {
+            const run = this.runs.get(attemptKey(attempt));
+            if (run !== undefined && run.state !== WorkerTaskState.Running) {
+                run.acknowledged = true;
+            }
+        }
+        return this.report();
+    }
+
+    start(start: TaskStart): WorkerTask | WorkerRefusal {
+        const refusal = this.fence(start.epoch) ?? this.checkBoot(start.bootId);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        const key = attemptKey(start);
+        const known = this.runs.get(key);
+        if (known !== undefined) {
+            this.surroundings.record.repeatedStarts++;
+            if (this.capabilities.deduplication) {
+                return describeRun(known);
+            }
+        }
+        return describeRun(this.run(known === undefined ? key : `${key}#${randomUUID()}`, start));
+    }
+
+    stop(epoch: number, attempt: TaskAttempt): WorkerRefusal | undefined {
+        return this.fence(epoch) ?? this.end(attempt, false);
+    }
+
+    checkpoint(epoch: number, attempt: TaskAttempt): WorkerRefusal | undefined {
+        return this.fence(epoch) ?? this.end(attempt, true);
+    }
+
+    throttle(epoch: number, attempt: TaskAttempt): WorkerRefusal | undefined {
+        const refusal = this.fence(epoch);
+        const run = this.runs.get(attemptKey(attempt));
+        if (refusal === undefined && run !== undefined) {
+            run.throttled = true;
+        }
+        return refusal;
+    }
+
+    private now(): number {
+        return this.surroundings.timers.now();
+    }
+
+    private fence(epoch: number): WorkerRefusal | undefined {
+        if (!this.capabilities.fencing || epoch >= this.epoch) {
+            this.epoch = Math.max(epoch, this.epoch);
+            return undefined;
+        }
+        this.surroundings.record.staleEpochRefusals++;
+        return { error: "stale_epoch", epoch: this.epoch, message: `epoch ${epoch} is lower than ${this.epoch}` };
+    }
+
+    private checkBoot(bootId: string): WorkerRefusal | undefined {
+        if (bootId === this.bootId) {
+            return undefined;
+        }
+        this.surroundings.record.staleBootRefusals++;
+        return { error: "stale_boot", epoch: this.epoch, message: `the worker runs under boot id ${this.bootId}` };
+    }
+
+    private run(key: string, start: TaskStart): Run {
+        const { timers, record, progress, defaultRunMilliseconds } = this.surroundings;
+        const now = this.now();
+        const run: Run = {
+            key,
+            start,
+            behaviour: readBehaviour(start.payload, defaultRunMilliseconds),
+            record: record.begin(this.id, this.bootId, this.capacity, start, now),
+            state: WorkerTaskState.Running,
+            exitCode: undefined,
+            throttled: false,
+            leaseEnd: now + start.leaseMilliseconds,
+            acknowledged: false,
+            runTimer: undefined,
+            leaseTimer: undefined,
+        };
+        this.runs.set(key, run);
+        if (this.faults.failEverything) {
+            this.finish(run, WorkerTaskState.Failed, 1);
+            return run;
+        }
+        const { runMilliseconds, exitCode } = run.behaviour;
+        if (runMilliseconds !== undefined) {
+            const remaining = runMilliseconds - (progress.get(`${start.job}.${start.task}`) ?? 0);
+            const end = exitCode === 0 ? WorkerTaskState.Succeeded : WorkerTaskState.Failed;
+            run.runTimer = timers.after(Math.max(0, remaining), () => this.finish(run, end, exitCode));
+        }
+        if (this.capabilities.leaseTimer) {
+            this.watchLease(run);
+        }
+        return run;
+    }
+
+    private watchLease(run: Run): void {
+        const remaining = run.leaseEnd - this.now();
+        if (remaining <= 0) {
+            this.finish(run, WorkerTaskState.LeaseExpired, undefined);
+            return;
+        }
+        run.leaseTimer = this.surroundings.timers.after(remaining, () => {
+            if (run.state === WorkerTaskState.Running) {
+                this.watchLease(run);
+            }
+        });
+    }
+
+    private end(attempt: TaskAttempt, save: boolean): undefined {
+        const run = this.runs.get(attemptKey(attempt));
+        if (run === undefined || run.state !== WorkerTaskState.Running) {
+            return undefined;
+        }
+        if (save) {
+            const key = `${attempt.job}.${attempt.task}`;
+            const { progress } = this.surroundings;
+            progress.set(key, (progress.get(key) ?? 0) + this.now() - run.record.startedAt);
+        }
+        this.finish(run, WorkerTaskState.Stopped, undefined);
+        return undefined;
+    }
+
+    private finish(run: Run, state: WorkerTaskState, exitCode: number | undefined, end?: "lost"): void {
+        if (run.state !== WorkerTaskState.Running) {
+            return;
+        }
+        run.state = state;
+        run.exitCode = exitCode;
+        run.runTimer?.[Symbol.dispose]();
+        run.leaseTimer?.[Symbol.dispose]();
+        this.surroundings.record.finish(run.record, end ?? state, this.now());
+    }
+
+    private report(): WorkerReport {
+        const listed = this.capabilities.listing ? [...this.runs.values()].filter(run => !run.acknowledged) : [];
+        return {
+            worker: this.id,
+            bootId: this.bootId,
+            epoch: this.epoch,
+            capacity: this.capacity,
+            capabilities: this.capabilities,
+            leaving: this.leaving,
+            tasks: listed.map(describeRun),
+        };
+    }
+}
+
+function describeRun(run: Run): WorkerTask {
+    const { job, task, attempt, team, size } = run.start;
+    const usage = run.throttled ? size : run.behaviour.usage;
+    return { job, task, attempt, team, size, state: run.state, usage, exitCode: run.exitCode };
+}
--- a/packages/stand-ins/src/workerStandIn.ts
+++ b/packages/stand-ins/src/workerStandIn.ts
@@ -1,1 +1,157 @@
-export {};
+/**
+ * Stand-in of workers: many simulated workers behind one HTTP server, each under the path `/workers/<id>/`. The
+ * protocol is JSON over POST: `attach`, `heartbeat`, `start`, `stop`, `checkpoint` and `throttle`.
+ */
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { sleep, SystemTimers, type Timers } from "@tanagerlink/timers";
+import { type Context, Hono } from "hono";
+import { type LoopbackServer, type StandInEnvironment, startLoopbackServer } from "./workerLoopbackServer.ts";
+import { attachSchema, attemptSchema, heartbeatSchema, startSchema } from "./workerProtocol.ts";
+import { WorkerRecord } from "./workerRecord.ts";
+import { SimulatedWorker, type WorkerOptions, type WorkerSurroundings } from "./workerSimulation.ts";
+
+export { type AttemptRecord, type OvercommitRecord, WorkerRecord } from "./workerRecord.ts";
+export { SimulatedWorker, type WorkerFaults, type WorkerOptions } from "./workerSimulation.ts";
+
+export interface WorkerStandInOptions {
+    readonly workers: readonly WorkerOptions[];
+    /** Run time of tasks whose payload names none; without it they run until they are stopped. */
+    readonly defaultRunMilliseconds?: number;
+    readonly timers?: Timers;
+    /** Progress saved by checkpoints; pass the same map to several stand-ins whose tasks move between them. */
+    readonly progress?: Map<string, number>;
+}
+
+/** A running stand-in of workers. */
+export class WorkerStandIn implements AsyncDisposable {
+    readonly record = new WorkerRecord();
+    private readonly byId = new Map<string, SimulatedWorker>();
+    private readonly surroundings: WorkerSurroundings;
+    private server: LoopbackServer | undefined;
+
+    constructor(options: WorkerStandInOptions) {
+        this.surroundings = {
+            timers: options.timers ?? new SystemTimers(failure => console.error("worker stand-in failed", failure)),
+            record: this.record,
+            progress: options.progress ?? new Map(),
+            defaultRunMilliseconds: options.defaultRunMilliseconds,
+        };
+        options.workers.forEach(worker => this.add(worker));
+    }
+
+    /** `ip:port`, the same for all workers. */
+    get address(): string {
+        return this.running().address;
+    }
+
+    get workers(): ReadonlyMap<string, SimulatedWorker> {
+        return this.byId;
+    }
+
+    /** Adds a worker while the server runs. */
+    add(options: WorkerOptions): SimulatedWorker {
+        const worker = new SimulatedWorker(options, this.surroundings);
+        this.byId.set(worker.id, worker);
+        return worker;
+    }
+
+    /** The worker with this identifier, which must exist. */
+    worker(id: string): SimulatedWorker {
+        const worker = this.byId.get(id);
+        if (worker === undefined) {
+            throw new Error(`the stand-in has no worker ${id}`);
+        }
+        return worker;
+    }
+
+    /** Closes the port for all workers, so that connections are refused, or opens it again. */
+    async setListening(listening: boolean): Promise<void> {
+        await this.running().setListening(listening);
+    }
+
+    /** @internal */
+    async listen(): Promise<void> {
+        const application = new Hono<StandInEnvironment>();
+        application.post("/workers/:id/:call", context => this.answer(context));
+        this.server = await startLoopbackServer(application);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        for (const worker of this.byId.values()) {
+            worker.restart();
+        }
+        await this.server?.[Symbol.asyncDispose]();
+    }
+
+    private running(): LoopbackServer {
+        if (this.server === undefined) {
+            throw new Error("the stand-in does not listen yet");
+        }
+        return this.server;
+    }
+
+    private async answer(context: Context<StandInEnvironment>): Promise<Response> {
+        const worker = this.byId.get(context.req.param("id") ?? "");
+        const call = calls[context.req.param("call") ?? ""];
+        if (worker === undefined || call === undefined) {
+            return context.json({ error: "not_found", message: "no such worker or call" }, 404);
+        }
+        const body: unknown = await context.req.json().catch(() => undefined);
+        if (worker.faults.silent) {
+            return new Promise<Response>(() => undefined);
+        }
+        if (worker.faults.unreachable) {
+            return breakConnection(context);
+        }
+        const result = call(worker, body);
+        if (worker.faults.loseAnswers > 0) {
+            worker.faults.loseAnswers--;
+            return breakConnection(context);
+        }
+        if (worker.faults.slowMilliseconds > 0) {
+            await sleep(this.surroundings.timers, worker.faults.slowMilliseconds);
+        }
+        return context.json(result ?? {}, isRefusal(result) ? 409 : 200);
+    }
+}
+
+type Call = (worker: SimulatedWorker, body: unknown) => object | undefined;
+
+const calls: Readonly<Record<string, Call>> = {
+    attach: (worker, body) => checked(attachSchema, body, ({ epoch }) => worker.attach(epoch)),
+    heartbeat: (worker, body) => checked(heartbeatSchema, body, request => worker.heartbeat(request)),
+    start: (worker, body) => checked(startSchema, body, start => worker.start(start)),
+    stop: (worker, body) => checked(attemptSchema, body, ({ epoch, attempt }) => worker.stop(epoch, attempt)),
+    checkpoint: (worker, body) =>
+        checked(attemptSchema, body, ({ epoch, attempt }) => worker.checkpoint(epoch, attempt)),
+    throttle: (worker, body) => checked(attemptSchema, body, ({ epoch, attempt }) => worker.throttle(epoch, attempt)),
+};
+
+interface Schema<Value> {
+    safeParse(input: unknown): { success: true; data: Value; } | { success: false; error: Error; };
+}
+
+function checked<Value>(
+    schema: Schema<Value>,
+    body: unknown,
+    run: (value: Value) => object | undefined,
+): object | undefined {
+    const parsed = schema.safeParse(body);
+    return parsed.success ? run(parsed.data) : { error: "invalid", message: parsed.error.message };
+}
+
+function isRefusal(result: object | undefined): boolean {
+    return result !== undefined && "error" in result;
+}
+
+function breakConnection(context: Context<StandInEnvironment>): Response {
+    context.env.outgoing.destroy();
+    return RESPONSE_ALREADY_SENT;
+}
+
+/** Starts a stand-in with the given workers on a loopback port chosen by the system. */
+export async function startWorkerStandIn(options: WorkerStandInOptions): Promise<WorkerStandIn> {
+    const standIn = new WorkerStandIn(options);
+    await standIn.listen();
+    return standIn;
+}
