feat(stand-ins): count leases of simulated workers from the owner's last received report

Cause: a start or renewal delivered late would start its lease only on arrival, so a task could outlive the time after which its owner starts it elsewhere. Change: reports carry a sequence; starts and heartbeats name the last one received, and leases count from it. Conclusion: the owner's count from the send time is an upper bound of the worker's.

--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -1,5 +1,5 @@
 /** Chooses the shard for a submission and carries it there. */
-import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import {
     type ConfigurationSnapshot,
     failureDomainOfShard,
--- a/packages/scheduler/src/peerMethods.ts
+++ b/packages/scheduler/src/peerMethods.ts
@@ -1,6 +1,6 @@
 /** Methods that the owner of a shard offers to other processes. */
-import type { PeerMethod } from "@tanagerlink/peer";
 import { WorkClass } from "@tanagerlink/model";
+import type { PeerMethod } from "@tanagerlink/peer";
 import { z } from "zod";
 import { type JobStatus, jobStatusSchema, type Submission, submissionSchema } from "./submission.ts";
 
--- a/packages/scheduler/src/requestRouter.ts
+++ b/packages/scheduler/src/requestRouter.ts
@@ -1,5 +1,5 @@
 /** Chooses the owner of a free executor slot for a request, at most one hop away. */
-import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import {
     type ConfigurationSnapshot,
     failureDomainOfShard,
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -2,8 +2,7 @@
  * All shards that one process owns. Follows ownership, membership and configuration, answers peers, and routes the
  * submissions and requests of this process's callers.
  */
-import { randomUUID } from "node:crypto";
-import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import {
     type ConfigurationSnapshot,
     type ServiceAnswer,
@@ -15,6 +14,7 @@
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { Subscription } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
 import { FleetView } from "./fleetView.ts";
 import { JobRouter } from "./jobRouter.ts";
 import { cancelMethod, requestMethod, statusMethod, submitMethod } from "./peerMethods.ts";
@@ -22,7 +22,7 @@
 import { ShardAccess } from "./shardAccess.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
 import { ShardScheduler } from "./shardScheduler.ts";
-import { type JobStatus, jobIdentifier, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
+import { jobIdentifier, type JobStatus, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
 import { headlineOf, SummaryFeed, type SummaryPayload } from "./summaryPayload.ts";
 
 /** Period of taking over the fleet's usage into the policies, in milliseconds. */
@@ -213,13 +213,19 @@
 
     private answerPeers(): void {
         const { peers } = this.options;
-        peers.handle(submitMethod, submission =>
-            this.atOwner(submission.shard, scheduler => scheduler.submit(submission)));
+        peers.handle(
+            submitMethod,
+            submission => this.atOwner(submission.shard, scheduler => scheduler.submit(submission)),
+        );
         peers.handle(cancelMethod, ({ shard, job }) => this.atOwner(shard, scheduler => scheduler.cancel(job)));
-        peers.handle(statusMethod, ({ shard, job }) =>
-            this.atOwner(shard, scheduler => Promise.resolve(scheduler.status(job))));
-        peers.handle(requestMethod, ({ shard, request }) =>
-            this.atOwner(shard, scheduler => scheduler.dispatch(request)));
+        peers.handle(
+            statusMethod,
+            ({ shard, job }) => this.atOwner(shard, scheduler => Promise.resolve(scheduler.status(job))),
+        );
+        peers.handle(
+            requestMethod,
+            ({ shard, request }) => this.atOwner(shard, scheduler => scheduler.dispatch(request)),
+        );
     }
 
     /** A forwarded call is never forwarded again, which bounds the way of a request to one hop. */
--- a/packages/scheduler/src/schedulingRounds.ts
+++ b/packages/scheduler/src/schedulingRounds.ts
@@ -156,4 +156,3 @@
         }
     }
 }
-
--- a/packages/scheduler/src/shardAccess.ts
+++ b/packages/scheduler/src/shardAccess.ts
@@ -1,5 +1,5 @@
 /** Reaches the owner of a shard: in this process, or by one call to the peer that owns it. */
-import { ErrorKind, errorAnswers, Outcome, serviceError, type ServiceError } from "@tanagerlink/errors";
+import { errorAnswers, ErrorKind, Outcome, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
 import type { ShardOwnership } from "@tanagerlink/ownership";
 import type { PeerNetwork } from "@tanagerlink/peer";
--- a/packages/scheduler/src/shardDependencies.ts
+++ b/packages/scheduler/src/shardDependencies.ts
@@ -1,9 +1,9 @@
 /**
  * What an owned shard is built from. Everything a scheduler touches outside its own memory comes in here.
  */
-import type { ConfigurationSnapshot } from "@tanagerlink/model";
 import type { JobStore } from "@tanagerlink/jobs";
 import type { GrantLedger } from "@tanagerlink/limits";
+import type { ConfigurationSnapshot } from "@tanagerlink/model";
 import type { ShardOwnership } from "@tanagerlink/ownership";
 import type { SchedulingPolicy } from "@tanagerlink/policy";
 import type { DispatchGate, ExecutorPool } from "@tanagerlink/routing";
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -2,7 +2,7 @@
  * The scheduler of one owned shard under one epoch: accepts jobs, runs the policy against the attached workers, starts
  * and follows tasks, and gives out the slots of the shard's executors.
  */
-import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import {
     type ConfigurationSnapshot,
     failureDomainOfShard,
@@ -74,13 +74,13 @@
         const requests = new TaskStopRequests(this.context, worker => this.workers.session(worker));
         this.lifecycle = new TaskLifecycle(this.context, requests);
         const usage = new UsageGuard(this.context, this.lifecycle, requests);
-        const reports = new WorkerReports(this.context, {
+        const reports: WorkerReports = new WorkerReports(this.context, {
             lifecycle: this.lifecycle,
             requests,
             usage,
             starter: () => starter,
         });
-        const starter = new TaskStarter(this.context, this.lifecycle, reports);
+        const starter: TaskStarter = new TaskStarter(this.context, this.lifecycle, reports);
         this.workers = new WorkerRegistry(this.context, this.lifecycle, reports);
         this.recovery = new Recovery(this.context, this.lifecycle, this.workers);
         this.rounds = new SchedulingRounds(this.context, this.workers, starter, requests);
--- a/packages/scheduler/src/startGate.ts
+++ b/packages/scheduler/src/startGate.ts
@@ -2,7 +2,7 @@
  * The conditions under which a shard may start anything. They are checked when a round begins and again right before
  * each start is sent, since every wait in between may outlast a lease or a configuration change.
  */
-import { ErrorKind, serviceError, type ServiceError } from "@tanagerlink/errors";
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import { FailureDomainState } from "@tanagerlink/model";
 import type { ShardContext } from "./shardContext.ts";
 
--- a/packages/scheduler/src/usageGuard.ts
+++ b/packages/scheduler/src/usageGuard.ts
@@ -3,7 +3,15 @@
  * throttled first; while a worker's counted use exceeds its capacity, the tasks over their size leave it, newest
  * batch task first: idempotent ones by checkpoint, others by a stop.
  */
-import { fitsInto, isFinished, JobState, maximumResources, Reason, type Resources, WorkClass } from "@tanagerlink/model";
+import {
+    fitsInto,
+    isFinished,
+    JobState,
+    maximumResources,
+    Reason,
+    type Resources,
+    WorkClass,
+} from "@tanagerlink/model";
 import { addResources, noResources, subtractResources } from "@tanagerlink/model";
 import type { WorkerReport } from "@tanagerlink/targets";
 import type { TaskReference } from "./jobBook.ts";
--- a/packages/scheduler/src/workerSession.ts
+++ b/packages/scheduler/src/workerSession.ts
@@ -4,8 +4,8 @@
  */
 import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
 import type { VmRecord } from "@tanagerlink/model";
-import { sleep, type Timers } from "@tanagerlink/timers";
 import type { TaskAttempt, WorkerClient, WorkerReport } from "@tanagerlink/targets";
+import { sleep, type Timers } from "@tanagerlink/timers";
 
 /** What the session asks of the shard and tells it. All calls are synchronous. */
 export interface WorkerSessionHost {
--- a/packages/stand-ins/src/workerProtocol.ts
+++ b/packages/stand-ins/src/workerProtocol.ts
@@ -13,6 +13,7 @@
 export const heartbeatSchema = z.object({
     epoch,
     bootId: z.string(),
+    lastReport: z.int().min(0),
     renew: z.array(attempt),
     acknowledge: z.array(attempt),
 });
@@ -20,6 +21,7 @@
 export const startSchema = attempt.extend({
     epoch,
     bootId: z.string(),
+    lastReport: z.int().min(0),
     team: z.string(),
     size: resourcesSchema,
     leaseMilliseconds: z.number().positive(),
--- a/packages/stand-ins/src/workerSimulation.ts
+++ b/packages/stand-ins/src/workerSimulation.ts
@@ -24,6 +24,9 @@
     leaseTimer: true,
 };
 
+/** Reports whose times a worker keeps. */
+const REPORTS_REMEMBERED = 1_000;
+
 /** Fault switches of one worker. */
 export interface WorkerFaults {
     /** Connections break before the call has an effect. */
@@ -40,7 +43,7 @@
 
 /** Refusal of a call by the worker, as it travels in the answer body. */
 export interface WorkerRefusal {
-    readonly error: "stale_epoch" | "stale_boot";
+    readonly error: "stale_epoch" | "stale_boot" | "lease_over";
     readonly epoch: number;
     readonly message: string;
 }
@@ -93,6 +96,9 @@
     leaving = false;
     bootId: string = randomUUID();
     epoch = 0;
+    private sequence = 0;
+    /** Times at which the latest reports were made, by sequence; leases count from them. */
+    private readonly reportTimes = new Map<number, number>();
     private readonly surroundings: WorkerSurroundings;
     private readonly runs = new Map<string, Run>();
 
@@ -115,6 +121,7 @@
         }
         this.runs.clear();
         this.epoch = 0;
+        this.reportTimes.clear();
         this.bootId = randomUUID();
     }
 
@@ -129,8 +136,9 @@
         }
         for (const attempt of request.renew) {
             const run = this.runs.get(attemptKey(attempt));
-            if (run !== undefined) {
-                run.leaseEnd = this.now() + run.start.leaseMilliseconds;
+            // A lease that has ended is never revived, even when its timer has not fired yet.
+            if (run !== undefined && run.leaseEnd > this.now()) {
+                run.leaseEnd = Math.max(run.leaseEnd, this.leaseEndOf(request.lastReport, run.start.leaseMilliseconds));
             }
         }
         for (const attempt of request.acknowledge) {
@@ -143,7 +151,7 @@
     }
 
     start(start: TaskStart): WorkerTask | WorkerRefusal {
-        const refusal = this.fence(start.epoch) ?? this.checkBoot(start.bootId);
+        const refusal = this.fence(start.epoch) ?? this.checkBoot(start.bootId) ?? this.checkLease(start);
         if (refusal !== undefined) {
             return refusal;
         }
@@ -196,6 +204,18 @@
         return { error: "stale_boot", epoch: this.epoch, message: `the worker runs under boot id ${this.bootId}` };
     }
 
+    /** A start whose lease is over when it arrives is refused: its owner counts the task as ended already. */
+    private checkLease(start: TaskStart): WorkerRefusal | undefined {
+        if (this.leaseEndOf(start.lastReport, start.leaseMilliseconds) > this.now()) {
+            return undefined;
+        }
+        return { error: "lease_over", epoch: this.epoch, message: "the lease of the start is over" };
+    }
+
+    private leaseEndOf(report: number, leaseMilliseconds: number): number {
+        return (this.reportTimes.get(report) ?? Number.NEGATIVE_INFINITY) + leaseMilliseconds;
+    }
+
     private run(key: string, start: TaskStart): Run {
         const { timers, record, progress, defaultRunMilliseconds } = this.surroundings;
         const now = this.now();
@@ -207,7 +227,7 @@
             state: WorkerTaskState.Running,
             exitCode: undefined,
             throttled: false,
-            leaseEnd: now + start.leaseMilliseconds,
+            leaseEnd: this.leaseEndOf(start.lastReport, start.leaseMilliseconds),
             acknowledged: false,
             runTimer: undefined,
             leaseTimer: undefined,
@@ -268,11 +288,15 @@
     }
 
     private report(): WorkerReport {
+        this.sequence++;
+        this.reportTimes.set(this.sequence, this.now());
+        this.reportTimes.delete(this.sequence - REPORTS_REMEMBERED);
         const listed = this.capabilities.listing ? [...this.runs.values()].filter(run => !run.acknowledged) : [];
         return {
             worker: this.id,
             bootId: this.bootId,
             epoch: this.epoch,
+            sequence: this.sequence,
             capacity: this.capacity,
             capabilities: this.capabilities,
             leaving: this.leaving,
