--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+/** The HTTP interface for callers and operators. */
+export * from "./application.ts";
+export * from "./configurationOperations.ts";
+export * from "./entryDependencies.ts";
+export * from "./entryMetrics.ts";
