feat(targets): add HTTP clients of workers and executors

The owner of a shard must know whether a failed call was certainly not run. Adds undici adapters: a call that fails before undici's onRequestStart was never written and is target_unreachable; anything later is outcome_unknown unless the target itself refuses. Answers count only when framed, complete, within the size bound and, for executors, under the request's own identifier. The factories gain an optional release(id). Before: interfaces only.

--- a/packages/targets/src/executorClient.ts
+++ b/packages/targets/src/executorClient.ts
@@ -33,4 +33,6 @@
 
 export interface ExecutorClientFactory extends AsyncDisposable {
     client(id: string, address: string): ExecutorClient;
+    /** Closes the connections of a target that is gone, once its running calls have ended. */
+    release?(id: string): void;
 }
--- /dev/null
+++ b/packages/targets/src/httpExecutorClient.ts
@@ -0,0 +1,155 @@
+/**
+ * HTTP adapter of the executor client. Requests go to the executor's own paths with `x-request-id`, `x-epoch`,
+ * `x-team` and `x-remaining-milliseconds`. An answer counts only when it repeats the request's identifier; otherwise
+ * a doubled answer on a kept connection could be taken for the answer to the next request.
+ */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import type { ServiceRequest } from "@tanagerlink/model";
+import type { Timers } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import type { Dispatcher } from "undici";
+import { z } from "zod";
+import { controlFailure, requestFailure, unknownOutcome } from "./callFailure.ts";
+import type { ExecutorAnswer, ExecutorClient, ExecutorClientFactory, ExecutorReport } from "./executorClient.ts";
+import { requestHeaders, responseHeaders, TargetHeader } from "./executorHeaders.ts";
+import { checkRequest } from "./executorRequestCheck.ts";
+import { refusal } from "./httpWorkerClient.ts";
+import { TargetConnections } from "./targetConnections.ts";
+import { CallEnd, type WholeAnswer, wholeCall } from "./wholeCall.ts";
+import { parseJson } from "./workerSchemas.ts";
+
+export interface HttpExecutorClientOptions {
+    readonly timers: Timers;
+    /** Longest time of an attach in milliseconds. Requests bring their own deadline. */
+    readonly attachDeadlineMilliseconds?: number;
+    readonly connectTimeoutMilliseconds?: number;
+    readonly connectionsPerTarget?: number;
+    /** Largest body in bytes, of requests and of answers. */
+    readonly maximumBodyBytes?: number;
+}
+
+const DEFAULT_ATTACH_DEADLINE_MS = 2_000;
+const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
+/** Eight slots, attaches, and connections that are being replaced. */
+const DEFAULT_CONNECTIONS = 12;
+const DEFAULT_MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
+
+const reportSchema = z.object({
+    executor: z.string(),
+    epoch: z.int().min(0),
+    slots: z.int().min(1),
+    leaving: z.boolean(),
+    running: z.array(z.object({ requestId: z.string(), team: z.string() })),
+});
+
+/** Makes HTTP clients of executors. */
+export class HttpExecutorClientFactory implements ExecutorClientFactory {
+    private readonly connections: TargetConnections<ExecutorClient>;
+
+    constructor(options: HttpExecutorClientOptions) {
+        this.connections = new TargetConnections({
+            connectionsPerTarget: options.connectionsPerTarget ?? DEFAULT_CONNECTIONS,
+            connectTimeoutMilliseconds: options.connectTimeoutMilliseconds ?? DEFAULT_CONNECT_TIMEOUT_MS,
+        }, (id, dispatcher) => new HttpExecutorClient(id, dispatcher, options));
+    }
+
+    client(id: string, address: string): ExecutorClient {
+        return this.connections.client(id, address);
+    }
+
+    release(id: string): void {
+        this.connections.release(id);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.connections[Symbol.asyncDispose]();
+    }
+}
+
+class HttpExecutorClient implements ExecutorClient {
+    readonly id: string;
+    private readonly dispatcher: Dispatcher;
+    private readonly options: HttpExecutorClientOptions;
+    private readonly maximumBodyBytes: number;
+
+    constructor(id: string, dispatcher: Dispatcher, options: HttpExecutorClientOptions) {
+        this.id = id;
+        this.dispatcher = dispatcher;
+        this.options = options;
+        this.maximumBodyBytes = options.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES;
+    }
+
+    async attach(shard: string, epoch: number): Promise<Result<ExecutorReport, ServiceError>> {
+        const result = await wholeCall(this.dispatcher, this.options.timers, {
+            method: "POST",
+            path: "/executor/attach",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify({ shard, epoch }),
+            deadlineMilliseconds: this.options.attachDeadlineMilliseconds ?? DEFAULT_ATTACH_DEADLINE_MS,
+            maximumBodyBytes: this.maximumBodyBytes,
+        });
+        if (result.end !== CallEnd.Answered) {
+            return err(controlFailure(this.id, result));
+        }
+        const content = parseJson(result.body);
+        if (result.status !== 200) {
+            return err(refusal(this.id, result.status, content));
+        }
+        const report = reportSchema.safeParse(content);
+        if (!report.success) {
+            return err(unknownOutcome(this.id, "the report is malformed"));
+        }
+        if (report.data.executor !== this.id || report.data.epoch !== epoch) {
+            const message = `The report at the address of ${this.id} is of another executor or epoch.`;
+            return err(serviceError(ErrorKind.TargetRefused, message, { target: this.id }));
+        }
+        return ok(report.data);
+    }
+
+    async send(
+        request: ServiceRequest,
+        epoch: number,
+        signal?: AbortSignal,
+    ): Promise<Result<ExecutorAnswer, ServiceError>> {
+        const invalid = checkRequest(request, this.maximumBodyBytes);
+        if (invalid !== undefined) {
+            return err(invalid);
+        }
+        const result = await wholeCall(this.dispatcher, this.options.timers, {
+            method: request.method,
+            path: request.path,
+            headers: requestHeaders(request, epoch),
+            body: request.body,
+            deadlineMilliseconds: request.remainingMilliseconds,
+            maximumBodyBytes: this.maximumBodyBytes,
+            signal,
+        });
+        return result.end === CallEnd.Answered
+            ? this.check(request, result)
+            : err(requestFailure(this.id, result));
+    }
+
+    private check(request: ServiceRequest, answer: WholeAnswer): Result<ExecutorAnswer, ServiceError> {
+        const { status, body } = answer;
+        if (answer.headers[TargetHeader.RequestId] !== request.id) {
+            return err(unknownOutcome(this.id, "the answer does not carry the identifier of the request"));
+        }
+        const leaving = answer.headers[TargetHeader.Leaving] === "true";
+        const notRun = answer.headers[TargetHeader.NotRun];
+        if (notRun === undefined) {
+            return ok({ status, headers: responseHeaders(answer.headers), body, leaving });
+        }
+        return err(this.notRun(notRun, leaving, Number(answer.headers[TargetHeader.Epoch] ?? Number.NaN)));
+    }
+
+    private notRun(reason: string, leaving: boolean, epoch: number): ServiceError {
+        const target = this.id;
+        if (reason === ErrorKind.StaleEpoch) {
+            const message = `${target} refused the request because it has seen a higher epoch.`;
+            const detail = Number.isSafeInteger(epoch) ? { target, leaving, epoch } : { target, leaving };
+            return serviceError(ErrorKind.StaleEpoch, message, detail);
+        }
+        const message = `${target} says that it did not run the request: ${reason}.`;
+        return serviceError(ErrorKind.TargetUnreachable, message, { target, leaving, refused: reason });
+    }
+}
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -3,4 +3,6 @@
  * one HTTP adapter each.
  */
 export * from "./executorClient.ts";
+export { HttpExecutorClientFactory, type HttpExecutorClientOptions } from "./httpExecutorClient.ts";
+export { HttpWorkerClientFactory, type HttpWorkerClientOptions } from "./httpWorkerClient.ts";
 export * from "./workerClient.ts";
--- /dev/null
+++ b/packages/targets/src/wholeCall.ts
@@ -0,0 +1,217 @@
+/**
+ * One HTTP call with undici, from dispatch to the whole answer. Undici's `onRequestStart` runs before the first byte
+ * of a request is written, so a call that fails before it was certainly never sent. After it the call may have run.
+ * An answer counts only when it is complete, framed and within the size bound.
+ */
+import type { Timers } from "@tanagerlink/timers";
+import type { Dispatcher } from "undici";
+
+/** Result of a call as far as it can be proved. */
+export const CallEnd = {
+    Answered: "answered",
+    NotSent: "not_sent",
+    Unknown: "unknown",
+} as const;
+export type CallEnd = (typeof CallEnd)[keyof typeof CallEnd];
+
+/** Why a call was never sent. */
+export const NotSentCause = {
+    Connection: "connection",
+    Deadline: "deadline",
+    Cancelled: "cancelled",
+    Invalid: "invalid",
+} as const;
+export type NotSentCause = (typeof NotSentCause)[keyof typeof NotSentCause];
+
+/** A complete answer. */
+export interface WholeAnswer {
+    readonly end: typeof CallEnd.Answered;
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array;
+}
+
+export interface CallNotSent {
+    readonly end: typeof CallEnd.NotSent;
+    readonly cause: NotSentCause;
+    readonly reason: string;
+}
+
+export interface CallUnknown {
+    readonly end: typeof CallEnd.Unknown;
+    readonly reason: string;
+}
+
+export type CallResult = WholeAnswer | CallNotSent | CallUnknown;
+
+/** One call to one target. */
+export interface CallOptions {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array | string;
+    readonly deadlineMilliseconds: number;
+    readonly maximumBodyBytes: number;
+    readonly signal?: AbortSignal | undefined;
+}
+
+type Headers = Record<string, string | string[] | undefined>;
+
+const INVALID_ARGUMENT = "UND_ERR_INVALID_ARG";
+
+/** Statuses whose answers never have a body. */
+const BODILESS_STATUSES: readonly number[] = [204, 304];
+
+class CallHandler implements Dispatcher.DispatchHandler {
+    readonly result: Promise<CallResult>;
+    private readonly options: CallOptions;
+    private settle!: (result: CallResult) => void;
+    private controller: Dispatcher.DispatchController | undefined;
+    private settled = false;
+    private status = 0;
+    private headers: Headers = {};
+    private readonly chunks: Buffer[] = [];
+    private size = 0;
+
+    constructor(options: CallOptions) {
+        this.options = options;
+        this.result = new Promise(resolve => {
+            this.settle = resolve;
+        });
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        if (this.settled || this.controller !== undefined) {
+            // Given up while it waited for a connection, or undici sends it a second time: nothing is written.
+            controller.abort(new Error("the call is over"));
+            return;
+        }
+        this.controller = controller;
+    }
+
+    onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Headers): void {
+        if (status < 200) {
+            return;
+        }
+        this.status = status;
+        this.headers = headers;
+        if (Number(headers["content-length"] ?? 0) > this.options.maximumBodyBytes && this.hasBody()) {
+            this.abandon("the answer is larger than the maximum body size");
+        }
+    }
+
+    onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.size += chunk.byteLength;
+        if (this.size > this.options.maximumBodyBytes) {
+            this.abandon("the answer is larger than the maximum body size");
+            return;
+        }
+        this.chunks.push(chunk);
+    }
+
+    onResponseEnd(): void {
+        const fault = this.framingFault();
+        if (fault !== undefined) {
+            this.finish({ end: CallEnd.Unknown, reason: fault });
+            return;
+        }
+        const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+        this.finish({ end: CallEnd.Answered, status: this.status, headers: flatten(this.headers), body });
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+        if (this.controller !== undefined) {
+            this.finish({ end: CallEnd.Unknown, reason: error.message });
+            return;
+        }
+        const code = (error as { code?: unknown; }).code;
+        const cause = code === INVALID_ARGUMENT ? NotSentCause.Invalid : NotSentCause.Connection;
+        this.finish({ end: CallEnd.NotSent, cause, reason: error.message });
+    }
+
+    /** Ends the call from this side. */
+    giveUp(cause: NotSentCause): void {
+        if (this.controller === undefined) {
+            this.finish({ end: CallEnd.NotSent, cause, reason: `the call ended before it was sent: ${cause}` });
+            return;
+        }
+        this.abandon(`no whole answer before the end of the call: ${cause}`);
+    }
+
+    private abandon(reason: string): void {
+        if (this.settled) {
+            return;
+        }
+        this.finish({ end: CallEnd.Unknown, reason });
+        this.controller?.abort(new Error(reason));
+    }
+
+    private finish(result: CallResult): void {
+        if (!this.settled) {
+            this.settled = true;
+            this.settle(result);
+        }
+    }
+
+    private hasBody(): boolean {
+        return this.options.method !== "HEAD" && !BODILESS_STATUSES.includes(this.status);
+    }
+
+    /** Without a length or chunks the end of an answer can't be told from a broken connection. */
+    private framingFault(): string | undefined {
+        if (!this.hasBody()) {
+            return undefined;
+        }
+        const length = this.headers["content-length"];
+        const chunked = String(this.headers["transfer-encoding"] ?? "").toLowerCase().endsWith("chunked");
+        if (length === undefined && !chunked) {
+            return "the answer has neither a content length nor chunks, so its end is not provable";
+        }
+        if (length !== undefined && !chunked && Number(length) !== this.size) {
+            return "the answer does not have its announced length";
+        }
+        return undefined;
+    }
+}
+
+function flatten(headers: Headers): Record<string, string> {
+    const flat: Record<string, string> = {};
+    for (const [name, value] of Object.entries(headers)) {
+        if (value !== undefined) {
+            flat[name] = Array.isArray(value) ? value.join(", ") : value;
+        }
+    }
+    return flat;
+}
+
+/** Makes one call and waits for its end, at most for its deadline. */
+export async function wholeCall(dispatcher: Dispatcher, timers: Timers, options: CallOptions): Promise<CallResult> {
+    if (options.signal?.aborted === true) {
+        return { end: CallEnd.NotSent, cause: NotSentCause.Cancelled, reason: "the call was cancelled" };
+    }
+    const handler = new CallHandler(options);
+    const cancel = (): void => handler.giveUp(NotSentCause.Cancelled);
+    options.signal?.addEventListener("abort", cancel, { once: true });
+    const deadline = timers.after(options.deadlineMilliseconds, () => handler.giveUp(NotSentCause.Deadline));
+    try {
+        dispatcher.dispatch({
+            method: options.method as Dispatcher.HttpMethod,
+            path: options.path,
+            headers: options.headers,
+            ...options.body.length === 0 ? {} : { body: options.body },
+            // The deadline above replaces the time-outs of undici.
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        }, handler);
+    }
+    catch (failure) {
+        handler.onResponseError(undefined as never, failure as Error);
+    }
+    try {
+        return await handler.result;
+    }
+    finally {
+        deadline[Symbol.dispose]();
+        options.signal?.removeEventListener("abort", cancel);
+    }
+}
--- a/packages/targets/src/workerClient.ts
+++ b/packages/targets/src/workerClient.ts
@@ -92,4 +92,6 @@
 /** Makes clients; calls are bounded by a deadline and use a bounded number of connections. */
 export interface WorkerClientFactory extends AsyncDisposable {
     client(id: string, address: string): WorkerClient;
+    /** Closes the connections of a target that is gone, once its running calls have ended. */
+    release?(id: string): void;
 }
--- /dev/null
+++ b/packages/targets/src/workerSchemas.ts
@@ -0,0 +1,49 @@
+/**
+ * Schemas of the answers of workers.
+ */
+import { resourcesSchema } from "@tanagerlink/model";
+import { z } from "zod";
+import { type WorkerReport, type WorkerTask, WorkerTaskState } from "./workerClient.ts";
+
+export const workerTaskSchema: z.ZodType<WorkerTask> = z.object({
+    job: z.string(),
+    task: z.int().min(0),
+    attempt: z.int().min(0),
+    team: z.string(),
+    size: resourcesSchema,
+    state: z.enum(WorkerTaskState),
+    usage: resourcesSchema.optional(),
+    exitCode: z.int().optional(),
+}).transform(task => ({ ...task, usage: task.usage, exitCode: task.exitCode }));
+
+export const workerReportSchema: z.ZodType<WorkerReport> = z.object({
+    worker: z.string(),
+    bootId: z.string().min(1),
+    epoch: z.int().min(0),
+    capacity: resourcesSchema,
+    capabilities: z.object({
+        fencing: z.boolean(),
+        deduplication: z.boolean(),
+        listing: z.boolean(),
+        leaseTimer: z.boolean(),
+    }),
+    leaving: z.boolean(),
+    tasks: z.array(workerTaskSchema),
+});
+
+/** Body of a refusal. */
+export const refusalSchema = z.object({
+    error: z.string(),
+    epoch: z.int().min(0).optional(),
+    message: z.string().default(""),
+});
+
+/** Parses JSON text; `undefined` when it is none. */
+export function parseJson(body: Uint8Array): unknown {
+    try {
+        return JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(body));
+    }
+    catch {
+        return undefined;
+    }
+}
