feat(ownership): hold shards by leases in the platform's table

Cause: every other part needs to know which process owns a shard and under which epoch, also while the table is down or its answers are lost. Change: TableShardOwnership with one range read per poll and one transaction per renewal; the roster is kept in shard-roster/<shard> and written only when it changes, and shard-epoch/<shard> changes only with the epoch, so that other parts can make their writes conditional on it. Rendezvous hashing, planned handover with a doubling stability period, in-memory table with faults for tests. Before: interface only. Conclusion: usable; Rendezvous.load() is awaited once at process start.

--- /dev/null
+++ b/packages/ownership/__tests__/support/ownershipCell.ts
@@ -0,0 +1,91 @@
+/** Several processes of one failure domain on one in-memory table, with a record of what each may start. */
+import type { ShardId } from "@tanagerlink/model";
+import { ManualTimers } from "@tanagerlink/timers";
+import { defaultOwnershipDurations, type OwnershipListener, Rendezvous, TableShardOwnership } from "../../src/index.ts";
+import { type FaultPlan, MemoryTable } from "./memoryTable.ts";
+import { NodeTimers } from "./nodeTimers.ts";
+
+export const rendezvous = await Rendezvous.load();
+
+export interface CellNode {
+    readonly id: string;
+    readonly timers: NodeTimers;
+    readonly ownership: TableShardOwnership;
+    readonly events: string[];
+    /** Replaceable while the test runs. */
+    faults: FaultPlan;
+}
+
+export class OwnershipCell {
+    readonly timers = new ManualTimers();
+    readonly table = new MemoryTable();
+    readonly nodes: CellNode[] = [];
+    readonly shards: readonly ShardId[];
+    live: string[] = [];
+    private transactions = 0;
+
+    constructor(shards: readonly ShardId[] = ["north/0"]) {
+        this.shards = shards;
+    }
+
+    add(id: string, rate = 1, prepare?: OwnershipListener["releasing"]): CellNode {
+        const timers = new NodeTimers(this.timers, rate);
+        const events: string[] = [];
+        const node: CellNode = {
+            id,
+            timers,
+            events,
+            faults: () => undefined,
+            ownership: new TableShardOwnership({
+                nodeId: id,
+                failureDomain: "north",
+                shards: this.shards,
+                timers,
+                table: this.table.connect(this.timers, call => node.faults(call)),
+                rendezvous,
+                durations: defaultOwnershipDurations,
+                liveMembers: () => this.live,
+                nextTransactionId: () => `${id}-${++this.transactions}`,
+            }),
+        };
+        node.ownership.start({
+            acquired: owned => void events.push(`acquired ${owned.shard} ${owned.epoch}`),
+            lost: (shard, epoch) => void events.push(`lost ${shard} ${epoch}`),
+            ...(prepare === undefined ? {} : { releasing: prepare }),
+        });
+        this.nodes.push(node);
+        this.live.push(id);
+        return node;
+    }
+
+    /** Processes that may start work on the shard at this moment. */
+    startersOf(shard: ShardId): string[] {
+        return this.nodes
+            .filter(node =>
+                node.ownership.owned().some(owned =>
+                    node.ownership.mayStart(owned.shard, owned.epoch)
+                    && owned.shard === shard
+                )
+            )
+            .map(node => node.id);
+    }
+
+    /** Advances in small steps and checks after each that at most one process may start work on each shard. */
+    async advance(milliseconds: number, stepMilliseconds = 100, eachStep: () => void = () => undefined): Promise<void> {
+        for (let passed = 0; passed < milliseconds; passed += stepMilliseconds) {
+            await this.timers.advance(stepMilliseconds);
+            eachStep();
+            for (const shard of this.shards) {
+                const starters = this.startersOf(shard);
+                if (starters.length > 1) {
+                    throw new Error(`${starters.join(" and ")} may start on ${shard} at ${this.timers.now()} ms`);
+                }
+            }
+        }
+    }
+}
+
+/** Preferred owner among the processes. */
+export function preferredOwner(shard: ShardId, nodes: readonly string[]): string {
+    return rendezvous.preferred(shard, nodes) ?? "";
+}
--- /dev/null
+++ b/packages/ownership/__tests__/tableShardOwnership.spec.ts
@@ -0,0 +1,233 @@
+/** Leases, takeover, the confirmation window and handover, with faults of the table, the clocks and the processes. */
+import { expect } from "chai";
+import { HandoverRule } from "../src/handoverRule.ts";
+import { defaultOwnershipDurations } from "../src/index.ts";
+import type { TableCall } from "./support/memoryTable.ts";
+import { type CellNode, OwnershipCell, preferredOwner, rendezvous } from "./support/ownershipCell.ts";
+
+const SHARD = "north/0";
+const ROSTER = ["w1", "w2", "w3"];
+const down = () => ({ kind: "down" }) as const;
+
+/** A worker as witness: it accepts an epoch unless it has seen a higher one. */
+class Witnesses {
+    private readonly highest = new Map<string, number>();
+
+    contact(node: CellNode, workers: readonly string[]): void {
+        for (const { shard, epoch } of node.ownership.owned()) {
+            for (const worker of workers) {
+                const seen = this.highest.get(worker) ?? 0;
+                if (epoch < seen) {
+                    node.ownership.superseded(shard, epoch, seen);
+                }
+                else {
+                    this.highest.set(worker, epoch);
+                    node.ownership.confirm(shard, epoch, worker, node.timers.now());
+                }
+            }
+        }
+    }
+}
+
+async function cellWithOwner(rate = 1): Promise<{ cell: OwnershipCell; owner: CellNode; }> {
+    const cell = new OwnershipCell();
+    const owner = cell.add("a", rate);
+    await cell.advance(100);
+    owner.ownership.setRoster(SHARD, ROSTER);
+    await cell.advance(4_000);
+    return { cell, owner };
+}
+
+describe("TableShardOwnership", () => {
+    it("keeps a lease and stores the roster before its workers may be used", async () => {
+        const cell = new OwnershipCell();
+        const owner = cell.add("a");
+        await cell.advance(100);
+        owner.ownership.setRoster(SHARD, ROSTER);
+        expect(owner.ownership.rosterContains(SHARD, "w1")).to.equal(false);
+        await cell.advance(20_000);
+        expect(owner.ownership.rosterContains(SHARD, "w1")).to.equal(true);
+        expect(cell.table.value("shard-roster/north/0")).to.deep.equal({ workers: ROSTER });
+        expect(owner.events).to.deep.equal(["acquired north/0 1"]);
+        expect(owner.ownership.mayStart(SHARD, 1)).to.equal(true);
+    });
+
+    it("stops a paused owner that resumes after a takeover, before any new answer reaches it", async () => {
+        const { cell, owner } = await cellWithOwner();
+        const successor = cell.add("b");
+        owner.timers.pause();
+        await cell.advance(9_500);
+        expect(successor.ownership.owned()).to.have.length(1);
+        expect(successor.ownership.mayStart(SHARD, 2)).to.equal(false);
+        expect(owner.ownership.mayStart(SHARD, 1)).to.equal(false);
+        cell.live = ["b"];
+        const witnesses = new Witnesses();
+        await cell.advance(5_000, 100, () => witnesses.contact(successor, ["w1", "w2"]));
+        expect(successor.ownership.mayStart(SHARD, 2)).to.equal(true);
+        owner.timers.resume();
+        await cell.advance(3_000);
+        expect(owner.events.at(-1)).to.equal("lost north/0 1");
+    });
+
+    for (const [ownerRate, candidateRate] of [[0.93, 1.07], [1.07, 0.93]] as const) {
+        it(`never has two starters with clocks at ${ownerRate} and ${candidateRate} of true time`, async () => {
+            const { cell, owner } = await cellWithOwner(ownerRate);
+            const candidate = cell.add("b", candidateRate);
+            const witnesses = new Witnesses();
+            owner.faults = down;
+            await cell.advance(6_000, 100, () => witnesses.contact(owner, ["w1", "w2"]));
+            await cell.advance(14_000, 100, () => {
+                witnesses.contact(candidate, ["w2", "w3"]);
+                witnesses.contact(owner, ["w1", "w2"]);
+            });
+            expect(cell.startersOf(SHARD)).to.deep.equal(["b"]);
+        });
+    }
+
+    it("continues through an outage while a majority confirms, and under the same epoch afterwards", async () => {
+        const { cell, owner } = await cellWithOwner();
+        const witnesses = new Witnesses();
+        owner.faults = down;
+        await cell.advance(60_000, 500, () => witnesses.contact(owner, ["w1", "w3"]));
+        expect(owner.ownership.mayStart(SHARD, 1)).to.equal(true);
+        owner.faults = () => undefined;
+        await cell.advance(4_000);
+        expect(owner.ownership.mayStart(SHARD, 1)).to.equal(true);
+        expect(owner.events).to.deep.equal(["acquired north/0 1"]);
+    });
+
+    it("starts nothing in an outage without a majority, nor with an empty roster", async () => {
+        const { cell, owner } = await cellWithOwner();
+        const witnesses = new Witnesses();
+        owner.faults = down;
+        await cell.advance(7_000, 500, () => witnesses.contact(owner, ["w1"]));
+        expect(owner.ownership.mayStart(SHARD, 1)).to.equal(false);
+        const empty = new OwnershipCell();
+        const alone = empty.add("a");
+        await empty.advance(100);
+        alone.faults = down;
+        await empty.advance(7_000, 500, () => witnesses.contact(alone, ["w1"]));
+        expect(alone.ownership.mayStart(SHARD, 1)).to.equal(false);
+    });
+
+    it("doesn't count a restarted worker, which forgot the successor's epoch, for the quorum", async () => {
+        const { cell, owner } = await cellWithOwner();
+        const witnesses = new Witnesses();
+        owner.faults = down;
+        owner.ownership.witnessRestarted(SHARD, 1, "w1");
+        await cell.advance(7_000, 500, () => witnesses.contact(owner, ["w1", "w2"]));
+        expect(owner.ownership.mayStart(SHARD, 1)).to.equal(false);
+    });
+
+    it("needs the majority of both rosters while the write of a new one has an unknown outcome", async () => {
+        const { cell, owner } = await cellWithOwner();
+        const witnesses = new Witnesses();
+        owner.ownership.setRoster(SHARD, ["w4", "w5", "w6"]);
+        owner.faults = call => ({ kind: call.kind === "transact" ? "requestLost" : "down" });
+        await cell.advance(8_000, 500, () => witnesses.contact(owner, ["w1", "w2"]));
+        expect(owner.ownership.mayStart(SHARD, 1)).to.equal(false);
+        await cell.advance(2_000, 500, () => witnesses.contact(owner, ["w1", "w2", "w4", "w5"]));
+        expect(owner.ownership.mayStart(SHARD, 1)).to.equal(true);
+    });
+
+    for (const kind of ["answerLost", "requestLost"] as const) {
+        it(`holds the shard through ${kind} at each kind of write`, async () => {
+            const { cell, owner } = await cellWithOwner();
+            const every = (period: number) => {
+                let calls = 0;
+                return (call: TableCall) => call.kind === "transact" && calls++ % period === 0 ? { kind } : undefined;
+            };
+            owner.faults = every(2);
+            owner.ownership.setRoster(SHARD, [...ROSTER, "w4"]);
+            await cell.advance(30_000);
+            expect(owner.events).to.deep.equal(["acquired north/0 1"]);
+            expect(owner.ownership.rosterContains(SHARD, "w4")).to.equal(true);
+            const joining = cell.add("b");
+            joining.faults = every(3);
+            owner.faults = every(2);
+            await owner.ownership.releaseAll(0);
+            cell.live = ["b"];
+            await cell.advance(30_000);
+            expect(joining.ownership.owned()).to.have.length(1);
+        });
+    }
+
+    it("takes an acquisition over that was applied after its answer was lost", async () => {
+        const cell = new OwnershipCell();
+        const node = cell.add("a");
+        let first = true;
+        node.faults = call => {
+            const late = call.kind === "transact" && first;
+            first &&= !late;
+            return late ? { kind: "appliedLate", milliseconds: 600 } : undefined;
+        };
+        await cell.advance(3_000);
+        expect(node.events).to.deep.equal(["acquired north/0 1"]);
+    });
+
+    it("renews the other shards when one row conflicts", async () => {
+        const cell = new OwnershipCell(["north/0", "north/1"]);
+        const node = cell.add("a");
+        await cell.advance(1_900);
+        const write = { owner: "x", epoch: 9, leaseMilliseconds: 6_000, state: "held" };
+        cell.table.apply({
+            id: "x",
+            conditions: [],
+            writes: [{ key: "shard/north/0", expectedVersion: 1, value: write }],
+        });
+        await cell.advance(5_000);
+        expect(node.events).to.include("lost north/0 1");
+        expect(cell.startersOf("north/1")).to.deep.equal(["a"]);
+        expect(node.ownership.ownerOf("north/0")).to.deep.equal({ shard: "north/0", owner: "x", epoch: 9 });
+    });
+
+    it("hands over to the preferred owner after making records durable", async () => {
+        const names = ["a", "b"];
+        const preferred = preferredOwner(SHARD, names);
+        const other = names.find(name => name !== preferred) ?? "";
+        const cell = new OwnershipCell();
+        const steps: string[] = [];
+        const owner = cell.add(other, 1, () => Promise.resolve(void steps.push("durable")));
+        await cell.advance(1_000);
+        const joining = cell.add(preferred);
+        await cell.advance(10_000);
+        expect(steps).to.deep.equal(["durable"]);
+        expect(owner.events).to.deep.equal(["acquired north/0 1", "lost north/0 1"]);
+        expect(joining.ownership.mayStart(SHARD, 2)).to.equal(true);
+    });
+
+    it("hands a shard ever more rarely to a process that keeps losing it", () => {
+        const rule = new HandoverRule("a", defaultOwnershipDurations);
+        let handovers = 0;
+        let returnsAt = 0;
+        for (let now = 0; now < 3_000_000; now += 1_000) {
+            if (now >= returnsAt && rule.choose([SHARD], () => "b", now) !== undefined) {
+                handovers++;
+                returnsAt = now + 10_000;
+            }
+        }
+        expect(handovers).to.be.within(2, 10);
+    });
+
+    it("lets the named successor take a drained shard at once", async () => {
+        const { cell, owner } = await cellWithOwner();
+        const successor = cell.add("b");
+        await cell.advance(1_000);
+        await owner.ownership.releaseAll(5_000);
+        cell.live = ["b"];
+        await cell.advance(1_100);
+        expect(successor.ownership.mayStart(SHARD, 2)).to.equal(true);
+        expect(cell.table.value<{ state: string; }>("shard/north/0")?.state).to.equal("held");
+    });
+
+    it("assigns a target by its identifier only and spreads targets over the shards", () => {
+        const shards = ["north/0", "north/1", "north/2"];
+        const counts = new Map<string, number>();
+        for (let index = 0; index < 3_000; index++) {
+            const shard = rendezvous.shardOfTarget(`worker-${index}`, shards) ?? "";
+            expect(rendezvous.shardOfTarget(`worker-${index}`, [...shards].reverse())).to.equal(shard);
+            counts.set(shard, (counts.get(shard) ?? 0) + 1);
+        }
+        expect(Math.min(...counts.values())).to.be.greaterThan(900);
+    });
+});
--- /dev/null
+++ b/packages/ownership/src/acquisitionRule.ts
@@ -0,0 +1,40 @@
+/** When a process may try to acquire a shard, from what it has observed itself. */
+import type { OwnershipDurations } from "./ownershipOptions.ts";
+import type { RowObservation } from "./shardDirectory.ts";
+
+/** Less preferred processes wait longer, up to this many steps, so that they don't compete with the preferred one. */
+const MAXIMUM_RANK_STEPS = 4;
+
+export interface Candidate {
+    readonly nodeId: string;
+    /** Position among the live members by rendezvous order; 0 is the preferred owner. */
+    readonly rank: number;
+}
+
+/**
+ * Milliseconds from the first observation of the row until the candidate may try; `undefined` when never. The row must
+ * not change in between; the conditional write guarantees that up to the moment of the takeover.
+ */
+export function acquisitionDelay(
+    observation: RowObservation,
+    candidate: Candidate,
+    durations: OwnershipDurations,
+): number | undefined {
+    const preference = Math.min(candidate.rank, MAXIMUM_RANK_STEPS) * pollPeriod(durations);
+    const { value } = observation;
+    if (value === undefined) {
+        return observation.version === 0 ? preference : undefined;
+    }
+    if (value.state === "held") {
+        return value.leaseMilliseconds + durations.margin + preference;
+    }
+    if (value.successor === candidate.nodeId) {
+        return 0;
+    }
+    return value.successor === undefined ? preference : 2 * durations.renewal + preference;
+}
+
+/** Polls run at twice the rate of renewals, so that a released or abandoned shard is noticed soon. */
+export function pollPeriod(durations: OwnershipDurations): number {
+    return durations.renewal / 2;
+}
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -2,4 +2,8 @@
  * Ownership of shards by leases in the platform's table: acquisition, renewal, epochs, release to a successor, and the
  * confirmation window that lets an owner continue while the table is down.
  */
+export { defaultOwnershipDurations, type OwnershipDurations, type OwnershipOptions } from "./ownershipOptions.ts";
+export { Rendezvous } from "./rendezvous.ts";
 export * from "./shardOwnership.ts";
+export { shardEpochKey, shardKey, shardRosterKey, type ShardRowValue } from "./shardRow.ts";
+export { TableShardOwnership } from "./tableShardOwnership.ts";
--- a/packages/ownership/src/shardOwnership.ts
+++ b/packages/ownership/src/shardOwnership.ts
@@ -20,6 +20,11 @@
     acquired(owned: OwnedShard): void;
     /** The shard must not be used any more; after this call nothing may be started under its epoch. */
     lost(shard: ShardId, epoch: number): void;
+    /**
+     * Called before a planned handover, while the lease still holds but nothing may be started any more, to make
+     * pending records durable. The handover waits for it up to a renewal period, then `lost` follows.
+     */
+    releasing?(shard: ShardId, epoch: number): Promise<void>;
 }
 
 /** The shards of one failure domain as one process sees them. */
