fix(targets): carry report sequences through the HTTP adapter

Cause: the adapter and its tests were written before leases were tied to reports. Change: the report schema requires a sequence; a test shows that a start naming no report of the worker is refused.

--- a/packages/ownership/src/shardOwnership.ts
+++ b/packages/ownership/src/shardOwnership.ts
@@ -49,6 +49,10 @@
     setRoster(shard: ShardId, workers: readonly string[]): void;
     /** Whether a worker is in the stored roster; only then may it get new work. */
     rosterContains(shard: ShardId, worker: string): boolean;
+    /** The platform removed the worker's VM for good, so that no earlier owner can reach it. */
+    witnessGone(shard: ShardId, epoch: number, worker: string): void;
+    /** The worker has a new boot identifier and has forgotten the highest epoch that it had seen. */
+    witnessRestarted(shard: ShardId, epoch: number, worker: string): void;
     /** Stops acquiring, and hands every owned shard over; resolves when all rows are released or the time is up. */
     releaseAll(withinMilliseconds: number): Promise<void>;
 }
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -10,7 +10,7 @@
     shardsOfFailureDomain,
     type VmRecord,
 } from "@tanagerlink/model";
-import { type OwnedShard, type OwnershipListener, shardOfTarget } from "@tanagerlink/ownership";
+import type { OwnedShard, OwnershipListener } from "@tanagerlink/ownership";
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { Subscription } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
@@ -41,6 +41,8 @@
     readonly dependencies: ShardDependencies;
     readonly peers: PeerNetwork;
     readonly targets: TargetView;
+    /** Shard of a target among the shards of its failure domain. */
+    readonly shardOfTarget: (target: string, shards: readonly string[]) => string | undefined;
 }
 
 /** Scheduling part of one process. */
@@ -194,7 +196,7 @@
     }
 
     private targetsOf(shard: string): [workers: VmRecord[], executors: VmRecord[]] {
-        const { targets, dependencies, failureDomain } = this.options;
+        const { targets, dependencies, failureDomain, shardOfTarget } = this.options;
         const configuration = dependencies.configuration()?.failureDomains[failureDomain];
         if (configuration === undefined) {
             return [[], []];
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -108,6 +108,8 @@
     }
 
     workerRestarted(session: WorkerSession, bootId: string): void {
+        const { ownership } = this.context.dependencies;
+        ownership.witnessRestarted(this.context.shard, this.context.epoch, session.client.id);
         this.endTasksOf(session.client.id, `worker ${session.client.id} was restarted`, task => task.bootId === bootId);
     }
 
@@ -218,6 +220,7 @@
         this.sessions.delete(worker);
         this.absent.delete(worker);
         this.context.policy.removeWorker(worker);
+        this.context.dependencies.ownership.witnessGone(this.context.shard, this.context.epoch, worker);
         this.context.dependencies.ownership.setRoster(this.context.shard, Array.from(this.sessions.keys()));
         void session[Symbol.asyncDispose]();
     }
--- a/packages/targets/__tests__/httpWorkerClient.spec.ts
+++ b/packages/targets/__tests__/httpWorkerClient.spec.ts
@@ -19,6 +19,7 @@
         team: "survey",
         size,
         leaseMilliseconds: 30_000,
+        lastReport: 1,
         payload: "",
         ...changes,
     };
@@ -36,7 +37,13 @@
         expect((await client.start(start(bootId, { job: "j2" }))).isOk()).to.equal(true);
         expect(workers.record.overcommits.length).to.equal(1);
         expect((await client.checkpoint(2, { job: "j1", task: 0, attempt: 1 })).isOk()).to.equal(true);
-        const heartbeat = { epoch: 2, bootId, renew: [], acknowledge: [{ job: "j1", task: 0, attempt: 1 }] };
+        const heartbeat = {
+            epoch: 2,
+            bootId,
+            lastReport: 1,
+            renew: [],
+            acknowledge: [{ job: "j1", task: 0, attempt: 1 }],
+        };
         const report = (await client.heartbeat(heartbeat))._unsafeUnwrap();
         expect(report.tasks.map(task => task.job)).to.deep.equal(["j2"]);
     });
@@ -62,8 +69,18 @@
         expect(workers.record.attempts.map(attempt => attempt.job)).to.deep.equal(["j1"]);
     });
 
+    it("refuses a start that names no report of the worker, whose lease would begin only on arrival", async () => {
+        await using workers = await startWorkerStandIn({ workers: [{ id: "w1", capacity: size }] });
+        await using clients = new HttpWorkerClientFactory({ timers });
+        const client = clients.client("w1", workers.address);
+        const { bootId, sequence } = (await client.attach("interior/0", 2))._unsafeUnwrap();
+        const late = await client.start(start(bootId, { lastReport: sequence + 1 }));
+        expect(late._unsafeUnwrapErr().kind).to.equal("target_refused");
+        expect(workers.record.attempts).to.deep.equal([]);
+    });
+
     it("does not take malformed, foreign or failed answers for a report", async () => {
-        const report = { worker: "w2", bootId: "b", epoch: 1, capacity: size, leaving: false, tasks: [] };
+        const report = { worker: "w2", bootId: "b", epoch: 1, sequence: 1, capacity: size, leaving: false, tasks: [] };
         const capabilities = { fencing: true, deduplication: true, listing: true, leaseTimer: true };
         const cases: [number, string, string][] = [
             [200, JSON.stringify({ ...report, capabilities }), "target_refused"],
--- a/packages/targets/src/workerSchemas.ts
+++ b/packages/targets/src/workerSchemas.ts
@@ -20,6 +20,7 @@
     worker: z.string(),
     bootId: z.string().min(1),
     epoch: z.int().min(0),
+    sequence: z.int().min(0),
     capacity: resourcesSchema,
     capabilities: z.object({
         fencing: z.boolean(),
