feat(cli): add the command line

Cause: operators and callers have no program to drive the system with. Change: serve, check, apply, key, submit, cancel, status, explain and dump on cac; exit codes from the table of errors. Conclusion: none.

--- /dev/null
+++ b/packages/cli/src/commands/configurationCommands.ts
@@ -0,0 +1,216 @@
+/** Commands on the configuration folder: check it, apply it, and create keys for it. */
+import { generateKey } from "@tanagerlink/admission";
+import { type ConfigurationFault, loadConfigurationFolder, type UnversionedSnapshot } from "@tanagerlink/configuration";
+import { SpreadState } from "@tanagerlink/entry";
+import { describeUnknown, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import { sleep, SystemTimers } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import { readdir, readFile } from "node:fs/promises";
+import { userInfo } from "node:os";
+import { join } from "node:path";
+import { stringify } from "yaml";
+import { z } from "zod";
+import type { CommandContext, CommandResult } from "../commandContext.ts";
+import { renderJson, renderTable } from "../output.ts";
+import { createClient, OPERATOR_VARIABLE, type ServerClient } from "../serverClient.ts";
+
+const configurationAnswerSchema = z.looseObject({ version: z.int() });
+
+const applyAnswerSchema = z.object({ version: z.int(), changed: z.array(z.string()) });
+
+const spreadAnswerSchema = z.object({
+    version: z.int(),
+    failureDomains: z.array(z.object({
+        failureDomain: z.string(),
+        state: z.enum(SpreadState),
+        lowestVersion: z.int().optional(),
+        reached: z.int(),
+        listed: z.int(),
+    })),
+});
+
+type SpreadAnswer = z.infer<typeof spreadAnswerSchema>;
+
+/** Period of asking how far a version has come, in milliseconds. */
+const SPREAD_POLL_MILLISECONDS = 500;
+
+/** Flags of `apply`. */
+export interface ApplyFlags {
+    readonly server?: string;
+    readonly json?: boolean;
+    readonly expectedVersion?: string | number;
+    readonly operator?: string;
+    readonly waitSeconds?: string | number;
+}
+
+/** Validates a folder and prints every fault. */
+export async function checkCommand(
+    context: CommandContext,
+    folder: string,
+    flags: { readonly json?: boolean; },
+): Promise<CommandResult> {
+    const loaded = await loadConfigurationFolder(folder);
+    if (loaded.isErr()) {
+        printFaults(context, loaded.error, flags.json === true);
+        return err(faultyFolder(folder, loaded.error));
+    }
+    const counts = countEntries(loaded.value);
+    context.write(flags.json === true ? renderJson({ valid: true, entries: counts }) : `${folder} is valid\n`);
+    return ok(undefined);
+}
+
+/** Applies a folder as the next version and follows it into the failure domains. */
+export async function applyCommand(
+    context: CommandContext,
+    folder: string,
+    flags: ApplyFlags,
+): Promise<CommandResult> {
+    const waitSeconds = wholeNumber("--wait-seconds", flags.waitSeconds ?? 15);
+    const expected = flags.expectedVersion === undefined
+        ? ok(undefined)
+        : wholeNumber("--expected-version", flags.expectedVersion);
+    const client = createClient(context, flags.server, OPERATOR_VARIABLE);
+    const loaded = await loadConfigurationFolder(folder);
+    if (loaded.isErr()) {
+        printFaults(context, loaded.error, flags.json === true);
+        return err(faultyFolder(folder, loaded.error));
+    }
+    if (client.isErr() || waitSeconds.isErr() || expected.isErr()) {
+        return err([client, waitSeconds, expected].flatMap(part => part.isErr() ? [part.error] : [])[0]!);
+    }
+    const expectedVersion = expected.value === undefined ? await currentVersion(client.value) : ok(expected.value);
+    const files = await readFiles(folder);
+    if (expectedVersion.isErr() || files.isErr()) {
+        return err(expectedVersion.isErr() ? expectedVersion.error : files._unsafeUnwrapErr());
+    }
+    const applied = await client.value.call({
+        method: "POST",
+        path: "/operator/configuration",
+        answer: applyAnswerSchema,
+        body: {
+            files: files.value,
+            expectedVersion: expectedVersion.value,
+            operator: flags.operator ?? userInfo().username,
+        },
+    });
+    if (applied.isErr()) {
+        return err(applied.error);
+    }
+    const spread = await followSpread(client.value, applied.value.version, waitSeconds.value);
+    return spread.map(answer => printApplied(context, applied.value, answer, flags.json === true));
+}
+
+/** Creates a key and prints the entry for the configuration folder. The secret is shown this once. */
+export async function keyCommand(
+    context: CommandContext,
+    team: string,
+    flags: { readonly json?: boolean; },
+): Promise<CommandResult> {
+    const key = await generateKey(team);
+    if (flags.json === true) {
+        context.write(renderJson(key));
+        return ok(undefined);
+    }
+    context.write(`# Give this key to the team; it is not stored anywhere: ${key.presented}\n`);
+    context.write(stringify({ keys: { [key.id]: { team, salt: key.salt, hash: key.hash } } }));
+    return ok(undefined);
+}
+
+function wholeNumber(flag: string, value: string | number): Result<number, ServiceError> {
+    const number = Number(value);
+    return Number.isInteger(number) && number >= 0
+        ? ok(number)
+        : err(serviceError(ErrorKind.InvalidSettings, `${flag} must be a whole number from 0`));
+}
+
+async function currentVersion(client: ServerClient): Promise<Result<number, ServiceError>> {
+    const answer = await client.call({
+        method: "GET",
+        path: "/operator/configuration",
+        answer: configurationAnswerSchema,
+    });
+    return answer.map(({ version }) => version);
+}
+
+async function readFiles(folder: string): Promise<Result<{ name: string; text: string; }[], ServiceError>> {
+    try {
+        const names = (await readdir(folder)).filter(name => /^[^.].*\.ya?ml$/.test(name));
+        return ok(
+            await Promise.all(names.map(async name => ({
+                name,
+                text: await readFile(join(folder, name), "utf8"),
+            }))),
+        );
+    }
+    catch (failure) {
+        return err(serviceError(ErrorKind.InvalidConfiguration, `${folder}: ${describeUnknown(failure)}`));
+    }
+}
+
+/** Asks until the version is in force everywhere or the time is up. Claims no more than the processes reported. */
+async function followSpread(
+    client: ServerClient,
+    version: number,
+    waitSeconds: number,
+): Promise<Result<SpreadAnswer, ServiceError>> {
+    const timers = new SystemTimers(() => undefined);
+    const deadline = timers.now() + waitSeconds * 1_000;
+    for (;;) {
+        const answer = await client.call({
+            method: "GET",
+            path: `/operator/configuration/spread?version=${version}`,
+            answer: spreadAnswerSchema,
+        });
+        const done = answer.isErr()
+            || answer.value.failureDomains.every(domain => domain.state === SpreadState.InForce);
+        if (done || timers.now() >= deadline) {
+            return answer;
+        }
+        await sleep(timers, SPREAD_POLL_MILLISECONDS);
+    }
+}
+
+function printApplied(
+    context: CommandContext,
+    applied: z.infer<typeof applyAnswerSchema>,
+    spread: SpreadAnswer,
+    json: boolean,
+): void {
+    if (json) {
+        context.write(renderJson({ ...applied, failureDomains: spread.failureDomains }));
+        return;
+    }
+    const changes = applied.changed.length === 0 ? "nothing changed" : applied.changed.join(", ");
+    context.write(`version ${applied.version}: ${changes}\n`);
+    context.write(renderTable(
+        ["FAILURE DOMAIN", "STATE", "LOWEST VERSION", "PROCESSES"],
+        spread.failureDomains.map(domain => [
+            domain.failureDomain,
+            domain.state,
+            domain.lowestVersion === undefined ? "unknown" : String(domain.lowestVersion),
+            `${domain.reached} of ${domain.listed}`,
+        ]),
+    ));
+}
+
+function printFaults(context: CommandContext, faults: readonly ConfigurationFault[], json: boolean): void {
+    if (json) {
+        context.write(renderJson({ valid: false, faults }));
+        return;
+    }
+    for (const fault of faults) {
+        context.writeError(`${fault.file}:${fault.line}: ${fault.reason}\n`);
+    }
+}
+
+function faultyFolder(folder: string, faults: readonly ConfigurationFault[]): ServiceError {
+    return serviceError(ErrorKind.InvalidConfiguration, `${folder} has ${faults.length} fault(s)`);
+}
+
+function countEntries(snapshot: UnversionedSnapshot): Record<string, number> {
+    const { teams, keys, queues, failureDomains, services } = snapshot;
+    const sections = { teams, keys, queues, failureDomains, services };
+    return Object.fromEntries(
+        Object.entries(sections).map(([name, section]) => [name, Object.keys(section).length]),
+    );
+}
--- /dev/null
+++ b/packages/cli/src/commands/operatorCommands.ts
@@ -0,0 +1,99 @@
+/** Commands that read the state of the system: status of the fleet and dump of one process. */
+import { err } from "neverthrow";
+import { z } from "zod";
+import type { CommandContext, CommandResult } from "../commandContext.ts";
+import { renderJson, renderTable } from "../output.ts";
+import { createClient, OPERATOR_VARIABLE } from "../serverClient.ts";
+
+const statusSchema = z.looseObject({
+    node: z.string(),
+    configuration: z.looseObject({ version: z.int(), ageMilliseconds: z.number() }),
+    failureDomains: z.array(z.looseObject({
+        name: z.string(),
+        state: z.string(),
+        processes: z.int(),
+        shardsReady: z.int(),
+        shards: z.int(),
+        workers: z.int().optional(),
+        queuedTasks: z.int(),
+        freeProcessorMillis: z.number(),
+        processorMillis: z.number(),
+    })),
+    teams: z.array(z.looseObject({
+        name: z.string(),
+        share: z.number(),
+        usedShare: z.number(),
+        running: z.int(),
+        upperLimit: z.int(),
+        waiting: z.int(),
+    })),
+    queues: z.array(z.looseObject({ name: z.string(), workClass: z.string(), open: z.boolean() })),
+});
+
+type FleetStatus = z.infer<typeof statusSchema>;
+
+/** Flags of operators' commands. */
+export interface OperatorFlags {
+    readonly server?: string;
+    readonly json?: boolean;
+}
+
+/** Prints failure domains, teams and queues as one entry process sees them. */
+export async function fleetStatusCommand(context: CommandContext, flags: OperatorFlags): Promise<CommandResult> {
+    const client = createClient(context, flags.server, OPERATOR_VARIABLE);
+    if (client.isErr()) {
+        return err(client.error);
+    }
+    const answer = await client.value.call({ method: "GET", path: "/operator/status", answer: statusSchema });
+    return answer.map(status => context.write(flags.json === true ? renderJson(status) : renderStatus(status)));
+}
+
+/** Prints the whole state of one process as JSON. */
+export async function dumpCommand(context: CommandContext, flags: OperatorFlags): Promise<CommandResult> {
+    const client = createClient(context, flags.server, OPERATOR_VARIABLE);
+    if (client.isErr()) {
+        return err(client.error);
+    }
+    const answer = await client.value.call({ method: "GET", path: "/operator/dump", answer: z.unknown() });
+    return answer.map(state => context.write(renderJson(state)));
+}
+
+function renderStatus(status: FleetStatus): string {
+    const { version, ageMilliseconds } = status.configuration;
+    const heading = `seen by ${status.node}, configuration ${version} (${Math.round(ageMilliseconds)} ms old)\n\n`;
+    const failureDomains = renderTable(
+        ["FAILURE DOMAIN", "STATE", "PROCESSES", "SHARDS READY", "QUEUED TASKS", "FREE CORES"],
+        status.failureDomains.map(domain => [
+            domain.name,
+            domain.state,
+            String(domain.processes),
+            `${domain.shardsReady} of ${domain.shards}`,
+            String(domain.queuedTasks),
+            `${cores(domain.freeProcessorMillis)} of ${cores(domain.processorMillis)}`,
+        ]),
+    );
+    const teams = renderTable(
+        ["TEAM", "SHARE", "USE", "RUNNING", "LIMIT", "WAITING"],
+        status.teams.map(team => [
+            team.name,
+            percent(team.share),
+            percent(team.usedShare),
+            String(team.running),
+            String(team.upperLimit),
+            String(team.waiting),
+        ]),
+    );
+    const queues = renderTable(
+        ["QUEUE", "CLASS", "ACCESS"],
+        status.queues.map(queue => [queue.name, queue.workClass, queue.open ? "open" : "key"]),
+    );
+    return heading + [failureDomains, teams, queues].join("\n");
+}
+
+function cores(processorMillis: number): string {
+    return (processorMillis / 1_000).toFixed(1);
+}
+
+function percent(part: number): string {
+    return `${(part * 100).toFixed(1)} %`;
+}
--- /dev/null
+++ b/packages/cli/src/commands/serveCommand.ts
@@ -0,0 +1,41 @@
+/** Runs one entry process until it is told to stop. */
+import { startNode } from "@tanagerlink/node";
+import { readSettings } from "@tanagerlink/settings";
+import { err, ok } from "neverthrow";
+import type { CommandContext, CommandResult } from "../commandContext.ts";
+
+/** Signals that begin a graceful shutdown. */
+const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
+
+/** Starts the process and waits for a stop signal, then drains. */
+export async function serveCommand(
+    context: CommandContext,
+    flags: Readonly<Record<string, unknown>>,
+): Promise<CommandResult> {
+    const settings = readSettings(flags, context.environment);
+    if (settings.isErr()) {
+        const { faults } = settings.error;
+        for (const fault of faults) {
+            const variable = fault.environment === undefined ? "" : ` (${fault.environment})`;
+            context.writeError(`${fault.flag}${variable}: ${fault.reason}\n`);
+        }
+        return err(settings.error);
+    }
+    const stopped = stopSignal();
+    const node = await startNode(settings.value);
+    if (node.isErr()) {
+        return err(node.error);
+    }
+    await stopped;
+    await node.value.drain();
+    return ok(undefined);
+}
+
+/** Resolves at the first stop signal. Later ones change nothing: the drain is bounded by its own timeout. */
+function stopSignal(): Promise<void> {
+    return new Promise(resolve => {
+        for (const signal of STOP_SIGNALS) {
+            process.on(signal, () => resolve());
+        }
+    });
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The command line of tanagerlink. */
+export type { CommandContext, CommandResult } from "./commandContext.ts";
+export { runProgram } from "./program.ts";
--- /dev/null
+++ b/packages/cli/src/program.ts
@@ -0,0 +1,113 @@
+/** The command line: commands, flags and exit codes. */
+import { describeUnknown, errorAnswers, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import { settingsTable } from "@tanagerlink/settings";
+import { type CAC, cac } from "cac";
+import type { CommandContext, CommandResult } from "./commandContext.ts";
+import { applyCommand, checkCommand, keyCommand } from "./commands/configurationCommands.ts";
+import { cancelCommand, explainCommand, jobStatusCommand, submitCommand } from "./commands/jobCommands.ts";
+import { dumpCommand, fleetStatusCommand } from "./commands/operatorCommands.ts";
+import { serveCommand } from "./commands/serveCommand.ts";
+import { KEY_VARIABLE, OPERATOR_VARIABLE, SERVER_VARIABLE } from "./serverClient.ts";
+import { VERSION } from "./version.ts";
+
+const SERVER_HELP = `Address of an entry process or the balancer (${SERVER_VARIABLE})`;
+const JSON_HELP = "Print JSON for programs";
+
+/** Runs the program and answers with its exit code. */
+export async function runProgram(context: CommandContext, arguments_: readonly string[]): Promise<number> {
+    let result: CommandResult | undefined;
+    const program = createProgram(context, next => {
+        result = next;
+    });
+    try {
+        program.parse(["node", "tanagerlink", ...arguments_], { run: false });
+        if (program.options["help"] === true || program.options["version"] === true) {
+            return 0;
+        }
+        if (program.matchedCommand === undefined) {
+            return report(context, unknownCommand(program));
+        }
+        await program.runMatchedCommand();
+    }
+    catch (failure) {
+        return report(context, serviceError(ErrorKind.InvalidSettings, describeUnknown(failure)));
+    }
+    return result?.isErr() === true ? report(context, result.error) : 0;
+}
+
+function createProgram(context: CommandContext, finish: (result: CommandResult) => void): CAC {
+    const program = cac("tanagerlink");
+    const action =
+        <Arguments extends unknown[]>(run: (...values: Arguments) => Promise<CommandResult>) =>
+        async (...values: Arguments): Promise<void> => finish(await run(...values));
+
+    addServe(program, action(flags => serveCommand(context, flags as Record<string, unknown>)));
+    program.command("check <folder>", "Validate a configuration folder; every fault with file, line and reason")
+        .option("--json", JSON_HELP)
+        .action(action((folder: string, flags: object) => checkCommand(context, folder, flags)));
+    program.command("apply <folder>", `Apply a configuration folder as the next version (${OPERATOR_VARIABLE})`)
+        .option("--server <url>", SERVER_HELP)
+        .option("--expected-version <version>", "Version that the change is based on; the one in force by default")
+        .option("--operator <name>", "Name recorded with the version; the user name by default")
+        .option("--wait-seconds <seconds>", "Longest wait until the version is in force everywhere; 15 by default")
+        .option("--json", JSON_HELP)
+        .action(action((folder: string, flags: object) => applyCommand(context, folder, flags)));
+    program.command("key <team>", "Create a key and print its entry for the configuration folder")
+        .option("--json", JSON_HELP)
+        .action(action((team: string, flags: object) => keyCommand(context, team, flags)));
+    program.command("submit <file>", `Submit the job described by a YAML or JSON file (${KEY_VARIABLE})`)
+        .option("--server <url>", SERVER_HELP)
+        .option("--idempotency-key <key>", "Repeating a submission with the same key gives the first one's job")
+        .option("--json", JSON_HELP)
+        .action(action((file: string, flags: object) => submitCommand(context, file, flags)));
+    program.command("cancel <job>", `Cancel a job (${KEY_VARIABLE})`)
+        .option("--server <url>", SERVER_HELP)
+        .option("--json", JSON_HELP)
+        .action(action((job: string, flags: object) => cancelCommand(context, job, flags)));
+    program.command("status [job]", `State of a job (${KEY_VARIABLE}), or of the fleet (${OPERATOR_VARIABLE})`)
+        .option("--server <url>", SERVER_HELP)
+        .option("--json", JSON_HELP)
+        .action(
+            action((job: string | undefined, flags: object) =>
+                job === undefined ? fleetStatusCommand(context, flags) : jobStatusCommand(context, job, flags)
+            ),
+        );
+    program.command("explain <job>", `Decisions on a job, with reason and file (${KEY_VARIABLE})`)
+        .option("--server <url>", SERVER_HELP)
+        .option("--json", JSON_HELP)
+        .action(action((job: string, flags: object) => explainCommand(context, job, flags)));
+    program.command("dump", `Whole state of one process as JSON (${OPERATOR_VARIABLE})`)
+        .option("--server <url>", SERVER_HELP)
+        .action(action((flags: object) => dumpCommand(context, flags)));
+    program.help();
+    program.version(VERSION);
+    return program;
+}
+
+function addServe(program: CAC, run: (flags: unknown) => Promise<void>): void {
+    const command = program.command("serve", "Run an entry process");
+    for (const setting of Object.values(settingsTable)) {
+        const unit = setting.unit === "" ? "value" : setting.unit;
+        const standard = setting.default === undefined ? "" : `, default ${setting.default}`;
+        command.option(
+            `--${setting.flag} <${unit}>`,
+            `${setting.description} [${setting.range}${standard}] (${setting.environment})`,
+        );
+    }
+    // Unknown flags are reported by the settings together with all other faults.
+    command.allowUnknownOptions().action(({ "--": _rest, ...flags }: Record<string, unknown>) => run(flags));
+}
+
+function unknownCommand(program: CAC): ServiceError {
+    const name = program.args[0];
+    const message = name === undefined
+        ? "a command is missing; see tanagerlink --help"
+        : `there is no command ${name}; see tanagerlink --help`;
+    return serviceError(ErrorKind.InvalidSettings, message);
+}
+
+function report(context: CommandContext, error: ServiceError): number {
+    const { exitCode, outcome } = errorAnswers[error.kind];
+    context.writeError(`tanagerlink: ${error.message} [${error.kind}, ${outcome}]\n`);
+    return exitCode;
+}
--- /dev/null
+++ b/packages/cli/src/serverClient.ts
@@ -0,0 +1,110 @@
+/** Calls of the command line to an entry process. */
+import { describeUnknown, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import { err, ok, type Result } from "neverthrow";
+import { request } from "undici";
+import { z } from "zod";
+import type { CommandContext } from "./commandContext.ts";
+
+/** Environment variable with the address of an entry process or of the balancer. */
+export const SERVER_VARIABLE = "TANAGERLINK_SERVER";
+
+/** Environment variable with the key of a team. Keys are not taken from flags, which other users can read. */
+export const KEY_VARIABLE = "TANAGERLINK_KEY";
+
+/** Environment variable with the operator token. */
+export const OPERATOR_VARIABLE = "TANAGERLINK_OPERATOR_TOKEN";
+
+/** Longest wait for one answer, in milliseconds. */
+const TIMEOUT_MILLISECONDS = 30_000;
+
+const errorBodySchema = z.looseObject({
+    error: z.enum(ErrorKind),
+    message: z.string(),
+    detail: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])).optional(),
+});
+
+/** One call. */
+export interface ServerCall<Answer> {
+    readonly method: "GET" | "POST" | "DELETE";
+    readonly path: string;
+    readonly answer: z.ZodType<Answer>;
+    readonly body?: unknown;
+    readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Calls one entry process with one credential. */
+export class ServerClient {
+    private readonly server: string;
+    private readonly credential: string | undefined;
+
+    constructor(server: string, credential: string | undefined) {
+        this.server = server;
+        this.credential = credential;
+    }
+
+    async call<Answer>(call: ServerCall<Answer>): Promise<Result<Answer, ServiceError>> {
+        try {
+            const response = await request(new URL(call.path, this.server), {
+                method: call.method,
+                headers: this.headers(call),
+                ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
+                headersTimeout: TIMEOUT_MILLISECONDS,
+                bodyTimeout: TIMEOUT_MILLISECONDS,
+            });
+            const content: unknown = await response.body.json();
+            return response.statusCode < 300 ? readAnswer(call.answer, content) : err(readError(content));
+        }
+        catch (failure) {
+            return err(callFailure(call, this.server, failure));
+        }
+    }
+
+    private headers(call: ServerCall<unknown>): Record<string, string> {
+        return {
+            ...call.headers,
+            ...(call.body === undefined ? {} : { "content-type": "application/json" }),
+            ...(this.credential === undefined ? {} : { authorization: `Bearer ${this.credential}` }),
+        };
+    }
+}
+
+/** Makes a client from the flag `--server` or its environment variable. */
+export function createClient(
+    context: CommandContext,
+    server: string | undefined,
+    credentialVariable: string,
+): Result<ServerClient, ServiceError> {
+    const address = server ?? context.environment[SERVER_VARIABLE];
+    if (address === undefined || !URL.canParse(address)) {
+        const problem = address === undefined ? "is missing" : "is not a URL";
+        const message =
+            `--server (${SERVER_VARIABLE}) ${problem}; give the address of an entry process or the balancer, `
+            + "for example http://10.0.0.1:8080";
+        return err(serviceError(ErrorKind.InvalidSettings, message));
+    }
+    return ok(new ServerClient(address, context.environment[credentialVariable]));
+}
+
+function readAnswer<Answer>(schema: z.ZodType<Answer>, content: unknown): Result<Answer, ServiceError> {
+    const parsed = schema.safeParse(content);
+    return parsed.success
+        ? ok(parsed.data)
+        : err(serviceError(ErrorKind.Internal, "the answer is malformed; compare the versions of binary and server"));
+}
+
+function readError(content: unknown): ServiceError {
+    const parsed = errorBodySchema.safeParse(content);
+    return parsed.success
+        ? serviceError(parsed.data.error, parsed.data.message, parsed.data.detail)
+        : serviceError(ErrorKind.Internal, "the answer is not one of tanagerlink; check the address of the server");
+}
+
+/** A call that may have arrived has an unknown outcome, unless it only reads. */
+function callFailure(call: ServerCall<unknown>, server: string, failure: unknown): ServiceError {
+    const code = failure instanceof Error && "code" in failure ? String(failure.code) : "";
+    const description = `${server} could not be reached: ${describeUnknown(failure) || code}`;
+    const notSent = code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT" || code === "ENOTFOUND";
+    return call.method === "GET" || notSent
+        ? serviceError(ErrorKind.PeerUnreachable, description)
+        : serviceError(ErrorKind.OutcomeUnknown, `${description}; the call may have taken effect`);
+}
--- a/packages/entry/src/configurationOperations.ts
+++ b/packages/entry/src/configurationOperations.ts
@@ -8,7 +8,7 @@
 
 /** Body of `POST /configuration`: the folder's files as they are, so that entries keep file and line. */
 export const applyRequestSchema = z.strictObject({
-    files: z.array(z.strictObject({ name: z.string().max(256), content: z.string().max(MAXIMUM_FILE_CHARACTERS) })),
+    files: z.array(z.strictObject({ name: z.string().max(256), text: z.string().max(MAXIMUM_FILE_CHARACTERS) })),
     /** Version that the operator saw; 0 when there was none. */
     expectedVersion: z.int().min(0),
     operator: z.string().min(1).max(128),
