feat(policy): implement the scheduling policy of a shard

Cause: the package had only its interface. Change: ShardPolicy with worker index, fair-share order with ageing, gang reservation and backfill, urgent reserve and preemption, service spread, learning, quarantine and feasibility, one topic per module.

--- /dev/null
+++ b/packages/policy/src/fairShare.ts
@@ -0,0 +1,92 @@
+/**
+ * Weighted dominant resource fairness over the fleet. The rank of a team is its dominant share divided by its weight's
+ * part of all weights: 1 means that the team uses exactly what it is due. The lowest rank is served first.
+ */
+import { noResources, type Resources } from "@tanagerlink/model";
+import { ResourceTally } from "./resourceTally.ts";
+
+/** Weight of a team that has none configured. */
+const DEFAULT_WEIGHT = 1;
+
+interface TeamUsage {
+    readonly local: ResourceTally;
+    remote: Resources;
+    weight: number;
+}
+
+/** Use and weights of all teams. */
+export class FairShare {
+    private readonly teams = new Map<string, TeamUsage>();
+    private shares: ReadonlyMap<string, number> = new Map();
+    private totalWeight = DEFAULT_WEIGHT;
+    private fleetCapacity: Resources = noResources;
+    private readonly localCapacity: Resources;
+
+    /** `localCapacity` is a live view of the shard's capacity. */
+    constructor(localCapacity: Resources) {
+        this.localCapacity = localCapacity;
+    }
+
+    setShares(shares: ReadonlyMap<string, number>): void {
+        this.shares = shares;
+        this.totalWeight = Math.max(Number.MIN_VALUE, [...shares.values()].reduce((sum, share) => sum + share, 0));
+        for (const [team, usage] of this.teams) {
+            usage.weight = this.weightOf(team);
+        }
+    }
+
+    setFleetUsage(usage: ReadonlyMap<string, Resources>, fleetCapacity: Resources): void {
+        this.fleetCapacity = fleetCapacity;
+        for (const [team, entry] of this.teams) {
+            entry.remote = usage.get(team) ?? noResources;
+        }
+        for (const [team, remote] of usage) {
+            this.usageOf(team).remote = remote;
+        }
+    }
+
+    add(team: string, size: Resources): void {
+        this.usageOf(team).local.add(size);
+    }
+
+    subtract(team: string, size: Resources): void {
+        this.usageOf(team).local.subtract(size);
+    }
+
+    /**
+     * Rank of a team that is about to use `next` more. Half of that is counted, so that teams with large tasks do not
+     * end up above their share by the size of one task.
+     */
+    rank(team: string, next: Resources = noResources): number {
+        const { local, remote, weight } = this.usageOf(team);
+        const { fleetCapacity: fleet, localCapacity: shard } = this;
+        const dominant = Math.max(
+            (local.processorMillis + remote.processorMillis + next.processorMillis / 2)
+                / Math.max(1, fleet.processorMillis, shard.processorMillis),
+            (local.memoryMebibytes + remote.memoryMebibytes + next.memoryMebibytes / 2)
+                / Math.max(1, fleet.memoryMebibytes, shard.memoryMebibytes),
+            (local.accelerators + remote.accelerators + next.accelerators / 2)
+                / Math.max(1, fleet.accelerators, shard.accelerators),
+        );
+        return dominant / weight;
+    }
+
+    /** Use of each team in this shard, for diagnosis. */
+    describe(): Record<string, Resources> {
+        return Object.fromEntries([...this.teams].map(([team, usage]) => [team, usage.local.snapshot()]));
+    }
+
+    private usageOf(team: string): TeamUsage {
+        const known = this.teams.get(team);
+        if (known !== undefined) {
+            return known;
+        }
+        const usage = { local: new ResourceTally(), remote: noResources, weight: this.weightOf(team) };
+        this.teams.set(team, usage);
+        return usage;
+    }
+
+    private weightOf(team: string): number {
+        return Math.max(Number.MIN_VALUE, (this.shares.get(team) ?? DEFAULT_WEIGHT) / this.totalWeight);
+    }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,3 +3,4 @@
  * learning of sizes and run times, quarantine of workers. Benchmarks and replay run this same code.
  */
 export * from "./schedulingPolicy.ts";
+export * from "./shardPolicy.ts";
--- /dev/null
+++ b/packages/policy/src/placer.ts
@@ -0,0 +1,189 @@
+/** Chooses workers for tasks and gangs in one round and counts what was placed. */
+import { Reason, type Resources, WorkClass } from "@tanagerlink/model";
+import type { Reservation } from "./gangReservation.ts";
+import type { PolicyState } from "./policyState.ts";
+import { ResourceTally } from "./resourceTally.ts";
+import { type Access, fullAccess, heldAccess, ordinaryAccess } from "./roomIndexes.ts";
+import type { Placement } from "./schedulingPolicy.ts";
+import type { JobEntry, SizeClass, WaitingGroup } from "./waitingGroup.ts";
+import type { WorkerCost } from "./workerIndex.ts";
+import type { TaskEntry, WorkerNode } from "./workerNode.ts";
+
+/** Cost of one task of the same service in the rack and on the worker, above any difference in packing. */
+const RACK_COST = 1_000;
+const WORKER_COST = 100;
+
+/** Placements of one round. */
+export class Placer {
+    readonly placements: Placement[] = [];
+    private readonly state: PolicyState;
+    private readonly now: number;
+
+    constructor(state: PolicyState, now: number) {
+        this.state = state;
+        this.now = now;
+    }
+
+    /** Places one task of a service or batch job. */
+    placeSingle(entry: JobEntry): boolean {
+        const { group } = entry;
+        const access = this.accessOf(group);
+        const worker = this.findOnce(group.sizeClass, access, () => this.findSingle(entry, access));
+        if (worker === undefined) {
+            return false;
+        }
+        this.start(entry, worker, worker.held !== undefined && access.held ? Reason.PlacedBackfill : Reason.Placed);
+        return true;
+    }
+
+    /** Places one urgent task, first on room that a preemption has freed for it. */
+    placeUrgent(entry: JobEntry): boolean {
+        const { group } = entry;
+        const { size } = group.sizeClass;
+        const freed = this.state.preemptor.redeem(group);
+        if (freed !== undefined) {
+            this.start(entry, freed, Reason.PlacedByPreemption);
+            return true;
+        }
+        const worker = this.findOnce(group.sizeClass, fullAccess, () => {
+            return this.state.pool.find(size, ordinaryAccess) ?? this.state.pool.find(size, fullAccess);
+        });
+        if (worker === undefined) {
+            return false;
+        }
+        const reserved = worker.reserve.processorMillis > 0 || worker.reserve.memoryMebibytes > 0;
+        this.start(entry, worker, reserved ? Reason.PlacedUrgentReserve : Reason.Placed);
+        return true;
+    }
+
+    /** Places all waiting tasks of a gang or none. */
+    placeGang(entry: JobEntry): boolean {
+        const { group } = entry;
+        const { size } = group.sizeClass;
+        const access = group.sample.workClass === WorkClass.Urgent ? fullAccess : this.accessOf(group);
+        const count = entry.tasks.length;
+        if (access === ordinaryAccess && this.state.pool.countFitting(size, count) < count) {
+            return false;
+        }
+        return this.startAll(entry, access, access === heldAccess ? Reason.PlacedBackfill : Reason.PlacedGang);
+    }
+
+    /** Places the gang that the reservation was made for, or none of it. */
+    placeReserved(planned: Reservation): boolean {
+        const { entry, usesReserve } = planned;
+        const access = { reserve: usesReserve, held: true };
+        if (entry.job.allAtOnce) {
+            return this.startAll(entry, access, Reason.PlacedGang);
+        }
+        const worker = this.state.pool.find(planned.size, access);
+        if (worker !== undefined) {
+            this.start(entry, worker, Reason.Placed);
+        }
+        return worker !== undefined;
+    }
+
+    /** Whether the group only waits because the free room is held for the planned gang. */
+    heldRoomFits(group: WaitingGroup): boolean {
+        return this.state.reservation.current !== undefined
+            && this.state.pool.find(group.sizeClass.size, heldAccess) !== undefined;
+    }
+
+    private accessOf(group: WaitingGroup): Access {
+        const planned = this.state.reservation.current;
+        const ends = planned !== undefined && this.expectedEnd(group) <= planned.startAt;
+        return ends ? heldAccess : ordinaryAccess;
+    }
+
+    private expectedEnd(group: WaitingGroup): number {
+        const seconds = group.profile.runSeconds(group.sample.runSeconds);
+        return seconds === undefined ? Infinity : this.now + seconds * 1_000;
+    }
+
+    private findSingle(entry: JobEntry, access: Access): WorkerNode | undefined {
+        const { pool } = this.state;
+        const { size } = entry.group.sizeClass;
+        const spread = entry.job.workClass === WorkClass.Service ? this.spreadCost(entry.job.id) : undefined;
+        if (pool.fitsOutsideReserve(size)) {
+            return pool.find(size, access, spread);
+        }
+        // Too large for any room outside the reserve; the room held for a gang stays closed.
+        const avoidHeld: WorkerCost = worker => worker.held === undefined ? (spread?.(worker) ?? 0) : Infinity;
+        return pool.find(size, { reserve: true, held: access.held }, access.held ? spread : avoidHeld);
+    }
+
+    private spreadCost(job: string): WorkerCost {
+        return worker => {
+            const { inRack, onWorker } = this.state.running.spreadOf(job, worker.rack, worker.id);
+            return inRack * RACK_COST + onWorker * WORKER_COST;
+        };
+    }
+
+    /** Searches a size with an access at most once in a round without success; room only shrinks within a round. */
+    private findOnce(
+        sizeClass: SizeClass,
+        access: Access,
+        search: () => WorkerNode | undefined,
+    ): WorkerNode | undefined {
+        const kind = access === ordinaryAccess ? 0 : access === heldAccess ? 1 : 2;
+        if (sizeClass.failedRounds[kind] === this.state.roundNumber) {
+            return undefined;
+        }
+        const worker = search();
+        if (worker === undefined) {
+            sizeClass.failedRounds[kind] = this.state.roundNumber;
+        }
+        return worker;
+    }
+
+    private startAll(entry: JobEntry, access: Access, reason: Reason): boolean {
+        const { pool, running, queue } = this.state;
+        const { size } = entry.group.sizeClass;
+        const started: TaskEntry[] = [];
+        return pool.withoutGrowth(() => {
+            while (entry.tasks.length > 0) {
+                const worker = pool.find(size, access);
+                if (worker === undefined) {
+                    started.forEach(task => running.remove(task));
+                    queue.giveBack(entry, started.map(task => task.task));
+                    return false;
+                }
+                started.push(this.count(entry, worker));
+            }
+            for (const { task, worker } of started) {
+                this.placements.push({ job: entry.job.id, task, worker: worker.id, reason });
+            }
+            return true;
+        });
+    }
+
+    private start(entry: JobEntry, worker: WorkerNode, reason: Reason): void {
+        const { task } = this.count(entry, worker);
+        this.placements.push({ job: entry.job.id, task, worker: worker.id, reason });
+    }
+
+    private count(entry: JobEntry, worker: WorkerNode): TaskEntry {
+        const { group, job } = entry;
+        const size: Resources = group.sizeClass.size;
+        const started: TaskEntry = {
+            job: job.id,
+            task: this.state.queue.take(entry),
+            team: job.team,
+            workClass: job.workClass,
+            allAtOnce: job.allAtOnce,
+            worker,
+            rack: worker.rack,
+            profile: group.profile,
+            minimumSize: size,
+            counted: size,
+            peak: new ResourceTally(),
+            startedAt: this.now,
+            expectedEnd: this.expectedEnd(group),
+            preempted: false,
+            stalled: false,
+            outlasts: false,
+        };
+        group.lastStart = this.now;
+        this.state.running.add(started);
+        return started;
+    }
+}
--- /dev/null
+++ b/packages/policy/src/policyState.ts
@@ -0,0 +1,33 @@
+/** Parts of the policy that a round works on. */
+import type { PolicySettings } from "@tanagerlink/model";
+import { FairShare } from "./fairShare.ts";
+import { GangReservation } from "./gangReservation.ts";
+import { WorkProfiles } from "./learning.ts";
+import { Preemptor } from "./preemption.ts";
+import type { Growth } from "./roomIndexes.ts";
+import { RunningTasks } from "./runningTasks.ts";
+import type { WaitingGroup } from "./waitingGroup.ts";
+import { WaitingQueue } from "./waitingQueue.ts";
+import { WorkerPool } from "./workerPool.ts";
+
+/** State of one shard's policy. */
+export class PolicyState {
+    settings: PolicySettings;
+    readonly pool = new WorkerPool();
+    readonly shares = new FairShare(this.pool.capacity);
+    readonly running = new RunningTasks(this.pool, this.shares);
+    readonly profiles = new WorkProfiles();
+    readonly queue = new WaitingQueue(this.profiles);
+    readonly preemptor = new Preemptor(this.pool, this.running);
+    readonly reservation = new GangReservation(this.pool);
+    /** Groups without room, from which the reservation is chosen. */
+    readonly blockedGroups = new Set<WaitingGroup>();
+    roundNumber = 0;
+    /** Growth of room that a round ended too early to use. */
+    unusedGrowth: Growth | undefined;
+
+    constructor(settings: PolicySettings) {
+        this.settings = settings;
+        this.pool.setReserve(settings.urgentReserve);
+    }
+}
--- /dev/null
+++ b/packages/policy/src/roomIndexes.ts
@@ -0,0 +1,148 @@
+/**
+ * Indexes over the rooms of workers, one for each kind of access, and the record of what has grown since the last round.
+ */
+import { addResources, fitsInto, noResources, type Resources, subtractResources } from "@tanagerlink/model";
+import { ResourceTally } from "./resourceTally.ts";
+import { type ResourceScale, type WorkerCost, WorkerIndex } from "./workerIndex.ts";
+import type { HeldRoom, WorkerNode } from "./workerNode.ts";
+
+/** Which kept-free rooms a task may use. */
+export interface Access {
+    /** Room reserved for urgent work. */
+    readonly reserve: boolean;
+    /** Room held for the planned gang. */
+    readonly held: boolean;
+}
+
+/** Access of ordinary work. */
+export const ordinaryAccess: Access = { reserve: false, held: false };
+/** Access of work that ends before the planned gang starts, and of that gang. */
+export const heldAccess: Access = { reserve: false, held: true };
+/** Access of urgent work. */
+export const fullAccess: Access = { reserve: true, held: true };
+
+/** Component-wise largest rooms of workers whose room has grown. Work larger than that is not worth another try. */
+export interface Growth {
+    /** Open room. */
+    readonly open: ResourceTally;
+    /** Room if all batch work were preempted. */
+    readonly afterPreemption: ResourceTally;
+}
+
+/** Adds the growth of one span of time to that of another. */
+export function mergeGrowth(left: Growth | undefined, right: Growth | undefined): Growth | undefined {
+    if (left === undefined || right === undefined) {
+        return left ?? right;
+    }
+    left.open.raise(right.open);
+    left.afterPreemption.raise(right.afterPreemption);
+    return left;
+}
+
+/** Rooms of all usable workers. */
+export class RoomIndexes {
+    /** Room that any work may use. */
+    private readonly common = new WorkerIndex();
+    /** Room without the reserve, on workers where a gang holds room. */
+    private readonly outsideReserve = new WorkerIndex();
+    /** Whole open room, on workers where it may exceed the common room. */
+    private readonly open = new WorkerIndex();
+    /** Projected room if all batch work were preempted, on workers with such work. */
+    private readonly afterPreemption = new WorkerIndex();
+    private readonly all = [this.common, this.outsideReserve, this.open, this.afterPreemption];
+    private growth: Growth | undefined;
+
+    setScale(scale: ResourceScale): void {
+        this.all.forEach(index => index.setScale(scale));
+    }
+
+    /** Best worker with room for `size` within the access, or `undefined`. */
+    find(size: Resources, access: Access, cost?: WorkerCost): WorkerNode | undefined {
+        const found = this.common.find(size, cost);
+        if (found !== undefined) {
+            return found;
+        }
+        const backfill = access.held ? this.outsideReserve.find(size, cost) : undefined;
+        if (backfill !== undefined || !access.reserve) {
+            return backfill;
+        }
+        return this.open.find(size, cost);
+    }
+
+    preemptionCandidates(size: Resources, limit: number): WorkerNode[] {
+        return this.afterPreemption.sample(size, limit);
+    }
+
+    countFitting(size: Resources, limit: number): number {
+        return this.common.count(size, limit);
+    }
+
+    takeGrowth(): Growth | undefined {
+        const { growth } = this;
+        this.growth = undefined;
+        return growth;
+    }
+
+    withoutGrowth<Value>(change: () => Value): Value {
+        const { growth } = this;
+        this.growth = undefined;
+        const value = change();
+        this.growth = growth;
+        return value;
+    }
+
+    /** Renews the rooms of a worker; `retry` lets blocked work be tried again although no room has grown. */
+    refresh(node: WorkerNode, retry = false): void {
+        if (!node.usable) {
+            this.all.forEach(index => index.delete(node));
+            node.indexedRoom = noResources;
+            node.indexedProjection = noResources;
+            return;
+        }
+        const open = node.openRoom();
+        const unreserved = subtractResources(open, node.reserve);
+        const common = node.held === undefined ? unreserved : commonRoom(node, unreserved, node.held);
+        this.common.set(node, common);
+        setOrDelete(this.outsideReserve, node, unreserved, node.held !== undefined);
+        setOrDelete(this.open, node, open, node.held !== undefined || hasAny(node.reserve));
+        const projected = addResources(node.projectedRoom(), node.preemptible);
+        setOrDelete(this.afterPreemption, node, projected, hasAny(node.preemptible) || hasAny(node.ending));
+        this.noteGrowth(node, open, projected, retry);
+    }
+
+    private noteGrowth(node: WorkerNode, open: Resources, projected: Resources, retry: boolean): void {
+        const grown = retry || !fitsInto(open, node.indexedRoom) || !fitsInto(projected, node.indexedProjection);
+        node.indexedRoom = open;
+        node.indexedProjection = projected;
+        if (grown) {
+            this.growth ??= { open: new ResourceTally(), afterPreemption: new ResourceTally() };
+            this.growth.open.raise(open);
+            this.growth.afterPreemption.raise(projected);
+        }
+    }
+}
+
+/** Room that even work of unknown length may use on a worker with held room. */
+function commonRoom(node: WorkerNode, unreserved: Resources, held: HeldRoom): Resources {
+    const spare = new ResourceTally();
+    spare.add(node.capacity);
+    spare.subtract(node.reserve);
+    spare.subtract(node.outlasting);
+    spare.subtract(node.claimed);
+    spare.subtract(held.amount);
+    spare.lower(unreserved);
+    return spare.snapshot();
+}
+
+function setOrDelete(index: WorkerIndex, node: WorkerNode, room: Resources, included: boolean): void {
+    if (included) {
+        index.set(node, room);
+    }
+    else {
+        index.delete(node);
+    }
+}
+
+function hasAny(size: Resources): boolean {
+    return size.processorMillis > 0 || size.memoryMebibytes > 0 || size.accelerators > 0;
+}
--- /dev/null
+++ b/packages/policy/src/schedulingRound.ts
@@ -0,0 +1,281 @@
+/**
+ * One scheduling round. Classes are served in order; within a class the team with the lowest rank starts one task or one
+ * gang at a time. Groups that failed before are skipped until room has grown that could hold them.
+ */
+import { fitsInto, Reason, WorkClass } from "@tanagerlink/model";
+import { BinaryHeap } from "./binaryHeap.ts";
+import { Placer } from "./placer.ts";
+import type { PolicyState } from "./policyState.ts";
+import { ReservationStart } from "./reservationStart.ts";
+import { type Growth, mergeGrowth } from "./roomIndexes.ts";
+import type { Hold, LimitGate, Preemption, RoundResult } from "./schedulingPolicy.ts";
+import type { TeamLane } from "./teamLane.ts";
+import type { JobEntry, WaitingGroup } from "./waitingGroup.ts";
+import { classOrder } from "./waitingQueue.ts";
+
+/** Reports of waiting reasons in one round; the rest follows in later rounds. */
+const MAXIMUM_HOLDS = 256;
+
+const Outcome = {
+    /** A task or gang was placed. */
+    Placed: "placed",
+    /** Nothing fits until room grows. */
+    Blocked: "blocked",
+    /** To be tried again in the next round; the next group of the team is served. */
+    Skipped: "skipped",
+    /** The team has no unit left; none of its groups can start. */
+    Limited: "limited",
+} as const;
+type Outcome = (typeof Outcome)[keyof typeof Outcome];
+
+/** Runs a single round over the state. */
+export class SchedulingRound {
+    private readonly state: PolicyState;
+    private readonly now: number;
+    private readonly limits: LimitGate;
+    private readonly maximum: number;
+    private readonly placer: Placer;
+    private readonly preemptions: Preemption[] = [];
+    private growth: Growth | undefined;
+    private incomplete = false;
+
+    constructor(state: PolicyState, now: number, limits: LimitGate, maximum: number) {
+        this.state = state;
+        this.now = now;
+        this.limits = limits;
+        this.maximum = maximum;
+        this.placer = new Placer(state, now);
+    }
+
+    run(): RoundResult {
+        const { state, now } = this;
+        state.roundNumber++;
+        state.pool.prepareRound();
+        state.preemptor.review(now);
+        state.reservation.review(now);
+        this.growth = mergeGrowth(state.unusedGrowth, state.pool.takeGrowth());
+        const reserved = new ReservationStart(state, this.placer, this.limits, now);
+        this.serveClass(WorkClass.Urgent);
+        reserved.start(this.growth !== undefined);
+        classOrder.filter(name => name !== WorkClass.Urgent).forEach(name => this.serveClass(name));
+        reserved.plan();
+        state.unusedGrowth = this.incomplete ? this.growth : undefined;
+        return { placements: this.placer.placements, preemptions: this.preemptions, holds: this.takeHolds() };
+    }
+
+    private get full(): boolean {
+        return this.placer.placements.length >= this.maximum;
+    }
+
+    private serveClass(workClass: WorkClass): void {
+        const heap = new BinaryHeap<TeamLane>();
+        for (const lane of this.state.queue.lanesOf(workClass)) {
+            if (this.growth === undefined && !lane.attention) {
+                continue;
+            }
+            lane.attention = false;
+            this.pushLane(heap, lane);
+        }
+        while (heap.size > 0 && !this.full) {
+            const lane = heap.pop()!;
+            if (this.serveLane(lane)) {
+                this.pushLane(heap, lane);
+            }
+        }
+        while (heap.size > 0) {
+            this.incomplete = true;
+            heap.pop()!.attention = true;
+        }
+    }
+
+    private pushLane(heap: BinaryHeap<TeamLane>, lane: TeamLane): void {
+        const group = this.nextGroup(lane);
+        if (group !== undefined) {
+            heap.push(this.rank(lane, group), lane);
+        }
+    }
+
+    /**
+     * Rank of the team less its ageing. Ageing counts from the team's last start: a team that gets regular starts stays
+     * at its share however long its queue is, and a team that gets none cannot starve.
+     */
+    private rank(lane: TeamLane, group: WaitingGroup): number {
+        const waited = Math.max(0, this.now - Math.max(lane.oldestSince, lane.lastStart));
+        const lift = waited / (1_000 * Math.max(0.001, this.state.settings.agingSeconds));
+        return this.state.shares.rank(lane.team, group.sizeClass.size) - lift;
+    }
+
+    /** Next group of the walk that is worth a try. */
+    private nextGroup(lane: TeamLane): WaitingGroup | undefined {
+        for (let group = lane.current(); group !== undefined; group = lane.current()) {
+            if (!group.blocked || this.mayFitNow(group)) {
+                return group;
+            }
+            lane.advance();
+        }
+        return undefined;
+    }
+
+    private mayFitNow(group: WaitingGroup): boolean {
+        const room = group.sample.workClass === WorkClass.Urgent ? this.growth?.afterPreemption : this.growth?.open;
+        return room !== undefined && fitsInto(group.sizeClass.size, room);
+    }
+
+    /** Serves groups of the team until one start was made; answers whether one was. */
+    private serveLane(lane: TeamLane): boolean {
+        for (let group = this.nextGroup(lane); group !== undefined; group = this.nextGroup(lane)) {
+            const outcome = this.serveGroup(group, group.head()!);
+            group.blocked = outcome === Outcome.Blocked;
+            if (outcome === Outcome.Placed) {
+                lane.lastStart = this.now;
+                lane.place(group);
+                return true;
+            }
+            this.report(group);
+            lane.attention ||= outcome !== Outcome.Blocked;
+            if (outcome === Outcome.Limited) {
+                return false;
+            }
+            lane.advance();
+        }
+        return false;
+    }
+
+    private serveGroup(group: WaitingGroup, entry: JobEntry): Outcome {
+        this.renewSize(group);
+        if (this.state.reservation.current?.entry === entry) {
+            group.setHold(entry.job.allAtOnce ? Reason.WaitingForGang : Reason.WaitingForCapacity);
+            return Outcome.Blocked;
+        }
+        if (entry.job.allAtOnce) {
+            return this.serveGang(entry);
+        }
+        return group.sample.workClass === WorkClass.Urgent
+            ? this.serveUrgent(entry)
+            : this.serveSingle(entry);
+    }
+
+    private renewSize(group: WaitingGroup): void {
+        const planned = group.profile.plannedSize(group.sample.size);
+        // A learned size that no worker can hold would keep the job waiting forever.
+        const usable = planned === group.sample.size || this.state.pool.canHold(planned);
+        this.state.queue.refreshSize(group, usable ? planned : group.sample.size);
+    }
+
+    private serveSingle(entry: JobEntry): Outcome {
+        const { group } = entry;
+        if (!this.limits.take(group.sample.team, 1)) {
+            group.setHold(Reason.WaitingForLimit);
+            return Outcome.Limited;
+        }
+        if (this.placer.placeSingle(entry)) {
+            return Outcome.Placed;
+        }
+        this.limits.giveBack(group.sample.team, 1);
+        this.blockForCapacity(entry);
+        return Outcome.Blocked;
+    }
+
+    private blockForCapacity(entry: JobEntry): void {
+        const { group } = entry;
+        this.state.blockedGroups.add(group);
+        if (this.placer.heldRoomFits(group)) {
+            group.setHold(Reason.WaitingForReservation);
+        }
+        else {
+            const overShare = this.state.shares.rank(group.sample.team) > 1;
+            group.setHold(overShare ? Reason.WaitingForShare : Reason.WaitingForCapacity);
+        }
+    }
+
+    private serveGang(entry: JobEntry): Outcome {
+        const { group } = entry;
+        const count = entry.tasks.length;
+        const remaining = this.maximum - this.placer.placements.length;
+        // A gang above the bound of a round can never be within it, so it is allowed to exceed it.
+        if (count > remaining && count <= this.maximum) {
+            group.setHold(Reason.WaitingForGang);
+            return Outcome.Skipped;
+        }
+        if (!this.limits.take(group.sample.team, count)) {
+            group.setHold(Reason.WaitingForLimit);
+            return Outcome.Skipped;
+        }
+        if (this.placer.placeGang(entry)) {
+            this.state.blockedGroups.delete(group);
+            return Outcome.Placed;
+        }
+        this.limits.giveBack(group.sample.team, count);
+        this.state.blockedGroups.add(group);
+        group.setHold(Reason.WaitingForGang);
+        return Outcome.Blocked;
+    }
+
+    private serveUrgent(entry: JobEntry): Outcome {
+        const { group } = entry;
+        const { team } = group.sample;
+        const { preemptor } = this.state;
+        preemptor.trim(group);
+        if (!this.limits.take(team, 1)) {
+            group.setHold(Reason.WaitingForLimit);
+            return Outcome.Limited;
+        }
+        if (this.placer.placeUrgent(entry)) {
+            preemptor.trim(group);
+            return Outcome.Placed;
+        }
+        this.limits.giveBack(team, 1);
+        this.preemptFor(group);
+        group.setHold(Reason.WaitingForCapacity);
+        return preemptor.claimCount(group) > 0 ? Outcome.Skipped : Outcome.Blocked;
+    }
+
+    /** Decides preemptions until each waiting task of the group has a claim or no more room can be made. */
+    private preemptFor(group: WaitingGroup): void {
+        const { preemptor } = this.state;
+        for (const entry of group.entriesFrom(preemptor.claimCount(group))) {
+            if (this.preemptions.length >= this.maximum || !this.limitAllows(group, preemptor.claimCount(group) + 1)) {
+                return;
+            }
+            const victims = preemptor.preempt(group, group.sizeClass.size, this.now);
+            if (victims === undefined) {
+                return;
+            }
+            for (const { job, task, worker } of victims) {
+                this.preemptions.push({ job, task, worker: worker.id, beneficiary: entry.job.id });
+            }
+        }
+    }
+
+    /** Preemption would be needless for work that its team's limit then keeps from starting. */
+    private limitAllows(group: WaitingGroup, units: number): boolean {
+        const allowed = this.limits.take(group.sample.team, units);
+        if (allowed) {
+            this.limits.giveBack(group.sample.team, units);
+        }
+        return allowed;
+    }
+
+    private report(group: WaitingGroup): void {
+        if (group.hasUnreported) {
+            this.state.queue.unreported.add(group);
+        }
+    }
+
+    private takeHolds(): Hold[] {
+        const holds: Hold[] = [];
+        for (const group of this.state.queue.unreported) {
+            const reason = group.holdReason ?? Reason.WaitingForCapacity;
+            for (const entry of group.takeUnreported(MAXIMUM_HOLDS - holds.length)) {
+                holds.push({ job: entry.job.id, reason });
+            }
+            if (!group.hasUnreported) {
+                this.state.queue.unreported.delete(group);
+            }
+            if (holds.length >= MAXIMUM_HOLDS) {
+                break;
+            }
+        }
+        return holds;
+    }
+}
--- /dev/null
+++ b/packages/policy/src/shardPolicy.ts
@@ -0,0 +1,191 @@
+/** The scheduling policy of one shard: the one public class of this package. */
+import { maximumResources, type PolicySettings, type Resources } from "@tanagerlink/model";
+import { judgeFeasibility } from "./feasibility.ts";
+import { PolicyState } from "./policyState.ts";
+import { Quarantine } from "./quarantine.ts";
+import { ResourceTally } from "./resourceTally.ts";
+import type {
+    Feasibility,
+    LimitGate,
+    PolicyWorker,
+    RoundResult,
+    RunningTask,
+    SchedulingPolicy,
+    WaitingJob,
+} from "./schedulingPolicy.ts";
+import { SchedulingRound } from "./schedulingRound.ts";
+
+/**
+ * Decisions for one shard. Times are monotonic milliseconds given by the caller. A job stays known until `removeJob`.
+ * Holds are reported when a job's reason is new or changes, at most 256 in a round.
+ */
+export class ShardPolicy implements SchedulingPolicy {
+    private readonly state: PolicyState;
+    private readonly quarantine: Quarantine;
+
+    constructor(settings: PolicySettings) {
+        this.state = new PolicyState(settings);
+        this.quarantine = new Quarantine(settings.workerFailureLimit, settings.jobFailureLimit);
+    }
+
+    setSettings(settings: PolicySettings): void {
+        this.state.settings = settings;
+        this.state.pool.setReserve(settings.urgentReserve);
+        this.quarantine.setLimits(settings.workerFailureLimit, settings.jobFailureLimit);
+    }
+
+    setTeamShares(shares: ReadonlyMap<string, number>): void {
+        this.state.shares.setShares(shares);
+    }
+
+    setFleetUsage(usage: ReadonlyMap<string, Resources>, fleetCapacity: Resources): void {
+        this.state.shares.setFleetUsage(usage, fleetCapacity);
+    }
+
+    addWorker(worker: PolicyWorker): void {
+        this.state.pool.addWorker(worker);
+        this.state.pool.setQuarantined(worker.id, this.quarantine.isQuarantined(worker.id));
+    }
+
+    removeWorker(worker: string): void {
+        this.state.pool.removeWorker(worker);
+    }
+
+    setWorkerAvailable(worker: string, available: boolean): void {
+        this.state.pool.setAvailable(worker, available);
+    }
+
+    addJob(job: WaitingJob): void {
+        this.state.queue.add(job, task => this.state.running.get(job.id, task) !== undefined);
+    }
+
+    removeJob(job: string): void {
+        this.state.queue.remove(job);
+        this.quarantine.forgetJob(job);
+    }
+
+    requeueTasks(job: string, tasks: readonly number[]): void {
+        this.state.queue.requeue(job, tasks.filter(task => this.state.running.get(job, task) === undefined));
+    }
+
+    taskRunning(task: RunningTask): void {
+        const { running, pool, profiles, queue } = this.state;
+        queue.taskRuns(task.job, task.task);
+        const known = running.get(task.job, task.task);
+        const profile = known?.profile ?? profiles.get(task.team, task.queue, task.name);
+        const seconds = profile.runSeconds(task.runSeconds);
+        const expectedEnd = seconds === undefined ? Infinity : task.startedAt + seconds * 1_000;
+        if (known !== undefined && known.worker.id === task.worker) {
+            pool.updateTask(known, () => {
+                known.startedAt = task.startedAt;
+                known.expectedEnd = expectedEnd;
+            });
+            return;
+        }
+        if (known !== undefined) {
+            running.remove(known);
+        }
+        const worker = pool.nodeFor(task.worker);
+        const size = maximumResources(task.size, known?.minimumSize ?? task.size);
+        running.add({
+            job: task.job,
+            task: task.task,
+            team: task.team,
+            workClass: task.workClass,
+            allAtOnce: task.allAtOnce,
+            worker,
+            rack: worker.rack,
+            profile,
+            minimumSize: size,
+            counted: size,
+            peak: new ResourceTally(),
+            startedAt: task.startedAt,
+            expectedEnd,
+            preempted: false,
+            stalled: false,
+            outlasts: false,
+        });
+    }
+
+    taskEnded(job: string, task: number, ranSeconds: number | undefined): void {
+        const entry = this.state.running.get(job, task);
+        if (entry === undefined) {
+            return;
+        }
+        this.state.running.remove(entry);
+        if (ranSeconds !== undefined) {
+            entry.profile.recordRun(ranSeconds);
+            if (entry.peak.processorMillis > 0 || entry.peak.memoryMebibytes > 0) {
+                entry.profile.recordSize(entry.peak);
+            }
+        }
+    }
+
+    taskUsage(job: string, task: number, usage: Resources): void {
+        const entry = this.state.running.get(job, task);
+        if (entry !== undefined) {
+            this.state.running.setUsage(entry, usage);
+        }
+    }
+
+    taskFailedOn(worker: string, job: string, now: number): void {
+        if (this.quarantine.failed(worker, job, now)) {
+            this.state.pool.setQuarantined(worker, true);
+        }
+    }
+
+    taskSucceededOn(worker: string): void {
+        this.quarantine.succeeded(worker);
+    }
+
+    jobFailsEverywhere(job: string): boolean {
+        return this.quarantine.jobFailsEverywhere(job);
+    }
+
+    quarantinedWorkers(now: number): readonly string[] {
+        this.releaseQuarantine(now);
+        return this.quarantine.current();
+    }
+
+    feasibility(size: Resources, tasks: number, allAtOnce: boolean): Feasibility {
+        const present = [...this.state.pool.workers.values()].filter(worker => worker.present);
+        return judgeFeasibility(present.map(worker => worker.capacity), size, tasks, allAtOnce);
+    }
+
+    round(now: number, limits: LimitGate, maximumPlacements: number): RoundResult {
+        this.releaseQuarantine(now);
+        return new SchedulingRound(this.state, now, limits, maximumPlacements).run();
+    }
+
+    freeResources(): Resources {
+        return this.state.pool.freeResources();
+    }
+
+    waitingTaskCount(): number {
+        return this.state.queue.waitingTasks;
+    }
+
+    describe(): unknown {
+        const { pool, queue, running, profiles, reservation, shares } = this.state;
+        const { current } = reservation;
+        return {
+            workers: pool.workers.size,
+            capacity: pool.capacity.snapshot(),
+            free: pool.freeResources(),
+            runningTasks: running.count,
+            waitingTasks: queue.waitingTasks,
+            jobs: queue.jobCount,
+            waitingGroups: queue.groupCount,
+            learnedNames: profiles.size,
+            quarantined: this.quarantine.current(),
+            reservation: current === undefined
+                ? undefined
+                : { job: current.entry.job.id, tasks: current.count, startAt: current.startAt },
+            teamUsage: shares.describe(),
+        };
+    }
+
+    private releaseQuarantine(now: number): void {
+        this.quarantine.release(now).forEach(worker => this.state.pool.setQuarantined(worker, false));
+    }
+}
