fix(telemetry): filter objects without a prototype

Objects made without a prototype were written unfiltered, because the filter recognised objects by instanceof. Before: their fields were kept as given. After: every object is filtered by its type tag.

--- a/packages/telemetry/src/fieldFilter.ts
+++ b/packages/telemetry/src/fieldFilter.ts
@@ -25,11 +25,8 @@
     if (typeof value === "bigint") {
         return String(value);
     }
-    if (!(value instanceof Object)) {
-        return value;
-    }
-    if (typeof value === "function") {
-        return undefined;
+    if (typeof value !== "object" || !value) {
+        return typeof value === "function" ? undefined : value;
     }
     if (value instanceof Error) {
         return { name: value.name, message: value.message, stack: value.stack };
