feat(peer): add WebSocket links with calls that survive broken links

Processes need calls that outlive a connection that goes silent for good. Each process opens a link to each wanted peer; both ends send heartbeats that echo the other side's, so that a link that delivers in one direction only is found from both ends. Calls belong to the peer and are sent again under their identifier on the next link. Receivers remember answers within bounds in time, count and bytes, and answer outcome_unknown where they may have forgotten. PeerMethod gets the optional flag idempotent: other calls are not repeated at a restarted peer. Before: interface only.

--- /dev/null
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -0,0 +1,102 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { ok } from "neverthrow";
+import { decodeFrame, pack, unpack } from "../src/frames.ts";
+import { append, Fixture, helloOf, isLinked, link, message, RawPeer, read, until } from "./peerFixture.ts";
+import { TcpRelay } from "./tcpRelay.ts";
+
+describe("faults of links", () => {
+    let fixture: Fixture;
+    beforeEach(() => {
+        fixture = new Fixture();
+    });
+    afterEach(async () => await fixture[Symbol.asyncDispose]());
+
+    async function relayed() {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        const relay = fixture.add(await TcpRelay.to(second.address));
+        link(first, "b", relay.address);
+        await until(() => isLinked(first, "b"));
+        return { first, second, relay };
+    }
+
+    it("answers a call whose connection went silent for good, without executing it twice", async () => {
+        const { first, second, relay } = await relayed();
+        let executed = 0;
+        let release = (): void => undefined;
+        const gate = new Promise<void>(resolve => {
+            release = resolve;
+        });
+        second.handle(append, async request => {
+            executed++;
+            await gate;
+            return ok(request);
+        });
+        const call = first.call("b", append, message, 5_000);
+        await until(() => executed === 1);
+        relay.silence("both");
+        release();
+        expect((await call)._unsafeUnwrap().text).to.equal(message.text);
+        expect(executed).to.equal(1);
+        expect(relay.accepted).to.be.greaterThan(1);
+        expect(await fixture.metric("a", 'tanagerlink_peer_links_closed_total{reason="silent"}')).to.equal(1);
+    });
+
+    it("replaces a link that delivers in one direction only", async () => {
+        const { first, second, relay } = await relayed();
+        second.handle(append, request => Promise.resolve(ok(request)));
+        relay.silence("towardsTarget");
+        expect((await first.call("b", append, message, 5_000)).isOk()).to.equal(true);
+    });
+
+    it("does not repeat a non-idempotent call at a restarted peer that may have executed it", async () => {
+        const { first, second, relay } = await relayed();
+        let executed = 0;
+        for (const method of [append, read]) {
+            second.handle(method, () => {
+                executed++;
+                return new Promise(() => undefined);
+            });
+        }
+        const calls = [first.call("b", append, message, 5_000), first.call("b", read, message, 5_000)];
+        await until(() => executed === 2);
+        const successor = await fixture.start("b");
+        const repeated: string[] = [];
+        for (const method of [append, read]) {
+            successor.handle(method, request => {
+                repeated.push(method.name);
+                return Promise.resolve(ok(request));
+            });
+        }
+        relay.retarget(successor.address);
+        relay.silence("both");
+        const [appended, readAgain] = await Promise.all(calls);
+        expect(appended?._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+        expect(readAgain?.isOk()).to.equal(true);
+        expect(repeated).to.deep.equal(["read"]);
+    });
+
+    it("survives malformed frames, and still answers on the same link", async function() {
+        const network = await fixture.start("a");
+        network.handle(append, request => Promise.resolve(ok(request)));
+        const peer = fixture.add(await RawPeer.connect(network.address, helloOf("b")));
+        const values = fc.oneof(
+            fc.uint8Array({ maxLength: 200 }),
+            fc.anything().map(value => pack(value)),
+            fc.tuple(fc.integer({ min: 0, max: 5 }), fc.anything(), fc.anything(), fc.anything(), fc.anything()).map(
+                pack,
+            ),
+        ).filter(bytes => {
+            const decoded = unpack(bytes);
+            return decoded === "malformed" || decodeFrame(bytes) === undefined;
+        });
+        const seed = Date.now() % 1_000_000;
+        const frames = fc.sample(values, { numRuns: 500, seed });
+        frames.forEach(bytes => peer.socket.send(bytes));
+        peer.socket.send("text");
+        peer.send({ kind: 2, id: 1, method: "append", age: 0, remaining: 1_000, body: pack(message) });
+        await until(() => peer.answers().length === 1);
+        const dropped = await fixture.metric("a", 'tanagerlink_peer_frames_dropped_total{reason="malformed"}');
+        expect(dropped, `seed ${seed}`).to.equal(501);
+    });
+});
--- /dev/null
+++ b/packages/peer/__tests__/peerCalls.spec.ts
@@ -0,0 +1,144 @@
+import { ErrorKind, serviceError } from "@tanagerlink/errors";
+import { expect } from "chai";
+import { err, ok } from "neverthrow";
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import { WebSocketServer } from "ws";
+import { FrameKind, pack } from "../src/frames.ts";
+import { append, type Body, Fixture, helloOf, isLinked, link, message, RawPeer, read, until } from "./peerFixture.ts";
+
+describe("calls between peers", () => {
+    let fixture: Fixture;
+    beforeEach(() => {
+        fixture = new Fixture();
+    });
+    afterEach(async () => await fixture[Symbol.asyncDispose]());
+
+    it("carries binary bodies, failures and heartbeats, also over a link that the peer opened", async () => {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        const beats: unknown[] = [];
+        second.onHeartbeat((peer, payload) => beats.push([peer, payload]));
+        first.provideHeartbeat(() => ({ version: 7 }));
+        second.handle(append, request => Promise.resolve(ok(request)));
+        first.handle(append, () => Promise.resolve(err(serviceError(ErrorKind.StaleEpoch, "old", { epoch: 3 }))));
+        link(first, "b", second.address);
+        const answer = (await first.call("b", append, message, 2_000))._unsafeUnwrap();
+        expect([...answer.bytes]).to.deep.equal([...message.bytes]);
+        expect((await second.call("a", append, message, 2_000))._unsafeUnwrapErr())
+            .to.deep.equal(serviceError(ErrorKind.StaleEpoch, "old", { epoch: 3 }));
+        await until(() => beats.length > 0);
+        expect(beats[0]).to.deep.equal(["a", { version: 7 }]);
+        await until(() => first.links()[0]?.roundTripMilliseconds !== undefined);
+    });
+
+    it("claims that nothing was sent only if nothing was sent", async () => {
+        const first = await fixture.start("a");
+        expect((await first.call("b", append, message, 50))._unsafeUnwrapErr().kind).to.equal("peer_unreachable");
+        link(first, "b", "127.0.0.1:1");
+        expect((await first.call("b", append, message, 5_000))._unsafeUnwrapErr().kind).to.equal("peer_unreachable");
+        const second = await fixture.start("b");
+        second.handle(append, () => new Promise(() => undefined));
+        link(first, "b", second.address);
+        expect((await first.call("b", append, message, 100))._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+    });
+
+    it("refuses calls at once when the send queue is full, so that memory is bounded", async () => {
+        const first = await fixture.start("a", { maximumPendingCalls: 2 });
+        const second = await fixture.start("b");
+        second.handle(append, () => new Promise(() => undefined));
+        link(first, "b", second.address);
+        await until(() => isLinked(first, "b"));
+        const waiting = [first.call("b", append, message, 300), first.call("b", append, message, 300)];
+        expect((await first.call("b", append, message, 300))._unsafeUnwrapErr().kind).to.equal("overloaded");
+        for (const result of await Promise.all(waiting)) {
+            expect(result._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+        }
+    });
+
+    it("drops and counts late and foreign answers, so that no caller gets the answer to another call", async () => {
+        const first = await fixture.start("a");
+        const server = new WebSocketServer({ port: 0, host: "127.0.0.1" });
+        fixture.add({ [Symbol.asyncDispose]: () => new Promise<void>(resolve => server.close(() => resolve())) });
+        await once(server, "listening");
+        link(first, "b", `127.0.0.1:${(server.address() as AddressInfo).port}`);
+        const peer = fixture.add(new RawPeer((await once(server, "connection"))[0]));
+        peer.send(helloOf("b"));
+        await until(() => isLinked(first, "b"));
+        const body = pack({ text: "wrong", bytes: new Uint8Array() });
+        const call = first.call("b", append, message, 60);
+        await until(() => peer.received.some(frame => frame.kind === FrameKind.Call));
+        const sent = peer.received.find(frame => frame.kind === FrameKind.Call);
+        const id = sent?.kind === FrameKind.Call ? sent.id : 0;
+        peer.send({ kind: FrameKind.Answer, id: id + 1_000, body });
+        expect((await call)._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+        peer.send({ kind: FrameKind.Answer, id, body });
+        const dropped = "tanagerlink_peer_frames_dropped_total";
+        await until(async () => await fixture.metric("a", `${dropped}{reason="late"}`) === 1);
+        expect(await fixture.metric("a", `${dropped}{reason="foreign"}`)).to.equal(1);
+    });
+});
+
+describe("repeated calls", () => {
+    const call = (id: number, age: number, method = "append") => (
+        { kind: FrameKind.Call, id, method, age, remaining: 1_000, body: pack(message) }
+    );
+    let fixture: Fixture;
+    let executed: number;
+    let release: () => void;
+    beforeEach(() => {
+        fixture = new Fixture();
+        executed = 0;
+    });
+    afterEach(async () => await fixture[Symbol.asyncDispose]());
+
+    async function receiver(extra: { readonly maximumRememberedCalls?: number; }) {
+        const gate = new Promise<void>(resolve => {
+            release = resolve;
+        });
+        const network = await fixture.start("a", extra);
+        const handler = async (request: Body) => {
+            executed++;
+            await gate;
+            return ok(request);
+        };
+        network.handle(append, handler);
+        network.handle(read, handler);
+        return network;
+    }
+
+    it("joins concurrent duplicates and answers later ones from memory, on any link", async () => {
+        const network = await receiver({});
+        const first = fixture.add(await RawPeer.connect(network.address, helloOf("b")));
+        first.send(call(1, 0));
+        first.send(call(1, 5));
+        await until(async () =>
+            await fixture.metric("a", 'tanagerlink_peer_duplicate_calls_total{action="joined"}') === 1
+        );
+        const second = fixture.add(await RawPeer.connect(network.address, helloOf("b")));
+        second.send(call(1, 9));
+        await until(async () =>
+            await fixture.metric("a", 'tanagerlink_peer_duplicate_calls_total{action="joined"}') === 2
+        );
+        release();
+        await until(() => second.answers().length === 1);
+        second.send(call(1, 20));
+        await until(() => second.answers().length === 2);
+        expect(second.answers()[0]).to.deep.equal(second.answers()[1]);
+        expect(executed).to.equal(1);
+    });
+
+    it("does not execute a repeat that it may have forgotten, unless the method is idempotent", async () => {
+        const network = await receiver({ maximumRememberedCalls: 1 });
+        release();
+        const peer = fixture.add(await RawPeer.connect(network.address, helloOf("b")));
+        [call(1, 0), call(2, 0, "read"), call(3, 0)].forEach(frame => peer.send(frame));
+        await until(() => peer.answers().length === 3);
+        peer.send(call(1, 50));
+        await until(() => peer.answers().length === 4);
+        expect(peer.answers()[3]).to.have.nested.property("error.kind", ErrorKind.OutcomeUnknown);
+        expect(executed).to.equal(3);
+        peer.send(call(2, 50, "read"));
+        peer.send(call(4, 50));
+        await until(() => executed === 5);
+    });
+});
--- /dev/null
+++ b/packages/peer/__tests__/tcpRelay.ts
@@ -0,0 +1,65 @@
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+
+/** A TCP relay that can stop forwarding on its open connections without closing them, while new ones work. */
+export class TcpRelay implements AsyncDisposable {
+    accepted = 0;
+    private target: string;
+    private readonly server: Server;
+    private readonly pairs = new Set<readonly [Socket, Socket]>();
+
+    private constructor(target: string) {
+        this.target = target;
+        this.server = createServer(client => this.forward(client));
+    }
+
+    static async to(target: string): Promise<TcpRelay> {
+        const relay = new TcpRelay(target);
+        relay.server.listen(0, "127.0.0.1");
+        await once(relay.server, "listening");
+        return relay;
+    }
+
+    get address(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    retarget(target: string): void {
+        this.target = target;
+    }
+
+    /** Silences open connections in both directions, or only towards the target. */
+    silence(direction: "both" | "towardsTarget"): void {
+        for (const [client, upstream] of this.pairs) {
+            client.unpipe(upstream);
+            client.on("data", () => undefined);
+            if (direction === "both") {
+                upstream.unpipe(client);
+                upstream.on("data", () => undefined);
+            }
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.pairs.forEach(pair => pair.forEach(socket => socket.destroy()));
+        this.server.close();
+        await once(this.server, "close");
+    }
+
+    private forward(client: Socket): void {
+        this.accepted++;
+        const [host, port] = this.target.split(":");
+        const upstream = connect(Number(port), host);
+        const pair = [client, upstream] as const;
+        this.pairs.add(pair);
+        for (const socket of pair) {
+            socket.on("error", () => undefined);
+            socket.on("close", () => {
+                pair.forEach(other => other.destroy());
+                this.pairs.delete(pair);
+            });
+        }
+        client.pipe(upstream);
+        upstream.pipe(client);
+    }
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,5 +1,7 @@
 /**
- * Links between the processes of the system: one WebSocket per pair, typed calls with deadlines, heartbeats that carry
+ * Links between the processes of the system: WebSocket links, typed calls with deadlines, heartbeats that carry
  * summaries, and replacement of links that have gone silent.
  */
 export * from "./peerNetwork.ts";
+export { type PeerNetworkOptions } from "./peerOptions.ts";
+export { WebSocketPeerNetwork } from "./webSocketPeerNetwork.ts";
--- /dev/null
+++ b/packages/peer/src/link.ts
@@ -0,0 +1,108 @@
+/**
+ * One WebSocket with an inbox that its task reads from. Events of the socket only fill the inbox or end the link.
+ */
+import type { Timers } from "@tanagerlink/timers";
+import { type RawData, WebSocket } from "ws";
+import { FrameKind, type HelloFrame } from "./frames.ts";
+import type { CloseReason, PeerMetrics } from "./peerMetrics.ts";
+import { Pulse, type PulseLimits } from "./pulse.ts";
+
+/** Who opened the link. */
+export type LinkDirection = "outgoing" | "incoming";
+
+const nobody: HelloFrame = {
+    kind: FrameKind.Hello,
+    version: 0,
+    node: "",
+    boot: "",
+    address: "",
+    failureDomain: "",
+};
+
+export class Link {
+    readonly direction: LinkDirection;
+    readonly pulse: Pulse;
+    /** Set by the handshake. */
+    remote = nobody;
+    private readonly socket: WebSocket;
+    private readonly metrics: PeerMetrics;
+    private readonly inbox: Uint8Array[] = [];
+    private reader: ((message: Uint8Array | undefined) => void) | undefined;
+    private ended = false;
+
+    constructor(
+        socket: WebSocket,
+        direction: LinkDirection,
+        timers: Timers,
+        limits: PulseLimits,
+        metrics: PeerMetrics,
+    ) {
+        this.socket = socket;
+        this.direction = direction;
+        this.metrics = metrics;
+        this.pulse = new Pulse(timers, limits);
+        socket.on("message", (data, isBinary) => this.receiveMessage(data, isBinary));
+        socket.on("close", () => this.close("remote"));
+        socket.on("error", () => this.close("remote"));
+    }
+
+    get open(): boolean {
+        return !this.ended && this.socket.readyState === WebSocket.OPEN;
+    }
+
+    /** Bytes that the operating system has not accepted yet. */
+    get bufferedBytes(): number {
+        return this.socket.bufferedAmount;
+    }
+
+    /** Gives a message to the socket; `sent` is called once the operating system has accepted it or the link failed. */
+    send(message: Uint8Array, sent?: () => void): void {
+        this.metrics.sent(message.byteLength);
+        this.socket.send(message, () => sent?.());
+    }
+
+    /** The next message, or `undefined` when the link has ended. Messages left over at the end are discarded. */
+    receive(): Promise<Uint8Array | undefined> {
+        if (this.ended) {
+            return Promise.resolve(undefined);
+        }
+        const message = this.inbox.shift();
+        if (message !== undefined) {
+            return Promise.resolve(message);
+        }
+        return new Promise(resolve => {
+            this.reader = resolve;
+        });
+    }
+
+    /** Ends the link at once. A closing handshake is not waited for, since the peer may be silent. */
+    close(reason: CloseReason): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        this.metrics.closed(reason);
+        this.socket.terminate();
+        this.inbox.length = 0;
+        this.reader?.(undefined);
+        this.reader = undefined;
+    }
+
+    private receiveMessage(data: RawData, isBinary: boolean): void {
+        if (this.ended) {
+            return;
+        }
+        this.pulse.heard();
+        if (!isBinary || !(data instanceof Uint8Array)) {
+            this.metrics.dropped("malformed");
+            return;
+        }
+        const reader = this.reader;
+        if (reader === undefined) {
+            this.inbox.push(data);
+            return;
+        }
+        this.reader = undefined;
+        reader(data);
+    }
+}
--- /dev/null
+++ b/packages/peer/src/peerMetrics.ts
@@ -0,0 +1,67 @@
+/**
+ * Metrics of the peer network. Peers do not appear as labels, since their number is not bounded over time.
+ */
+import type { Metrics } from "@tanagerlink/telemetry";
+
+/** Why a frame was dropped. */
+export type DropReason = "malformed" | "late" | "foreign" | "unexpected" | "oversized";
+
+/** Why a link ended. */
+export type CloseReason =
+    | "silent"
+    | "unacknowledged"
+    | "handshake"
+    | "replaced"
+    | "retired"
+    | "remote"
+    | "slow_reader"
+    | "stopped";
+
+/** Creates the metrics used by the parts of a peer network. */
+export function createPeerMetrics(metrics: Metrics) {
+    const dropped = metrics.counter({
+        name: "tanagerlink_peer_frames_dropped_total",
+        help: "Frames from peers that were dropped, by reason.",
+        labels: ["reason"],
+    });
+    const closed = metrics.counter({
+        name: "tanagerlink_peer_links_closed_total",
+        help: "Peer links that ended, by reason.",
+        labels: ["reason"],
+    });
+    const duplicates = metrics.counter({
+        name: "tanagerlink_peer_duplicate_calls_total",
+        help: "Calls received again under the same identifier, by what was done.",
+        labels: ["action"],
+    });
+    const calls = metrics.counter({
+        name: "tanagerlink_peer_calls_total",
+        help: "Calls to peers that ended, by method and result.",
+        labels: ["method", "result"],
+    });
+    const duration = metrics.histogram({
+        name: "tanagerlink_peer_call_duration_seconds",
+        help: "Duration of calls to peers.",
+    });
+    const sentBytes = metrics.counter({
+        name: "tanagerlink_peer_sent_bytes_total",
+        help: "Bytes of messages sent to peers, without transport headers.",
+    });
+    const resent = metrics.counter({
+        name: "tanagerlink_peer_calls_resent_total",
+        help: "Calls sent again on another link.",
+    });
+    return {
+        dropped: (reason: DropReason) => dropped.increment({ reason }),
+        closed: (reason: CloseReason) => closed.increment({ reason }),
+        duplicate: (action: "joined" | "answered" | "refused") => duplicates.increment({ action }),
+        called: (method: string, result: string, seconds: number) => {
+            calls.increment({ method, result });
+            duration.observe(seconds);
+        },
+        sent: (byteCount: number) => sentBytes.increment({}, byteCount),
+        resent: () => resent.increment(),
+    };
+}
+
+export type PeerMetrics = ReturnType<typeof createPeerMetrics>;
--- a/packages/peer/src/peerNetwork.ts
+++ b/packages/peer/src/peerNetwork.ts
@@ -7,6 +7,11 @@
     readonly name: string;
     readonly request: z.ZodType<Request>;
     readonly answer: z.ZodType<Answer>;
+    /**
+     * Whether a second execution does no harm. Calls of other methods are never repeated at a process that cannot know
+     * whether it, or the process that had its identifier before, has executed them; they end with `outcome_unknown`.
+     */
+    readonly idempotent?: boolean;
 }
 
 /** A process that can be linked to. */
