feat(routing): add the executor pool of a shard

The owner of a shard assigns the slots of its executors. Adds ServiceExecutorPool: attach before use, slots and units held until a request has provably ended, a bounded queue by class, power of two choices, retries within a budget and outlier ejection. ExecutorPool gains inheritedUnits(), since requests of earlier owners were never entered at the gate. Before: interface only. After: 13 tests on manual time pass; the retries of an outage stay within 10 % of the first tries plus the reserve.

--- /dev/null
+++ b/packages/routing/__tests__/serviceExecutorPool.spec.ts
@@ -0,0 +1,259 @@
+import type { ServiceRequest } from "@tanagerlink/model";
+import { expect } from "chai";
+import type { ServiceExecutorPool } from "../src/index.ts";
+import { Bench, request } from "./simulatedExecutors.ts";
+
+async function outcome(pool: ServiceExecutorPool, asked: ServiceRequest): Promise<string> {
+    return (await pool.dispatch(asked)).match(
+        answer => `${answer.status}:${new TextDecoder().decode(answer.body)}`,
+        error => error.kind,
+    );
+}
+
+function burst(pool: ServiceExecutorPool, count: number, changes: Partial<ServiceRequest> = {}): Promise<string>[] {
+    return Array.from({ length: count }, (_, index) => outcome(pool, request(`r${index}`, changes)));
+}
+
+interface Described {
+    readonly counters: Record<string, number>;
+    readonly services: { readonly executors: { readonly id: string; readonly ejected: boolean; }[]; }[];
+}
+
+function ejected(pool: ServiceExecutorPool): string[] {
+    const { services } = pool.describe() as Described;
+    return services[0]!.executors.filter(executor => executor.ejected).map(executor => executor.id);
+}
+
+describe("ServiceExecutorPool", () => {
+    it("gives each caller its own answer and never exceeds the slots", async () => {
+        const bench = new Bench(3);
+        const pool = bench.pool();
+        bench.executors.forEach((executor, index) => executor.runMilliseconds = 5 + 7 * index);
+        const answers = burst(pool, 200);
+        await bench.timers.advance(5_000);
+        expect(await Promise.all(answers)).to.deep.equal(answers.map((_, index) => `200:r${index}`));
+        expect(Math.max(...bench.executors.map(executor => executor.highest))).to.equal(8);
+        expect(bench.gate.highest).to.equal(24);
+        expect(bench.gate.units).to.equal(0);
+    });
+
+    it("counts running requests of an earlier owner against slots and units until they end", async () => {
+        const bench = new Bench(1);
+        const executor = bench.executors[0]!;
+        const earlier = bench.pool({}, 1);
+        executor.runMilliseconds = 3_000;
+        const old = burst(earlier, 5);
+        await bench.timers.advance(100);
+        const pool = bench.pool({}, 2);
+        expect(pool.unknownUnits()).to.equal(8);
+        await bench.timers.advance(100);
+        expect([pool.unknownUnits(), pool.inheritedUnits().get("survey")]).to.deep.equal([0, 5]);
+        const answers = Array.from({ length: 8 }, (_, index) => outcome(pool, request(`n${index}`)));
+        await bench.timers.advance(100);
+        expect(executor.running.size).to.equal(8);
+        expect(await outcome(earlier, request("late"))).to.equal("not_owner");
+        await bench.timers.advance(10_000);
+        expect(executor.highest).to.equal(8);
+        expect(new Set(await Promise.all(answers)).size).to.equal(8);
+        expect(await Promise.all(old)).to.include("200:r0");
+        expect(pool.inheritedUnits().size).to.equal(0);
+    });
+
+    it("counts slots of unattached executors as unknown until the longest request has ended", async () => {
+        const bench = new Bench(2);
+        bench.executors[1]!.mode = "refused_connection";
+        const pool = bench.pool({ longestRequestMilliseconds: 20_000 });
+        await bench.timers.advance(19_000);
+        expect(pool.unknownUnits()).to.equal(8);
+        pool.setExecutors([]);
+        expect(pool.unknownUnits()).to.equal(8);
+        await bench.timers.advance(1_000);
+        expect(pool.unknownUnits()).to.equal(0);
+    });
+
+    it("never sends a non-idempotent request again once it may have run", async () => {
+        const bench = new Bench(4);
+        const pool = bench.pool({ retryReserve: 1_000 });
+        bench.executors.forEach(executor => executor.mode = "lost_answer");
+        await bench.timers.advance(10);
+        const answers = burst(pool, 20, { idempotent: false });
+        await bench.timers.advance(6_000);
+        expect(new Set(await Promise.all(answers))).to.deep.equal(new Set(["outcome_unknown"]));
+        expect(bench.executors.flatMap(executor => executor.started).sort()).to.deep.equal(
+            Array.from({ length: 20 }, (_, index) => `r${index}`).sort(),
+        );
+    });
+
+    it("sends a non-idempotent request to another executor when the first certainly did not run it", async () => {
+        const bench = new Bench(4);
+        const pool = bench.pool({ retryReserve: 1_000 });
+        await bench.timers.advance(10);
+        bench.executors[0]!.mode = "refused_connection";
+        bench.executors[1]!.mode = "refused_connection";
+        const answers = burst(pool, 16, { idempotent: false });
+        await bench.timers.advance(6_000);
+        expect(await Promise.all(answers)).to.deep.equal(answers.map((_, index) => `200:r${index}`));
+        expect(bench.executors.flatMap(executor => executor.started).length).to.equal(16);
+    });
+
+    it("keeps slot and unit of an unknown request until a report no longer lists it", async () => {
+        const bench = new Bench(1);
+        const executor = bench.executors[0]!;
+        const pool = bench.pool();
+        executor.mode = "lost_answer";
+        executor.runMilliseconds = 8_000;
+        await bench.timers.advance(10);
+        const answers = burst(pool, 8, { idempotent: false });
+        await bench.timers.advance(7_000);
+        expect(await answers[0]).to.equal("outcome_unknown");
+        expect([bench.gate.units, pool.summaries()[0]!.freeSlots]).to.deep.equal([8, 0]);
+        await bench.timers.advance(3_000);
+        expect([bench.gate.units, pool.summaries()[0]!.freeSlots]).to.deep.equal([0, 8]);
+    });
+
+    it("bounds the tries through an outage by the retry budget", async () => {
+        const bench = new Bench(10);
+        const pool = bench.pool({ longestRequestMilliseconds: 500, reportDelayMilliseconds: 0 });
+        bench.executors.forEach(executor => executor.mode = "lost_answer");
+        await bench.timers.advance(10);
+        for (let index = 0; index < 600; index++) {
+            void pool.dispatch(request(`r${index}`, { remainingMilliseconds: 1_000 }));
+            await bench.timers.advance(10);
+        }
+        await bench.timers.advance(2_000);
+        const { counters } = pool.describe() as Described;
+        const first = counters["tries"]! - counters["retries"]!;
+        expect(first).to.be.greaterThan(500);
+        // 5 in reserve and 0.2 a second over the 8 s.
+        expect(counters["retries"]).to.be.within(first * 0.08, first * 0.1 + 5 + 2);
+    });
+
+    it("ejects slow and failing executors, at most 30 %, for growing periods", async () => {
+        const bench = new Bench(10);
+        const pool = bench.pool({ ejectionMaximumMilliseconds: 8_000 });
+        bench.executors.slice(0, 2).forEach(executor => executor.runMilliseconds = 400);
+        bench.executors.slice(2, 5).forEach(executor => executor.mode = "error_status");
+        const ends: number[] = [];
+        let before: string[] = [];
+        const seen = new Set<string>();
+        for (let step = 0; step < 3_000; step++) {
+            void pool.dispatch(request(`r${step}`));
+            await bench.timers.advance(10);
+            const now = ejected(pool);
+            now.forEach(id => seen.add(id));
+            expect(now.length).to.be.at.most(3);
+            if (before.includes("e2") !== now.includes("e2")) {
+                ends.push(bench.timers.now());
+            }
+            before = now;
+        }
+        expect([...seen].every(id => ["e0", "e1", "e2", "e3", "e4"].includes(id))).to.equal(true);
+        expect(seen.size).to.be.at.least(3);
+        const periods = ends.map((end, index) => index % 2 === 1 ? end - ends[index - 1]! : 0).filter(length =>
+            length > 0
+        );
+        expect(periods[0]).to.be.within(1_900, 2_100);
+        expect(periods[1]).to.be.within(3_900, 4_100);
+        pool.setExecutors(bench.records(["e5", "e6", "e7", "e8"]));
+        expect(ejected(pool).length).to.be.at.most(1);
+    });
+
+    it("sheds batch first and urgent last, and serves urgent first", async () => {
+        const bench = new Bench(1);
+        bench.executors[0]!.slots = 1;
+        const pool = bench.pool({ queueLimit: 4 });
+        await bench.timers.advance(10);
+        const classes = [
+            "batch",
+            "batch",
+            "batch",
+            "service",
+            "urgent",
+            "urgent",
+            "service",
+            "batch",
+            "urgent",
+        ] as const;
+        const answers = classes.map((workClass, index) => outcome(pool, request(`r${index}`, { workClass })));
+        await bench.timers.advance(1_000);
+        const results = (await Promise.all(answers)).map((answer, index) => `${classes[index]} ${answer.slice(0, 4)}`);
+        // The first takes the slot. Of eight for four places, three urgent and the older service request remain.
+        expect(results).to.deep.equal([
+            "batch 200:",
+            "batch over",
+            "batch over",
+            "service 200:",
+            "urgent 200:",
+            "urgent 200:",
+            "service over",
+            "batch over",
+            "urgent 200:",
+        ]);
+        expect(bench.executors[0]!.started).to.deep.equal(["r0", "r4", "r5", "r8", "r3"]);
+    });
+
+    it("answers a request that waited too long as not run, and never runs it", async () => {
+        const bench = new Bench(1);
+        bench.executors[0]!.slots = 1;
+        bench.executors[0]!.runMilliseconds = 500;
+        const pool = bench.pool();
+        await bench.timers.advance(10);
+        const answers = burst(pool, 2, { remainingMilliseconds: 300 });
+        await bench.timers.advance(2_000);
+        expect(await Promise.all(answers)).to.deep.equal(["200:r0", "deadline_exceeded"]);
+        expect(bench.executors[0]!.started).to.deep.equal(["r0"]);
+    });
+
+    it("sends nothing new to an executor that leaves, by the list or by its answer, even if the list lags", async () => {
+        const bench = new Bench(3);
+        const pool = bench.pool();
+        await bench.timers.advance(10);
+        pool.setExecutors(bench.records(["e0"]));
+        pool.setExecutors(bench.records());
+        bench.executors[1]!.leaving = true;
+        let latest: string | undefined;
+        for (let index = 0; index < 30; index++) {
+            const answer = outcome(pool, request(`r${index}`));
+            await bench.timers.advance(20);
+            latest = await answer;
+        }
+        expect(latest).to.equal("200:r29");
+        expect(bench.executors.map(executor => executor.started.length <= 1)).to.deep.equal([true, true, false]);
+        expect(bench.executors[0]!.started).to.deep.equal([]);
+    });
+
+    it("refuses at the gate without sending, and at a stop refuses what waits but ends what runs", async () => {
+        const bench = new Bench(1);
+        const pool = bench.pool();
+        await bench.timers.advance(10);
+        bench.gate.limit = 6;
+        const limited = burst(pool, 7);
+        await bench.timers.advance(1);
+        expect(await limited[6]).to.equal("team_limit_reached");
+        bench.gate.limit = Infinity;
+        const more = Array.from({ length: 4 }, (_, index) => outcome(pool, request(`m${index}`)));
+        const stopped = pool[Symbol.asyncDispose]();
+        await bench.timers.advance(1_000);
+        await stopped;
+        expect((await Promise.all(more)).map(answer => answer.slice(0, 4))).to.deep.equal([
+            "200:",
+            "200:",
+            "drai",
+            "drai",
+        ]);
+        expect(await limited[0]).to.equal("200:r0");
+    });
+
+    it("repeats the same choices for the same seed", async () => {
+        const runs: string[][] = [];
+        for (let run = 0; run < 2; run++) {
+            const bench = new Bench(5);
+            const pool = bench.pool();
+            const answers = burst(pool, 60);
+            await bench.timers.advance(1_000);
+            await Promise.all(answers);
+            runs.push(bench.executors.map(executor => executor.started.join()));
+        }
+        expect(runs[0]).to.deep.equal(runs[1]);
+    });
+});
--- a/packages/routing/src/executorPool.ts
+++ b/packages/routing/src/executorPool.ts
@@ -18,6 +18,11 @@
     summaries(): readonly ServiceSummary[];
     /** Units that may run unseen on executors which were not attached yet. */
     unknownUnits(): number;
+    /**
+     * Running requests of earlier owners by team, as the executors report them. They were never entered at the gate,
+     * so its limit check must add them.
+     */
+    inheritedUnits(): ReadonlyMap<string, number>;
     inFlight(): number;
     /** State for the dump. */
     describe(): unknown;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,3 +3,10 @@
  * shedding, retries within a budget and outlier ejection.
  */
 export * from "./executorPool.ts";
+export {
+    defaultRoutingLimits,
+    type ExecutorPoolOptions,
+    type RoutingCounters,
+    type RoutingLimits,
+} from "./executorPoolOptions.ts";
+export { ServiceExecutorPool } from "./serviceExecutorPool.ts";
--- /dev/null
+++ b/packages/routing/src/requestDispatch.ts
@@ -0,0 +1,221 @@
+/**
+ * The way of one request through the pool: wait for a slot, pass the gate, send, and try again where that is safe.
+ * A request is tried again only when it was certainly not run or is idempotent. Once one try may have run, no later
+ * failure is reported as "not run".
+ */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import type { ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
+import type { ExecutorAnswer } from "@tanagerlink/targets";
+import { sleep } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import type { PoolContext } from "./executorPoolOptions.ts";
+import { releaseSurplus } from "./outlierEjection.ts";
+import type { PooledExecutor, SlotHold } from "./pooledExecutor.ts";
+import type { Dispatch, PooledService } from "./pooledService.ts";
+import { backoff } from "./retryBudget.ts";
+
+const SERVER_ERROR_STATUS = 500;
+
+/** Errors after which a request certainly did not run and another try may succeed. */
+const retryableKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.TargetUnreachable]);
+
+/** What a dispatch asks of the pool. */
+export interface DispatchEvents {
+    /** A try failed such that the executor should be attached again. */
+    attachSoon(hold: SlotHold): void;
+}
+
+/** Runs one request to its end. */
+export class RequestDispatch {
+    private readonly context: PoolContext;
+    private readonly service: PooledService;
+    private readonly dispatch: Dispatch;
+    private readonly events: DispatchEvents;
+    private attempts = 0;
+    private mayHaveRun = false;
+
+    constructor(context: PoolContext, service: PooledService, dispatch: Dispatch, events: DispatchEvents) {
+        this.context = context;
+        this.service = service;
+        this.dispatch = dispatch;
+        this.events = events;
+    }
+
+    async run(): Promise<Result<ServiceAnswer, ServiceError>> {
+        for (;;) {
+            const slot = await this.service.acquire(this.dispatch);
+            if (slot.isErr()) {
+                return err(this.final(slot.error));
+            }
+            const hold = slot.value;
+            const refusal = this.enter(hold);
+            if (refusal !== undefined) {
+                this.release(hold);
+                if (refusal === "choose_again") {
+                    continue;
+                }
+                return err(this.final(refusal));
+            }
+            const result = await this.send(hold);
+            if (result.isOk()) {
+                return ok(result.value);
+            }
+            if (!await this.waitForRetry(result.error)) {
+                return err(this.final(result.error));
+            }
+        }
+    }
+
+    /** Last checks before a send; nothing else runs between them and the send. */
+    private enter(hold: SlotHold): ServiceError | "choose_again" | undefined {
+        const { context, dispatch } = this;
+        const now = context.timers.now();
+        if (context.superseded) {
+            return notOwner(context);
+        }
+        if (now >= dispatch.deadline) {
+            return serviceError(ErrorKind.DeadlineExceeded, "The deadline passed before the request was sent.");
+        }
+        if (!hold.executor.usable(now)) {
+            return "choose_again";
+        }
+        const entered = context.gate.enter(dispatch.request.team);
+        if (entered.isErr()) {
+            return entered.error;
+        }
+        hold.entered = true;
+        return undefined;
+    }
+
+    private async send(hold: SlotHold): Promise<Result<ServiceAnswer, ServiceError>> {
+        const { context, dispatch } = this;
+        const sentAt = context.timers.now();
+        this.count();
+        hold.endsBy = sentAt + context.limits.longestRequestMilliseconds;
+        const request: ServiceRequest = {
+            ...dispatch.request,
+            remainingMilliseconds: Math.min(
+                dispatch.deadline - sentAt,
+                context.limits.longestRequestMilliseconds,
+            ),
+        };
+        const result = await hold.executor.client.send(request, context.epoch);
+        const elapsed = context.timers.now() - sentAt;
+        return result.match(
+            answer => ok(this.answered(hold, answer, elapsed)),
+            error => err(this.failed(hold, error, elapsed)),
+        );
+    }
+
+    private count(): void {
+        this.attempts++;
+        this.context.counters.tries++;
+        if (this.attempts === 1) {
+            this.service.budget.earn();
+        }
+        else {
+            this.context.counters.retries++;
+        }
+    }
+
+    private answered(hold: SlotHold, answer: ExecutorAnswer, elapsed: number): ServiceAnswer {
+        const { executor } = hold;
+        const now = this.context.timers.now();
+        this.noteLeaving(executor, answer.leaving);
+        executor.latency.add(elapsed, now);
+        executor.health.add(elapsed, answer.status >= SERVER_ERROR_STATUS);
+        this.service.latency.add(elapsed, now);
+        this.release(hold);
+        return {
+            requestId: this.dispatch.request.id,
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+            executor: executor.id,
+            shard: this.context.shard,
+            attempts: this.attempts,
+        };
+    }
+
+    private failed(hold: SlotHold, error: ServiceError, elapsed: number): ServiceError {
+        const { context, dispatch } = this;
+        const { executor } = hold;
+        this.noteLeaving(executor, error.detail?.["leaving"] === true);
+        dispatch.avoid.add(executor);
+        if (error.kind === ErrorKind.OutcomeUnknown || error.kind === ErrorKind.Internal) {
+            this.mayHaveRun = true;
+            context.counters.unknownOutcomes++;
+            executor.health.add(elapsed, true);
+            executor.latency.add(elapsed, context.timers.now());
+            this.keep(hold);
+            return error;
+        }
+        if (error.kind === ErrorKind.TargetUnreachable) {
+            executor.health.add(elapsed, true);
+            if (error.detail?.["refused"] === undefined) {
+                executor.detach();
+                this.events.attachSoon(hold);
+            }
+        }
+        if (error.kind === ErrorKind.StaleEpoch) {
+            context.superseded = true;
+        }
+        this.release(hold);
+        return error.kind === ErrorKind.StaleEpoch ? notOwner(context) : error;
+    }
+
+    private noteLeaving(executor: PooledExecutor, leaving: boolean): void {
+        if (leaving && !executor.leaving) {
+            executor.leaving = true;
+            releaseSurplus(this.context, this.service.executors);
+        }
+    }
+
+    /** Keeps slot and unit until a report or the longest deadline shows that the request has ended. */
+    private keep(hold: SlotHold): void {
+        hold.unknownSince = this.context.timers.now();
+        this.events.attachSoon(hold);
+    }
+
+    private release(hold: SlotHold): void {
+        hold.executor.free(hold);
+        this.service.pump();
+    }
+
+    private async waitForRetry(error: ServiceError): Promise<boolean> {
+        const { context, dispatch } = this;
+        const unknown = error.kind === ErrorKind.OutcomeUnknown;
+        const safe = (unknown && dispatch.request.idempotent)
+            || (retryableKinds.has(error.kind) && (!this.mayHaveRun || dispatch.request.idempotent));
+        if (!safe || context.disposed) {
+            return false;
+        }
+        const delay = backoff(context.limits, this.attempts, context.random);
+        if (context.timers.now() + delay >= dispatch.deadline) {
+            return false;
+        }
+        if (!this.service.budget.take()) {
+            context.counters.retriesOverBudget++;
+            return false;
+        }
+        await sleep(context.timers, delay);
+        return !context.disposed;
+    }
+
+    private final(error: ServiceError): ServiceError {
+        if (!this.mayHaveRun || error.kind === ErrorKind.OutcomeUnknown) {
+            return error;
+        }
+        const message = `An earlier try of the request may have run; the last one failed: ${error.message}`;
+        return serviceError(ErrorKind.OutcomeUnknown, message, { attempts: this.attempts });
+    }
+}
+
+/** Error of a request that reaches a pool whose shard another process owns. @internal */
+export function notOwner(context: PoolContext): ServiceError {
+    return serviceError(
+        ErrorKind.NotOwner,
+        `Another process owns ${context.shard} under a higher epoch.`,
+        { shard: context.shard },
+    );
+}
--- /dev/null
+++ b/packages/routing/src/serviceExecutorPool.ts
@@ -0,0 +1,204 @@
+/**
+ * The executors of one shard under one epoch, by service. Takes the set of executors from the membership, keeps each
+ * attached and runs requests on them.
+ */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import {
+    type ServiceAnswer,
+    type ServiceRequest,
+    type ServiceSummary,
+    type VmRecord,
+    VmRole,
+} from "@tanagerlink/model";
+import type { Subscription } from "@tanagerlink/timers";
+import { err, type Result } from "neverthrow";
+import { ExecutorAttachment } from "./executorAttachment.ts";
+import type { ExecutorPool } from "./executorPool.ts";
+import { createContext, type ExecutorPoolOptions, type PoolContext } from "./executorPoolOptions.ts";
+import { checkOutliers, releaseSurplus } from "./outlierEjection.ts";
+import { executorKey, PooledExecutor } from "./pooledExecutor.ts";
+import { PooledService } from "./pooledService.ts";
+import { notOwner, RequestDispatch } from "./requestDispatch.ts";
+
+/** Executor pool of one shard. */
+export class ServiceExecutorPool implements ExecutorPool {
+    private readonly context: PoolContext;
+    private readonly services = new Map<string, PooledService>();
+    private readonly executors = new Map<string, PooledExecutor>();
+    private readonly attachments = new Map<PooledExecutor, ExecutorAttachment>();
+    private readonly running = new Set<Promise<unknown>>();
+    private readonly check: Subscription;
+    private arrivals = 0;
+
+    constructor(options: ExecutorPoolOptions) {
+        this.context = createContext(options);
+        const { timers, limits } = this.context;
+        this.check = timers.every(limits.ejectionCheckMilliseconds, () => this.checkServices());
+    }
+
+    setExecutors(records: readonly VmRecord[]): void {
+        if (this.context.disposed) {
+            return;
+        }
+        const listed = new Set<string>();
+        for (const record of records) {
+            if (record.role === VmRole.Executor && record.service !== undefined) {
+                listed.add(executorKey(record));
+                this.setExecutor(record, record.service);
+            }
+        }
+        for (const [key, executor] of this.executors) {
+            if (!listed.has(key)) {
+                executor.removed = true;
+                this.attachments.get(executor)?.attachSoon();
+            }
+        }
+        for (const service of this.services.values()) {
+            releaseSurplus(this.context, service.executors);
+            service.pump();
+        }
+    }
+
+    async dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
+        const refusal = this.refusal();
+        if (refusal !== undefined) {
+            return err(refusal);
+        }
+        const service = this.services.get(request.service);
+        if (service === undefined) {
+            const message = `Shard ${this.context.shard} has no executor of service ${request.service}.`;
+            return err(serviceError(ErrorKind.NoCapacity, message, { service: request.service }));
+        }
+        const dispatch = {
+            request,
+            arrival: this.arrivals++,
+            deadline: this.context.timers.now() + request.remainingMilliseconds,
+            avoid: new Set<PooledExecutor>(),
+        };
+        const run = new RequestDispatch(this.context, service, dispatch, {
+            attachSoon: hold => this.attachments.get(hold.executor)?.attachSoon(),
+        }).run();
+        this.running.add(run);
+        try {
+            return await run;
+        }
+        finally {
+            this.running.delete(run);
+            this.refuseWhenSuperseded();
+        }
+    }
+
+    summaries(): readonly ServiceSummary[] {
+        return [...this.services.values()].map(service => service.summary());
+    }
+
+    unknownUnits(): number {
+        const now = this.context.timers.now();
+        return [...this.executors.values()].reduce((sum, executor) => sum + executor.unknownUnits(now), 0);
+    }
+
+    inheritedUnits(): ReadonlyMap<string, number> {
+        const units = new Map<string, number>();
+        for (const executor of this.executors.values()) {
+            for (const team of executor.inheritedTeams) {
+                units.set(team, (units.get(team) ?? 0) + 1);
+            }
+        }
+        return units;
+    }
+
+    inFlight(): number {
+        return this.running.size;
+    }
+
+    describe(): unknown {
+        const { shard, epoch, superseded, counters } = this.context;
+        return {
+            shard,
+            epoch,
+            superseded,
+            inFlight: this.inFlight(),
+            unknownUnits: this.unknownUnits(),
+            inheritedUnits: Object.fromEntries(this.inheritedUnits()),
+            counters: { ...counters },
+            services: [...this.services.values()].map(service => service.describe()),
+        };
+    }
+
+    /** Refuses what waits, lets what was sent run to its end, then stops. */
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.context.disposed = true;
+        this.check[Symbol.dispose]();
+        const error = draining(this.context);
+        this.services.forEach(service => service.refuseWaiting(error));
+        this.attachments.forEach(attachment => attachment.attachSoon());
+        await Promise.all(this.running);
+    }
+
+    private refusal(): ServiceError | undefined {
+        if (this.context.disposed) {
+            return draining(this.context);
+        }
+        return this.context.superseded ? notOwner(this.context) : undefined;
+    }
+
+    private setExecutor(record: VmRecord, serviceName: string): void {
+        const key = executorKey(record);
+        const known = this.executors.get(key);
+        if (known !== undefined) {
+            known.update(record);
+            return;
+        }
+        const service = this.services.get(serviceName) ?? new PooledService(this.context, serviceName);
+        this.services.set(serviceName, service);
+        const client = this.context.clients.client(record.id, record.address);
+        const executor = new PooledExecutor(this.context, record, client);
+        const attachment = new ExecutorAttachment(this.context, executor, () => this.changed(service));
+        this.executors.set(key, executor);
+        service.executors.push(executor);
+        this.attachments.set(executor, attachment);
+        void attachment.run().then(() => this.forget(service, executor));
+    }
+
+    private changed(service: PooledService): void {
+        this.refuseWhenSuperseded();
+        releaseSurplus(this.context, service.executors);
+        service.pump();
+    }
+
+    private refuseWhenSuperseded(): void {
+        if (this.context.superseded) {
+            const error = notOwner(this.context);
+            this.services.forEach(service => service.refuseWaiting(error));
+        }
+    }
+
+    private checkServices(): void {
+        for (const service of this.services.values()) {
+            releaseSurplus(this.context, service.executors);
+            checkOutliers(this.context, service.executors);
+            service.executors.forEach(executor => executor.expire());
+            service.pump();
+        }
+    }
+
+    private forget(service: PooledService, executor: PooledExecutor): void {
+        this.executors.delete(executor.key);
+        this.attachments.delete(executor);
+        service.executors = service.executors.filter(other => other !== executor);
+        if (service.executors.length === 0) {
+            this.services.delete(service.name);
+            service.refuseWaiting(
+                serviceError(ErrorKind.NoCapacity, `No executor of service ${service.name} is left.`),
+            );
+        }
+        const replaced = [...this.executors.values()].some(other => other.id === executor.id);
+        if (!replaced && !this.context.disposed) {
+            this.context.clients.release?.(executor.id);
+        }
+    }
+}
+
+function draining(context: PoolContext): ServiceError {
+    return serviceError(ErrorKind.Draining, `${context.shard} is being handed over; ask another process.`);
+}
--- a/packages/targets/src/httpExecutorClient.ts
+++ b/packages/targets/src/httpExecutorClient.ts
@@ -34,6 +34,9 @@
 const DEFAULT_CONNECTIONS = 12;
 const DEFAULT_MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
+/** Statuses by which an executor without the optional attach call answers it. */
+const UNSUPPORTED_STATUSES: readonly number[] = [404, 405, 501];
+
 const reportSchema = z.object({
     executor: z.string(),
     epoch: z.int().min(0),
@@ -91,6 +94,10 @@
         if (result.end !== CallEnd.Answered) {
             return err(controlFailure(this.id, result));
         }
+        if (UNSUPPORTED_STATUSES.includes(result.status)) {
+            const message = `${this.id} does not support the attach call.`;
+            return err(serviceError(ErrorKind.TargetRefused, message, { target: this.id, status: result.status }));
+        }
         const content = parseJson(result.body);
         if (result.status !== 200) {
             return err(refusal(this.id, result.status, content));
