feat(node): compose a process; feat(jobs): keep job records and requests in the table

Cause: the parts have to run together for the thin whole path. Change: job store with group commit under the shard's epoch, ledger of non-idempotent requests, composition of a process with graceful shutdown, operators' tokens and dump. Conclusion: none.

--- a/packages/cli/src/commands/configurationCommands.ts
+++ b/packages/cli/src/commands/configurationCommands.ts
@@ -5,6 +5,7 @@
 import { describeUnknown, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import { sleep, SystemTimers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
+import { randomBytes } from "node:crypto";
 import { readdir, readFile } from "node:fs/promises";
 import { userInfo } from "node:os";
 import { join } from "node:path";
@@ -106,12 +107,12 @@
     team: string,
     flags: { readonly json?: boolean; },
 ): Promise<CommandResult> {
-    const key = await generateKey(team);
+    const key = await generateKey(`${team.replace(/[^A-Za-z0-9_-]/g, "-")}-${randomBytes(4).toString("hex")}`);
     if (flags.json === true) {
         context.write(renderJson(key));
         return ok(undefined);
     }
-    context.write(`# Give this key to the team; it is not stored anywhere: ${key.presented}\n`);
+    context.write(`# Give this key to the team; it is not stored anywhere: ${key.key}\n`);
     context.write(stringify({ keys: { [key.id]: { team, salt: key.salt, hash: key.hash } } }));
     return ok(undefined);
 }
--- a/packages/entry/src/application.ts
+++ b/packages/entry/src/application.ts
@@ -33,7 +33,7 @@
     });
     application.get("/live", context => context.json({ live: true }));
     application.get("/ready", context => {
-        const ready = dependencies.accepting() && dependencies.configuration() !== undefined;
+        const ready = dependencies.ready() && dependencies.configuration() !== undefined;
         return context.json({ ready, node: dependencies.node }, ready ? 200 : 503);
     });
     application.get("/metrics", async context => {
--- a/packages/entry/src/callerAccess.ts
+++ b/packages/entry/src/callerAccess.ts
@@ -20,18 +20,12 @@
     if (configuration.isErr()) {
         return err(configuration.error);
     }
-    const queue = own(configuration.value.queues, work.queue);
-    if (queue === undefined) {
-        return err(serviceError(ErrorKind.QueueNotFound, `there is no queue ${work.queue}`));
-    }
-    if (own(configuration.value.teams, work.team) === undefined) {
-        return err(serviceError(ErrorKind.TeamMismatch, `there is no team ${work.team}`));
-    }
-    if (queue.open) {
-        return ok(queue);
-    }
-    const verified = await dependencies.keys.verify(presentedKey(work.authorization), work.team);
-    return verified.map(() => queue);
+    const admission = await dependencies.keys.admit({
+        queue: work.queue,
+        team: work.team,
+        key: presentedKey(work.authorization),
+    });
+    return admission.map(({ queue }) => queue);
 }
 
 /** The configuration under which new work may be accepted. */
--- a/packages/entry/src/entryDependencies.ts
+++ b/packages/entry/src/entryDependencies.ts
@@ -1,4 +1,5 @@
 /** What the HTTP interface needs from the rest of the process. */
+import type { KeyVerifier } from "@tanagerlink/admission";
 import type { ServiceError } from "@tanagerlink/errors";
 import type { RequestLedger } from "@tanagerlink/jobs";
 import type { ConfigurationSnapshot, ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
@@ -9,12 +10,6 @@
 import type { ConfigurationOperations } from "./configurationOperations.ts";
 import type { EntryMetrics } from "./entryMetrics.ts";
 
-/** Checks a key presented by a caller. */
-export interface KeyCheck {
-    /** Errors: `key_missing`, `key_rejected`, `team_mismatch`. */
-    verify(presented: string | undefined, team: string): Promise<Result<void, ServiceError>>;
-}
-
 /** Scheduling as callers use it. */
 export interface JobOperations {
     submit(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>>;
@@ -36,13 +31,15 @@
     readonly metrics: EntryMetrics;
     readonly maximumBodyBytes: number;
     readonly maximumConfigurationAgeMilliseconds: number;
-    readonly keys: KeyCheck;
+    readonly keys: Pick<KeyVerifier, "admit">;
     readonly operators: OperatorCheck;
     readonly configuration: () => ConfigurationSnapshot | undefined;
     readonly configurationAgeMilliseconds: () => number;
     readonly jobs: JobOperations;
     readonly requests: RequestLedger;
     readonly operations: ConfigurationOperations;
+    /** Whether the balancer should send work here. */
+    readonly ready: () => boolean;
     /** Whether the process takes new work. */
     readonly accepting: () => boolean;
     readonly exposition: () => Promise<{ readonly contentType: string; readonly text: string; }>;
--- a/packages/entry/src/jobRoutes.ts
+++ b/packages/entry/src/jobRoutes.ts
@@ -86,15 +86,12 @@
     if (status.isErr()) {
         return status;
     }
-    const queue = dependencies.configuration()?.queues[status.value.queue];
-    if (queue?.open === true) {
-        return status;
-    }
     const presented = presentedKey(context.req.header("authorization"));
     const operator = await dependencies.operators.verify(presented);
     if (operator.isOk()) {
         return status;
     }
-    const verified = await dependencies.keys.verify(presented, status.value.team);
-    return verified.isErr() ? err(verified.error) : status;
+    const { team, queue } = status.value;
+    const admission = await dependencies.keys.admit({ team, queue, key: presented });
+    return admission.isErr() ? err(admission.error) : status;
 }
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,133 @@
+/** One running process: its parts, their connections, and its graceful shutdown. */
+import type { PlatformConfigurationFollower } from "@tanagerlink/configuration";
+import type { TableGrantLedger } from "@tanagerlink/limits";
+import type { Membership } from "@tanagerlink/membership";
+import { shardsOfFailureDomain } from "@tanagerlink/model";
+import type { TableShardOwnership } from "@tanagerlink/ownership";
+import type { WebSocketPeerNetwork } from "@tanagerlink/peer";
+import type { SchedulerService } from "@tanagerlink/scheduler";
+import type { Settings } from "@tanagerlink/settings";
+import type { Logger } from "@tanagerlink/telemetry";
+import { sleep, type Timers } from "@tanagerlink/timers";
+import type { HttpServer } from "./httpServer.ts";
+
+/** Longest wait for the first configuration and the first VM list, in milliseconds. */
+const FIRST_READ_MILLISECONDS = 5_000;
+
+/**
+ * Time between the answer "not ready" to the balancer and the refusal of new work, in milliseconds. The balancer goes
+ * on sending until it has asked again, and those calls are still served.
+ */
+const BALANCER_NOTICE_MILLISECONDS = 1_000;
+
+/** Part of the drain timeout that is kept for closing what is left, in milliseconds. */
+const CLOSING_MILLISECONDS = 1_000;
+
+/** State of the process towards callers. */
+export class AcceptanceState {
+    /** The balancer is told that the process is ready. */
+    ready = true;
+    /** New work is accepted. */
+    accepting = true;
+}
+
+/** The parts of a process. */
+export interface NodeParts {
+    readonly settings: Settings;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly state: AcceptanceState;
+    readonly peers: WebSocketPeerNetwork;
+    readonly follower: PlatformConfigurationFollower;
+    readonly membership: Membership;
+    readonly ownership: TableShardOwnership;
+    readonly ledger: TableGrantLedger;
+    readonly scheduler: SchedulerService;
+    readonly server: HttpServer;
+    /** Everything to dispose at the end, in this order. */
+    readonly disposables: readonly AsyncDisposable[];
+}
+
+/** A running process. */
+export class Node {
+    private readonly parts: NodeParts;
+    private draining: Promise<void> | undefined;
+
+    constructor(parts: NodeParts) {
+        this.parts = parts;
+    }
+
+    /** Address for callers, `ip:port`. */
+    get address(): string {
+        return this.parts.server.address;
+    }
+
+    /** Address for peers, `ip:port`. */
+    get peerAddress(): string {
+        return this.parts.peers.address;
+    }
+
+    /** Connects the parts and begins to follow configuration, membership and ownership. */
+    async start(): Promise<void> {
+        const { follower, membership, ownership, scheduler, peers, logger, settings } = this.parts;
+        follower.subscribe(snapshot => this.configurationChanged(snapshot));
+        membership.subscribe(change => {
+            if (change.links) {
+                peers.setPeers(membership.peersToLink());
+            }
+            if (change.targets) {
+                scheduler.targetsChanged();
+            }
+        });
+        await Promise.all([follower.start(FIRST_READ_MILLISECONDS), membership.start(FIRST_READ_MILLISECONDS)]);
+        peers.setPeers(membership.peersToLink());
+        ownership.start(scheduler);
+        logger.info(
+            { address: this.address, peerAddress: this.peerAddress, failureDomain: settings.failureDomain },
+            "listening",
+        );
+    }
+
+    /** Graceful shutdown; resolves within the drain timeout. Repeated calls wait for the same shutdown. */
+    drain(): Promise<void> {
+        this.draining ??= this.drainOnce();
+        return this.draining;
+    }
+
+    private configurationChanged(snapshot: Parameters<SchedulerService["configurationChanged"]>[0]): void {
+        const { ownership, ledger, scheduler, settings, logger } = this.parts;
+        logger.info({ version: snapshot.version }, "configuration in force");
+        const failureDomain = snapshot.failureDomains[settings.failureDomain];
+        ownership.setShards(failureDomain === undefined ? [] : shardsOfFailureDomain(failureDomain));
+        const limits = Object.values(snapshot.teams).map(team => [team.name, team.upperLimit] as const);
+        ledger.setTeamLimits(Object.fromEntries(limits), snapshot.version);
+        scheduler.configurationChanged(snapshot);
+    }
+
+    private async drainOnce(): Promise<void> {
+        const { settings, state, timers, server, ownership, logger } = this.parts;
+        const deadline = timers.now() + settings.drainTimeoutSeconds * 1_000;
+        const remaining = (): number => Math.max(0, deadline - CLOSING_MILLISECONDS - timers.now());
+        logger.info({ drainTimeoutSeconds: settings.drainTimeoutSeconds }, "graceful shutdown begins");
+        state.ready = false;
+        await sleep(timers, Math.min(BALANCER_NOTICE_MILLISECONDS, remaining()));
+        state.accepting = false;
+        await ownership.releaseAll(remaining());
+        const drained = await server.drained(remaining());
+        await this.dispatchesDone(remaining());
+        logger.info({ drained, callsInFlight: server.callsInFlight }, "graceful shutdown ends");
+        await Promise.race([this.close(), sleep(timers, CLOSING_MILLISECONDS)]);
+    }
+
+    /** Requests that peers sent here while this process owned the executors' slots. */
+    private async dispatchesDone(withinMilliseconds: number): Promise<void> {
+        const { scheduler, timers } = this.parts;
+        await Promise.race([scheduler[Symbol.asyncDispose](), sleep(timers, withinMilliseconds)]);
+    }
+
+    private async close(): Promise<void> {
+        for (const part of this.parts.disposables) {
+            await part[Symbol.asyncDispose]();
+        }
+    }
+}
--- /dev/null
+++ b/packages/node/src/startNode.ts
@@ -0,0 +1,211 @@
+/** Builds the parts of a process from its settings and starts them. */
+import { KeyVerifier } from "@tanagerlink/admission";
+import { PlatformConfigurationFollower, TableConfigurationWriter } from "@tanagerlink/configuration";
+import { createApplication, createEntryMetrics } from "@tanagerlink/entry";
+import type { ServiceError } from "@tanagerlink/errors";
+import { RequestLedger, TableJobStore } from "@tanagerlink/jobs";
+import { defaultGrantDurations, TableGrantLedger } from "@tanagerlink/limits";
+import { Membership } from "@tanagerlink/membership";
+import { Rendezvous, TableShardOwnership } from "@tanagerlink/ownership";
+import { WebSocketPeerNetwork } from "@tanagerlink/peer";
+import { createSchedulerMetrics, SchedulerService } from "@tanagerlink/scheduler";
+import type { Settings } from "@tanagerlink/settings";
+import { HttpExecutorClientFactory, HttpWorkerClientFactory } from "@tanagerlink/targets";
+import { createLogger, type Logger, Metrics } from "@tanagerlink/telemetry";
+import { SystemTimers, type Timers } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
+import { ConfigurationSpread } from "./configurationSpread.ts";
+import { fleetStatus } from "./fleetStatus.ts";
+import { connectHeartbeats, PeerVersions } from "./heartbeatPayload.ts";
+import { HttpServer } from "./httpServer.ts";
+import { AcceptanceState, Node } from "./node.ts";
+import { readOperators } from "./operatorAccess.ts";
+import { openPlatform, type PlatformAccess } from "./platformAccess.ts";
+import { processGauges } from "./processGauges.ts";
+import { createShardDependencies } from "./shardParts.ts";
+
+/** Replacements for tests. */
+export interface NodeOverrides {
+    readonly logger?: Logger;
+    readonly timers?: Timers;
+}
+
+/** Starts a process. Errors: `invalid_settings` when an address can't be used or a file can't be read. */
+export async function startNode(
+    settings: Settings,
+    overrides: NodeOverrides = {},
+): Promise<Result<Node, ServiceError>> {
+    const logger = overrides.logger ?? createLogger({
+        name: "tanagerlink",
+        level: settings.logLevel,
+        fields: { node: settings.nodeId, failureDomain: settings.failureDomain },
+    });
+    const timers = overrides.timers
+        ?? new SystemTimers(failure => logger.error({ failure: String(failure) }, "timed action failed"));
+    const operators = await readOperators(settings);
+    if (operators.isErr()) {
+        return err(operators.error);
+    }
+    const metrics = new Metrics();
+    const peers = await WebSocketPeerNetwork.listen({
+        id: settings.nodeId,
+        failureDomain: settings.failureDomain,
+        address: settings.peerAddress,
+        timers,
+        logger,
+        metrics,
+        limits: {
+            heartbeatMilliseconds: settings.peerHeartbeatMilliseconds,
+            silenceMilliseconds: settings.peerSilenceMilliseconds,
+        },
+    });
+    if (peers.isErr()) {
+        return err(peers.error);
+    }
+    const platform = openPlatform(settings, timers);
+    const parts = await buildParts({ settings, timers, logger, metrics, peers: peers.value, platform });
+    const application = createApplication({
+        ...parts.entry,
+        operators: operators.value,
+    });
+    const server = await HttpServer.listen(application, settings.listenAddress, timers);
+    if (server.isErr()) {
+        await Promise.all([peers.value[Symbol.asyncDispose](), platform[Symbol.asyncDispose]()]);
+        return err(server.error);
+    }
+    const node = new Node({
+        ...parts.node,
+        server: server.value,
+        disposables: [server.value, ...parts.disposables, peers.value, platform],
+    });
+    await node.start();
+    return ok(node);
+}
+
+interface Foundations {
+    readonly settings: Settings;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly peers: WebSocketPeerNetwork;
+    readonly platform: PlatformAccess;
+}
+
+/** Connects the parts in the order of their dependencies. */
+async function buildParts(foundations: Foundations) {
+    const { settings, timers, logger, metrics, peers, platform } = foundations;
+    const { table, objects, vmList } = platform;
+    const state = new AcceptanceState();
+    const rendezvous = await Rendezvous.load();
+    const nextTransactionId = randomUUID;
+    const follower = new PlatformConfigurationFollower({
+        table,
+        objects,
+        peers,
+        timers,
+        reportProblem: problem => logger.warn({ error: problem }, "configuration could not be followed"),
+    });
+    const writer = new TableConfigurationWriter({ table, objects, timers });
+    const membership = new Membership({
+        id: settings.nodeId,
+        address: peers.address,
+        failureDomain: settings.failureDomain,
+        vmList,
+        network: peers,
+        timers,
+        pollMilliseconds: settings.vmListPollMilliseconds,
+    });
+    const ownership = new TableShardOwnership({
+        nodeId: settings.nodeId,
+        failureDomain: settings.failureDomain,
+        shards: [],
+        timers,
+        table,
+        rendezvous,
+        durations: {
+            lease: settings.shardLeaseMilliseconds,
+            renewal: settings.shardRenewalMilliseconds,
+            margin: settings.shardLeaseMilliseconds / 6,
+            confirmation: settings.confirmationWindowMilliseconds,
+        },
+        liveMembers: () => membership.usableEntryProcesses(settings.failureDomain).map(entry => entry.id),
+        nextTransactionId,
+    });
+    const ledger = new TableGrantLedger({ timers, table, nextTransactionId, ...defaultGrantDurations });
+    const jobs = new TableJobStore({ timers, table, nextTransactionId });
+    const requests = new RequestLedger({ timers, table, objects, nextTransactionId });
+    const workerClients = new HttpWorkerClientFactory({ timers });
+    const executorClients = new HttpExecutorClientFactory({
+        timers,
+        maximumBodyBytes: settings.maximumBodyBytes,
+    });
+    const scheduler = new SchedulerService({
+        node: settings.nodeId,
+        failureDomain: settings.failureDomain,
+        peers,
+        shardOfTarget: (target, shards) => rendezvous.shardOfTarget(target, shards),
+        targets: {
+            workers: () => membership.workers(settings.failureDomain),
+            executors: () => membership.executors(settings.failureDomain),
+        },
+        dependencies: createShardDependencies({
+            settings,
+            timers,
+            logger,
+            metrics: createSchedulerMetrics(metrics),
+            ownership,
+            ledger,
+            jobs,
+            workerClients,
+            executorClients,
+            follower,
+        }),
+    });
+    const versions = new PeerVersions();
+    connectHeartbeats({ peers, follower, membership, scheduler, versions, logger });
+    const operations = new ConfigurationSpread({
+        node: settings.nodeId,
+        failureDomain: settings.failureDomain,
+        follower,
+        writer,
+        membership,
+        peers,
+        versions,
+    });
+    const gauges = processGauges({ metrics, timers, follower, membership, peers });
+    return {
+        node: { settings, timers, logger, state, peers, follower, membership, ownership, ledger, scheduler },
+        disposables: [gauges, scheduler, ownership, ledger, jobs, membership, follower, workerClients, executorClients],
+        entry: {
+            node: settings.nodeId,
+            timers,
+            logger,
+            metrics: createEntryMetrics(metrics),
+            maximumBodyBytes: settings.maximumBodyBytes,
+            maximumConfigurationAgeMilliseconds: settings.maximumConfigurationAgeSeconds * 1_000,
+            keys: new KeyVerifier(() => follower.current()),
+            configuration: () => follower.current(),
+            configurationAgeMilliseconds: () => follower.ageMilliseconds(),
+            jobs: scheduler,
+            requests,
+            operations,
+            ready: () => state.ready,
+            accepting: () => state.accepting,
+            exposition: async () => ({ contentType: metrics.contentType, text: await metrics.exposition() }),
+            fleetStatus: () => fleetStatus({ node: settings.nodeId, follower, membership, fleet: scheduler.fleet }),
+            dump: () => ({
+                node: settings.nodeId,
+                failureDomain: settings.failureDomain,
+                state,
+                configuration: { version: follower.current()?.version, ageMilliseconds: follower.ageMilliseconds() },
+                entryProcesses: membership.failureDomains().flatMap(name => membership.entryProcesses(name)),
+                vmListAgeMilliseconds: membership.listAgeMilliseconds(),
+                links: peers.links(),
+                owned: ownership.owned(),
+                grants: ledger.state(),
+                scheduler: scheduler.describe(),
+            }),
+        },
+    };
+}
--- a/packages/scheduler/src/recovery.ts
+++ b/packages/scheduler/src/recovery.ts
@@ -3,6 +3,7 @@
  * read yet. They count as used units of their teams and wait, until all workers are read or their leases have ended.
  */
 import { Reason, taskLeaseMilliseconds, TaskState } from "@tanagerlink/model";
+import type { ExecutorPool } from "@tanagerlink/routing";
 import type { JobEntry, TaskEntry } from "./jobEntry.ts";
 import { decide, type ShardContext } from "./shardContext.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
@@ -13,12 +14,14 @@
     private readonly context: ShardContext;
     private readonly lifecycle: TaskLifecycle;
     private readonly workers: WorkerRegistry;
+    private readonly executors: ExecutorPool;
     private heldBack = new Map<string, number>();
 
-    constructor(context: ShardContext, lifecycle: TaskLifecycle, workers: WorkerRegistry) {
+    constructor(context: ShardContext, lifecycle: TaskLifecycle, workers: WorkerRegistry, executors: ExecutorPool) {
         this.context = context;
         this.lifecycle = lifecycle;
         this.workers = workers;
+        this.executors = executors;
     }
 
     /** Settles what can be settled now. Called after the jobs were loaded and then periodically. */
@@ -41,7 +44,12 @@
 
     /** Units that may be in use unseen, by team; they lower what the ledger gives. */
     private updateHeldBack(): void {
-        const next = new Map<string, number>();
+        const next = new Map(this.executors.inheritedUnits());
+        // Requests on executors that were not attached yet may belong to any team.
+        const unknownUnits = this.executors.unknownUnits();
+        for (const team of unknownUnits > 0 ? this.teams() : []) {
+            next.set(team, (next.get(team) ?? 0) + unknownUnits);
+        }
         for (const { entry } of this.context.book.recoveringTasks()) {
             const team = entry.record.specification.team;
             next.set(team, (next.get(team) ?? 0) + 1);
@@ -52,6 +60,10 @@
         this.heldBack = next;
     }
 
+    private teams(): string[] {
+        return Object.keys(this.context.dependencies.configuration()?.teams ?? {});
+    }
+
     private isResolved(entry: JobEntry): boolean {
         if (this.workers.allAttached()) {
             return true;
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -17,7 +17,7 @@
     type VmRecord,
 } from "@tanagerlink/model";
 import type { DispatchGate, ExecutorPool } from "@tanagerlink/routing";
-import { sleep, type Subscription } from "@tanagerlink/timers";
+import { sleep, type Subscription, withDeadline } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { JobBook } from "./jobBook.ts";
 import { createJobEntry, describeSize, type JobEntry } from "./jobEntry.ts";
@@ -37,6 +37,12 @@
 /** Period of checks on leases, availability and recovery, in milliseconds. */
 const SWEEP_MILLISECONDS = 200;
 
+/** Longest wait for pending job records when the shard is given up, in milliseconds. */
+const CLOSE_JOBS_MILLISECONDS = 1_000;
+
+/** Longest wait for the durable acceptance of a job, in milliseconds. */
+const ACCEPT_MILLISECONDS = 4_000;
+
 /** Pause between attempts to read the jobs of a shard, in milliseconds. */
 const LOAD_RETRY_MILLISECONDS = 500;
 
@@ -82,9 +88,9 @@
         });
         const starter: TaskStarter = new TaskStarter(this.context, this.lifecycle, reports);
         this.workers = new WorkerRegistry(this.context, this.lifecycle, reports);
-        this.recovery = new Recovery(this.context, this.lifecycle, this.workers);
         this.rounds = new SchedulingRounds(this.context, this.workers, starter, requests);
         this.executors = dependencies.createExecutorPool(shard, epoch, this.dispatchGate());
+        this.recovery = new Recovery(this.context, this.lifecycle, this.workers, this.executors);
         this.statistics = new ShardStatistics(this.context, this.executors);
     }
 
@@ -131,20 +137,26 @@
         }
         const entry = this.createEntry(submission);
         decide(this.context, entry, Reason.Accepted);
-        const accepted = await this.dependencies.jobs.accept(entry.record, submission.idempotencyKey);
-        if (accepted.isErr()) {
-            return err(accepted.error);
-        }
-        if (accepted.value.repeated) {
-            return ok(this.repeatedStatus(accepted.value.record));
+        const acceptance = this.dependencies.jobs.accept(entry.record, submission.idempotencyKey)
+            .then(accepted => accepted.map(({ record, repeated }) => this.accepted(entry, record, repeated)));
+        const result = await withDeadline(this.dependencies.timers, ACCEPT_MILLISECONDS, acceptance);
+        // A late acceptance still takes the job into the queue; only this caller does not learn of it.
+        return result
+            ?? err(
+                serviceError(ErrorKind.StoreOutcomeUnknown, `job ${submission.id} may be accepted; ask for its status`),
+            );
+    }
+
+    /** The job is durable: it enters the queue, unless it repeats another one or a new owner will read it. */
+    private accepted(entry: JobEntry, record: JobRecord, repeated: boolean): JobStatus {
+        if (repeated) {
+            return this.repeatedStatus(record);
         }
-        if (this.closing.signal.aborted) {
-            // The job is durable; the next owner of the shard reads it.
-            return ok(this.statistics.status(entry));
+        if (!this.closing.signal.aborted && this.context.book.get(record.id) === undefined) {
+            this.context.book.add(entry);
+            this.lifecycle.enqueue(entry);
         }
-        this.context.book.add(entry);
-        this.lifecycle.enqueue(entry);
-        return ok(this.statistics.status(entry));
+        return this.statistics.status(this.context.book.get(record.id) ?? entry);
     }
 
     /** Cancels a job. The answer comes once the cancellation is durable. */
@@ -212,6 +224,7 @@
         await this.workers[Symbol.asyncDispose]();
         await this.executors[Symbol.asyncDispose]();
         this.dependencies.ledger.close(this.shard);
+        await this.dependencies.jobs.close(this.shard, CLOSE_JOBS_MILLISECONDS);
     }
 
     private async run(workers: readonly VmRecord[], executors: readonly VmRecord[]): Promise<void> {
@@ -241,7 +254,8 @@
         const { ledger, jobs, timers, logger } = this.dependencies;
         while (!this.closing.signal.aborted) {
             const opened = await ledger.open(this.shard, this.epoch);
-            const records = opened.isOk() ? await jobs.load(this.shard) : err(opened.error);
+            const writing = opened.isOk() ? await jobs.open(this.shard, this.epoch) : err(opened.error);
+            const records = writing.isOk() ? await jobs.load(this.shard) : err(writing.error);
             if (records.isOk()) {
                 return this.closing.signal.aborted ? undefined : records.value;
             }
@@ -272,6 +286,7 @@
         for (const entry of this.context.book.entries()) {
             if ((entry.record.finishedAt ?? Number.POSITIVE_INFINITY) < oldest) {
                 this.context.book.delete(entry.record.id);
+                this.dependencies.jobs.remove(this.shard, entry.record.id);
             }
         }
     }
--- a/packages/scheduler/src/taskLifecycle.ts
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -171,7 +171,7 @@
 
     /** Writes the record; false when this owner may not write it any more. */
     async persist(entry: JobEntry): Promise<boolean> {
-        const result = await this.context.dependencies.jobs.update(entry.record, this.context.epoch);
+        const result = await this.context.dependencies.jobs.update(entry.record);
         if (result.isErr()) {
             this.context.dependencies.logger.warn(
                 { job: entry.record.id, shard: this.context.shard, error: result.error },
