--- a/packages/routing/src/executorChoice.ts
+++ b/packages/routing/src/executorChoice.ts
@@ -24,9 +24,9 @@
     const offset = 1 + Math.floor(random() * (candidates.length - 1));
     const left = candidates[first]!;
     const right = candidates[(first + offset) % candidates.length]!;
-    return cost(left) <= cost(right) ? left : right;
+    return cost(left, now) <= cost(right, now) ? left : right;
 }
 
-function cost(executor: PooledExecutor): number {
-    return (executor.latency.milliseconds + BASE_LATENCY_MS) * (executor.inUse + 1);
+function cost(executor: PooledExecutor, now: number): number {
+    return (executor.latency.faded(now) + BASE_LATENCY_MS) * (executor.inUse + 1);
 }
--- a/packages/routing/src/latencyEstimate.ts
+++ b/packages/routing/src/latencyEstimate.ts
@@ -20,6 +20,11 @@
         return this.value;
     }
 
+    /** Estimate that fades without samples, so that an executor once slow is tried again. */
+    faded(now: number): number {
+        return this.updatedAt === undefined ? 0 : this.value * Math.exp((this.updatedAt - now) / DECAY_MS);
+    }
+
     add(milliseconds: number, now: number): void {
         const weight = this.updatedAt === undefined ? 0 : Math.exp((this.updatedAt - now) / DECAY_MS);
         // Samples of one instant count as well.
--- a/packages/routing/src/requestDispatch.ts
+++ b/packages/routing/src/requestDispatch.ts
@@ -16,6 +16,9 @@
 
 const SERVER_ERROR_STATUS = 500;
 
+/** Latency counted for a failure; an executor that fails fast would otherwise look like the best choice. */
+const FAILURE_LATENCY_MS = 1_000;
+
 /** Errors after which a request certainly did not run and another try may succeed. */
 const retryableKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.TargetUnreachable]);
 
@@ -122,8 +125,9 @@
         const { executor } = hold;
         const now = this.context.timers.now();
         this.noteLeaving(executor, answer.leaving);
-        executor.latency.add(elapsed, now);
-        executor.health.add(elapsed, answer.status >= SERVER_ERROR_STATUS);
+        const failed = answer.status >= SERVER_ERROR_STATUS;
+        executor.latency.add(failed ? Math.max(elapsed, FAILURE_LATENCY_MS) : elapsed, now);
+        executor.health.add(elapsed, failed);
         this.service.latency.add(elapsed, now);
         this.release(hold);
         return {
@@ -145,13 +149,12 @@
         if (error.kind === ErrorKind.OutcomeUnknown || error.kind === ErrorKind.Internal) {
             this.mayHaveRun = true;
             context.counters.unknownOutcomes++;
-            executor.health.add(elapsed, true);
-            executor.latency.add(elapsed, context.timers.now());
+            this.noteFailure(executor, elapsed);
             this.keep(hold);
             return error;
         }
         if (error.kind === ErrorKind.TargetUnreachable) {
-            executor.health.add(elapsed, true);
+            this.noteFailure(executor, elapsed);
             if (error.detail?.["refused"] === undefined) {
                 executor.detach();
                 this.events.attachSoon(hold);
@@ -164,6 +167,11 @@
         return error.kind === ErrorKind.StaleEpoch ? notOwner(context) : error;
     }
 
+    private noteFailure(executor: PooledExecutor, elapsed: number): void {
+        executor.health.add(elapsed, true);
+        executor.latency.add(Math.max(elapsed, FAILURE_LATENCY_MS), this.context.timers.now());
+    }
+
     private noteLeaving(executor: PooledExecutor, leaving: boolean): void {
         if (leaving && !executor.leaving) {
             executor.leaving = true;
