feat(limits): divide upper limits into grants per shard

Cause: a team's upper limit has to hold over the whole fleet without a call per start, through crashes, partitions and lost answers. Change: TableGrantLedger with rows grant/<team>; a shard's usable units are the lowest amount that the row may hold, also while a write is undecided; each transaction is conditional on shard-epoch/<shard>, so that a former owner changes nothing. Need is met in halves, idle units go back, a shard beyond its equal part gives way, and shards take turns where the limit is lower than their number. Limits rise and fall by configuration version only.

--- /dev/null
+++ b/packages/limits/__tests__/tableGrantLedger.spec.ts
@@ -0,0 +1,296 @@
+/** Grants moving between ledgers, with faults of the table, crashes of owners and changes of the limit. */
+import { ErrorKind } from "@tanagerlink/errors";
+import { ManualTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import fc from "fast-check";
+import { MemoryTable, type TableFault } from "../../ownership/__tests__/support/memoryTable.ts";
+import type { GrantRowValue } from "../src/grantRow.ts";
+import { defaultGrantDurations, TableGrantLedger } from "../src/index.ts";
+
+const TEAM = "fieldwork";
+const SHARDS = ["north/0", "south/0"];
+
+class Member {
+    readonly shard: string;
+    epoch = 0;
+    running = 0;
+    fault: TableFault | undefined;
+    ledger: TableGrantLedger;
+    private readonly cell: Cell;
+
+    constructor(cell: Cell, shard: string) {
+        this.cell = cell;
+        this.shard = shard;
+        this.ledger = this.newLedger();
+    }
+
+    /** A new owner finds the running units and opens the shard; the old ledger stays alive as a paused process would. */
+    async takeOver(): Promise<void> {
+        this.epoch++;
+        this.ledger = this.newLedger();
+        this.ledger.setTeamLimits({ [TEAM]: this.cell.limit }, this.cell.version);
+        const opened = this.ledger.open(this.shard, this.epoch);
+        for (let unit = 0; unit < this.running; unit++) {
+            this.ledger.adopt(this.shard, TEAM);
+        }
+        expect((await opened).isOk()).to.equal(true);
+    }
+
+    reserve(): boolean {
+        const taken = this.ledger.reserve(this.shard, TEAM).isOk();
+        this.running += Number(taken);
+        return taken;
+    }
+
+    release(): void {
+        if (this.running > 0) {
+            this.running--;
+            this.ledger.release(this.shard, TEAM);
+        }
+    }
+
+    private newLedger(): TableGrantLedger {
+        const table = this.cell.table.connect(this.cell.timers, call => {
+            const fault = call.kind === "transact" || this.fault?.kind === "down" ? this.fault : undefined;
+            this.fault = fault === undefined || fault.kind === "down" ? this.fault : undefined;
+            return fault;
+        });
+        const nextTransactionId = (): string => `t${++this.cell.transactions}`;
+        return new TableGrantLedger({ timers: this.cell.timers, table, nextTransactionId, ...defaultGrantDurations });
+    }
+}
+
+class Cell {
+    readonly timers = new ManualTimers();
+    readonly table = new MemoryTable();
+    readonly members: readonly Member[];
+    transactions = 0;
+    limit: number;
+    version = 1;
+
+    constructor(limit: number, shards: readonly string[] = SHARDS) {
+        this.limit = limit;
+        this.members = shards.map(shard => new Member(this, shard));
+    }
+
+    static async open(limit: number, shards?: readonly string[]): Promise<Cell> {
+        const cell = new Cell(limit, shards);
+        for (const member of cell.members) {
+            await member.takeOver();
+        }
+        return cell;
+    }
+
+    get row(): GrantRowValue | undefined {
+        return this.table.value(`grant/${TEAM}`);
+    }
+
+    get running(): number {
+        return this.members.reduce((sum, member) => sum + member.running, 0);
+    }
+
+    setLimit(limit: number, members: readonly Member[] = this.members): void {
+        this.limit = limit;
+        this.version++;
+        members.forEach(member => member.ledger.setTeamLimits({ [TEAM]: limit }, this.version));
+    }
+
+    /** The row always adds up, and no shard uses more than the row holds for it, whatever its ledger believes. */
+    check(): void {
+        const row = this.row;
+        const grants = Object.values(row?.grants ?? {}).reduce((sum, units) => sum + units, 0);
+        expect(grants + (row?.free ?? 0)).to.equal(row?.limit ?? 0);
+        for (const { shard, running } of this.members) {
+            expect(running, `units running in ${shard}`).to.be.at.most(row?.grants[shard] ?? 0);
+        }
+    }
+
+    /** Keeps every member starting as much as it gets, and ending a unit now and then. */
+    async runBusy(milliseconds: number, wanted: readonly number[]): Promise<void> {
+        for (let passed = 0; passed < milliseconds; passed += 500) {
+            this.members.forEach((member, index) => {
+                const target = wanted[index] ?? 0;
+                member.release();
+                while (member.running < target && member.reserve()) {
+                    this.check();
+                }
+                member.ledger.want(member.shard, TEAM, Math.max(0, target - member.running));
+            });
+            await this.timers.advance(500);
+            this.check();
+        }
+    }
+}
+
+type Step =
+    | { readonly kind: "crash"; readonly member: number; }
+    | { readonly kind: "reserve" | "release" | "want"; readonly member: number; readonly units: number; }
+    | { readonly kind: "fault"; readonly member: number; readonly fault: TableFault | undefined; }
+    | { readonly kind: "limit"; readonly limit: number; readonly member: number; }
+    | { readonly kind: "advance"; readonly milliseconds: number; };
+
+const member = fc.integer({ min: 0, max: SHARDS.length - 1 });
+const units = fc.integer({ min: 0, max: 10 });
+const fault: fc.Arbitrary<TableFault | undefined> = fc.oneof(
+    fc.constantFrom<TableFault | undefined>(
+        { kind: "answerLost" },
+        { kind: "requestLost" },
+        { kind: "down" },
+        undefined,
+    ),
+    fc.record({ kind: fc.constantFrom("appliedLate" as const, "slow" as const), milliseconds: fc.nat(6_000) }),
+);
+const step: fc.Arbitrary<Step> = fc.oneof(
+    {
+        weight: 9,
+        arbitrary: fc.record({
+            kind: fc.constantFrom("reserve" as const, "release" as const, "want" as const),
+            member,
+            units,
+        }),
+    },
+    { weight: 6, arbitrary: fc.record({ kind: fc.constant("advance" as const), milliseconds: fc.nat(2_500) }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("fault" as const), member, fault }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("limit" as const), limit: fc.nat(12), member }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("crash" as const), member }) },
+);
+
+async function perform(cell: Cell, action: Step): Promise<void> {
+    if (action.kind === "advance") {
+        await cell.timers.advance(action.milliseconds);
+        return;
+    }
+    const target = cell.members[action.member] as Member;
+    switch (action.kind) {
+        case "reserve":
+            for (let unit = 0; unit < action.units && target.reserve(); unit++) {
+                cell.check();
+            }
+            break;
+        case "release":
+            for (let unit = 0; unit < action.units; unit++) {
+                target.release();
+            }
+            break;
+        case "want":
+            target.ledger.want(target.shard, TEAM, action.units);
+            break;
+        case "fault":
+            target.fault = action.fault;
+            break;
+        case "limit":
+            cell.setLimit(action.limit, [target]);
+            break;
+        case "crash":
+            target.fault = undefined;
+            await target.takeOver();
+            break;
+    }
+}
+
+describe("TableGrantLedger", () => {
+    it("never lets the use of a shard exceed what the row holds, in any schedule of faults and crashes", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.array(step, { minLength: 20, maxLength: 120 }), async steps => {
+                const cell = await Cell.open(8);
+                await cell.runBusy(3_000, [5, 3]);
+                for (const action of steps) {
+                    await perform(cell, action);
+                    cell.check();
+                }
+                cell.members.forEach(each => each.fault = undefined);
+                await cell.timers.advance(10_000);
+                cell.check();
+            }),
+            { numRuns: 300 },
+        );
+    });
+
+    it("gives a waiting shard its part while another keeps all units busy", async () => {
+        const cell = await Cell.open(100);
+        await cell.runBusy(20_000, [200, 0]);
+        expect(cell.members[0]?.running).to.be.at.least(99);
+        await cell.runBusy(60_000, [200, 40]);
+        expect(cell.members[1]?.running).to.be.at.least(39);
+    });
+
+    it("lets shards take turns when the limit is lower than their number", async () => {
+        const cell = await Cell.open(1);
+        const turns = [0, 0];
+        for (let round = 0; round < 60; round++) {
+            await cell.runBusy(5_000, [1, 1]);
+            cell.members.forEach((each, index) => turns[index] = (turns[index] ?? 0) + each.running);
+        }
+        expect(Math.min(...turns)).to.be.greaterThan(10);
+    });
+
+    it("gives idle units back and keeps a working stock", async () => {
+        const cell = await Cell.open(100);
+        await cell.runBusy(20_000, [60, 0]);
+        await cell.runBusy(90_000, [10, 0]);
+        expect(cell.row?.grants["north/0"]).to.be.within(10, 12);
+    });
+
+    it("starts nothing after a lowered limit until the debt is settled, also through an older configuration", async () => {
+        const cell = await Cell.open(20);
+        await cell.runBusy(10_000, [10, 10]);
+        expect(cell.running).to.be.at.least(18);
+        cell.setLimit(6, [cell.members[0] as Member]);
+        expect(cell.members[0]?.reserve()).to.equal(false);
+        await cell.timers.advance(4_000);
+        expect(cell.members[1]?.reserve()).to.equal(false);
+        expect(cell.row).to.include({ limit: 6, limitVersion: 2 });
+        await cell.runBusy(20_000, [10, 10]);
+        expect(cell.running).to.be.within(4, 6);
+    });
+
+    it("continues within the known grant while the store is down, and counts held back units", async () => {
+        const cell = await Cell.open(10);
+        await cell.runBusy(5_000, [10, 0]);
+        const [north] = cell.members as [Member, Member];
+        while (north.running > 0) {
+            north.release();
+        }
+        north.fault = { kind: "down" };
+        north.ledger.holdBack("north/0", TEAM, 4);
+        await cell.timers.advance(5_000);
+        while (north.reserve()) {
+            cell.check();
+        }
+        expect(north.running).to.be.within(5, 6);
+    });
+
+    it("uses no unit that it is giving back while the answer to the write is outstanding", async () => {
+        const cell = await Cell.open(8);
+        await cell.runBusy(5_000, [8, 0]);
+        const [north, south] = cell.members as [Member, Member];
+        south.ledger.want("south/0", TEAM, 6);
+        await cell.timers.advance(3_000);
+        north.fault = { kind: "slow", milliseconds: 6_000 };
+        for (let unit = 0; unit < 4; unit++) {
+            north.release();
+        }
+        await cell.timers.advance(1_200);
+        while (north.reserve()) {
+            cell.check();
+        }
+        cell.check();
+        expect(cell.row?.grants["north/0"]).to.be.lessThan(8);
+    });
+
+    it("refuses the former owner of a reclaimed shard, whose units others use then", async () => {
+        const cell = await Cell.open(10);
+        await cell.runBusy(5_000, [10, 0]);
+        const [north, south] = cell.members as [Member, Member];
+        north.running = 0;
+        north.fault = { kind: "down" };
+        const reclaimed = await south.ledger.reclaim("north/0");
+        expect(reclaimed._unsafeUnwrap()).to.be.at.least(9);
+        await cell.runBusy(10_000, [0, 10]);
+        expect(south.running).to.be.at.least(9);
+        north.fault = undefined;
+        north.ledger.want("north/0", TEAM, 20);
+        await cell.timers.advance(4_000);
+        expect(north.ledger.reserve("north/0", TEAM)._unsafeUnwrapErr().kind).to.equal(ErrorKind.StaleEpoch);
+    });
+});
--- /dev/null
+++ b/packages/limits/src/grantRow.ts
@@ -0,0 +1,83 @@
+/** The row `grant/<team>`. In every version of it the units of all shards and the free units add up to the limit. */
+import type { ShardId } from "@tanagerlink/model";
+import { z } from "zod";
+
+const unitsByShard = z.record(z.string(), z.int().min(0));
+
+const grantRowSchema = z.object({
+    limit: z.int().min(0),
+    /** Configuration version that the limit comes from. */
+    limitVersion: z.int().min(0),
+    /** Units that no shard holds. Negative after the limit was lowered below what is granted. */
+    free: z.int(),
+    grants: unitsByShard,
+    /** Units that shards wait for. */
+    wants: unitsByShard,
+});
+
+export type GrantRowValue = z.infer<typeof grantRowSchema>;
+
+/** Upper limit of a team in one version of the configuration. */
+export interface TeamLimit {
+    readonly limit: number;
+    readonly version: number;
+}
+
+export const grantPrefix = "grant/";
+
+/** Key of a team's row. */
+export function grantKey(team: string): string {
+    return `${grantPrefix}${team}`;
+}
+
+/** Value of a row; `undefined` when it isn't one or its sum is wrong, so that no unit is used on account of it. */
+export function parseGrantRow(value: unknown): GrantRowValue | undefined {
+    const row = grantRowSchema.safeParse(value).data;
+    return row !== undefined && sumOf(row.grants) + row.free === row.limit ? row : undefined;
+}
+
+/** Row of a team before any shard holds a unit. */
+export function newGrantRow(limit: TeamLimit): GrantRowValue {
+    return { limit: limit.limit, limitVersion: limit.version, free: limit.limit, grants: {}, wants: {} };
+}
+
+/** The row under the newer of its own limit and the given one. */
+export function withLimit(row: GrantRowValue, limit: TeamLimit | undefined): GrantRowValue {
+    if (limit === undefined || limit.version <= row.limitVersion) {
+        return row;
+    }
+    return { ...row, limit: limit.limit, limitVersion: limit.version, free: row.free + limit.limit - row.limit };
+}
+
+/** The row after `units` went from the free ones to the shard; a negative number gives back. */
+export function withTransfer(row: GrantRowValue, shard: ShardId, units: number): GrantRowValue {
+    const grants = withEntry(row.grants, shard, unitsOf(row, shard) + units);
+    return units === 0 ? row : { ...row, free: row.free - units, grants };
+}
+
+/** The row with the shard waiting for `units`. */
+export function withWant(row: GrantRowValue, shard: ShardId, units: number): GrantRowValue {
+    return (row.wants[shard] ?? 0) === units ? row : { ...row, wants: withEntry(row.wants, shard, units) };
+}
+
+/** Units that the shard holds. */
+export function unitsOf(row: GrantRowValue, shard: ShardId): number {
+    return row.grants[shard] ?? 0;
+}
+
+/** Units that other shards wait for. */
+export function wantsOfOthers(row: GrantRowValue, shard: ShardId): number {
+    return sumOf(row.wants) - (row.wants[shard] ?? 0);
+}
+
+function withEntry(entries: Readonly<Record<string, number>>, shard: ShardId, units: number): Record<string, number> {
+    const changed = { ...entries, [shard]: units };
+    if (units === 0) {
+        delete changed[shard];
+    }
+    return changed;
+}
+
+function sumOf(entries: Readonly<Record<string, number>>): number {
+    return Object.values(entries).reduce((sum, units) => sum + units, 0);
+}
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -3,3 +3,5 @@
  * of a team never exceeds its upper limit, and a shard never uses more than its grant.
  */
 export * from "./grantLedger.ts";
+export { defaultGrantDurations, type GrantLedgerOptions } from "./grantLedgerOptions.ts";
+export { TableGrantLedger } from "./tableGrantLedger.ts";
--- /dev/null
+++ b/packages/limits/src/shardGrants.ts
@@ -0,0 +1,195 @@
+/**
+ * The grants of one shard: the use of each team, and the transactions that change the shard's part of the rows. There is
+ * at most one transaction under way, and at most one a second apart from the retries after a conflict.
+ */
+import { ErrorKind } from "@tanagerlink/errors";
+import type { ShardId } from "@tanagerlink/model";
+import type { ConditionalWrite, RowCondition, TransactionAnswer } from "@tanagerlink/platform";
+import { type Subscription, withDeadline } from "@tanagerlink/timers";
+import type { GrantLedgerOptions } from "./grantLedgerOptions.ts";
+import { type GrantNeed, planGrant } from "./grantPlan.ts";
+import { grantKey, type GrantRowValue } from "./grantRow.ts";
+import type { GrantRows } from "./grantRows.ts";
+import { TeamGrant } from "./teamGrant.ts";
+
+/** Needs that arise within this time go into the same transaction. */
+const COLLECT_MILLISECONDS = 10;
+/** Attempts of one transaction while its rows conflict; what is left waits for the next second. */
+const CONFLICT_ATTEMPTS = 4;
+/** A transaction without an answer for this long counts as one with an unknown outcome. */
+const ANSWER_MILLISECONDS = 10_000;
+/** Rows in one transaction at most. */
+const MAXIMUM_ROWS = 500;
+
+interface PlannedWrite {
+    readonly team: string;
+    readonly grant: TeamGrant;
+    readonly row: GrantRowValue;
+    readonly version: number;
+}
+
+/** @internal */
+export class ShardGrants {
+    readonly shard: ShardId;
+    epoch: number | undefined;
+    /** Condition on the shard's epoch; set when the shard is open. */
+    condition: RowCondition | undefined;
+    closed = false;
+    readonly teams = new Map<string, TeamGrant>();
+    private readonly options: GrantLedgerOptions;
+    private readonly rows: GrantRows;
+    private readonly superseded: (shard: ShardGrants) => void;
+    private scheduled: Subscription | undefined;
+    private running = false;
+    private requested = false;
+    private lastAt = Number.NEGATIVE_INFINITY;
+
+    constructor(
+        shard: ShardId,
+        options: GrantLedgerOptions,
+        rows: GrantRows,
+        superseded: (shard: ShardGrants) => void,
+    ) {
+        this.shard = shard;
+        this.options = options;
+        this.rows = rows;
+        this.superseded = superseded;
+    }
+
+    team(name: string): TeamGrant {
+        let grant = this.teams.get(name);
+        if (grant === undefined) {
+            grant = new TeamGrant();
+            this.teams.set(name, grant);
+            this.rowChanged(name);
+        }
+        return grant;
+    }
+
+    /** Takes in the newest version of a team's row. */
+    rowChanged(name: string): void {
+        const known = this.rows.get(name);
+        const grant = this.teams.get(name);
+        if (known === undefined) {
+            return;
+        }
+        if (grant === undefined) {
+            if ((known.value.grants[this.shard] ?? 0) + (known.value.wants[this.shard] ?? 0) > 0) {
+                this.team(name);
+            }
+            return;
+        }
+        grant.observe(this.shard, known.value, known.version);
+        grant.inDebt = this.rows.inDebt(name);
+    }
+
+    /** Whether others wait for units of the team, so that an ended unit should be offered. */
+    isContested(name: string): boolean {
+        const row = this.rows.get(name)?.value;
+        return row !== undefined
+            && (this.rows.inDebt(name) || Object.keys(row.wants).some(shard => shard !== this.shard));
+    }
+
+    /** Plans a transaction as soon as the rate allows one. */
+    request(): void {
+        this.requested = true;
+        if (this.scheduled?.active === true || this.running || this.closed || this.condition === undefined) {
+            return;
+        }
+        const { timers, transactionMilliseconds } = this.options;
+        const delay = Math.max(COLLECT_MILLISECONDS, this.lastAt + transactionMilliseconds - timers.now());
+        this.scheduled = timers.after(delay, () => this.run());
+    }
+
+    close(): void {
+        this.closed = true;
+        this.scheduled?.[Symbol.dispose]();
+    }
+
+    private async run(): Promise<void> {
+        this.scheduled?.[Symbol.dispose]();
+        this.scheduled = undefined;
+        this.running = true;
+        this.requested = false;
+        try {
+            await this.transact();
+        }
+        finally {
+            this.running = false;
+        }
+        if (this.requested) {
+            this.request();
+        }
+    }
+
+    private async transact(): Promise<void> {
+        for (let attempt = 0; attempt < CONFLICT_ATTEMPTS && !this.closed; attempt++) {
+            const planned = this.plan();
+            if (planned.length === 0 || this.condition === undefined) {
+                return;
+            }
+            this.lastAt = this.options.timers.now();
+            const { timers, table, nextTransactionId } = this.options;
+            const writes = planned.map(toWrite);
+            const sent = table.transact({ id: nextTransactionId(), conditions: [this.condition], writes });
+            const answer = await withDeadline(timers, ANSWER_MILLISECONDS, sent);
+            if (answer === undefined || answer.isErr()) {
+                const unknown = answer === undefined || answer.error.kind !== ErrorKind.StoreUnavailable;
+                planned.forEach(({ grant }) => unknown ? grant.leaveUndecided() : grant.endWrite());
+                this.requested = true;
+                return;
+            }
+            this.settle(planned, answer.value);
+            if (answer.value.committed) {
+                // A need is met in steps; the plan after the last step is empty and ends the sequence.
+                this.requested = true;
+                return;
+            }
+        }
+    }
+
+    private settle(planned: readonly PlannedWrite[], answer: TransactionAnswer): void {
+        if (answer.committed) {
+            for (const { team, row, version } of planned) {
+                this.rows.observe(team, row, answer.versions[grantKey(team)] ?? version + 1);
+            }
+        }
+        else {
+            answer.rows.forEach(row => this.rows.observeRow(row));
+            if (answer.conflicts.includes(this.condition?.key ?? "")) {
+                this.superseded(this);
+            }
+        }
+        planned.forEach(({ grant }) => grant.endWrite());
+    }
+
+    private needOf(grant: TeamGrant): GrantNeed {
+        const { busy, need, peak, turnIsOver, sitsOut } = grant;
+        return { shard: this.shard, busy, wanted: need, peak, turnIsOver, sitsOut };
+    }
+
+    /** The use is lowered here, before the units that are given back are recorded. */
+    private plan(): readonly PlannedWrite[] {
+        const planned: PlannedWrite[] = [];
+        for (const [team, grant] of this.teams) {
+            const known = this.rows.get(team);
+            if (known === undefined || planned.length === MAXIMUM_ROWS) {
+                continue;
+            }
+            const need = this.needOf(grant);
+            const plan = planGrant(known.value, need, this.rows.limitOf(team));
+            grant.ceiling = plan.ceiling;
+            grant.refused = 0;
+            const isFirst = known.version === 0 && need.busy + need.wanted > 0;
+            if (plan.row !== known.value || grant.isUndecided || isFirst) {
+                grant.beginWrite(this.shard, plan.row, known.version);
+                planned.push({ team, grant, row: plan.row, version: known.version });
+            }
+        }
+        return planned;
+    }
+}
+
+function toWrite({ team, row, version }: PlannedWrite): ConditionalWrite {
+    return { key: grantKey(team), expectedVersion: version, value: row };
+}
