--- a/packages/scheduler/src/schedulingRounds.ts
+++ b/packages/scheduler/src/schedulingRounds.ts
@@ -6,6 +6,7 @@
 import { decide, type ShardContext } from "./shardContext.ts";
 import { startRefusal } from "./startGate.ts";
 import type { TaskStarter, TaskStopRequests } from "./taskStarter.ts";
+import type { UnitWait } from "./unitWait.ts";
 import type { WorkerRegistry } from "./workerRegistry.ts";
 
 /** Milliseconds in a second. */
@@ -17,6 +18,7 @@
     private readonly workers: WorkerRegistry;
     private readonly starter: TaskStarter;
     private readonly requests: TaskStopRequests;
+    private readonly unitWait: UnitWait;
     private pending: Subscription | undefined;
     private stopped = false;
     private wantingTeams = new Set<string>();
@@ -26,11 +28,13 @@
         workers: WorkerRegistry,
         starter: TaskStarter,
         requests: TaskStopRequests,
+        unitWait: UnitWait,
     ) {
         this.context = context;
         this.workers = workers;
         this.starter = starter;
         this.requests = requests;
+        this.unitWait = unitWait;
     }
 
     /** Asks for a round; requests until it runs are served by the same one. */
@@ -127,21 +131,24 @@
         };
     }
 
-    /** Tells the ledger how many units the waiting tasks of each team would use. */
-    private wantUnits(): void {
-        const wanting = new Set<string>();
+    /** Tells the ledger how many units the waiting tasks and requests of each team would use. */
+    wantUnits(): void {
+        if (this.stopped) {
+            return;
+        }
+        const wanted = new Map<string, number>();
         for (const [team, count] of this.context.book.countByTeam()) {
             if (count.waiting > 0) {
-                wanting.add(team);
-                this.context.dependencies.ledger.want(this.context.shard, team, count.waiting);
+                wanted.set(team, count.waiting);
             }
         }
-        for (const team of this.wantingTeams) {
-            if (!wanting.has(team)) {
-                this.context.dependencies.ledger.want(this.context.shard, team, 0);
-            }
+        for (const team of this.unitWait.teams()) {
+            wanted.set(team, (wanted.get(team) ?? 0) + this.unitWait.count(team));
+        }
+        for (const team of new Set([...this.wantingTeams, ...wanted.keys()])) {
+            this.context.dependencies.ledger.want(this.context.shard, team, wanted.get(team) ?? 0);
         }
-        this.wantingTeams = wanting;
+        this.wantingTeams = new Set(wanted.keys());
     }
 
     private recordRefusal(failureDomainOut: boolean): void {
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -31,6 +31,7 @@
 import type { JobStatus, Submission } from "./submission.ts";
 import { TaskLifecycle } from "./taskLifecycle.ts";
 import { TaskStarter, TaskStopRequests } from "./taskStarter.ts";
+import { UnitWait } from "./unitWait.ts";
 import { UsageGuard } from "./usageGuard.ts";
 import { WorkerRegistry } from "./workerRegistry.ts";
 
@@ -59,6 +60,7 @@
     private readonly rounds: SchedulingRounds;
     private readonly executors: ExecutorPool;
     private readonly statistics: ShardStatistics;
+    private readonly unitWait: UnitWait;
     private readonly closing = new AbortController();
     private readonly subscriptions: Subscription[] = [];
     private loaded = false;
@@ -88,7 +90,8 @@
         });
         const starter: TaskStarter = new TaskStarter(this.context, this.lifecycle, reports);
         this.workers = new WorkerRegistry(this.context, this.lifecycle, reports);
-        this.rounds = new SchedulingRounds(this.context, this.workers, starter, requests);
+        this.unitWait = new UnitWait(dependencies.timers, () => this.rounds.wantUnits());
+        this.rounds = new SchedulingRounds(this.context, this.workers, starter, requests, this.unitWait);
         this.executors = dependencies.createExecutorPool(shard, epoch, this.dispatchGate());
         this.recovery = new Recovery(this.context, this.lifecycle, this.workers, this.executors);
         this.statistics = new ShardStatistics(this.context, this.executors);
@@ -187,7 +190,11 @@
             const message = `shard ${this.shard} is being handed over`;
             return Promise.resolve(err(serviceError(ErrorKind.NotOwner, message)));
         }
-        return this.executors.dispatch(request);
+        const deadline = this.dependencies.timers.now() + request.remainingMilliseconds;
+        return this.unitWait.run(request.team, request.remainingMilliseconds, () => {
+            const remainingMilliseconds = deadline - this.dependencies.timers.now();
+            return this.executors.dispatch({ ...request, remainingMilliseconds });
+        });
     }
 
     /** What other processes learn with each heartbeat. */
--- a/packages/settings/src/crossChecks.ts
+++ b/packages/settings/src/crossChecks.ts
@@ -41,7 +41,7 @@
     },
     {
         settings: ["peerAddress", "listenAddress"],
-        holds: values => values.peerAddress !== values.listenAddress,
+        holds: values => values.peerAddress !== values.listenAddress || values.peerAddress.endsWith(":0"),
         reason: "must differ from listen-address",
     },
     {
