feat(configuration): read, merge and check the folder; write and follow versions

Cause: operators define teams, keys, queues, failure domains, services and settings in small files. Change: YAML reader that keeps file and line, merge in name order, a check that lists every fault, changes between versions, TableConfigurationWriter, PlatformConfigurationFollower, and an example folder.

--- /dev/null
+++ b/packages/configuration/src/entrySchemas.ts
@@ -0,0 +1,75 @@
+/**
+ * Schemas of the fields of each section as operators write them. Durations carry their unit in the name.
+ */
+import { FailureDomainState, LimitEnforcement, WorkClass } from "@tanagerlink/model";
+import { z } from "zod";
+
+/** Shards of a failure domain whose entry does not say otherwise. */
+export const DEFAULT_SHARDS = 2;
+
+/** More shards than this would make the lease renewals of one failure domain exceed the platform's write rate. */
+const MAXIMUM_SHARDS = 256;
+
+/** Bytes of the salt and of the scrypt hash of a key. */
+const SALT_BYTES = 16;
+const HASH_BYTES = 32;
+
+const nameText = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "must be letters, digits, '.', '_' or '-'");
+
+function base64Bytes(bytes: number) {
+    return z.base64({ error: "must be base64; quote it", abort: true }).refine(
+        text => Buffer.from(text, "base64").length === bytes,
+        `must be ${bytes} bytes in base64`,
+    );
+}
+
+/** @internal Names of entries. A key identifier has no dot, since a dot separates it from the secret. */
+export const entryNameSchemas = {
+    teams: nameText,
+    keys: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$/, "must be letters, digits, '_' or '-'"),
+    queues: nameText,
+    domains: nameText,
+    services: nameText,
+};
+
+/** @internal */
+export const teamFieldsSchema = z.strictObject({
+    "share": z.number().positive().max(1_000_000),
+    "upper-limit": z.int().min(0).max(1_000_000_000),
+    "enforce": z.enum(LimitEnforcement).default(LimitEnforcement.Starts),
+});
+
+/** @internal */
+export const keyFieldsSchema = z.strictObject({
+    "team": nameText,
+    "salt": base64Bytes(SALT_BYTES),
+    "hash": base64Bytes(HASH_BYTES),
+    "revoked": z.boolean().default(false),
+});
+
+/** @internal */
+export const queueFieldsSchema = z.strictObject({
+    "work-class": z.enum(WorkClass),
+    "open": z.boolean().default(false),
+});
+
+/** @internal */
+export const domainFieldsSchema = z.strictObject({
+    "region": nameText,
+    "state": z.enum(FailureDomainState).default(FailureDomainState.Active),
+    "shards": z.int().min(1).max(MAXIMUM_SHARDS).default(DEFAULT_SHARDS),
+});
+
+/** @internal */
+export const serviceFieldsSchema = z.strictObject({
+    "queue": nameText,
+    "deadline-milliseconds": z.int().min(1).max(3_600_000),
+});
+
+/** @internal */
+export const settingsFieldsSchema = z.strictObject({
+    "urgent-reserve": z.number().min(0).max(0.5).default(0.03),
+    "aging-seconds": z.number().positive().max(31_536_000).default(600),
+    "worker-failure-limit": z.int().min(1).max(1_000).default(3),
+    "job-failure-limit": z.int().min(1).max(1_000).default(3),
+});
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -2,4 +2,27 @@
  * Configuration: reading and merging the folder, validation with file and line, versions in the platform's table,
  * differences, and spread by polling and by peers.
  */
+export { type ConfigurationFile, loadConfigurationFolder, readConfigurationFiles } from "./configurationFolder.ts";
 export * from "./configurationStore.ts";
+export { differenceBetween, emptyConfiguration, nameOfChange } from "./difference.ts";
+export {
+    type ConfigurationChangesAnswer,
+    configurationChangesMethod,
+    type ConfigurationChangesRequest,
+} from "./peerSpread.ts";
+export {
+    type ConfigurationFollowerParts,
+    NEVER_CONFIRMED_MILLISECONDS,
+    PlatformConfigurationFollower,
+} from "./platformConfigurationFollower.ts";
+export type { UnversionedSnapshot } from "./referenceCheck.ts";
+export {
+    type ConfigurationChange,
+    configurationChangeSchema,
+    type ConfigurationDifference,
+    configurationDifferenceSchema,
+    snapshotSchema,
+} from "./snapshotSchema.ts";
+export { type SectionName, sectionNames } from "./sourceEntries.ts";
+export { type ConfigurationWriterParts, TableConfigurationWriter } from "./tableConfigurationWriter.ts";
+export { CONFIGURATION_HEAD_KEY, FULL_COPY_INTERVAL } from "./tableRows.ts";
--- a/packages/model/src/configurationSnapshot.ts
+++ b/packages/model/src/configurationSnapshot.ts
@@ -4,12 +4,18 @@
 /** Where an entry of the configuration was written, `<file>:<line>`. */
 export type Origin = string;
 
+/** What a lowered upper limit does: hold back new starts, or also stop running tasks. */
+export const LimitEnforcement = { Starts: "starts", Stop: "stop" } as const;
+export type LimitEnforcement = (typeof LimitEnforcement)[keyof typeof LimitEnforcement];
+
 export interface TeamConfiguration {
     readonly name: string;
     /** Weight of the team when the cell is full. */
     readonly share: number;
     /** Most tasks and requests together that the team may have running in the whole fleet. */
     readonly upperLimit: number;
+    /** Without a value, `starts`. */
+    readonly enforce?: LimitEnforcement;
     readonly origin: Origin;
 }
 
