feat(benchmarks): measure the request path and an outage of executors

Adds requestPathBenchmark.ts: direct call, client and pool in one run, and goodput through an outage with and without the retry budget. Requests are served just before their deadlines, and each that passes it then holds its slot for more than a second.

--- /dev/null
+++ b/packages/benchmarks/src/requestPathBenchmark.ts
@@ -0,0 +1,213 @@
+/**
+ * Cost of the request path and the effect of the retry budget. The first part measures a direct call to an executor
+ * stand-in, a call through the HTTP client and a call through the pool, in turns within one run. The second part
+ * measures goodput before, during and after an outage, with and without the retry budget. The stand-ins run in the
+ * same process, so absolute figures include their cost; the differences are what counts.
+ *
+ * Run with `node --import=tsx packages/benchmarks/src/requestPathBenchmark.ts`.
+ */
+import type { ServiceRequest, VmRecord } from "@tanagerlink/model";
+import { type DispatchGate, type RoutingLimits, ServiceExecutorPool } from "@tanagerlink/routing";
+import { type ExecutorStandIn, startExecutorStandIn } from "@tanagerlink/stand-ins";
+import { HttpExecutorClientFactory } from "@tanagerlink/targets";
+import { sleep, SystemTimers } from "@tanagerlink/timers";
+import { build, type Histogram } from "hdr-histogram-js";
+import { ok } from "neverthrow";
+import { Pool, request as directRequest } from "undici";
+
+const SEED = 7;
+const ROUNDS = 20;
+const CALLS_PER_ROUND = 200;
+const BODY = new Uint8Array(1_024).fill(97);
+
+const timers = new SystemTimers(failure => {
+    throw failure;
+});
+
+const openGate: DispatchGate = { enter: () => ok(undefined), leave: () => undefined };
+
+/** Times of one way to call an executor, in microseconds. */
+export interface PathFigures {
+    readonly path: string;
+    readonly calls: number;
+    readonly median: number;
+    readonly p99: number;
+    readonly mean: number;
+}
+
+/** One phase of the outage measurement. */
+export interface OutageFigures {
+    readonly retries: string;
+    readonly phase: string;
+    readonly offeredPerSecond: number;
+    readonly goodputPerSecond: number;
+    readonly triesPerRequest: number;
+}
+
+function benchmarkRequest(id: string, remainingMilliseconds: number): ServiceRequest {
+    return {
+        id,
+        service: "records",
+        team: "survey",
+        workClass: "service",
+        idempotent: true,
+        method: "POST",
+        path: "/tallies",
+        headers: {},
+        body: BODY,
+        remainingMilliseconds,
+    };
+}
+
+function vmRecord(executor: ExecutorStandIn): VmRecord {
+    return {
+        id: executor.id,
+        role: "executor",
+        address: executor.address,
+        failureDomain: "interior",
+        rack: "r1",
+        state: "live",
+        service: "records",
+        slots: executor.slots,
+    };
+}
+
+function openPool(
+    executors: readonly ExecutorStandIn[],
+    clients: HttpExecutorClientFactory,
+    limits: Partial<RoutingLimits> = {},
+): ServiceExecutorPool {
+    const options = { shard: "interior/0", epoch: 1, clients, gate: openGate, timers, seed: SEED, limits };
+    const pool = new ServiceExecutorPool(options);
+    pool.setExecutors(executors.map(vmRecord));
+    return pool;
+}
+
+async function startExecutors(count: number, slots: number, runMilliseconds: number): Promise<ExecutorStandIn[]> {
+    const starts = Array.from(
+        { length: count },
+        (_, index) => startExecutorStandIn({ id: `e${index}`, slots, runMilliseconds }),
+    );
+    return Promise.all(starts);
+}
+
+async function stopAll(disposables: readonly AsyncDisposable[]): Promise<void> {
+    for (const disposable of disposables) {
+        await disposable[Symbol.asyncDispose]();
+    }
+}
+
+/** Measures the three paths with the given number of calls in flight. */
+export async function measurePaths(concurrency: number): Promise<PathFigures[]> {
+    const executors = await startExecutors(4, 8, 0);
+    const clients = new HttpExecutorClientFactory({ timers });
+    const pool = openPool(executors, clients);
+    const direct = new Pool(`http://${executors[0]!.address}`, { connections: 8, pipelining: 1 });
+    const client = clients.client("e0", executors[0]!.address);
+    const paths: Readonly<Record<string, (id: string) => Promise<unknown>>> = {
+        direct: async id => {
+            const headers = { "x-request-id": id, "x-epoch": "1", "x-team": "survey" };
+            const url = `http://${executors[0]!.address}/tallies`;
+            const answer = await directRequest(url, { dispatcher: direct, method: "POST", headers, body: BODY });
+            return answer.body.arrayBuffer();
+        },
+        client: async id => (await client.send(benchmarkRequest(id, 5_000), 1))._unsafeUnwrap(),
+        pool: async id => (await pool.dispatch(benchmarkRequest(id, 5_000)))._unsafeUnwrap(),
+    };
+    const histograms = new Map(Object.keys(paths).map(name => [name, build()]));
+    // The first round warms up compilation and connections.
+    for (let round = 0; round <= ROUNDS; round++) {
+        for (const [name, call] of Object.entries(paths)) {
+            const histogram = round === 0 ? build() : histograms.get(name)!;
+            await measureRound(`${concurrency}-${round}-${name}`, concurrency, call, histogram);
+        }
+    }
+    await stopAll([pool, clients, { [Symbol.asyncDispose]: () => direct.close() }, ...executors]);
+    return [...histograms].map(([path, histogram]) => figures(`${path} x${concurrency}`, histogram));
+}
+
+async function measureRound(
+    prefix: string,
+    concurrency: number,
+    call: (id: string) => Promise<unknown>,
+    histogram: Histogram,
+): Promise<void> {
+    let next = 0;
+    const caller = async (): Promise<void> => {
+        while (next < CALLS_PER_ROUND) {
+            const id = `${prefix}-${next++}`;
+            const begin = timers.now();
+            await call(id);
+            histogram.recordValue(Math.round((timers.now() - begin) * 1_000));
+        }
+    };
+    await Promise.all(Array.from({ length: concurrency }, caller));
+}
+
+function figures(path: string, histogram: Histogram): PathFigures {
+    return {
+        path,
+        calls: histogram.totalCount,
+        median: histogram.getValueAtPercentile(50),
+        p99: histogram.getValueAtPercentile(99),
+        mean: Math.round(histogram.mean),
+    };
+}
+
+const PHASE_MS = 3_000;
+const ARRIVAL_PERIOD_MS = 5;
+const ARRIVALS_PER_PERIOD = 2;
+const OUTAGE_DEADLINE_MS = 500;
+
+/** Phases with the number of executors, of eight, that refuse every request. */
+const phases: readonly (readonly [string, number])[] = [["before", 0], ["outage", 6], ["after", 0]];
+
+/** Measures goodput through an outage in which most executors refuse requests after the run time of one. */
+export async function measureOutage(label: string, limits: Partial<RoutingLimits>): Promise<OutageFigures[]> {
+    const executors = await startExecutors(8, 8, 100);
+    const clients = new HttpExecutorClientFactory({ timers });
+    const pool = openPool(executors, clients, limits);
+    const results: OutageFigures[] = [];
+    for (const [phase, failing] of phases) {
+        executors.forEach((executor, index) => executor.faults.breakOff = index < failing);
+        const before = executors.reduce((sum, executor) => sum + executor.record.runs.length, 0);
+        const { offered, good } = await offer(pool, `${label}-${phase}`);
+        const after = executors.reduce((sum, executor) => sum + executor.record.runs.length, 0);
+        results.push({
+            retries: label,
+            phase,
+            offeredPerSecond: Math.round(offered / PHASE_MS * 1_000),
+            goodputPerSecond: Math.round(good / PHASE_MS * 1_000),
+            triesPerRequest: Number(((after - before) / offered).toFixed(2)),
+        });
+    }
+    await stopAll([pool, clients, ...executors]);
+    return results;
+}
+
+async function offer(pool: ServiceExecutorPool, prefix: string): Promise<{ offered: number; good: number; }> {
+    const answers: Promise<boolean>[] = [];
+    const end = timers.now() + PHASE_MS;
+    while (timers.now() < end) {
+        for (let index = 0; index < ARRIVALS_PER_PERIOD; index++) {
+            const asked = benchmarkRequest(`${prefix}-${answers.length}`, OUTAGE_DEADLINE_MS);
+            answers.push(pool.dispatch(asked).then(result => result.isOk()));
+        }
+        await sleep(timers, ARRIVAL_PERIOD_MS);
+    }
+    const good = (await Promise.all(answers)).filter(answered => answered).length;
+    return { offered: answers.length, good };
+}
+
+/** Runs both parts and prints their figures. */
+export async function runRequestPathBenchmark(): Promise<void> {
+    console.log("Request path, microseconds per call");
+    console.table([...await measurePaths(1), ...await measurePaths(16)]);
+    const unbounded = { retryRatio: 100, retryReserve: 1_000_000 };
+    console.log("Outage, requests per second");
+    console.table([...await measureOutage("budget", {}), ...await measureOutage("unbounded", unbounded)]);
+}
+
+if (process.argv[1] === import.meta.filename) {
+    await runRequestPathBenchmark();
+}
--- a/packages/routing/__tests__/serviceExecutorPool.spec.ts
+++ b/packages/routing/__tests__/serviceExecutorPool.spec.ts
@@ -202,6 +202,7 @@
         await bench.timers.advance(2_000);
         expect(await Promise.all(answers)).to.deep.equal(["200:r0", "deadline_exceeded"]);
         expect(bench.executors[0]!.started).to.deep.equal(["r0"]);
+        expect(pool.summaries()[0]!.freeSlots).to.equal(1);
     });
 
     it("sends nothing new to an executor that leaves, by the list or by its answer, even if the list lags", async () => {
