--- /dev/null
+++ b/packages/policy/__tests__/checkedShard.ts
@@ -0,0 +1,229 @@
+/** A shard in simulated time whose every round is checked against the promises of the scheduling policy. */
+import { maximumResources, type PolicySettings, type Resources, WorkClass } from "@tanagerlink/model";
+import { expect } from "chai";
+import { type Placement, type PolicyWorker, type RoundResult, ShardPolicy, type WaitingJob } from "../src/index.ts";
+
+export const settings: PolicySettings = {
+    urgentReserve: 0.03,
+    agingSeconds: 60,
+    workerFailureLimit: 3,
+    jobFailureLimit: 3,
+};
+
+export function size(processorMillis: number, memoryMebibytes = processorMillis, accelerators = 0): Resources {
+    return { processorMillis, memoryMebibytes, accelerators };
+}
+
+interface Running extends Placement {
+    counted: Resources;
+    endsAt: number;
+    readonly startedAt: number;
+}
+
+/** What a test may set about a job; the rest has defaults. */
+export type JobChoice = Partial<WaitingJob> & { readonly id: string; };
+
+export class CheckedShard {
+    readonly policy: ShardPolicy;
+    readonly jobs = new Map<string, WaitingJob>();
+    readonly running = new Map<string, Running>();
+    readonly starts: (Placement & { readonly at: number; })[] = [];
+    readonly limits = new Map<string, number>();
+    readonly used = new Map<string, number>();
+    readonly holds = new Map<string, string>();
+    now = 0;
+    preemptions = 0;
+    private readonly workers = new Map<string, PolicyWorker>();
+    private readonly closed = new Set<string>();
+    private readonly waiting = new Set<string>();
+    private readonly stopping = new Map<string, number>();
+    /** Jobs of running tasks, also after they were cancelled. */
+    private readonly known = new Map<string, WaitingJob>();
+
+    constructor(changes: Partial<PolicySettings> = {}) {
+        this.policy = new ShardPolicy({ ...settings, ...changes });
+    }
+
+    addWorkers(count: number, capacity: Resources, racks = 2): void {
+        for (let index = 0; index < count; index++) {
+            this.addWorker({ id: `worker${this.workers.size}`, rack: `rack${index % racks}`, capacity });
+        }
+    }
+
+    addWorker(worker: PolicyWorker): void {
+        this.workers.set(worker.id, worker);
+        this.policy.addWorker(worker);
+    }
+
+    /** Opens, closes or removes a worker; its tasks keep running. */
+    setWorker(id: string, state: "open" | "closed" | "removed"): void {
+        const worker = this.workers.get(id);
+        if (worker === undefined) {
+            return;
+        }
+        this.closed.delete(id);
+        this.policy.addWorker(worker);
+        if (state !== "open") {
+            this.closed.add(id);
+        }
+        if (state === "removed") {
+            this.policy.removeWorker(id);
+        }
+        else {
+            this.policy.setWorkerAvailable(id, state === "open");
+        }
+    }
+
+    addJob(choice: JobChoice): void {
+        const job: WaitingJob = {
+            name: choice.id,
+            team: "a",
+            queue: "queue",
+            workClass: WorkClass.Batch,
+            size: size(1_000),
+            runSeconds: 10,
+            allAtOnce: false,
+            waitingTasks: [0],
+            waitingSince: this.now,
+            ...choice,
+        };
+        this.jobs.set(job.id, job);
+        job.waitingTasks.forEach(task => this.waiting.add(`${job.id}.${task}`));
+        this.policy.addJob(job);
+    }
+
+    removeJob(id: string): void {
+        this.jobs.get(id)?.waitingTasks.forEach(task => this.waiting.delete(`${id}.${task}`));
+        this.jobs.delete(id);
+        this.policy.removeJob(id);
+    }
+
+    observe(key: string, usage: Resources): void {
+        const task = this.running.get(key);
+        if (task !== undefined) {
+            task.counted = maximumResources(this.declared(task), usage);
+            this.policy.taskUsage(task.job, task.task, usage);
+        }
+    }
+
+    /** Ends a running task; `again` puts it back into the queue. */
+    end(key: string, again = false): void {
+        const task = this.running.get(key);
+        if (task === undefined) {
+            return;
+        }
+        this.running.delete(key);
+        this.stopping.delete(key);
+        const { team } = this.known.get(task.job)!;
+        this.used.set(team, this.used.get(team)! - 1);
+        this.policy.taskEnded(task.job, task.task, again ? undefined : (this.now - task.startedAt) / 1_000);
+        if (again && this.jobs.has(task.job)) {
+            this.waiting.add(key);
+            this.policy.requeueTasks(task.job, [task.task]);
+        }
+    }
+
+    /** One round, checked. Tasks to be preempted stop `stopDelay` later. */
+    round(maximum = 1_000, stopDelay = 0): RoundResult {
+        const result = this.policy.round(this.now, {
+            take: (team, units) => {
+                const total = (this.used.get(team) ?? 0) + units;
+                const allowed = total <= (this.limits.get(team) ?? Infinity);
+                this.used.set(team, allowed ? total : total - units);
+                return allowed;
+            },
+            giveBack: (team, units) => this.used.set(team, this.used.get(team)! - units),
+        }, maximum);
+        result.placements.forEach(placement => this.accept(placement));
+        result.holds.forEach(hold => this.holds.set(hold.job, hold.reason));
+        this.checkGangs(result);
+        this.checkWorkers(new Set(result.placements.map(placement => placement.worker)));
+        this.checkLimits();
+        expect(this.policy.waitingTaskCount(), "waiting tasks").to.equal(this.waiting.size);
+        for (const { job, task } of result.preemptions) {
+            const key = `${job}.${task}`;
+            expect(this.running.has(key), `preempted task ${key} runs`).to.equal(true);
+            expect(this.stopping.has(key), `task ${key} is preempted once`).to.equal(false);
+            this.stopping.set(key, this.now + stopDelay);
+            this.preemptions++;
+        }
+        return result;
+    }
+
+    /** Advances in steps of `step` milliseconds with a round in each. */
+    run(milliseconds: number, step = 100, stopDelay = 0): void {
+        for (const end = this.now + milliseconds; this.now < end;) {
+            this.now += step;
+            for (const [key, at] of [...this.stopping]) {
+                if (at <= this.now) {
+                    this.end(key, true);
+                }
+            }
+            for (const [key, task] of [...this.running]) {
+                if (task.endsAt <= this.now) {
+                    this.end(key);
+                }
+            }
+            this.round(1_000, stopDelay);
+        }
+    }
+
+    startedAt(job: string): number | undefined {
+        return this.starts.find(start => start.job === job)?.at;
+    }
+
+    workersOf(job: string): string[] {
+        return [...this.running.values()].filter(task => task.job === job).map(task => task.worker);
+    }
+
+    private accept(placement: Placement): void {
+        const key = `${placement.job}.${placement.task}`;
+        const job = this.jobs.get(placement.job);
+        expect(job, `placed job ${placement.job} waits`).not.to.equal(undefined);
+        expect(this.running.has(key), `task ${key} runs once`).to.equal(false);
+        expect(this.closed.has(placement.worker), `${placement.worker} takes no work`).to.equal(false);
+        expect(this.waiting.delete(key), `task ${key} waits`).to.equal(true);
+        this.known.set(job!.id, job!);
+        const endsAt = job!.runSeconds === undefined ? Infinity : this.now + job!.runSeconds * 1_000;
+        this.running.set(key, { ...placement, counted: job!.size, endsAt, startedAt: this.now });
+        this.starts.push({ ...placement, at: this.now });
+    }
+
+    private declared(task: Running): Resources {
+        return this.known.get(task.job)!.size;
+    }
+
+    private checkWorkers(changed: ReadonlySet<string>): void {
+        for (const worker of changed) {
+            const tasks = [...this.running.values()].filter(task => task.worker === worker);
+            const capacity = this.workers.get(worker)!.capacity;
+            for (const component of ["processorMillis", "memoryMebibytes", "accelerators"] as const) {
+                const used = tasks.reduce((sum, task) => sum + task.counted[component], 0);
+                expect(used, `${component} counted on ${worker}`).to.be.at.most(capacity[component]);
+            }
+        }
+    }
+
+    private checkGangs(result: RoundResult): void {
+        const placed = new Set(result.placements.map(placement => placement.job));
+        for (const id of placed) {
+            const job = this.jobs.get(id)!;
+            if (job.allAtOnce) {
+                const running = job.waitingTasks.filter(task => this.running.has(`${id}.${task}`));
+                expect(running.length, `running tasks of gang ${id}`).to.equal(job.waitingTasks.length);
+            }
+        }
+    }
+
+    private checkLimits(): void {
+        const running = new Map<string, number>();
+        for (const task of this.running.values()) {
+            const { team } = this.known.get(task.job)!;
+            running.set(team, (running.get(team) ?? 0) + 1);
+        }
+        for (const [team, used] of this.used) {
+            expect(used, `units taken by ${team}`).to.equal(running.get(team) ?? 0);
+            expect(used, `units of ${team}`).to.be.at.most(this.limits.get(team) ?? Infinity);
+        }
+    }
+}
--- a/packages/policy/src/preemption.ts
+++ b/packages/policy/src/preemption.ts
@@ -14,6 +14,8 @@
 /** Time after which a preemption that freed nothing is repeated on another worker; doubles with each repetition. */
 const FIRST_CLAIM_TIMEOUT_MS = 500;
 const LONGEST_CLAIM_TIMEOUT_MS = 8_000;
+/** Cost of a worker for each of its tasks whose preemption freed nothing in time. */
+const STALLED_COST = 1_000;
 /** Cost of a preempted gang task in single tasks, because the whole gang stops. */
 const GANG_COST = 100;
 
@@ -136,7 +138,8 @@
             return undefined;
         }
         const needed = withoutNeedless(chosen, size, room);
-        const cost = needed.reduce((sum, task) => sum + (task.allAtOnce ? GANG_COST : 1), 0);
+        const stalled = [...worker.tasks].filter(task => task.stalled).length;
+        const cost = needed.reduce((sum, task) => sum + (task.allAtOnce ? GANG_COST : 1), stalled * STALLED_COST);
         const startedAt = needed.reduce((oldest, task) => Math.min(oldest, task.startedAt), Infinity);
         return { worker, victims: this.withWholeGangs(needed), cost, startedAt };
     }
