--- a/packages/policy/__tests__/checkedShard.ts
+++ b/packages/policy/__tests__/checkedShard.ts
@@ -83,6 +83,7 @@
             size: size(1_000),
             runSeconds: 10,
             allAtOnce: false,
+            preemptible: true,
             waitingTasks: [0],
             waitingSince: this.now,
             ...choice,
