fix(admission): return failures of key creation as results

Cause: generateKey accepted identifiers that no key check accepts, and hashKey could reject its promise across packages. Change: both return a Result; an identifier of another form is invalid_request, missing memory is overloaded. Conclusion: no failure of admission is thrown.

--- a/packages/admission/__tests__/keyVerifier.spec.ts
+++ b/packages/admission/__tests__/keyVerifier.spec.ts
@@ -22,7 +22,7 @@
     }
 
     before(async () => {
-        generated = await generateKey("crews-1");
+        generated = (await generateKey("crews-1"))._unsafeUnwrap();
     });
 
     beforeEach(() => {
@@ -62,7 +62,7 @@
     it("stops a remembered key at once when it is revoked, replaced, moved to another team or removed", async () => {
         expect(await kindOf(generated.key)).to.equal("admitted");
         const active = snapshot;
-        const other = await generateKey("crews-1");
+        const other = (await generateKey("crews-1"))._unsafeUnwrap();
         for (const change of [{ revoked: true }, { salt: other.salt, hash: other.hash }]) {
             snapshot = withKey(change);
             expect(await kindOf(generated.key)).to.equal(ErrorKind.KeyRejected);
@@ -86,7 +86,7 @@
         expect(same.every(result => result.isOk())).to.equal(true);
         const secret = "w".repeat(43);
         const flood = Array.from({ length: 100 }, (_, index) => kindOf(`crews-1.${secret}${index}`));
-        const other = await generateKey("permits-1");
+        const other = (await generateKey("permits-1"))._unsafeUnwrap();
         const entry = {
             ...snapshot.keys["crews-1"]!,
             id: other.id,
--- a/packages/admission/src/hashGate.ts
+++ b/packages/admission/src/hashGate.ts
@@ -17,8 +17,8 @@
     private running = 0;
     private readonly waiting: (() => void)[] = [];
 
-    /** Runs `work` when its turn comes; `false` when too many calls wait or the work failed. */
-    async run(key: string, work: () => Promise<void>): Promise<boolean> {
+    /** Runs `work` when its turn comes; `false` when too many calls wait. */
+    async run(key: string, work: () => Promise<boolean>): Promise<boolean> {
         const ofKey = this.callsByKey.get(key) ?? 0;
         if (this.calls >= MAXIMUM_CALLS || ofKey >= MAXIMUM_CALLS_PER_KEY) {
             return false;
@@ -27,12 +27,7 @@
         this.callsByKey.set(key, ofKey + 1);
         await this.enter();
         try {
-            await work();
-            return true;
-        }
-        catch {
-            // Computing a hash fails only for want of memory.
-            return false;
+            return await work();
         }
         finally {
             this.leave(key);
--- a/packages/admission/src/keyHash.ts
+++ b/packages/admission/src/keyHash.ts
@@ -2,6 +2,8 @@
  * Creation and hashing of keys. A key is `<id>.<secret>`; the configuration holds the identifier, a salt and the scrypt
  * hash of the secret, never the secret.
  */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import { err, ok, type Result } from "neverthrow";
 import { randomBytes, scrypt } from "node:crypto";
 
 /** Bytes of the salt, of the hash and of a generated secret. */
@@ -27,26 +29,34 @@
     readonly key: string;
 }
 
-/** Creates a key under an identifier of letters, digits, "_" and "-". */
-export async function generateKey(id: string): Promise<GeneratedKey> {
+/** @internal Identifiers of keys: letters, digits, "_" and "-". A dot separates the identifier from the secret. */
+export const KEY_ID_FORM = /^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$/;
+
+/** Creates a key. Errors: `invalid_request` for an identifier of another form, and those of `hashKey`. */
+export async function generateKey(id: string): Promise<Result<GeneratedKey, ServiceError>> {
+    if (!KEY_ID_FORM.test(id)) {
+        return err(serviceError(
+            ErrorKind.InvalidRequest,
+            "The identifier of a key must be at most 63 letters, digits, '_' or '-'.",
+        ));
+    }
     const secret = randomBytes(SECRET_BYTES).toString("base64url");
-    return { id, key: `${id}.${secret}`, ...(await hashKey(secret)) };
+    const hashed = await hashKey(secret);
+    return hashed.map(parts => ({ id, key: `${id}.${secret}`, ...parts }));
 }
 
-/** Hashes the secret part of a key, by default with a new salt. Runs outside the event loop. */
-export async function hashKey(
+/**
+ * Hashes the secret part of a key, by default with a new salt. Runs outside the event loop. Error: `overloaded`, when
+ * there is no memory for it.
+ */
+export function hashKey(
     secret: string,
     salt: string = randomBytes(SALT_BYTES).toString("base64"),
-): Promise<HashedKey> {
-    const hash = await new Promise<Buffer>((resolve, reject) => {
+): Promise<Result<HashedKey, ServiceError>> {
+    return new Promise(resolve => {
         scrypt(secret, Buffer.from(salt, "base64"), HASH_BYTES, SCRYPT_COST, (failure, derived) => {
-            if (failure) {
-                reject(failure);
-            }
-            else {
-                resolve(derived);
-            }
+            const failed = serviceError(ErrorKind.Overloaded, "There is not enough memory to hash the key.");
+            resolve(failure ? err(failed) : ok({ salt, hash: derived.toString("base64") }));
         });
     });
-    return { salt, hash: hash.toString("base64") };
 }
--- a/packages/admission/src/keyVerifier.ts
+++ b/packages/admission/src/keyVerifier.ts
@@ -128,8 +128,11 @@
         }
         const check = this.gate
             .run(entry.id, async () => {
-                const { hash } = await hashKey(key.slice(entry.id.length + 1), entry.salt);
-                (sameHash(hash, entry.hash) ? this.correct : this.wrong).remember(key, entry);
+                const hashed = await hashKey(key.slice(entry.id.length + 1), entry.salt);
+                if (hashed.isOk()) {
+                    (sameHash(hashed.value.hash, entry.hash) ? this.correct : this.wrong).remember(key, entry);
+                }
+                return hashed.isOk();
             })
             .finally(() => this.checks.delete(label));
         this.checks.set(label, check);
