fix(cli): handle failures of hashing; add operator-token

Cause: hashing a key can now fail for want of memory. Change: callers pass the error on; a command creates operator tokens. Before and after: the type check failed, now it passes.

--- a/packages/cli/src/commands/configurationCommands.ts
+++ b/packages/cli/src/commands/configurationCommands.ts
@@ -1,5 +1,5 @@
 /** Commands on the configuration folder: check it, apply it, and create keys for it. */
-import { generateKey } from "@tanagerlink/admission";
+import { generateKey, hashKey } from "@tanagerlink/admission";
 import { type ConfigurationFault, loadConfigurationFolder, type UnversionedSnapshot } from "@tanagerlink/configuration";
 import { SpreadState } from "@tanagerlink/entry";
 import { describeUnknown, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
@@ -32,6 +32,9 @@
 
 type SpreadAnswer = z.infer<typeof spreadAnswerSchema>;
 
+/** Random bytes of an operator token. */
+const OPERATOR_TOKEN_BYTES = 32;
+
 /** Period of asking how far a version has come, in milliseconds. */
 const SPREAD_POLL_MILLISECONDS = 500;
 
@@ -108,15 +111,29 @@
     flags: { readonly json?: boolean; },
 ): Promise<CommandResult> {
     const key = await generateKey(`${team.replace(/[^A-Za-z0-9_-]/g, "-")}-${randomBytes(4).toString("hex")}`);
+    if (key.isErr()) {
+        return err(key.error);
+    }
     if (flags.json === true) {
-        context.write(renderJson(key));
+        context.write(renderJson(key.value));
         return ok(undefined);
     }
-    context.write(`# Give this key to the team; it is not stored anywhere: ${key.key}\n`);
-    context.write(stringify({ keys: { [key.id]: { team, salt: key.salt, hash: key.hash } } }));
+    const { id, salt, hash } = key.value;
+    context.write(`# Give this key to the team; it is not stored anywhere: ${key.value.key}\n`);
+    context.write(stringify({ keys: { [id]: { team, salt, hash } } }));
     return ok(undefined);
 }
 
+/** Creates an operator token and prints the hash for `--operator-token-hash` or the operator key file. */
+export async function operatorTokenCommand(context: CommandContext): Promise<CommandResult> {
+    const token = randomBytes(OPERATOR_TOKEN_BYTES).toString("base64url");
+    const hashed = await hashKey(token);
+    return hashed.map(({ salt, hash }) => {
+        context.write(`# Give this token to the operator; it is not stored anywhere: ${token}\n`);
+        context.write(`scrypt:${salt}:${hash}\n`);
+    });
+}
+
 function wholeNumber(flag: string, value: string | number): Result<number, ServiceError> {
     const number = Number(value);
     return Number.isInteger(number) && number >= 0
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,7 +3,7 @@
 import { settingsTable } from "@tanagerlink/settings";
 import { type CAC, cac } from "cac";
 import type { CommandContext, CommandResult } from "./commandContext.ts";
-import { applyCommand, checkCommand, keyCommand } from "./commands/configurationCommands.ts";
+import { applyCommand, checkCommand, keyCommand, operatorTokenCommand } from "./commands/configurationCommands.ts";
 import { cancelCommand, explainCommand, jobStatusCommand, submitCommand } from "./commands/jobCommands.ts";
 import { dumpCommand, fleetStatusCommand } from "./commands/operatorCommands.ts";
 import { serveCommand } from "./commands/serveCommand.ts";
@@ -55,6 +55,8 @@
     program.command("key <team>", "Create a key and print its entry for the configuration folder")
         .option("--json", JSON_HELP)
         .action(action((team: string, flags: object) => keyCommand(context, team, flags)));
+    program.command("operator-token", "Create an operator token and print its hash for the settings")
+        .action(action(() => operatorTokenCommand(context)));
     program.command("submit <file>", `Submit the job described by a YAML or JSON file (${KEY_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
         .option("--idempotency-key <key>", "Repeating a submission with the same key gives the first one's job")
--- a/packages/node/src/operatorAccess.ts
+++ b/packages/node/src/operatorAccess.ts
@@ -51,8 +51,11 @@
 
     private async matchesAny(presented: string): Promise<boolean> {
         for (const known of this.hashes) {
-            const { hash } = await hashKey(presented, known.salt);
-            const left = Buffer.from(hash, "base64");
+            const hashed = await hashKey(presented, known.salt);
+            if (hashed.isErr()) {
+                continue;
+            }
+            const left = Buffer.from(hashed.value.hash, "base64");
             const right = Buffer.from(known.hash, "base64");
             if (left.length === right.length && timingSafeEqual(left, right)) {
                 return true;
--- a/packages/scenarios/src/cell.ts
+++ b/packages/scenarios/src/cell.ts
@@ -55,7 +55,7 @@
 
     /** Starts the stand-ins and all entry processes. */
     static async start(options: CellOptions): Promise<Cell> {
-        const { salt, hash } = await hashKey(OPERATOR_TOKEN);
+        const { salt, hash } = (await hashKey(OPERATOR_TOKEN))._unsafeUnwrap();
         const platform = await startPlatformStandIn({ lagMilliseconds: options.vmListLagMilliseconds ?? 0 });
         const cell = new Cell(options, platform, `scrypt:${salt}:${hash}`);
         try {
--- a/packages/scheduler/src/summaryPayload.ts
+++ b/packages/scheduler/src/summaryPayload.ts
@@ -69,8 +69,9 @@
 
 /** Builds the headline of a summary. */
 export function headlineOf(summary: ShardSummary): ShardHeadline {
-    const { teams: _teams, services, ...rest } = summary;
-    return { ...rest, services: [...services], ageMilliseconds: 0 };
+    const headline: Omit<ShardSummary, "teams"> & { teams?: ShardSummary["teams"]; } = { ...summary };
+    delete headline.teams;
+    return { ...headline, services: [...summary.services], ageMilliseconds: 0 };
 }
 
 /** Chooses what goes into each heartbeat. */
