perf(limits): grant a small need whole at once

Cause: a shard took half of its need in each transaction and may write once a second, so a gang of four waited 1.26 s for its units in the quickstart although 300 were free. Ruled out: the poll period, which plays no part when units are free. Change: a need of at most a quarter of the free units is granted whole. Conclusion: the halving only matters when free units are short.

--- a/packages/limits/__tests__/tableGrantLedger.spec.ts
+++ b/packages/limits/__tests__/tableGrantLedger.spec.ts
@@ -224,6 +224,15 @@
         expect(Math.min(...turns)).to.be.greaterThan(10);
     });
 
+    it("grants a small need whole at once, so that a gang does not wait for a second transaction", async () => {
+        const cell = await Cell.open(100);
+        const [north] = cell.members as [Member, Member];
+        await cell.timers.advance(5_000);
+        north.ledger.want("north/0", TEAM, 4);
+        await cell.timers.advance(defaultGrantDurations.transactionMilliseconds / 2);
+        expect([1, 2, 3, 4].map(() => north.reserve())).to.deep.equal([true, true, true, true]);
+    });
+
     it("gives idle units back and keeps a working stock", async () => {
         const cell = await Cell.open(100);
         await cell.runBusy(20_000, [60, 0]);
--- a/packages/limits/src/grantPlan.ts
+++ b/packages/limits/src/grantPlan.ts
@@ -3,8 +3,8 @@
  * division are in one place.
  *
  * - While the row is in debt, every unit that is not in use goes back.
- * - A shard in need takes half of the need in each step, and not more than its part of the free units among those that
- *   wait. When nothing is free, it leaves a want.
+ * - A shard in need takes the whole need when that is a small part of the free units, and otherwise half of it in each
+ *   step, and not more than its part of the free units among those that wait. When nothing is free, it leaves a want.
  * - A shard without need gives idle units to shards that want them at once, and otherwise after the idle period, but
  *   for a working stock.
  * - A shard that holds more than an equal part while others want units lets half of the excess go as its units end.
@@ -23,6 +23,11 @@
 
 /** Part of the units in use that is kept beyond them. */
 const WORKING_STOCK = 0.1;
+/**
+ * Part of the free units that a shard may take at once for its whole need. Halving every need made a gang of four wait
+ * for a second transaction, which comes a second later.
+ */
+const AMPLE_PART = 0.25;
 /** A want is written again only when it changed by this factor, to keep the write rate low. */
 const WANT_CHANGE_FACTOR = 2;
 
@@ -93,7 +98,7 @@
 
 /** A shard that has its equal part leaves what the others wait for. */
 function unitsToTake(row: GrantRowValue, shard: ShardId, granted: number, missing: number, fair: number): number {
-    const step = Math.max(1, Math.ceil(missing / 2));
+    const step = missing <= row.free * AMPLE_PART ? missing : Math.max(1, Math.ceil(missing / 2));
     const others = Object.keys(row.wants).filter(other => other !== shard).length;
     if (others === 0) {
         return Math.min(step, row.free);
