feat(jobs): commit job records in groups that settle lost answers

Cause: a job is acknowledged only when it is durable, and a refusal that says not run has to be true also after a lost answer or a takeover. One transaction at a time per shard, conditional on shard-epoch/<shard>, sent again unchanged until it is decided; records coalesced per job; two submissions under one key never share a transaction; a job is deleted together with its submission row.

--- /dev/null
+++ b/packages/jobs/__tests__/tableJobStore.spec.ts
@@ -0,0 +1,240 @@
+/** Acceptance, group commit and takeover with faults of the table. */
+import { ErrorKind } from "@tanagerlink/errors";
+import { type JobRecord, jobSpecificationSchema } from "@tanagerlink/model";
+import { ManualTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import fc from "fast-check";
+import { MemoryTable, type TableCall, type TableFault } from "../../ownership/__tests__/support/memoryTable.ts";
+import { TableJobStore } from "../src/index.ts";
+
+const SHARD = "north/0";
+const SUBMISSION = "submission/fieldwork/key-1";
+
+function record(id: string, name = "tally", state: JobRecord["state"] = "queued"): JobRecord {
+    const size = { processorMillis: 100, memoryMebibytes: 64 };
+    const specification = jobSpecificationSchema.parse({ name, team: "fieldwork", queue: "overnight", size });
+    return {
+        id,
+        specification,
+        workClass: "batch",
+        shard: SHARD,
+        acceptedEpoch: 1,
+        state,
+        submittedAt: 0,
+        succeededTasks: [],
+        intents: [],
+        decisions: [],
+    };
+}
+
+class Cell {
+    readonly timers = new ManualTimers();
+    readonly table = new MemoryTable();
+    /** Faults of the next transactions, in order. */
+    faults: TableFault[] = [];
+    down = false;
+    readonly batches: string[][] = [];
+    private transactions = 0;
+    private epoch = 0;
+
+    /** Raises the epoch as ownership does and opens a store for it. */
+    async takeOver(): Promise<TableJobStore> {
+        const key = `shard-epoch/${SHARD}`;
+        const expectedVersion = this.epoch++;
+        const writes = [{ key, expectedVersion, value: { epoch: this.epoch } }];
+        this.table.apply({ id: `epoch-${this.epoch}`, conditions: [], writes });
+        const store = new TableJobStore({
+            timers: this.timers,
+            table: this.table.connect(this.timers, call => this.faultOf(call)),
+            nextTransactionId: () => `t${++this.transactions}`,
+        });
+        expect((await store.open(SHARD, this.epoch)).isOk()).to.equal(true);
+        return store;
+    }
+
+    /** Advances until the call is answered. */
+    async settle<Value>(call: Promise<Value>, milliseconds = 30_000): Promise<Value> {
+        await this.timers.advance(milliseconds);
+        return await Promise.race([call, Promise.reject(new Error("the call was not answered"))]);
+    }
+
+    stored(id: string): JobRecord | undefined {
+        return this.table.value<{ record: JobRecord; }>(`job/${SHARD}/${id}`)?.record;
+    }
+
+    private faultOf(call: TableCall): TableFault | undefined {
+        if (call.kind === "transact") {
+            this.batches.push(call.transaction.writes.map(write => write.key.split("/").at(-1) ?? ""));
+        }
+        return this.down ? { kind: "down" } : call.kind === "transact" ? this.faults.shift() : undefined;
+    }
+}
+
+describe("TableJobStore", () => {
+    it("writes the records of 25 ms in one transaction, coalesced per job and in order", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        await cell.settle(Promise.all(["a", "b"].map(id => store.accept(record(id), undefined))));
+        const updates = [
+            store.update(record("b", "tally", "running")),
+            store.update(record("a", "tally", "running")),
+            store.update(record("b", "tally", "succeeded")),
+        ];
+        await cell.timers.advance(25);
+        expect((await Promise.all(updates)).every(result => result.isOk())).to.equal(true);
+        expect(cell.batches).to.deep.equal([["a", "b"], ["b", "a"]]);
+        expect(cell.stored("b")?.state).to.equal("succeeded");
+    });
+
+    it("commits 100 records without waiting, with one transaction under way at a time", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        cell.faults = [{ kind: "slow", milliseconds: 1_000 }];
+        const accepted = Array.from({ length: 150 }, (_, index) => store.accept(record(`j${index}`), undefined));
+        await cell.timers.advance(0);
+        expect(cell.batches.map(batch => batch.length)).to.deep.equal([100]);
+        await cell.settle(Promise.all(accepted));
+        expect(cell.batches.map(batch => batch.length)).to.deep.equal([100, 50]);
+    });
+
+    it("answers a repeated submission with the first job, and another one under its key with a conflict", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        // The first two are in one group, where a transaction that wrote the key twice would accept both.
+        const first = store.accept(record("a"), "key-1");
+        const second = store.accept(record("b"), "key-1");
+        const [accepted, repeated] = await cell.settle(Promise.all([first, second]));
+        expect(accepted._unsafeUnwrap()).to.deep.equal({ record: record("a"), repeated: false });
+        expect(repeated._unsafeUnwrap()).to.deep.equal({ record: record("a"), repeated: true });
+        expect(cell.stored("b")).to.equal(undefined);
+        const other = await cell.settle(store.accept(record("c", "census"), "key-1"));
+        expect(other._unsafeUnwrapErr().kind).to.equal(ErrorKind.IdempotencyKeyConflict);
+    });
+
+    for (const kind of ["answerLost", "requestLost"] as const) {
+        it(`accepts exactly once when ${kind} happens, also with updates that arrive meanwhile`, async () => {
+            const cell = new Cell();
+            const store = await cell.takeOver();
+            cell.faults = [{ kind }, { kind: "down" }, { kind }];
+            const accepted = store.accept(record("a"), "key-1");
+            await cell.timers.advance(30);
+            const updated = store.update(record("a", "tally", "running"));
+            expect((await cell.settle(accepted))._unsafeUnwrap().repeated).to.equal(false);
+            expect((await updated).isOk()).to.equal(true);
+            expect(cell.stored("a")?.state).to.equal("running");
+        });
+    }
+
+    it("refuses new jobs in an outage with nothing written, and writes the updates after it", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        await cell.settle(store.accept(record("a"), undefined));
+        cell.down = true;
+        const updated = store.update(record("a", "tally", "running"));
+        const refused = await cell.settle(store.accept(record("b"), "key-1"), 100);
+        expect(refused._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreUnavailable);
+        await cell.timers.advance(600_000);
+        cell.down = false;
+        expect((await cell.settle(updated)).isOk()).to.equal(true);
+        expect(cell.stored("a")?.state).to.equal("running");
+        expect(cell.table.value(SUBMISSION)).to.equal(undefined);
+        expect((await cell.settle(store.accept(record("c"), "key-1")))._unsafeUnwrap().repeated).to.equal(false);
+    });
+
+    it("never says not run of a job that became durable before a takeover", async () => {
+        const cell = new Cell();
+        const former = await cell.takeOver();
+        cell.faults = [{ kind: "answerLost" }];
+        const accepted = former.accept(record("a"), "key-1");
+        await cell.timers.advance(30);
+        const owner = await cell.takeOver();
+        expect((await owner.load(SHARD))._unsafeUnwrap()).to.have.length(1);
+        expect((await cell.settle(accepted)).isOk()).to.equal(true);
+        const stale = await cell.settle(former.update(record("a", "tally", "failed")));
+        expect(stale._unsafeUnwrapErr().kind).to.equal(ErrorKind.StaleEpoch);
+        cell.faults = [{ kind: "appliedLate", milliseconds: 5_000 }, { kind: "slow", milliseconds: 20_000 }];
+        const closing = owner.accept(record("b"), undefined);
+        await cell.timers.advance(30);
+        const closed = owner.close(SHARD, 100);
+        await cell.timers.advance(200);
+        await closed;
+        expect((await closing)._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreOutcomeUnknown);
+    });
+
+    it("says unknown of a job that the new owner has changed before the former owner could settle it", async () => {
+        const cell = new Cell();
+        const former = await cell.takeOver();
+        cell.faults = [{ kind: "answerLost" }];
+        const accepted = former.accept(record("a"), undefined);
+        await cell.timers.advance(30);
+        const owner = await cell.takeOver();
+        await owner.load(SHARD);
+        expect((await cell.settle(owner.update(record("a", "tally", "running")), 30)).isOk()).to.equal(true);
+        expect((await cell.settle(accepted))._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreOutcomeUnknown);
+    });
+
+    it("keeps what a former owner sent from taking effect after the new owner has loaded", async () => {
+        const cell = new Cell();
+        const former = await cell.takeOver();
+        await cell.settle(former.accept(record("a"), undefined));
+        cell.faults = [{ kind: "appliedLate", milliseconds: 50 }];
+        const late = [former.accept(record("b"), undefined), former.update(record("a", "tally", "failed"))];
+        await cell.timers.advance(30);
+        const owner = await cell.takeOver();
+        await owner.load(SHARD);
+        const results = await cell.settle(Promise.all(late));
+        expect(results.every(result => result.isErr())).to.equal(true);
+        expect(cell.stored("b")).to.equal(undefined);
+        expect((await cell.settle(owner.update(record("a", "tally", "running")))).isOk()).to.equal(true);
+    });
+
+    it("deletes a job together with its idempotency key, also when the answer is lost", async () => {
+        const cell = new Cell();
+        const former = await cell.takeOver();
+        await cell.settle(Promise.all([former.accept(record("a"), "key-1"), former.accept(record("b"), "key-2")]));
+        const store = await cell.takeOver();
+        await store.load(SHARD);
+        cell.faults = [{ kind: "answerLost" }];
+        store.remove(SHARD, "a");
+        await cell.timers.advance(1_000);
+        store.remove(SHARD, "b");
+        await cell.timers.advance(1_000);
+        expect([...cell.table.rows.keys()]).to.deep.equal([`shard-epoch/${SHARD}`]);
+        expect((await cell.settle(store.accept(record("c"), "key-1"))).isOk()).to.equal(true);
+    });
+
+    it("ends with the newest record of every job in any schedule of faults", async () => {
+        const fault = fc.constantFrom<TableFault>(
+            { kind: "answerLost" },
+            { kind: "requestLost" },
+            { kind: "down" },
+            { kind: "appliedLate", milliseconds: 400 },
+            { kind: "slow", milliseconds: 300 },
+        );
+        const update = fc.record({ job: fc.constantFrom("a", "b", "c"), pause: fc.nat(300) });
+        await fc.assert(
+            fc.asyncProperty(
+                fc.array(fault, { maxLength: 12 }),
+                fc.array(update, { maxLength: 30 }),
+                async (faults, updates) => {
+                    const cell = new Cell();
+                    const store = await cell.takeOver();
+                    const jobs = ["a", "b", "c"];
+                    await cell.settle(Promise.all(jobs.map(id => store.accept(record(id), id))), 100);
+                    cell.faults = [...faults];
+                    const results = [];
+                    const newest = new Map<string, number>();
+                    for (const [index, { job, pause }] of updates.entries()) {
+                        newest.set(job, index);
+                        results.push(store.update({ ...record(job), submittedAt: index }));
+                        await cell.timers.advance(pause);
+                    }
+                    const settled = await cell.settle(Promise.all(results), 60_000);
+                    expect(settled.every(result => result.isOk())).to.equal(true);
+                    newest.forEach((index, job) => expect(cell.stored(job)?.submittedAt).to.equal(index));
+                },
+            ),
+            { numRuns: 100 },
+        );
+    });
+});
--- /dev/null
+++ b/packages/jobs/src/tableJobStore.ts
@@ -0,0 +1,136 @@
+/** Job records in the platform's table. */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import type { JobRecord, ShardId } from "@tanagerlink/model";
+import type { TableRow, TableService } from "@tanagerlink/platform";
+import { sleep, type Timers } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { jobKey, jobPrefix, parseJobRow, submissionKey } from "./jobRow.ts";
+import type { AcceptedJob, JobStore } from "./jobStore.ts";
+import { KnownJobs } from "./knownJobs.ts";
+import { type CommitBounds, defaultCommitBounds, ShardCommits } from "./shardCommits.ts";
+
+/** Rows in one page when the jobs of a shard are read. */
+const PAGE_ROWS = 500;
+
+const epochRowSchema = z.object({ epoch: z.int().min(0) });
+
+export interface TableJobStoreOptions {
+    readonly timers: Timers;
+    readonly table: TableService;
+    /** A new identifier with each call, unique over the fleet. */
+    readonly nextTransactionId: () => string;
+    /** Bounds other than the default ones. */
+    readonly bounds?: Partial<CommitBounds>;
+}
+
+/** `JobStore` on the platform's table. */
+export class TableJobStore implements JobStore {
+    private readonly options: TableJobStoreOptions;
+    private readonly shards = new Map<ShardId, ShardCommits>();
+
+    constructor(options: TableJobStoreOptions) {
+        this.options = options;
+    }
+
+    /** When it resolves, nothing that an earlier owner sent can take effect any more, so that `load` is complete. */
+    async open(shard: ShardId, epoch: number): Promise<Result<void, ServiceError>> {
+        const { timers, table, nextTransactionId, bounds } = this.options;
+        const key = `shard-epoch/${shard}`;
+        const row = await table.read(key);
+        if (row.isErr()) {
+            return err(row.error);
+        }
+        const stored = epochRowSchema.safeParse(row.value?.value).data?.epoch;
+        if (stored !== epoch) {
+            const message = `Shard ${shard} is at epoch ${stored ?? "none"}, not at ${epoch}.`;
+            return err(serviceError(ErrorKind.StaleEpoch, message));
+        }
+        this.shards.get(shard)?.close(notOpen(shard));
+        this.shards.set(
+            shard,
+            new ShardCommits({
+                shard,
+                epoch,
+                condition: { key, expectedVersion: row.value?.version ?? 0 },
+                timers,
+                table,
+                nextTransactionId,
+                known: new KnownJobs(),
+                bounds: { ...defaultCommitBounds, ...bounds },
+            }),
+        );
+        return ok(undefined);
+    }
+
+    async close(shard: ShardId, withinMilliseconds: number): Promise<void> {
+        const commits = this.shards.get(shard);
+        this.shards.delete(shard);
+        if (commits !== undefined) {
+            await Promise.race([commits.flush(), sleep(this.options.timers, withinMilliseconds)]);
+            commits.close(notOpen(shard));
+        }
+    }
+
+    async load(shard: ShardId): Promise<Result<readonly JobRecord[], ServiceError>> {
+        const commits = this.shards.get(shard);
+        const records: JobRecord[] = [];
+        for (let after: string | undefined = jobPrefix(shard); after !== undefined;) {
+            const page: Result<readonly TableRow[], ServiceError> = await this.options.table.readRange({
+                prefix: jobPrefix(shard),
+                after,
+                limit: PAGE_ROWS,
+            });
+            if (page.isErr()) {
+                return err(page.error);
+            }
+            for (const row of page.value) {
+                const value = parseJobRow(row);
+                if (value === undefined) {
+                    return err(damaged(row));
+                }
+                const { record, idempotencyKey } = value;
+                const { team } = record.specification;
+                const submission = idempotencyKey === undefined ? undefined : submissionKey(team, idempotencyKey);
+                commits?.known.set(record.id, row.version, submission);
+                records.push(record);
+            }
+            after = page.value.length < PAGE_ROWS ? undefined : page.value.at(-1)?.key;
+        }
+        return ok(records);
+    }
+
+    async read(shard: ShardId, job: string): Promise<Result<JobRecord | undefined, ServiceError>> {
+        const row = await this.options.table.read(jobKey(shard, job));
+        if (row.isErr() || row.value === undefined) {
+            return row.map(() => undefined);
+        }
+        const value = parseJobRow(row.value);
+        return value === undefined ? err(damaged(row.value)) : ok(value.record);
+    }
+
+    async accept(record: JobRecord, idempotencyKey: string | undefined): Promise<Result<AcceptedJob, ServiceError>> {
+        return await this.shards.get(record.shard)?.accept(record, idempotencyKey) ?? err(notOpen(record.shard));
+    }
+
+    async update(record: JobRecord): Promise<Result<void, ServiceError>> {
+        return await this.shards.get(record.shard)?.update(record) ?? err(notOpen(record.shard));
+    }
+
+    remove(shard: ShardId, job: string): void {
+        this.shards.get(shard)?.remove(job);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await Promise.all([...this.shards.keys()].map(shard => this.close(shard, 0)));
+    }
+}
+
+function notOpen(shard: ShardId): ServiceError {
+    return serviceError(ErrorKind.NotOwner, `Shard ${shard} is not open for writing in this process.`);
+}
+
+function damaged(row: TableRow): ServiceError {
+    const message = `Row ${row.key} (version ${row.version}) is not a job record; restore it in the platform's table.`;
+    return serviceError(ErrorKind.Internal, message);
+}
