--- a/packages/jobs/src/requestLedger.ts
+++ b/packages/jobs/src/requestLedger.ts
@@ -4,11 +4,12 @@
  */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
-import { type ObjectStore, SettledTable, type TableRow, type TableService } from "@tanagerlink/platform";
+import type { ObjectStore, TableRow, TableService } from "@tanagerlink/platform";
 import type { Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { createHash, randomUUID } from "node:crypto";
 import { RequestBegin, requestRowSchema, type RequestRowValue, type StoredAnswer, storedAnswer } from "./requestRow.ts";
+import { ResentTransactions } from "./resentTransactions.ts";
 
 /** Largest body kept in the row itself, in bytes. */
 const MAXIMUM_ROW_BODY_BYTES = 65_536;
@@ -40,12 +41,14 @@
 /** Durable state of non-idempotent requests. */
 export class RequestLedger {
     private readonly table: TableService;
+    private readonly transactions: ResentTransactions;
     private readonly objects: ObjectStore;
     private readonly timers: Timers;
     private readonly nextTransactionId: () => string;
 
     constructor(options: RequestLedgerOptions) {
-        this.table = new SettledTable(options.table, options.timers);
+        this.table = options.table;
+        this.transactions = new ResentTransactions(options.table, options.timers);
         this.objects = options.objects;
         this.timers = options.timers;
         this.nextTransactionId = options.nextTransactionId;
@@ -62,7 +65,7 @@
             digest: requestDigest(request),
             sentAt: this.timers.wallClock(),
         };
-        const answer = await this.table.transact({
+        const answer = await this.transactions.commit({
             id: this.nextTransactionId(),
             conditions: [],
             writes: [{ key, expectedVersion: 0, value }],
@@ -135,7 +138,7 @@
                 (requestRowSchema.safeParse(row.value).data?.sentAt ?? oldest) < oldest
             );
             for (const row of old) {
-                const answer = await this.table.transact({
+                const answer = await this.transactions.commit({
                     id: this.nextTransactionId(),
                     conditions: [],
                     writes: [{ key: row.key, expectedVersion: row.version, value: undefined }],
@@ -153,12 +156,14 @@
         ticket: Extract<RequestTicket, { begin: "fresh"; }>,
         value: RequestRowValue | undefined,
     ): Promise<Result<void, ServiceError>> {
-        const answer = await this.table.transact({
+        const answer = await this.transactions.commit({
             id: this.nextTransactionId(),
             conditions: [],
             writes: [{ key: ticket.key, expectedVersion: ticket.version, value }],
         });
-        return answer.map(() => undefined);
+        return answer.andThen(({ committed }) =>
+            committed ? ok(undefined) : err(serviceError(ErrorKind.Internal, `row ${ticket.key} was changed meanwhile`))
+        );
     }
 
     private async found(row: TableRow, digest: string): Promise<Result<RequestTicket, ServiceError>> {
--- a/packages/jobs/src/tableJobStore.ts
+++ b/packages/jobs/src/tableJobStore.ts
@@ -1,13 +1,14 @@
 /** Job records in the platform's table. */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
-import type { JobRecord } from "@tanagerlink/model";
-import { SettledTable, type TableRow, type TableService } from "@tanagerlink/platform";
-import type { Timers } from "@tanagerlink/timers";
+import type { JobRecord, ShardId } from "@tanagerlink/model";
+import type { TableRow, TableService } from "@tanagerlink/platform";
+import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { jobKey, jobPrefix, parseJobRow } from "./jobRow.ts";
+import { jobKey, jobPrefix, parseJobRow, submissionKey } from "./jobRow.ts";
 import type { AcceptedJob, JobStore } from "./jobStore.ts";
-import { ShardWriter } from "./shardWriter.ts";
+import { KnownJobs } from "./knownJobs.ts";
+import { type CommitBounds, defaultCommitBounds, ShardCommits } from "./shardCommits.ts";
 
 /** Rows in one page when the jobs of a shard are read. */
 const PAGE_ROWS = 500;
@@ -19,58 +20,66 @@
     readonly table: TableService;
     /** A new identifier with each call, unique over the fleet. */
     readonly nextTransactionId: () => string;
+    /** Bounds other than the default ones. */
+    readonly bounds?: Partial<CommitBounds>;
 }
 
 /** `JobStore` on the platform's table. */
 export class TableJobStore implements JobStore {
     private readonly options: TableJobStoreOptions;
-    private readonly table: TableService;
-    private readonly writers = new Map<string, ShardWriter>();
+    private readonly shards = new Map<ShardId, ShardCommits>();
 
     constructor(options: TableJobStoreOptions) {
         this.options = options;
-        this.table = new SettledTable(options.table, options.timers);
     }
 
-    async open(shard: string, epoch: number): Promise<Result<void, ServiceError>> {
+    /** When it resolves, nothing that an earlier owner sent can take effect any more, so that `load` is complete. */
+    async open(shard: ShardId, epoch: number): Promise<Result<void, ServiceError>> {
+        const { timers, table, nextTransactionId, bounds } = this.options;
         const key = `shard-epoch/${shard}`;
-        const row = await this.table.read(key);
+        const row = await table.read(key);
         if (row.isErr()) {
             return err(row.error);
         }
         const stored = epochRowSchema.safeParse(row.value?.value).data?.epoch;
         if (stored !== epoch) {
-            const message = `shard ${shard} is at epoch ${stored ?? "none"}, not at ${epoch}`;
+            const message = `Shard ${shard} is at epoch ${stored ?? "none"}, not at ${epoch}.`;
             return err(serviceError(ErrorKind.StaleEpoch, message));
         }
-        this.writers.set(
+        this.shards.get(shard)?.close(notOpen(shard));
+        this.shards.set(
             shard,
-            new ShardWriter({
-                ...this.options,
-                table: this.table,
+            new ShardCommits({
                 shard,
                 epoch,
                 condition: { key, expectedVersion: row.value?.version ?? 0 },
+                timers,
+                table,
+                nextTransactionId,
+                known: new KnownJobs(),
+                bounds: { ...defaultCommitBounds, ...bounds },
             }),
         );
         return ok(undefined);
     }
 
-    async close(shard: string, withinMilliseconds: number): Promise<void> {
-        const writer = this.writers.get(shard);
-        this.writers.delete(shard);
-        await writer?.close(withinMilliseconds);
+    async close(shard: ShardId, withinMilliseconds: number): Promise<void> {
+        const commits = this.shards.get(shard);
+        this.shards.delete(shard);
+        if (commits !== undefined) {
+            await Promise.race([commits.flush(), sleep(this.options.timers, withinMilliseconds)]);
+            commits.close(notOpen(shard));
+        }
     }
 
-    async load(shard: string): Promise<Result<readonly JobRecord[], ServiceError>> {
-        const writer = this.writers.get(shard);
+    async load(shard: ShardId): Promise<Result<readonly JobRecord[], ServiceError>> {
+        const commits = this.shards.get(shard);
         const records: JobRecord[] = [];
-        let after: string | undefined;
-        for (;;) {
-            const page = await this.table.readRange({
+        for (let after: string | undefined = jobPrefix(shard); after !== undefined;) {
+            const page: Result<readonly TableRow[], ServiceError> = await this.options.table.readRange({
                 prefix: jobPrefix(shard),
+                after,
                 limit: PAGE_ROWS,
-                ...(after === undefined ? {} : { after }),
             });
             if (page.isErr()) {
                 return err(page.error);
@@ -80,54 +89,48 @@
                 if (value === undefined) {
                     return err(damaged(row));
                 }
-                writer?.known(row, value);
-                records.push(value.record);
-            }
-            if (page.value.length < PAGE_ROWS) {
-                return ok(records);
+                const { record, idempotencyKey } = value;
+                const { team } = record.specification;
+                const submission = idempotencyKey === undefined ? undefined : submissionKey(team, idempotencyKey);
+                commits?.known.set(record.id, row.version, submission);
+                records.push(record);
             }
-            after = page.value.at(-1)?.key;
+            after = page.value.length < PAGE_ROWS ? undefined : page.value.at(-1)?.key;
         }
+        return ok(records);
     }
 
-    async read(shard: string, job: string): Promise<Result<JobRecord | undefined, ServiceError>> {
-        const row = await this.table.read(jobKey(shard, job));
-        if (row.isErr()) {
-            return err(row.error);
-        }
-        if (row.value === undefined) {
-            return ok(undefined);
+    async read(shard: ShardId, job: string): Promise<Result<JobRecord | undefined, ServiceError>> {
+        const row = await this.options.table.read(jobKey(shard, job));
+        if (row.isErr() || row.value === undefined) {
+            return row.map(() => undefined);
         }
         const value = parseJobRow(row.value);
         return value === undefined ? err(damaged(row.value)) : ok(value.record);
     }
 
-    accept(record: JobRecord, idempotencyKey: string | undefined): Promise<Result<AcceptedJob, ServiceError>> {
-        const writer = this.writers.get(record.shard);
-        return writer === undefined
-            ? Promise.resolve(err(notOpen(record.shard)))
-            : writer.accept(record, idempotencyKey);
+    async accept(record: JobRecord, idempotencyKey: string | undefined): Promise<Result<AcceptedJob, ServiceError>> {
+        return await this.shards.get(record.shard)?.accept(record, idempotencyKey) ?? err(notOpen(record.shard));
     }
 
-    update(record: JobRecord): Promise<Result<void, ServiceError>> {
-        const writer = this.writers.get(record.shard);
-        return writer === undefined ? Promise.resolve(err(notOpen(record.shard))) : writer.update(record);
+    async update(record: JobRecord): Promise<Result<void, ServiceError>> {
+        return await this.shards.get(record.shard)?.update(record) ?? err(notOpen(record.shard));
     }
 
-    remove(shard: string, job: string): void {
-        this.writers.get(shard)?.remove(job);
+    remove(shard: ShardId, job: string): void {
+        this.shards.get(shard)?.remove(job);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        await Promise.all([...this.writers.keys()].map(shard => this.close(shard, 0)));
+        await Promise.all([...this.shards.keys()].map(shard => this.close(shard, 0)));
     }
 }
 
-function notOpen(shard: string): ServiceError {
-    return serviceError(ErrorKind.NotOwner, `shard ${shard} is not open for writing in this process`);
+function notOpen(shard: ShardId): ServiceError {
+    return serviceError(ErrorKind.NotOwner, `Shard ${shard} is not open for writing in this process.`);
 }
 
 function damaged(row: TableRow): ServiceError {
-    const message = `row ${row.key} (version ${row.version}) is not a job record; restore it in the platform's table`;
+    const message = `Row ${row.key} (version ${row.version}) is not a job record; restore it in the platform's table.`;
     return serviceError(ErrorKind.Internal, message);
 }
