fix(peer): judge links by bytes and bound requests being handled

A message that took longer than the permitted silence on a slow path caused its link to be replaced, and again after each repeat. Reading the connection's byte count keeps such a link; heartbeats report the bytes read and the other side counts reports without progress. The new test of a throttled relay failed before (two connections) and passes after.

--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { ok } from "neverthrow";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { decodeFrame, pack, unpack } from "../src/frames.ts";
 import { append, Fixture, helloOf, isLinked, link, message, RawPeer, read, until } from "./peerFixture.ts";
 import { TcpRelay } from "./tcpRelay.ts";
@@ -49,6 +51,29 @@
         expect((await first.call("b", append, message, 5_000)).isOk()).to.equal(true);
     });
 
+    it("does not replace a slow link that is still transferring a large message", async () => {
+        const { first, second, relay } = await relayed();
+        second.handle(append, request => Promise.resolve(ok({ ...request, bytes: request.bytes.slice(0, 1) })));
+        relay.throttle(20_000);
+        const large = { text: "large", bytes: new Uint8Array(1_500_000) };
+        expect((await first.call("b", append, large, 5_000)).isOk()).to.equal(true);
+        expect(relay.accepted).to.equal(1);
+    });
+
+    it("stops at once although a connection never sent a request", async () => {
+        const network = await fixture.start("a");
+        const [host, port] = network.address.split(":");
+        const socket = connect(Number(port), host);
+        fixture.add({
+            async [Symbol.asyncDispose](): Promise<void> {
+                await Promise.resolve(socket.destroy());
+            },
+        });
+        socket.on("error", () => undefined);
+        await once(socket, "connect");
+        await network[Symbol.asyncDispose]();
+    });
+
     it("does not repeat a non-idempotent call at a restarted peer that may have executed it", async () => {
         const { first, second, relay } = await relayed();
         let executed = 0;
--- a/packages/peer/__tests__/tcpRelay.ts
+++ b/packages/peer/__tests__/tcpRelay.ts
@@ -28,6 +28,21 @@
         this.target = target;
     }
 
+    /** Lets only so many bytes pass towards the target in each 10 ms, on open connections. */
+    throttle(bytesPerTurn: number): void {
+        for (const [client, upstream] of this.pairs) {
+            client.unpipe(upstream);
+            client.on("readable", () => undefined);
+            const timer = setInterval(() => {
+                const chunk: unknown = client.read(Math.min(bytesPerTurn, client.readableLength));
+                if (chunk instanceof Uint8Array) {
+                    upstream.write(chunk);
+                }
+            }, 10);
+            client.on("close", () => clearInterval(timer));
+        }
+    }
+
     /** Silences open connections in both directions, or only towards the target. */
     silence(direction: "both" | "towardsTarget"): void {
         for (const [client, upstream] of this.pairs) {
--- a/packages/peer/src/callMemory.ts
+++ b/packages/peer/src/callMemory.ts
@@ -14,6 +14,7 @@
     /** Encoded frame; `undefined` while the call is running. */
     answer: Uint8Array | undefined;
     answeredAt: number;
+    readonly requestBytes: number;
 }
 
 interface Caller {
@@ -46,6 +47,7 @@
     private readonly answered = new Set<AnsweredCall>();
     private bytes = 0;
     private runningCalls = 0;
+    private bytesOfRunning = 0;
 
     constructor(timers: Timers, limits: CallMemoryLimits) {
         this.timers = timers;
@@ -57,6 +59,11 @@
         return this.runningCalls;
     }
 
+    /** Request bytes of these calls. */
+    get runningBytes(): number {
+        return this.bytesOfRunning;
+    }
+
     find(link: Link, id: number): RememberedCall | undefined {
         return this.caller(link).calls.get(id);
     }
@@ -70,12 +77,13 @@
     }
 
     /** Remembers a call before it is executed. */
-    begin(link: Link, id: number): RememberedCall {
+    begin(link: Link, { id, body }: CallFrame): RememberedCall {
         const caller = this.caller(link);
-        const call: RememberedCall = { link, answer: undefined, answeredAt: 0 };
+        const call: RememberedCall = { link, answer: undefined, answeredAt: 0, requestBytes: body.byteLength };
         caller.calls.set(id, call);
         caller.lastCallAt = this.timers.now();
         this.runningCalls++;
+        this.bytesOfRunning += body.byteLength;
         return call;
     }
 
@@ -86,6 +94,7 @@
         call.answeredAt = this.timers.now();
         caller.lastCallAt = call.answeredAt;
         this.runningCalls--;
+        this.bytesOfRunning -= call.requestBytes;
         this.bytes += answer.byteLength;
         this.answered.add({ caller, id, call });
         this.forget();
--- a/packages/peer/src/callReceiver.ts
+++ b/packages/peer/src/callReceiver.ts
@@ -11,7 +11,11 @@
 import type { PeerMethod } from "./peerNetwork.ts";
 import type { PeerNetworkLimits } from "./peerOptions.ts";
 
-type Handler = (request: unknown, peer: string) => Promise<Result<unknown, ServiceError>>;
+type Handler = (
+    request: unknown,
+    peer: string,
+    remainingMilliseconds: number,
+) => Promise<Result<unknown, ServiceError>>;
 
 interface Registration {
     readonly method: PeerMethod<unknown, unknown>;
@@ -49,8 +53,10 @@
             this.send(link, this.encodeFailure(frame.id, forgotten(frame)));
             return;
         }
-        const overloaded = this.memory.running >= this.limits.maximumRunningCalls;
-        this.execute(frame, this.memory.begin(link, frame.id), registration, overloaded).catch((failure: unknown) => {
+        const overloaded = this.memory.running >= this.limits.maximumRunningCalls
+            || this.memory.runningBytes + frame.body.byteLength > this.limits.maximumRunningBytes;
+        const call = this.memory.begin(link, frame);
+        this.execute(frame, call, registration, overloaded).catch((failure: unknown) => {
             this.logger.error({ method: frame.method, failure }, "answer of a peer call could not be sent");
         });
     }
@@ -97,7 +103,7 @@
                     `the request to ${frame.method} does not fit its schema: ${request.error.issues[0]?.message ?? ""}`,
                 ));
             }
-            const result = await registration.handler(request.data, peer);
+            const result = await registration.handler(request.data, peer, frame.remaining);
             return result.andThen(value => this.encodeAnswer(frame, registration.method, value));
         }
         catch (failure) {
--- a/packages/peer/src/frames.ts
+++ b/packages/peer/src/frames.ts
@@ -30,6 +30,8 @@
     readonly echo: number;
     /** Milliseconds between reception of the echoed heartbeat and the sending of this one. */
     readonly held: number;
+    /** Bytes that the sender has read from the connection so far, parts of messages included. */
+    readonly received: number;
     readonly payload: Uint8Array | undefined;
 }
 
@@ -76,8 +78,17 @@
         .transform(([kind, version, node, boot, address, failureDomain]) => (
             { kind, version, node, boot, address, failureDomain }
         )),
-    [FrameKind.Heartbeat]: z.tuple([z.literal(FrameKind.Heartbeat), count, count, milliseconds, bytes.optional()])
-        .transform(([kind, sequence, echo, held, payload]) => ({ kind, sequence, echo, held, payload })),
+    [FrameKind.Heartbeat]: z.tuple([
+        z.literal(FrameKind.Heartbeat),
+        count,
+        count,
+        milliseconds,
+        count,
+        bytes.optional(),
+    ])
+        .transform(([kind, sequence, echo, held, received, payload]) => (
+            { kind, sequence, echo, held, received, payload }
+        )),
     [FrameKind.Call]: z.tuple([z.literal(FrameKind.Call), count, name, milliseconds, milliseconds, bytes])
         .transform(([kind, id, method, age, remaining, body]) => ({ kind, id, method, age, remaining, body })),
     [FrameKind.Answer]: z.tuple([z.literal(FrameKind.Answer), count, bytes])
@@ -113,7 +124,7 @@
         case FrameKind.Hello:
             return [frame.kind, frame.version, frame.node, frame.boot, frame.address, frame.failureDomain];
         case FrameKind.Heartbeat:
-            return [frame.kind, frame.sequence, frame.echo, frame.held, frame.payload];
+            return [frame.kind, frame.sequence, frame.echo, frame.held, frame.received, frame.payload];
         case FrameKind.Call:
             return [frame.kind, frame.id, frame.method, frame.age, frame.remaining, frame.body];
         case FrameKind.Answer:
--- a/packages/peer/src/heartbeats.ts
+++ b/packages/peer/src/heartbeats.ts
@@ -51,7 +51,7 @@
      * goes over the one that this process uses for calls.
      */
     beat(link: Link, session: PeerSession, payload: Uint8Array | undefined): void {
-        const fault = link.pulse.fault();
+        const fault = link.pulse.fault(link.readBytes);
         if (fault !== undefined && link.open) {
             this.logger.warn({ peer: session.peer.id, direction: link.direction, fault }, "peer link is replaced");
             link.close(fault);
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -2,6 +2,7 @@
  * One WebSocket with an inbox that its task reads from. Events of the socket only fill the inbox or end the link.
  */
 import type { Timers } from "@tanagerlink/timers";
+import type { Socket } from "node:net";
 import { type RawData, WebSocket } from "ws";
 import { FrameKind, type HelloFrame } from "./frames.ts";
 import type { CloseReason, PeerMetrics } from "./peerMetrics.ts";
@@ -29,18 +30,25 @@
     private readonly inbox: Uint8Array[] = [];
     private reader: ((message: Uint8Array | undefined) => void) | undefined;
     private ended = false;
+    private stream: Socket | undefined;
 
+    /** `stream` is the connection of an accepted socket; that of an outgoing one is known when it opens. */
     constructor(
         socket: WebSocket,
+        stream: Socket | undefined,
         direction: LinkDirection,
         timers: Timers,
         limits: PulseLimits,
         metrics: PeerMetrics,
     ) {
         this.socket = socket;
+        this.stream = stream;
         this.direction = direction;
         this.metrics = metrics;
         this.pulse = new Pulse(timers, limits);
+        socket.on("upgrade", response => {
+            this.stream = response.socket;
+        });
         socket.on("message", (data, isBinary) => this.receiveMessage(data, isBinary));
         socket.on("close", () => this.close("remote"));
         socket.on("error", () => this.close("remote"));
@@ -55,6 +63,11 @@
         return this.socket.bufferedAmount;
     }
 
+    /** Bytes read from the connection, parts of messages included. */
+    get readBytes(): number {
+        return this.stream?.bytesRead ?? 0;
+    }
+
     /** Gives a message to the socket; `sent` is called once the operating system has accepted it or the link failed. */
     send(message: Uint8Array, sent?: () => void): void {
         this.metrics.sent(message.byteLength);
--- a/packages/peer/src/outgoingLink.ts
+++ b/packages/peer/src/outgoingLink.ts
@@ -60,7 +60,7 @@
             // with bodies of 16 KiB; a mask of zeros is skipped.
             generateMask: mask => void mask.fill(0),
         });
-        const link = new Link(socket, "outgoing", timers, limits, metrics);
+        const link = new Link(socket, undefined, "outgoing", timers, limits, metrics);
         this.link = link;
         if (!await this.opened(socket) || this.abort.signal.aborted) {
             link.close("handshake");
--- a/packages/peer/src/peerNetwork.ts
+++ b/packages/peer/src/peerNetwork.ts
@@ -39,7 +39,8 @@
 
 /**
  * Calls between processes. Errors: `peer_unreachable` when the request certainly never reached the peer,
- * `outcome_unknown` when it may have been handled, and whatever the handler answers.
+ * `outcome_unknown` when it may have been handled, and whatever the handler answers. Before anything is sent also
+ * `overloaded` (send queue full), `invalid_request`, `body_too_large` and `deadline_exceeded`.
  */
 export interface PeerNetwork extends AsyncDisposable {
     /** Replaces the set of peers that links are kept to. */
@@ -52,7 +53,12 @@
     ): Promise<Result<Answer, ServiceError>>;
     handle<Request, Answer>(
         method: PeerMethod<Request, Answer>,
-        handler: (request: Request, peer: string) => Promise<Result<Answer, ServiceError>>,
+        handler: (
+            request: Request,
+            peer: string,
+            /** Time that the caller still had when it sent the call. */
+            remainingMilliseconds: number,
+        ) => Promise<Result<Answer, ServiceError>>,
     ): void;
     /** The payload is asked for before each heartbeat. */
     provideHeartbeat(payload: () => unknown): void;
--- a/packages/peer/src/peerOptions.ts
+++ b/packages/peer/src/peerOptions.ts
@@ -23,6 +23,8 @@
     readonly maximumBufferedBytes: number;
     /** Calls of peers that are being handled. */
     readonly maximumRunningCalls: number;
+    /** Requests of these calls. */
+    readonly maximumRunningBytes: number;
     /** Time for which an answered call is remembered. */
     readonly memoryMilliseconds: number;
     readonly maximumRememberedCalls: number;
@@ -58,6 +60,7 @@
     maximumPendingBytes: 64 * MEBIBYTE,
     maximumBufferedBytes: 32 * MEBIBYTE,
     maximumRunningCalls: 16_384,
+    maximumRunningBytes: 256 * MEBIBYTE,
     memoryMilliseconds: 120_000,
     maximumRememberedCalls: 200_000,
     maximumRememberedBytes: 64 * MEBIBYTE,
--- a/packages/peer/src/peerServer.ts
+++ b/packages/peer/src/peerServer.ts
@@ -4,7 +4,8 @@
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import { err, ok, type Result } from "neverthrow";
 import { once } from "node:events";
-import type { AddressInfo } from "node:net";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
 import { type WebSocket, WebSocketServer } from "ws";
 import { PEER_PATH } from "./outgoingLink.ts";
 
@@ -14,10 +15,12 @@
 export class PeerServer implements AsyncDisposable {
     /** `ip:port` with the port that was picked. */
     readonly address: string;
-    private readonly server: WebSocketServer;
+    private readonly server: Server;
+    private readonly sockets: WebSocketServer;
 
-    private constructor(server: WebSocketServer) {
+    private constructor(server: Server, sockets: WebSocketServer) {
         this.server = server;
+        this.sockets = sockets;
         const { address, family, port } = server.address() as AddressInfo;
         this.address = family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
     }
@@ -26,24 +29,24 @@
     static async listen(
         address: string,
         maximumMessageBytes: number,
-        accept: (socket: WebSocket) => void,
+        accept: (socket: WebSocket, stream: Socket) => void,
         report: (failure: Error) => void,
     ): Promise<Result<PeerServer, ServiceError>> {
         const { host, port } = splitAddress(address);
         try {
-            const server = new WebSocketServer({
-                host,
-                port,
+            const server = createServer((_request, response) => void response.writeHead(426).end());
+            server.listen(port, host);
+            await once(server, "listening");
+            const sockets = new WebSocketServer({
+                server,
                 path: PEER_PATH,
                 perMessageDeflate: false,
                 maxPayload: maximumMessageBytes,
-                verifyClient: () => server.clients.size < MOST_SOCKETS,
+                verifyClient: () => sockets.clients.size < MOST_SOCKETS,
             });
-            await once(server, "listening");
-            server.on("connection", accept);
-            server.on("error", report);
-            server.on("wsClientError", (_failure, socket) => void socket.destroy());
-            return ok(new PeerServer(server));
+            sockets.on("connection", (socket, request) => accept(socket, request.socket));
+            sockets.on("error", report);
+            return ok(new PeerServer(server, sockets));
         }
         catch (failure) {
             const reason = failure instanceof Error ? failure.message : String(failure);
@@ -56,9 +59,10 @@
 
     async [Symbol.asyncDispose](): Promise<void> {
         const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
-        for (const socket of this.server.clients) {
-            socket.terminate();
-        }
+        this.sockets.close();
+        this.sockets.clients.forEach(socket => socket.terminate());
+        // Connections without a request would otherwise be waited for.
+        this.server.closeAllConnections();
         await closed;
     }
 }
--- a/packages/peer/src/pulse.ts
+++ b/packages/peer/src/pulse.ts
@@ -1,6 +1,7 @@
 /**
- * Heartbeats of one link. Each heartbeat echoes the highest one received, so that a link that still delivers in one
- * direction only is recognised from both ends.
+ * Heartbeats of one link. Each heartbeat reports how many bytes its sender has read, so that a link that still delivers
+ * in one direction only is recognised from both ends. Bytes and not messages count as signs of life, since a large
+ * message may take longer than the permitted silence on a slow path.
  */
 import type { Timers } from "@tanagerlink/timers";
 import { FrameKind, type HeartbeatFrame } from "./frames.ts";
@@ -22,10 +23,14 @@
     private echoed = 0;
     private received = 0;
     private receivedAt: number;
+    /** Bytes read here, and bytes that the other side has reported as read. */
+    private readBytes = 0;
+    private reportedBytes = 0;
     private lastBeatAt: number;
-    /** Times from which silence and missing echoes count; moved forward by pauses of this process. */
+    /** Heartbeats received in sequence that report no progress. */
+    private reportsWithoutProgress = 0;
+    /** Time from which silence counts; moved forward by pauses of this process. */
     private heardReference: number;
-    private echoReference: number;
     private lastHeardAt: number;
     private smoothed: number | undefined;
 
@@ -36,7 +41,6 @@
         this.receivedAt = now;
         this.lastBeatAt = now;
         this.heardReference = now;
-        this.echoReference = now;
         this.lastHeardAt = now;
     }
 
@@ -55,31 +59,35 @@
         this.heardReference = this.lastHeardAt;
     }
 
-    /** Counts silence and missing echoes from now on. To be called after the handshake. */
+    /** Counts silence from now on. To be called after the handshake. */
     restart(): void {
         const now = this.timers.now();
         this.lastBeatAt = now;
         this.heardReference = now;
-        this.echoReference = now;
     }
 
-    /** Why the link must be closed, or `undefined`. To be called with each heartbeat. */
-    fault(): CloseReason | undefined {
+    /** Why the link must be closed, or `undefined`. To be called with each heartbeat, with the bytes read so far. */
+    fault(readBytes: number): CloseReason | undefined {
         const now = this.timers.now();
+        if (readBytes > this.readBytes) {
+            this.readBytes = readBytes;
+            this.heard();
+        }
         const { heartbeatMilliseconds, silenceMilliseconds } = this.limits;
         // While this process was paused, messages may have arrived that it has not read yet.
         const pause = now - this.lastBeatAt - 2 * heartbeatMilliseconds;
         this.lastBeatAt = now;
         if (pause > 0) {
             this.heardReference += pause;
-            this.echoReference += pause;
+            this.reportsWithoutProgress = 0;
         }
         if (now - this.heardReference >= silenceMilliseconds) {
             return "silent";
         }
-        // In good order an echo is up to one period of each side older than the last message.
-        const echoLimit = silenceMilliseconds + 2 * heartbeatMilliseconds;
-        return now - this.echoReference >= echoLimit ? "unacknowledged" : undefined;
+        // Reports are counted and not timed, since they may wait behind a large message of the other side. Two may be
+        // without progress in good order, because the periods of the two sides are not aligned.
+        const mostReports = Math.ceil(silenceMilliseconds / heartbeatMilliseconds) + 2;
+        return this.reportsWithoutProgress >= mostReports ? "unacknowledged" : undefined;
     }
 
     /** The next heartbeat. */
@@ -92,6 +100,7 @@
             sequence: this.sequence,
             echo: this.received,
             held: Math.max(0, now - this.receivedAt),
+            received: this.readBytes,
             payload,
         };
     }
@@ -101,11 +110,12 @@
         const now = this.timers.now();
         this.received = Math.max(this.received, frame.sequence);
         this.receivedAt = now;
+        this.reportsWithoutProgress = frame.received > this.reportedBytes ? 0 : this.reportsWithoutProgress + 1;
+        this.reportedBytes = Math.max(this.reportedBytes, frame.received);
         const sentAt = this.sentAt.get(frame.echo);
         if (sentAt === undefined) {
             return;
         }
-        this.echoReference = Math.max(this.echoReference, sentAt);
         const sample = Math.max(0, now - sentAt - frame.held);
         this.smoothed = this.smoothed === undefined ? sample : this.smoothed + SAMPLE_WEIGHT * (sample - this.smoothed);
         for (; this.echoed <= frame.echo; this.echoed++) {
--- a/packages/peer/src/webSocketPeerNetwork.ts
+++ b/packages/peer/src/webSocketPeerNetwork.ts
@@ -9,6 +9,7 @@
 import type { Subscription, Timers } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
+import type { Socket } from "node:net";
 import type { WebSocket } from "ws";
 import { decodeAnswer, encodeRequest } from "./callCodec.ts";
 import { CallMemory } from "./callMemory.ts";
@@ -26,6 +27,8 @@
 
 /** Time for which a process that opened a link stays in `links()` after its last message. */
 const FORGET_SESSION_MILLISECONDS = 60_000;
+/** Longer timers than 24.8 days would end at once. */
+const LONGEST_DEADLINE_MILLISECONDS = 86_400_000;
 
 export class WebSocketPeerNetwork implements PeerNetwork {
     readonly id: string;
@@ -78,7 +81,7 @@
         const server = await PeerServer.listen(
             options.address,
             network.limits.maximumMessageBytes,
-            socket => network.accept(socket),
+            (socket, stream) => network.accept(socket, stream),
             failure => options.logger.error({ failure }, "peer server failed"),
         );
         return server.map(listening => {
@@ -123,10 +126,14 @@
 
     handle<Request, Answer>(
         method: PeerMethod<Request, Answer>,
-        handler: (request: Request, peer: string) => Promise<Result<Answer, ServiceError>>,
+        handler: (
+            request: Request,
+            peer: string,
+            remainingMilliseconds: number,
+        ) => Promise<Result<Answer, ServiceError>>,
     ): void {
         // The receiver calls the handler only with what the request schema has accepted.
-        this.receiver.register(method, (request, peer) => handler(request as Request, peer));
+        this.receiver.register(method, (request, peer, remaining) => handler(request as Request, peer, remaining));
     }
 
     provideHeartbeat(payload: () => unknown): void {
@@ -161,7 +168,7 @@
         if (session === undefined || this.stopped) {
             return err(serviceError(ErrorKind.PeerUnreachable, `${peer} is not a known peer`, { peer }));
         }
-        if (deadlineMilliseconds <= 0) {
+        if (!(deadlineMilliseconds > 0)) {
             return err(serviceError(ErrorKind.DeadlineExceeded, `no time was left for ${method.name}`, { peer }));
         }
         return await session.call({
@@ -169,7 +176,7 @@
             method: method.name,
             idempotent: method.idempotent === true,
             body,
-            deadlineMilliseconds,
+            deadlineMilliseconds: Math.min(deadlineMilliseconds, LONGEST_DEADLINE_MILLISECONDS),
         });
     }
 
@@ -229,8 +236,8 @@
         return session;
     }
 
-    private accept(socket: WebSocket): void {
-        const link = new Link(socket, "incoming", this.timers, this.limits, this.metrics);
+    private accept(socket: WebSocket, stream: Socket): void {
+        const link = new Link(socket, stream, "incoming", this.timers, this.limits, this.metrics);
         if (this.stopped) {
             link.close("stopped");
             return;
