test(peer): check at-most-once under connections that keep going silent

400 calls through a relay whose connections are silenced six times. Guards against repeats that execute twice and against mixed answers.

--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -1,10 +1,11 @@
+import { sleep } from "@tanagerlink/timers";
 import { expect } from "chai";
 import fc from "fast-check";
 import { ok } from "neverthrow";
 import { once } from "node:events";
 import { connect } from "node:net";
 import { decodeFrame, pack, unpack } from "../src/frames.ts";
-import { append, Fixture, helloOf, isLinked, link, message, RawPeer, read, until } from "./peerFixture.ts";
+import { append, Fixture, helloOf, isLinked, link, message, RawPeer, read, timers, until } from "./peerFixture.ts";
 import { TcpRelay } from "./tcpRelay.ts";
 
 describe("faults of links", () => {
@@ -101,6 +102,33 @@
         expect(repeated).to.deep.equal(["read"]);
     });
 
+    it("executes each call at most once and never mixes answers while connections keep going silent", async () => {
+        const { first, second, relay } = await relayed();
+        const executed = new Map<string, number>();
+        second.handle(append, async request => {
+            executed.set(request.text, (executed.get(request.text) ?? 0) + 1);
+            await sleep(timers, request.bytes[0] ?? 0);
+            return ok(request);
+        });
+        const seed = Date.now() % 1_000_000;
+        const delays = fc.sample(fc.integer({ min: 0, max: 60 }), { numRuns: 400, seed });
+        const calls = delays.map(async (delay, index) => {
+            await sleep(timers, index * 4);
+            const request = { text: `call ${index}`, bytes: new Uint8Array([delay]) };
+            return { request, result: await first.call("b", append, request, 10_000) };
+        });
+        for (let round = 0; round < 6; round++) {
+            await sleep(timers, 200 + (delays[round] ?? 0));
+            relay.silence(round % 2 === 0 ? "both" : "towardsTarget");
+        }
+        for (const { request, result } of await Promise.all(calls)) {
+            expect(result.isOk(), `seed ${seed}, ${request.text}`).to.equal(true);
+            expect(result._unsafeUnwrap().text).to.equal(request.text);
+            expect(executed.get(request.text), `seed ${seed}, ${request.text}`).to.equal(1);
+        }
+        expect(relay.accepted).to.be.greaterThan(3);
+    });
+
     it("survives malformed frames, and still answers on the same link", async function() {
         const network = await fixture.start("a");
         network.handle(append, request => Promise.resolve(ok(request)));
