--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -1,8 +1,11 @@
+import { sleep } from "@tanagerlink/timers";
 import { expect } from "chai";
 import fc from "fast-check";
 import { ok } from "neverthrow";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { decodeFrame, pack, unpack } from "../src/frames.ts";
-import { append, Fixture, helloOf, isLinked, link, message, RawPeer, read, until } from "./peerFixture.ts";
+import { append, Fixture, helloOf, isLinked, link, message, RawPeer, read, timers, until } from "./peerFixture.ts";
 import { TcpRelay } from "./tcpRelay.ts";
 
 describe("faults of links", () => {
@@ -49,6 +52,29 @@
         expect((await first.call("b", append, message, 5_000)).isOk()).to.equal(true);
     });
 
+    it("does not replace a slow link that is still transferring a large message", async () => {
+        const { first, second, relay } = await relayed();
+        second.handle(append, request => Promise.resolve(ok({ ...request, bytes: request.bytes.slice(0, 1) })));
+        relay.throttle(20_000);
+        const large = { text: "large", bytes: new Uint8Array(1_500_000) };
+        expect((await first.call("b", append, large, 5_000)).isOk()).to.equal(true);
+        expect(relay.accepted).to.equal(1);
+    });
+
+    it("stops at once although a connection never sent a request", async () => {
+        const network = await fixture.start("a");
+        const [host, port] = network.address.split(":");
+        const socket = connect(Number(port), host);
+        fixture.add({
+            async [Symbol.asyncDispose](): Promise<void> {
+                await Promise.resolve(socket.destroy());
+            },
+        });
+        socket.on("error", () => undefined);
+        await once(socket, "connect");
+        await network[Symbol.asyncDispose]();
+    });
+
     it("does not repeat a non-idempotent call at a restarted peer that may have executed it", async () => {
         const { first, second, relay } = await relayed();
         let executed = 0;
@@ -76,6 +102,33 @@
         expect(repeated).to.deep.equal(["read"]);
     });
 
+    it("executes each call at most once and never mixes answers while connections keep going silent", async () => {
+        const { first, second, relay } = await relayed();
+        const executed = new Map<string, number>();
+        second.handle(append, async request => {
+            executed.set(request.text, (executed.get(request.text) ?? 0) + 1);
+            await sleep(timers, request.bytes[0] ?? 0);
+            return ok(request);
+        });
+        const seed = Date.now() % 1_000_000;
+        const delays = fc.sample(fc.integer({ min: 0, max: 60 }), { numRuns: 400, seed });
+        const calls = delays.map(async (delay, index) => {
+            await sleep(timers, index * 4);
+            const request = { text: `call ${index}`, bytes: new Uint8Array([delay]) };
+            return { request, result: await first.call("b", append, request, 10_000) };
+        });
+        for (let round = 0; round < 6; round++) {
+            await sleep(timers, 200 + (delays[round] ?? 0));
+            relay.silence(round % 2 === 0 ? "both" : "towardsTarget");
+        }
+        for (const { request, result } of await Promise.all(calls)) {
+            expect(result.isOk(), `seed ${seed}, ${request.text}`).to.equal(true);
+            expect(result._unsafeUnwrap().text).to.equal(request.text);
+            expect(executed.get(request.text), `seed ${seed}, ${request.text}`).to.equal(1);
+        }
+        expect(relay.accepted).to.be.greaterThan(3);
+    });
+
     it("survives malformed frames, and still answers on the same link", async function() {
         const network = await fixture.start("a");
         network.handle(append, request => Promise.resolve(ok(request)));
