fix(routing): keep answering at capacity in overload and after an outage

In overload, first-come order sent requests just before their deadlines; each then passed it and held its slot for more than a second. A request that waited is now refused, not run, when its time left is shorter than the usual request time. At the caller's deadline the call goes on, so that its late answer frees the slot; ExecutorClient.send gains an optional answerMilliseconds for this. A report that no longer lists the request ends the call.

--- a/packages/routing/src/pooledExecutor.ts
+++ b/packages/routing/src/pooledExecutor.ts
@@ -28,10 +28,14 @@
     readonly team: string;
     /** The team's unit was taken from the gate. */
     entered: boolean;
-    /** When the call ended without proof that the request has ended. */
+    /** Since when the caller has no answer, while nothing proves that the request has ended. */
     unknownSince: number | undefined;
     /** When the request has ended at the latest. */
     endsBy: number;
+    /** Ends a call that still waits for its answer when the slot is freed. */
+    readonly abort: AbortController;
+    /** The call waits for its answer. */
+    calling: boolean;
 }
 
 /** State of one executor. */
@@ -126,6 +130,8 @@
             entered: false,
             unknownSince: undefined,
             endsBy: Infinity,
+            abort: new AbortController(),
+            calling: false,
         };
         this.holds.add(hold);
         return hold;
@@ -136,6 +142,7 @@
         if (!this.holds.delete(hold)) {
             return;
         }
+        endCall(hold);
         if (hold.entered) {
             this.context.gate.leave(hold.team);
         }
@@ -188,6 +195,11 @@
         }
     }
 
+    /** Ends calls that still wait for late answers. Their slots and units stay in use. */
+    abandonCalls(): void {
+        this.holds.forEach(endCall);
+    }
+
     describe(): object {
         const { id, service, attachment, leaving, removed, slots, freeSlots, ejectedUntil, ejections } = this;
         const latencyMilliseconds = this.latency.milliseconds;
@@ -210,6 +222,13 @@
     }
 }
 
+/** Ends a call that still waits. An ended call is left alone, since an abort costs more than the rest of the way. */
+function endCall(hold: SlotHold): void {
+    if (hold.calling) {
+        hold.abort.abort();
+    }
+}
+
 /** Identity of an executor; one that comes back at another address is another machine. */
 export function executorKey(record: VmRecord): string {
     return `${record.id}@${record.address}`;
--- a/packages/routing/src/pooledService.ts
+++ b/packages/routing/src/pooledService.ts
@@ -12,10 +12,18 @@
 import { RequestQueue, type Waiting } from "./requestQueue.ts";
 import { RetryBudget } from "./retryBudget.ts";
 
+/** Factor on the mean request time when the time needed by a waiting request is estimated. */
+const LATENCY_ALLOWANCE = 1.25;
+/** A request may always wait for the rest of its time, however long others of its service take. */
+const LARGEST_NEEDED_PART = 0.8;
+
 interface Waiter extends Waiting {
     readonly workClass: WorkClass;
     readonly request: ServiceRequest;
     readonly avoid: ReadonlySet<PooledExecutor>;
+    readonly deadline: number;
+    /** It found no free slot when it arrived. */
+    waited: boolean;
     settle(result: Result<SlotHold, ServiceError>): void;
 }
 
@@ -56,10 +64,12 @@
                 timer?.[Symbol.dispose]();
                 resolve(result);
             };
-            const waiter: Waiter = { workClass: request.workClass, arrival, request, avoid, settle };
+            const { workClass } = request;
+            const waiter: Waiter = { workClass, arrival, request, avoid, deadline, waited: false, settle };
             this.shed(this.queue.offer(waiter));
             this.pump();
             if (!settled) {
+                waiter.waited = true;
                 const left = deadline - this.context.timers.now();
                 timer = this.context.timers.after(left, () => this.timeOut(waiter));
             }
@@ -75,6 +85,10 @@
                 return;
             }
             this.queue.remove(waiter);
+            if (this.tooLate(waiter, now)) {
+                waiter.settle(err(this.waitedTooLong()));
+                continue;
+            }
             waiter.settle(ok(executor.take(waiter.request)));
         }
     }
@@ -115,8 +129,22 @@
 
     private timeOut(waiter: Waiter): void {
         if (this.queue.remove(waiter)) {
-            const message = `No slot of service ${this.name} became free before the deadline.`;
-            waiter.settle(err(serviceError(ErrorKind.DeadlineExceeded, message, { service: this.name })));
+            waiter.settle(err(this.waitedTooLong()));
         }
     }
+
+    /**
+     * Whether the time left after the wait is too short for a usual request. In overload, requests would otherwise
+     * all be sent just before their deadlines, and none would be answered in time.
+     */
+    private tooLate(waiter: Waiter, now: number): boolean {
+        const usual = this.latency.faded(now) * LATENCY_ALLOWANCE;
+        const needed = Math.min(usual, waiter.request.remainingMilliseconds * LARGEST_NEEDED_PART);
+        return waiter.waited && waiter.deadline - now < needed;
+    }
+
+    private waitedTooLong(): ServiceError {
+        const message = `No slot of service ${this.name} became free in time for the deadline.`;
+        return serviceError(ErrorKind.DeadlineExceeded, message, { service: this.name });
+    }
 }
--- a/packages/routing/src/requestDispatch.ts
+++ b/packages/routing/src/requestDispatch.ts
@@ -102,7 +102,30 @@
                 context.limits.longestRequestMilliseconds,
             ),
         };
-        const result = await hold.executor.client.send(request, context.epoch);
+        const sending = this.settle(hold, request, sentAt);
+        return new Promise(resolve => {
+            const deadline = context.timers.after(request.remainingMilliseconds, () => {
+                resolve(err(this.passedDeadline(hold, request.remainingMilliseconds)));
+            });
+            void sending.then(result => {
+                deadline[Symbol.dispose]();
+                resolve(result);
+            });
+        });
+    }
+
+    /** Sends and accounts for the end of the request, which may come after the caller's deadline. */
+    private async settle(
+        hold: SlotHold,
+        request: ServiceRequest,
+        sentAt: number,
+    ): Promise<Result<ServiceAnswer, ServiceError>> {
+        const { context } = this;
+        const { client } = hold.executor;
+        const longest = context.limits.longestRequestMilliseconds;
+        hold.calling = true;
+        const result = await client.send(request, context.epoch, hold.abort.signal, longest);
+        hold.calling = false;
         const elapsed = context.timers.now() - sentAt;
         return result.match(
             answer => ok(this.answered(hold, answer, elapsed)),
@@ -110,6 +133,16 @@
         );
     }
 
+    /** The caller gives up. The call goes on, since its late answer proves that the slot is free again. */
+    private passedDeadline(hold: SlotHold, elapsed: number): ServiceError {
+        this.mayHaveRun = true;
+        this.context.counters.unknownOutcomes++;
+        hold.executor.latency.add(elapsed, this.context.timers.now());
+        this.keep(hold);
+        const message = `Executor ${hold.executor.id} did not answer before the deadline; the request may have run.`;
+        return serviceError(ErrorKind.OutcomeUnknown, message, { executor: hold.executor.id });
+    }
+
     private count(): void {
         this.attempts++;
         this.context.counters.tries++;
@@ -148,7 +181,7 @@
         dispatch.avoid.add(executor);
         if (error.kind === ErrorKind.OutcomeUnknown || error.kind === ErrorKind.Internal) {
             this.mayHaveRun = true;
-            context.counters.unknownOutcomes++;
+            context.counters.unknownOutcomes += hold.unknownSince === undefined ? 1 : 0;
             this.noteFailure(executor, elapsed);
             this.keep(hold);
             return error;
@@ -181,7 +214,7 @@
 
     /** Keeps slot and unit until a report or the longest deadline shows that the request has ended. */
     private keep(hold: SlotHold): void {
-        hold.unknownSince = this.context.timers.now();
+        hold.unknownSince ??= this.context.timers.now();
         this.events.attachSoon(hold);
     }
 
--- a/packages/routing/src/serviceExecutorPool.ts
+++ b/packages/routing/src/serviceExecutorPool.ts
@@ -133,6 +133,7 @@
         this.services.forEach(service => service.refuseWaiting(error));
         this.attachments.forEach(attachment => attachment.attachSoon());
         await Promise.all(this.running);
+        this.executors.forEach(executor => executor.abandonCalls());
     }
 
     private refusal(): ServiceError | undefined {
--- a/packages/targets/src/executorClient.ts
+++ b/packages/targets/src/executorClient.ts
@@ -28,7 +28,16 @@
 export interface ExecutorClient {
     readonly id: string;
     attach(shard: string, epoch: number): Promise<Result<ExecutorReport, ServiceError>>;
-    send(request: ServiceRequest, epoch: number, signal?: AbortSignal): Promise<Result<ExecutorAnswer, ServiceError>>;
+    /**
+     * Sends the request before its remaining time has passed, or not at all. `answerMilliseconds` is the longest wait
+     * for the answer, by default the remaining time; a longer one tells when a late request has ended.
+     */
+    send(
+        request: ServiceRequest,
+        epoch: number,
+        signal?: AbortSignal,
+        answerMilliseconds?: number,
+    ): Promise<Result<ExecutorAnswer, ServiceError>>;
 }
 
 export interface ExecutorClientFactory extends AsyncDisposable {
--- a/packages/targets/src/httpExecutorClient.ts
+++ b/packages/targets/src/httpExecutorClient.ts
@@ -117,6 +117,7 @@
         request: ServiceRequest,
         epoch: number,
         signal?: AbortSignal,
+        answerMilliseconds?: number,
     ): Promise<Result<ExecutorAnswer, ServiceError>> {
         const invalid = checkRequest(request, this.maximumBodyBytes);
         if (invalid !== undefined) {
@@ -128,6 +129,7 @@
             headers: requestHeaders(request, epoch),
             body: request.body,
             deadlineMilliseconds: request.remainingMilliseconds,
+            answerMilliseconds,
             maximumBodyBytes: this.maximumBodyBytes,
             signal,
         });
--- a/packages/targets/src/wholeCall.ts
+++ b/packages/targets/src/wholeCall.ts
@@ -50,7 +50,10 @@
     readonly path: string;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array | string;
+    /** Time until which the call must be sent. */
     readonly deadlineMilliseconds: number;
+    /** Longest wait for the answer of a call that was sent; the deadline when absent. */
+    readonly answerMilliseconds?: number | undefined;
     readonly maximumBodyBytes: number;
     readonly signal?: AbortSignal | undefined;
 }
@@ -129,6 +132,10 @@
         this.finish({ end: CallEnd.NotSent, cause, reason: error.message });
     }
 
+    get sent(): boolean {
+        return this.controller !== undefined;
+    }
+
     /** Ends the call from this side. */
     giveUp(cause: NotSentCause): void {
         if (this.controller === undefined) {
@@ -192,7 +199,16 @@
     const handler = new CallHandler(options);
     const cancel = (): void => handler.giveUp(NotSentCause.Cancelled);
     options.signal?.addEventListener("abort", cancel, { once: true });
-    const deadline = timers.after(options.deadlineMilliseconds, () => handler.giveUp(NotSentCause.Deadline));
+    const giveUp = (): void => handler.giveUp(NotSentCause.Deadline);
+    const extra = Math.max(0, (options.answerMilliseconds ?? 0) - options.deadlineMilliseconds);
+    let deadline = timers.after(options.deadlineMilliseconds, () => {
+        if (handler.sent && extra > 0) {
+            deadline = timers.after(extra, giveUp);
+        }
+        else {
+            giveUp();
+        }
+    });
     try {
         dispatcher.dispatch({
             method: options.method as Dispatcher.HttpMethod,
