--- a/packages/stand-ins/src/workerProtocol.ts
+++ b/packages/stand-ins/src/workerProtocol.ts
@@ -39,7 +39,7 @@
 
 /** Reads the payload of a task; text that is no such object makes a task with default behaviour. */
 export function readBehaviour(payload: string, runMilliseconds: number | undefined): TaskBehaviour {
-    const parsed = payloadSchema.safeParse(parseJson(payload));
+    const parsed = payloadSchema.safeParse(payload === "" ? {} : parseJson(payload));
     const behaviour = parsed.success ? parsed.data : { exitCode: 0 };
     return behaviour.runMilliseconds === undefined && runMilliseconds !== undefined
         ? { ...behaviour, runMilliseconds }
