test(stand-ins): read a simulated worker before its leases are counted

Cause: leases count from the last report that the owner received, which the tests of the stand-in did not ask for. Change: the tests read the worker first; a new one shows that a late renewal ends with its owner's count. Conclusion: the tests are as strict as before.

--- a/packages/stand-ins/__tests__/workerSimulation.spec.ts
+++ b/packages/stand-ins/__tests__/workerSimulation.spec.ts
@@ -10,9 +10,15 @@
     const record = new WorkerRecord();
     const surroundings = { timers, record, progress: new Map<string, number>(), defaultRunMilliseconds: undefined };
     const worker = new SimulatedWorker({ id: "w1", capacity: size, capabilities }, surroundings);
+    /** Reads the worker, as an owner does before it starts or renews anything, and answers with the sequence. */
+    const read = (epoch = 1): number => {
+        const report = worker.attach(epoch);
+        return "sequence" in report ? report.sequence : 0;
+    };
     const start = (changes: Partial<TaskStart> = {}): object =>
         worker.start({
             epoch: 1,
+            lastReport: read(changes.epoch),
             bootId: worker.bootId,
             job: "j1",
             task: 0,
@@ -23,17 +29,17 @@
             payload: "",
             ...changes,
         });
-    return { timers, record, worker, start };
+    return { timers, record, worker, read, start };
 }
 
 describe("SimulatedWorker", () => {
     it("stops a task whose lease is not renewed, unless it has no lease timer", async () => {
         for (const leaseTimer of [true, false]) {
-            const { timers, record, worker, start } = simulate({ leaseTimer });
+            const { timers, record, worker, read, start } = simulate({ leaseTimer });
             start();
             await timers.advance(900);
             const renew = [{ job: "j1", task: 0, attempt: 1 }];
-            worker.heartbeat({ epoch: 1, bootId: worker.bootId, renew, acknowledge: [] });
+            worker.heartbeat({ epoch: 1, bootId: worker.bootId, lastReport: read(), renew, acknowledge: [] });
             await timers.advance(900);
             expect(worker.runningCount()).to.equal(1);
             await timers.advance(200);
@@ -41,6 +47,17 @@
         }
     });
 
+    it("counts a renewal from the report that it names, so that one delivered late ends with its owner's count", async () => {
+        const { timers, worker, read, start } = simulate();
+        start();
+        const early = read();
+        await timers.advance(900);
+        const renew = [{ job: "j1", task: 0, attempt: 1 }];
+        worker.heartbeat({ epoch: 1, bootId: worker.bootId, lastReport: early, renew, acknowledge: [] });
+        await timers.advance(200);
+        expect(worker.runningCount()).to.equal(0);
+    });
+
     it("runs a repeated start again and accepts lower epochs only without the capability against it", () => {
         const strict = simulate();
         strict.start({ epoch: 2 });
