--- a/packages/limits/__tests__/tableGrantLedger.spec.ts
+++ b/packages/limits/__tests__/tableGrantLedger.spec.ts
@@ -4,7 +4,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { MemoryTable, type TableFault } from "../../ownership/__tests__/support/memoryTable.ts";
-import type { GrantRowValue } from "../src/grantRow.ts";
+import { type GrantRowValue, parseGrantRow } from "../src/grantRow.ts";
 import { defaultGrantDurations, TableGrantLedger } from "../src/index.ts";
 
 const TEAM = "fieldwork";
@@ -56,7 +56,8 @@
             return fault;
         });
         const nextTransactionId = (): string => `t${++this.cell.transactions}`;
-        return new TableGrantLedger({ timers: this.cell.timers, table, nextTransactionId, ...defaultGrantDurations });
+        const common = { timers: this.cell.timers, table, nextTransactionId, random: () => 0.5 };
+        return new TableGrantLedger({ ...common, ...defaultGrantDurations });
     }
 }
 
@@ -100,6 +101,8 @@
         const row = this.row;
         const grants = Object.values(row?.grants ?? {}).reduce((sum, units) => sum + units, 0);
         expect(grants + (row?.free ?? 0)).to.equal(row?.limit ?? 0);
+        // A row that its readers refuse would stop all transfers of the team.
+        expect(row === undefined || parseGrantRow(row) !== undefined, JSON.stringify(row)).to.equal(true);
         for (const { shard, running } of this.members) {
             expect(running, `units running in ${shard}`).to.be.at.most(row?.grants[shard] ?? 0);
         }
--- a/packages/limits/src/grantLedgerOptions.ts
+++ b/packages/limits/src/grantLedgerOptions.ts
@@ -13,6 +13,8 @@
     readonly pollMilliseconds: number;
     /** Units that weren't needed for this long are given back. */
     readonly idleMilliseconds: number;
+    /** Numbers from 0 to 1 for the jitter of retries; `Math.random` by default. */
+    readonly random?: () => number;
     /** Called when a newer owner of the shard was noticed; the ledger gives out nothing more for it. */
     readonly superseded?: (shard: ShardId, epoch: number) => void;
 }
--- a/packages/limits/src/shardGrants.ts
+++ b/packages/limits/src/shardGrants.ts
@@ -5,7 +5,7 @@
 import { ErrorKind } from "@tanagerlink/errors";
 import type { ShardId } from "@tanagerlink/model";
 import type { ConditionalWrite, RowCondition, TransactionAnswer } from "@tanagerlink/platform";
-import { type Subscription, withDeadline } from "@tanagerlink/timers";
+import { sleep, type Subscription, withDeadline } from "@tanagerlink/timers";
 import type { GrantLedgerOptions } from "./grantLedgerOptions.ts";
 import { type GrantNeed, planGrant } from "./grantPlan.ts";
 import { grantKey, type GrantRowValue } from "./grantRow.ts";
@@ -14,6 +14,8 @@
 
 /** Needs that arise within this time go into the same transaction. */
 const COLLECT_MILLISECONDS = 10;
+/** Longest pause before the first retry after a conflict, doubled with each; without it, shards retry in lockstep. */
+const CONFLICT_PAUSE_MILLISECONDS = 20;
 /** Attempts of one transaction while its rows conflict; what is left waits for the next second. */
 const CONFLICT_ATTEMPTS = 4;
 /** A transaction without an answer for this long counts as one with an unknown outcome. */
@@ -116,6 +118,8 @@
         }
         finally {
             this.running = false;
+            // Refusals count once, but for all attempts of the transaction.
+            this.teams.forEach(grant => grant.refused = 0);
         }
         if (this.requested) {
             this.request();
@@ -124,6 +128,10 @@
 
     private async transact(): Promise<void> {
         for (let attempt = 0; attempt < CONFLICT_ATTEMPTS && !this.closed; attempt++) {
+            if (attempt > 0) {
+                const random = this.options.random ?? Math.random;
+                await sleep(this.options.timers, CONFLICT_PAUSE_MILLISECONDS * random() * 2 ** attempt);
+            }
             const planned = this.plan();
             if (planned.length === 0 || this.condition === undefined) {
                 return;
@@ -179,7 +187,6 @@
             const need = this.needOf(grant);
             const plan = planGrant(known.value, need, this.rows.limitOf(team));
             grant.ceiling = plan.ceiling;
-            grant.refused = 0;
             const isFirst = known.version === 0 && need.busy + need.wanted > 0;
             if (plan.row !== known.value || grant.isUndecided || isFirst) {
                 grant.beginWrite(this.shard, plan.row, known.version);
