--- a/packages/limits/src/grantPlan.ts
+++ b/packages/limits/src/grantPlan.ts
@@ -3,8 +3,8 @@
  * division are in one place.
  *
  * - While the row is in debt, every unit that is not in use goes back.
- * - A shard in need takes half of the need in each step, and not more than its part of the free units among those that
- *   wait; while units are plentiful, it takes a working stock along. When nothing is free, it leaves a want.
+ * - A shard in need takes the whole need when that is a small part of the free units, and otherwise half of it in each
+ *   step, and not more than its part of the free units among those that wait. When nothing is free, it leaves a want.
  * - A shard without need gives idle units to shards that want them at once, and otherwise after the idle period, but
  *   for a working stock.
  * - A shard that holds more than an equal part while others want units lets half of the excess go as its units end.
@@ -23,10 +23,15 @@
 
 /** Part of the units in use that is kept beyond them. */
 const WORKING_STOCK = 0.1;
-/** Part of the limit above which free units count as plentiful. */
-const PLENTIFUL_PART = 0.1;
+/**
+ * Part of the free units that a shard may take at once for its whole need. Halving every need made a gang of four wait
+ * for a second transaction, which comes a second later.
+ */
+const AMPLE_PART = 0.25;
 /** A want is written again only when it changed by this factor, to keep the write rate low. */
 const WANT_CHANGE_FACTOR = 2;
+/** Part of the limit above which free units count as plentiful. */
+const PLENTIFUL_PART = 0.1;
 
 /** The use of a team in a shard. */
 export interface GrantNeed {
@@ -64,10 +69,10 @@
         return { row: asking(row, need.shard, 0), ceiling: Number.POSITIVE_INFINITY };
     }
     const fair = equalPart(row, need);
-    const taken = unitsToTake(row, need, granted, missing, fair);
+    const taken = unitsToTake(row, need.shard, granted, missing, fair);
     if (taken > 0) {
-        const after = withTransfer(row, need.shard, taken);
-        return { row: asking(after, need.shard, Math.max(0, missing - taken)), ceiling: Number.POSITIVE_INFINITY };
+        const after = withTransfer(row, need.shard, taken + stockToTake(row, need, taken));
+        return { row: asking(after, need.shard, missing - taken), ceiling: Number.POSITIVE_INFINITY };
     }
     return giveWay(asking(row, need.shard, missing), need, granted);
 }
@@ -94,17 +99,23 @@
 }
 
 /**
- * A shard that has its equal part leaves what the others wait for. While many units are free, a working stock is taken
- * along, because a write for each unit would be too many for the table.
+ * While many units are free and no other shard waits, a working stock is taken along with the need, because a write for
+ * each single unit would be too many for the table.
  */
-function unitsToTake(row: GrantRowValue, need: GrantNeed, granted: number, missing: number, fair: number): number {
-    const step = Math.max(1, Math.ceil(missing / 2));
-    const others = Object.keys(row.wants).filter(other => other !== need.shard).length;
+function stockToTake(row: GrantRowValue, need: GrantNeed, taken: number): number {
+    const left = row.free - taken;
+    const plenty = wantsOfOthers(row, need.shard) === 0 && left > row.limit * PLENTIFUL_PART;
+    return plenty ? Math.min(left, Math.ceil(need.busy * WORKING_STOCK)) : 0;
+}
+
+/** A shard that has its equal part leaves what the others wait for. */
+function unitsToTake(row: GrantRowValue, shard: ShardId, granted: number, missing: number, fair: number): number {
+    const step = missing <= row.free * AMPLE_PART ? missing : Math.max(1, Math.ceil(missing / 2));
+    const others = Object.keys(row.wants).filter(other => other !== shard).length;
     if (others === 0) {
-        const plenty = row.free > row.limit * PLENTIFUL_PART;
-        return Math.min(plenty ? step + Math.ceil(need.busy * WORKING_STOCK) : step, row.free);
+        return Math.min(step, row.free);
     }
-    const unclaimed = Math.max(0, row.free - wantsOfOthers(row, need.shard));
+    const unclaimed = Math.max(0, row.free - wantsOfOthers(row, shard));
     const part = Math.max(1, Math.floor(row.free / (1 + others)));
     return Math.min(step, row.free, Math.max(unclaimed, Math.min(part, Math.max(0, fair - granted))));
 }
--- a/packages/ownership/__tests__/tableShardOwnership.spec.ts
+++ b/packages/ownership/__tests__/tableShardOwnership.spec.ts
@@ -84,6 +84,21 @@
         });
     }
 
+    for (const [ownerRate, candidateRate] of [[0.93, 1.07], [1.07, 0.93]] as const) {
+        it(`keeps leases apart without witnesses at clock rates ${ownerRate} and ${candidateRate}`, async () => {
+            for (let start = 0; start < 2_000; start += 250) {
+                const cell = new OwnershipCell();
+                const owner = cell.add("a", ownerRate);
+                await cell.advance(3_000 + start);
+                cell.add("b", candidateRate);
+                await cell.advance(3_000);
+                owner.faults = down;
+                await cell.advance(12_000, 50);
+                expect(cell.startersOf(SHARD)).to.deep.equal(["b"]);
+            }
+        });
+    }
+
     it("continues through an outage while a majority confirms, and under the same epoch afterwards", async () => {
         const { cell, owner } = await cellWithOwner();
         const witnesses = new Witnesses();
