--- a/packages/limits/src/grantPlan.ts
+++ b/packages/limits/src/grantPlan.ts
@@ -30,6 +30,8 @@
 const AMPLE_PART = 0.25;
 /** A want is written again only when it changed by this factor, to keep the write rate low. */
 const WANT_CHANGE_FACTOR = 2;
+/** Part of the limit above which free units count as plentiful. */
+const PLENTIFUL_PART = 0.1;
 
 /** The use of a team in a shard. */
 export interface GrantNeed {
@@ -69,7 +71,7 @@
     const fair = equalPart(row, need);
     const taken = unitsToTake(row, need.shard, granted, missing, fair);
     if (taken > 0) {
-        const after = withTransfer(row, need.shard, taken);
+        const after = withTransfer(row, need.shard, taken + stockToTake(row, need, taken));
         return { row: asking(after, need.shard, missing - taken), ceiling: Number.POSITIVE_INFINITY };
     }
     return giveWay(asking(row, need.shard, missing), need, granted);
@@ -96,6 +98,16 @@
     return give(row, need, granted - Math.max(need.busy, ceiling), ceiling);
 }
 
+/**
+ * While many units are free and no other shard waits, a working stock is taken along with the need, because a write for
+ * each single unit would be too many for the table.
+ */
+function stockToTake(row: GrantRowValue, need: GrantNeed, taken: number): number {
+    const left = row.free - taken;
+    const plenty = wantsOfOthers(row, need.shard) === 0 && left > row.limit * PLENTIFUL_PART;
+    return plenty ? Math.min(left, Math.ceil(need.busy * WORKING_STOCK)) : 0;
+}
+
 /** A shard that has its equal part leaves what the others wait for. */
 function unitsToTake(row: GrantRowValue, shard: ShardId, granted: number, missing: number, fair: number): number {
     const step = missing <= row.free * AMPLE_PART ? missing : Math.max(1, Math.ceil(missing / 2));
