fix(routing): return units when an executor gives no more reports

A request of unknown outcome kept its slot and unit beyond the longest request time as long as the last report listed it, also when no later report came: after an owner change the old pool kept its units for ever. A failed attach now ends the validity of the last report.

--- a/packages/routing/__tests__/poolOverHttp.spec.ts
+++ b/packages/routing/__tests__/poolOverHttp.spec.ts
@@ -88,7 +88,7 @@
 }
 
 describe("ServiceExecutorPool over HTTP", () => {
-    for (const seed of [1, 2, 3]) {
+    for (const seed of [1, 2, 3, 12]) {
         it(`keeps its promises under changing faults and an owner change, seed ${seed}`, async () => {
             const generator = xoroshiro128plus(seed);
             const draw = (limit: number): number => uniformInt(generator, 0, limit - 1);
--- a/packages/routing/__tests__/serviceExecutorPool.spec.ts
+++ b/packages/routing/__tests__/serviceExecutorPool.spec.ts
@@ -112,6 +112,26 @@
         expect([bench.gate.units, pool.summaries()[0]!.freeSlots]).to.deep.equal([0, 8]);
     });
 
+    it("returns all units after the longest request time when no more reports come", async () => {
+        for (const end of ["superseded", "silent"]) {
+            const bench = new Bench(1);
+            const executor = bench.executors[0]!;
+            const pool = bench.pool({ longestRequestMilliseconds: 10_000 });
+            executor.mode = "lost_answer";
+            executor.runMilliseconds = 90_000;
+            await bench.timers.advance(10);
+            const answers = burst(pool, 8, { idempotent: false });
+            await bench.timers.advance(2_000);
+            await Promise.all(answers);
+            executor.epoch = end === "superseded" ? 2 : 1;
+            executor.mode = end === "silent" ? "silent" : "lost_answer";
+            await bench.timers.advance(7_000);
+            expect(bench.gate.units, end).to.equal(8);
+            await bench.timers.advance(3_000);
+            expect(bench.gate.units, end).to.equal(0);
+        }
+    });
+
     it("bounds the tries through an outage by the retry budget", async () => {
         const bench = new Bench(10);
         const pool = bench.pool({ longestRequestMilliseconds: 500, reportDelayMilliseconds: 0 });
--- a/packages/routing/__tests__/simulatedExecutors.ts
+++ b/packages/routing/__tests__/simulatedExecutors.ts
@@ -9,7 +9,7 @@
 import { type DispatchGate, type RoutingLimits, ServiceExecutorPool } from "../src/index.ts";
 
 /** How a simulated executor treats requests. */
-export type Mode = "answer" | "refused_connection" | "lost_answer" | "error_status";
+export type Mode = "answer" | "refused_connection" | "lost_answer" | "error_status" | "silent";
 
 export class SimulatedExecutor implements ExecutorClient {
     readonly id: string;
@@ -32,6 +32,9 @@
         if (this.mode === "refused_connection") {
             return Promise.resolve(err(serviceError(ErrorKind.TargetUnreachable, "refused")));
         }
+        if (this.mode === "silent") {
+            return Promise.resolve(err(serviceError(ErrorKind.OutcomeUnknown, "silent")));
+        }
         if (epoch < this.epoch) {
             return Promise.resolve(err(serviceError(ErrorKind.StaleEpoch, "stale")));
         }
--- a/packages/routing/src/executorAttachment.ts
+++ b/packages/routing/src/executorAttachment.ts
@@ -56,6 +56,7 @@
     private fail(error: ServiceError): void {
         const { context, executor } = this;
         this.failures++;
+        executor.missReport();
         if (error.kind === ErrorKind.StaleEpoch) {
             context.superseded = true;
         }
--- a/packages/routing/src/pooledExecutor.ts
+++ b/packages/routing/src/pooledExecutor.ts
@@ -178,10 +178,15 @@
         if (this.attachment === Attachment.Attached) {
             this.attachment = Attachment.None;
         }
-        this.reported = new Set();
+        this.missReport();
         this.expire();
     }
 
+    /** Notes that no report came; what the last one listed no longer outlasts the longest request time. */
+    missReport(): void {
+        this.reported = new Set();
+    }
+
     /** Frees what has ended by time, except what the executor still reports. */
     expire(): void {
         const now = this.context.timers.now();
