--- /dev/null
+++ b/packages/benchmarks/src/controlCostBenchmark.ts
@@ -0,0 +1,220 @@
+/**
+ * Control cost of one entry process: processor time, memory and bytes as functions of its workers, running tasks,
+ * starts a second, peers and teams, measured on real processes, with a line fitted through each series.
+ *
+ * Run: `npx tsx packages/benchmarks/src/controlCostBenchmark.ts [--json FILE]`.
+ */
+import { Cell, type EntryProcess, OPERATOR_TOKEN } from "@tanagerlink/scenarios";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { bundle } from "../../../scripts/bundle.mjs";
+import { fitLine, type LineFit } from "./lineFit.ts";
+import { readProcessUsage } from "./processUsage.ts";
+
+const SETTLE_MILLISECONDS = 4_000;
+const WINDOW_MILLISECONDS = 15_000;
+const TASKS_PER_WORKER = 11;
+const WORKER_CAPACITY = { processorMillis: 16_000, memoryMebibytes: 65_536, accelerators: 0 };
+const TASK_SIZE = { processorMillis: 1_000, memoryMebibytes: 1_024, accelerators: 0 };
+
+interface Shape {
+    readonly entries: number;
+    readonly workers: number;
+    readonly teams: number;
+}
+
+interface Measurement extends Shape {
+    /** Percent of one core that one entry process uses, averaged over the processes. */
+    readonly idleCorePercent: number;
+    readonly runningCorePercent: number;
+    readonly idleResidentMebibytes: number;
+    readonly runningResidentMebibytes: number;
+    readonly workerBytesPerSecond: number;
+    readonly runningTasks: number;
+    /** Milliseconds of processor time for one start, from submission to end. */
+    readonly processorMillisecondsPerStart: number;
+    readonly startsPerSecond: number;
+}
+
+function pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+async function writeFolder(folder: string, teams: number): Promise<void> {
+    const names = Array.from({ length: teams }, (_, index) => `team-${index}`);
+    const configuration = {
+        domains: { cell: { region: "here", state: "active", shards: 2 } },
+        teams: Object.fromEntries(names.map(name => [name, { "share": 1, "upper-limit": 100_000 }])),
+        queues: {
+            open: { "work-class": "batch", "open": true },
+            service: { "work-class": "service", "open": true },
+        },
+        services: { records: { "queue": "open", "deadline-milliseconds": 10_000 } },
+    };
+    await writeFile(join(folder, "10-all.yaml"), `${JSON.stringify(configuration)}\n`);
+}
+
+async function call(entry: EntryProcess, method: "GET" | "POST", path: string, body?: unknown): Promise<unknown> {
+    const response = await request(`${entry.url}${path}`, {
+        method,
+        headers: { "authorization": `Bearer ${OPERATOR_TOKEN}`, "content-type": "application/json" },
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+    });
+    const answer: unknown = await response.body.json();
+    if (response.statusCode >= 300) {
+        throw new Error(`${method} ${path}: ${JSON.stringify(answer)}`);
+    }
+    return answer;
+}
+
+async function apply(cell: Cell, folder: string): Promise<void> {
+    const text = await readFile(join(folder, "10-all.yaml"), "utf8");
+    const [entry] = cell.entries;
+    await call(entry!, "POST", "/operator/configuration", {
+        files: [{ name: "10-all.yaml", text }],
+        expectedVersion: 0,
+        operator: "benchmark",
+    });
+}
+
+async function shardsReady(cell: Cell): Promise<boolean> {
+    const status = await call(cell.entries[0]!, "GET", "/operator/status") as {
+        failureDomains: { shards: number; shardsReady: number; }[];
+    };
+    return status.failureDomains.length > 0
+        && status.failureDomains.every(domain => domain.shards === domain.shardsReady);
+}
+
+interface Window {
+    readonly corePercent: number;
+    readonly processorSeconds: number;
+    readonly residentMebibytes: number;
+    readonly bytesPerSecond: number;
+}
+
+async function observe(cell: Cell, milliseconds: number): Promise<Window> {
+    const before = cell.entries.map(entry => readProcessUsage(entry.processId));
+    const bytesBefore = cell.workers.trafficBytes();
+    const beganAt = performance.now();
+    await pause(milliseconds);
+    const seconds = (performance.now() - beganAt) / 1_000;
+    const after = cell.entries.map(entry => readProcessUsage(entry.processId));
+    const processorSeconds = after.reduce(
+        (sum, usage, index) => sum + usage.processorSeconds - (before[index]?.processorSeconds ?? 0),
+        0,
+    );
+    const count = cell.entries.length;
+    return {
+        processorSeconds,
+        corePercent: processorSeconds / seconds / count * 100,
+        residentMebibytes: after.reduce((sum, usage) => sum + usage.residentMebibytes, 0) / count,
+        bytesPerSecond: (cell.workers.trafficBytes() - bytesBefore) / seconds / count,
+    };
+}
+
+async function submitTasks(cell: Cell, name: string, tasks: number, runMilliseconds: number): Promise<void> {
+    const jobs = Math.ceil(tasks / 500);
+    for (let index = 0; index < jobs; index++) {
+        await call(cell.entries[index % cell.entries.length]!, "POST", "/jobs", {
+            name,
+            team: `team-${index % 4}`,
+            queue: "open",
+            tasks: Math.min(500, tasks - index * 500),
+            size: TASK_SIZE,
+            runSeconds: runMilliseconds / 1_000,
+            payload: JSON.stringify({ runMilliseconds }),
+        });
+    }
+}
+
+function runningTasks(cell: Cell): number {
+    return [...cell.workers.workers.values()].reduce((sum, worker) => sum + worker.runningCount(), 0);
+}
+
+async function measure(command: readonly string[], folder: string, shape: Shape): Promise<Measurement> {
+    await writeFolder(folder, shape.teams);
+    await using cell = await Cell.start({
+        command,
+        failureDomains: ["cell"],
+        entryProcessesPerDomain: shape.entries,
+        workersPerDomain: shape.workers,
+        workerCapacity: WORKER_CAPACITY,
+        executorsPerDomain: 0,
+        service: "records",
+    });
+    await apply(cell, folder);
+    await cell.eventually("all shards are ready", () => shardsReady(cell), 60_000);
+    await pause(SETTLE_MILLISECONDS);
+    const idle = await observe(cell, WINDOW_MILLISECONDS);
+    const wanted = shape.workers * TASKS_PER_WORKER;
+    await submitTasks(cell, "long", wanted, 3_600_000);
+    await cell.eventually("all long tasks run", () => runningTasks(cell) >= wanted, 60_000);
+    await pause(SETTLE_MILLISECONDS);
+    const running = await observe(cell, WINDOW_MILLISECONDS);
+    const startsBefore = cell.workers.record.attempts.length;
+    const short = shape.workers * 10;
+    await submitTasks(cell, "short", short, 1);
+    const starting = await observe(cell, WINDOW_MILLISECONDS);
+    const starts = cell.workers.record.attempts.length - startsBefore;
+    return {
+        ...shape,
+        idleCorePercent: idle.corePercent,
+        runningCorePercent: running.corePercent,
+        idleResidentMebibytes: idle.residentMebibytes,
+        runningResidentMebibytes: running.residentMebibytes,
+        workerBytesPerSecond: running.bytesPerSecond,
+        runningTasks: wanted,
+        processorMillisecondsPerStart: starts === 0
+            ? 0
+            : (starting.processorSeconds - running.processorSeconds) / starts * 1_000,
+        startsPerSecond: starts / (WINDOW_MILLISECONDS / 1_000),
+    };
+}
+
+const SERIES: readonly { readonly of: keyof Shape; readonly shapes: readonly Shape[]; }[] = [
+    { of: "workers", shapes: [20, 100, 200, 400].map(workers => ({ entries: 1, workers, teams: 6 })) },
+    { of: "entries", shapes: [1, 2, 4, 8].map(entries => ({ entries, workers: 40, teams: 6 })) },
+    { of: "teams", shapes: [6, 120, 490].map(teams => ({ entries: 2, workers: 40, teams })) },
+];
+
+const FIGURES = [
+    "idleCorePercent",
+    "runningCorePercent",
+    "idleResidentMebibytes",
+    "runningResidentMebibytes",
+    "workerBytesPerSecond",
+] as const;
+
+async function main(): Promise<void> {
+    const folder = await mkdtemp(join(tmpdir(), "tanagerlink-benchmark-"));
+    try {
+        const file = join(folder, "tanagerlink.cjs");
+        await bundle(file);
+        const measurements: Measurement[] = [];
+        const slopes: Record<string, Record<string, LineFit>> = {};
+        for (const { of, shapes } of SERIES) {
+            const series: Measurement[] = [];
+            for (const shape of shapes) {
+                const measurement = await measure([process.execPath, file], folder, shape);
+                console.log(JSON.stringify(measurement));
+                series.push(measurement);
+            }
+            measurements.push(...series);
+            slopes[of] = Object.fromEntries(
+                FIGURES.map(figure => [figure, fitLine(series.map(point => [point[of], point[figure]]))]),
+            );
+            console.log(JSON.stringify({ slopePerUnitOf: of, ...slopes[of] }));
+        }
+        const output = process.argv[process.argv.indexOf("--json") + 1];
+        if (process.argv.includes("--json") && output !== undefined) {
+            await writeFile(output, `${JSON.stringify({ measurements, slopes }, undefined, 2)}\n`);
+        }
+    }
+    finally {
+        await rm(folder, { recursive: true, force: true });
+    }
+}
+
+await main();
--- a/packages/stand-ins/src/workerLoopbackServer.ts
+++ b/packages/stand-ins/src/workerLoopbackServer.ts
@@ -6,7 +6,7 @@
 import type { Hono } from "hono";
 import { once } from "node:events";
 import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 const LOOPBACK = "127.0.0.1";
 
@@ -19,6 +19,8 @@
 export interface LoopbackServer extends AsyncDisposable {
     /** `ip:port`. */
     readonly address: string;
+    /** Bytes received and sent on all connections since the start. */
+    trafficBytes(): number;
     /** Closes the listener and all connections, or listens again on the same port. */
     setListening(listening: boolean): Promise<void>;
 }
@@ -26,12 +28,29 @@
 class NodeLoopbackServer implements LoopbackServer {
     readonly address: string;
     private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+    private closedBytes = 0;
 
     constructor(server: Server) {
         this.server = server;
+        server.on("connection", (socket: Socket) => {
+            this.sockets.add(socket);
+            socket.once("close", () => {
+                this.sockets.delete(socket);
+                this.closedBytes += socket.bytesRead + socket.bytesWritten;
+            });
+        });
         this.address = `${LOOPBACK}:${(server.address() as AddressInfo).port}`;
     }
 
+    trafficBytes(): number {
+        let bytes = this.closedBytes;
+        for (const socket of this.sockets) {
+            bytes += socket.bytesRead + socket.bytesWritten;
+        }
+        return bytes;
+    }
+
     async setListening(listening: boolean): Promise<void> {
         if (listening === this.server.listening) {
             return;
--- a/packages/stand-ins/src/workerStandIn.ts
+++ b/packages/stand-ins/src/workerStandIn.ts
@@ -64,6 +64,11 @@
         return worker;
     }
 
+    /** Bytes of all calls in both directions since the start. */
+    trafficBytes(): number {
+        return this.running().trafficBytes();
+    }
+
     /** Closes the port for all workers, so that connections are refused, or opens it again. */
     async setListening(listening: boolean): Promise<void> {
         await this.running().setListening(listening);
