test(targets): check that a silent connection is replaced

Open connections may go silent while new ones work. The client ends such a call at its deadline and closes the connection. Before: only refused and broken connections were tested.

--- a/packages/targets/__tests__/httpExecutorClient.spec.ts
+++ b/packages/targets/__tests__/httpExecutorClient.spec.ts
@@ -130,6 +130,26 @@
         expect(server.requests.filter(head => head.includes("x-request-id")).length).to.equal(2);
     });
 
+    it("replaces a connection that went silent while new ones work", async () => {
+        const used = new Set<Socket>();
+        await using server = await startRawServer((socket, head) => {
+            if (!used.has(socket)) {
+                used.add(socket);
+                const id = /x-request-id: (\S+)/.exec(head)?.[1] ?? "";
+                socket.write(whole(id, "answer"));
+            }
+        });
+        await using clients = factory();
+        const client = clients.client("e1", server.address);
+        const kinds: string[] = [];
+        for (let index = 0; index < 4; index++) {
+            const result = await client.send(request(`r${index}`, { remainingMilliseconds: 100 }), 1);
+            kinds.push(result.match(() => "answer", error => error.kind));
+        }
+        expect(kinds).to.deep.equal(["answer", "outcome_unknown", "answer", "outcome_unknown"]);
+        expect(used.size).to.equal(2);
+    });
+
     it("tells what was certainly not run from what may have run", async () => {
         await using executor = await startExecutorStandIn({ id: "e1" });
         await using clients = new HttpExecutorClientFactory({ timers, connectionsPerTarget: 1 });
