test(ownership): check single starters in schedules of faults

Change: a schedule test over three processes with drifting clocks, pauses, table faults, worker restarts and roster changes; a test of a release before the takeover is settled. Conclusion: no change of the code was needed.

--- a/packages/ownership/__tests__/tableShardOwnership.spec.ts
+++ b/packages/ownership/__tests__/tableShardOwnership.spec.ts
@@ -1,8 +1,9 @@
 /** Leases, takeover, the confirmation window and handover, with faults of the table, the clocks and the processes. */
 import { expect } from "chai";
+import fc from "fast-check";
 import { HandoverRule } from "../src/handoverRule.ts";
 import { defaultOwnershipDurations } from "../src/index.ts";
-import type { TableCall } from "./support/memoryTable.ts";
+import type { FaultPlan, TableCall } from "./support/memoryTable.ts";
 import { type CellNode, OwnershipCell, preferredOwner, rendezvous } from "./support/ownershipCell.ts";
 
 const SHARD = "north/0";
@@ -13,6 +14,14 @@
 class Witnesses {
     private readonly highest = new Map<string, number>();
 
+    /** The worker forgets the highest epoch; whoever holds the shard learns of the new boot identifier. */
+    restart(worker: string, nodes: readonly CellNode[]): void {
+        this.highest.delete(worker);
+        for (const { ownership } of nodes) {
+            ownership.owned().forEach(({ shard, epoch }) => ownership.witnessRestarted(shard, epoch, worker));
+        }
+    }
+
     contact(node: CellNode, workers: readonly string[]): void {
         for (const { shard, epoch } of node.ownership.owned()) {
             for (const worker of workers) {
@@ -29,6 +38,23 @@
     }
 }
 
+function faultNamed(kind: string): FaultPlan {
+    const milliseconds = 1_500;
+    return call => {
+        switch (kind) {
+            case "down":
+            case "answerLost":
+            case "requestLost":
+                return { kind };
+            case "appliedLate":
+            case "slow":
+                return call.kind === "transact" ? { kind, milliseconds } : undefined;
+            default:
+                return undefined;
+        }
+    };
+}
+
 async function cellWithOwner(rate = 1): Promise<{ cell: OwnershipCell; owner: CellNode; }> {
     const cell = new OwnershipCell();
     const owner = cell.add("a", rate);
@@ -196,6 +222,61 @@
         expect(node.ownership.ownerOf("north/0")).to.deep.equal({ shard: "north/0", owner: "x", epoch: 9 });
     });
 
+    it("passes an unsettled takeover on to the next owner, with the roster on which the first one relies", async () => {
+        const { cell, owner } = await cellWithOwner();
+        const witnesses = new Witnesses();
+        const confirmFirst = (): void => witnesses.contact(owner, ["w1", "w2"]);
+        owner.faults = down;
+        const second = cell.add("b");
+        await cell.advance(10_000, 100, confirmFirst);
+        second.ownership.setRoster(SHARD, ["w7", "w8"]);
+        await cell.advance(4_000, 100, confirmFirst);
+        expect(cell.table.value("shard-roster/north/0")).to.deep.equal({ workers: ROSTER });
+        const third = cell.add("c");
+        cell.live = ["c"];
+        await second.ownership.releaseAll(0);
+        await cell.advance(4_000, 100, confirmFirst);
+        expect(third.ownership.owned()).to.have.length(1);
+        expect(cell.startersOf(SHARD)).to.deep.equal(["a"]);
+    });
+
+    it("never has two starters in any schedule of faults, pauses, restarts of workers and changes of the roster", async () => {
+        const fault = fc.constantFrom("none", "down", "answerLost", "requestLost", "appliedLate", "slow");
+        const workers = fc.subarray(["w1", "w2", "w3", "w4", "w5"]);
+        const step = fc.record({
+            node: fc.nat(2),
+            fault,
+            paused: fc.boolean(),
+            roster: fc.option(workers, { nil: undefined }),
+            reached: fc.tuple(workers, workers, workers),
+            restarted: fc.option(fc.constantFrom("w1", "w2", "w3", "w4", "w5"), { nil: undefined, freq: 4 }),
+            milliseconds: fc.constantFrom(500, 2_000, 5_000, 9_000),
+        });
+        await fc.assert(
+            fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 20 }), async steps => {
+                const cell = new OwnershipCell();
+                const nodes = [cell.add("a", 0.95), cell.add("b", 1.05), cell.add("c")];
+                const witnesses = new Witnesses();
+                await cell.advance(2_000);
+                for (const action of steps) {
+                    const node = nodes[action.node] as CellNode;
+                    node.faults = faultNamed(action.fault);
+                    node.timers[action.paused ? "pause" : "resume"]();
+                    if (action.roster !== undefined) {
+                        node.ownership.setRoster(SHARD, action.roster);
+                    }
+                    if (action.restarted !== undefined) {
+                        witnesses.restart(action.restarted, nodes);
+                    }
+                    await cell.advance(action.milliseconds, 250, () => {
+                        nodes.forEach((each, index) => witnesses.contact(each, action.reached[index] ?? []));
+                    });
+                }
+            }),
+            { numRuns: 150 },
+        );
+    });
+
     it("hands over to the preferred owner after making records durable", async () => {
         const names = ["a", "b"];
         const preferred = preferredOwner(SHARD, names);
