--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -3,6 +3,8 @@
  * the process that owns what they need.
  */
 export * from "./fleetView.ts";
+export { JobBook } from "./jobBook.ts";
+export { createJobEntry, type JobEntry } from "./jobEntry.ts";
 export * from "./jobRouter.ts";
 export * from "./requestRouter.ts";
 export * from "./schedulerMetrics.ts";
