perf(scheduler): count work sent since the last summary when choosing a shard

Ruled out: the grants, since the team's limit was 100,000 units. Change: submissions and requests are counted against the summary until a newer one arrives, and the load of a shard is taken relative to its size. Conclusion: jobs that wait are still not moved between shards.

--- /dev/null
+++ b/packages/scheduler/__tests__/jobRouter.spec.ts
@@ -0,0 +1,101 @@
+import { ErrorKind, serviceError } from "@tanagerlink/errors";
+import {
+    type ConfigurationSnapshot,
+    type JobSpecification,
+    jobSpecificationSchema,
+    WorkClass,
+} from "@tanagerlink/model";
+import { ManualTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import { err, ok } from "neverthrow";
+import { FleetView, JobRouter, type JobStatus, type ShardHeadline, type Submission } from "../src/index.ts";
+
+const CAPACITY = { processorMillis: 160_000, memoryMebibytes: 655_360, accelerators: 0 };
+
+function headline(shard: string, changes: Partial<ShardHeadline> = {}): ShardHeadline {
+    return {
+        shard,
+        owner: `owner of ${shard}`,
+        epoch: 1,
+        ready: true,
+        freeProcessorMillis: CAPACITY.processorMillis,
+        freeMemoryMebibytes: CAPACITY.memoryMebibytes,
+        freeAccelerators: 0,
+        largestProcessorMillis: 16_000,
+        largestMemoryMebibytes: 65_536,
+        largestAccelerators: 0,
+        capacity: CAPACITY,
+        queuedTasks: 0,
+        services: [],
+        ageMilliseconds: 0,
+        ...changes,
+    };
+}
+
+function specification(changes: Partial<JobSpecification> = {}): JobSpecification {
+    const size = { processorMillis: 1_000, memoryMebibytes: 1_024, accelerators: 0 };
+    return jobSpecificationSchema.parse({ name: "job", team: "team", queue: "batch", tasks: 20, size, ...changes });
+}
+
+/** Router of a process in failure domain `a`, which records where submissions go. */
+function createRouter(headlines: readonly ShardHeadline[], refuse: ReadonlySet<string> = new Set()) {
+    const timers = new ManualTimers();
+    const fleet = new FleetView(timers);
+    fleet.learn({ shards: [...headlines], teams: [] });
+    const submitted: string[] = [];
+    const domain = (name: string) => ({ name, region: "", state: "active" as const, shards: 2, origin: "" });
+    const configuration = { failureDomains: { a: domain("a"), b: domain("b") } } as unknown as ConfigurationSnapshot;
+    const router = new JobRouter({
+        failureDomain: "a",
+        fleet,
+        configuration: () => configuration,
+        identify: shard => `${shard} job`,
+        submitTo: async (submission: Submission) => {
+            submitted.push(submission.shard);
+            return refuse.has(submission.shard)
+                ? err(serviceError(ErrorKind.ShardNotReady, "not ready"))
+                : ok({ id: submission.id } as JobStatus);
+        },
+    });
+    const submit = (changes: Partial<JobSpecification> = {}) =>
+        router.submit({ specification: specification(changes), workClass: WorkClass.Batch, submittedAt: 0 });
+    return { timers, fleet, submitted, submit };
+}
+
+describe("JobRouter", () => {
+    it("spreads a burst between two heartbeats, so that one shard does not queue what another has room for", async () => {
+        const { submitted, submit } = createRouter([headline("a/0"), headline("a/1")]);
+        for (let index = 0; index < 12; index++) {
+            await submit();
+        }
+        expect(submitted.filter(shard => shard === "a/0").length).to.equal(6);
+    });
+
+    it("forgets what it sent once a newer summary shows it", async () => {
+        const { timers, fleet, submitted, submit } = createRouter([
+            headline("a/0"),
+            headline("a/1", { queuedTasks: 50 }),
+        ]);
+        await submit({ tasks: 300 });
+        await submit();
+        await timers.advance(500);
+        fleet.learn({ shards: [headline("a/0"), headline("a/1", { queuedTasks: 50 })], teams: [] });
+        await submit();
+        expect(submitted).to.deep.equal(["a/0", "a/1", "a/0"]);
+    });
+
+    it("prefers room in another failure domain to a queue in its own, and its own when both have room", async () => {
+        const full = { freeProcessorMillis: 0 };
+        const busy = createRouter([headline("a/0", full), headline("b/0")]);
+        await busy.submit();
+        const idle = createRouter([headline("b/0"), headline("a/0")]);
+        await idle.submit();
+        expect([...busy.submitted, ...idle.submitted]).to.deep.equal(["b/0", "a/0"]);
+    });
+
+    it("tries the next shard only after an answer that says that the job was not accepted", async () => {
+        const { submitted, submit } = createRouter([headline("a/0"), headline("a/1")], new Set(["a/0"]));
+        expect((await submit()).isOk()).to.equal(true);
+        expect(submitted).to.deep.equal(["a/0", "a/1"]);
+    });
+});
--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -14,6 +14,9 @@
 import type { JobStatus, Submission } from "./submission.ts";
 import type { ShardHeadline } from "./summaryPayload.ts";
 
+/** Thousandths in one processor. */
+const MILLIS_PER_PROCESSOR = 1_000;
+
 /** Shards that are tried for one submission. */
 const MAXIMUM_ATTEMPTS = 4;
 
@@ -54,6 +57,11 @@
         );
         for (const headline of candidates.slice(0, MAXIMUM_ATTEMPTS)) {
             const id = this.dependencies.identify(headline.shard);
+            this.dependencies.fleet.noteSubmission(
+                headline.shard,
+                draft.specification.size,
+                draft.specification.tasks,
+            );
             const result = await this.dependencies.submitTo({ ...draft, id, shard: headline.shard });
             if (result.isOk() || !TRY_ANOTHER_SHARD.has(result.error.kind)) {
                 return result;
@@ -81,7 +89,7 @@
 
     /**
      * Lower is better: first whether the shape fits a worker at all, then whether the team has units there, then
-     * whether there is room now, then the own failure domain, then the shorter queue.
+     * whether there is room now, then the own failure domain, then the lower load.
      */
     private cost(headline: ShardHeadline, specification: JobSpecification): number {
         const { size, tasks, team } = specification;
@@ -100,11 +108,17 @@
         const withoutGrant = unusedGrant === undefined || unusedGrant > 0 ? 0 : 1;
         const full = fitsInto(multiplyResources(size, tasks), free) ? 0 : 1;
         const foreign = failureDomainOfShard(headline.shard) === this.dependencies.failureDomain ? 0 : 1;
-        const queue = headline.queuedTasks / (headline.queuedTasks + 1);
-        return neverFits * 16 + full * 8 + withoutGrant * 4 + foreign * 2 + queue;
+        return neverFits * 16 + full * 8 + withoutGrant * 4 + foreign * 2 + load(headline);
     }
 }
 
+/** Part of the shard's processors that is in use or waited for, below 2. A larger shard takes more work. */
+function load(headline: ShardHeadline): number {
+    const total = Math.max(1, headline.capacity.processorMillis);
+    const used = Math.max(0, total - headline.freeProcessorMillis) / total;
+    return Math.min(1, used) + headline.queuedTasks / (headline.queuedTasks + total / MILLIS_PER_PROCESSOR);
+}
+
 /** A refusal that names a lasting reason tells the caller more than one about the shard's momentary state. */
 function moreTelling(known: ServiceError, next: ServiceError): ServiceError {
     return known.kind === ErrorKind.NeverRunnable ? known : next;
--- a/packages/scheduler/src/requestRouter.ts
+++ b/packages/scheduler/src/requestRouter.ts
@@ -71,6 +71,7 @@
             if (remainingMilliseconds <= 0) {
                 return err(serviceError(ErrorKind.DeadlineExceeded, "the deadline passed before the request was sent"));
             }
+            this.dependencies.fleet.noteRequest(headline.shard, request.service);
             const result = await this.dependencies.dispatchTo(headline, { ...request, remainingMilliseconds });
             if (result.isOk() || !TRY_ANOTHER_OWNER.has(result.error.kind)) {
                 return result;
