perf(targets): send differences in heartbeats of workers; perf(scheduler): even out queues by the needed resource

Cause: a heartbeat listed all tasks twice, 1.68 KB a second for a worker with 11 tasks. Change: the HTTP adapter and the stand-in exchange differences and renew all listed tasks by one word; summaries carry the size of waiting work, and the router takes the shard with the least load in the resource that the job needs most.

--- a/packages/model/src/shard.ts
+++ b/packages/model/src/shard.ts
@@ -28,6 +28,8 @@
     readonly largestAccelerators: number;
     readonly capacity: Resources;
     readonly queuedTasks: number;
+    /** Sum of the sizes of waiting tasks. */
+    readonly waiting: Resources;
     readonly services: readonly ServiceSummary[];
     readonly teams: readonly TeamSummary[];
 }
--- a/packages/policy/src/schedulingPolicy.ts
+++ b/packages/policy/src/schedulingPolicy.ts
@@ -127,5 +127,7 @@
     /** Largest capacity of a worker in each component. */
     largestWorker(): Resources;
     waitingTaskCount(): number;
+    /** Sum of the planned sizes of all waiting tasks. */
+    waitingResources(): Resources;
     describe(): unknown;
 }
--- a/packages/policy/src/shardPolicy.ts
+++ b/packages/policy/src/shardPolicy.ts
@@ -174,6 +174,10 @@
         return this.state.queue.waitingTasks;
     }
 
+    waitingResources(): Resources {
+        return this.state.queue.waitingResources();
+    }
+
     describe(): unknown {
         const { pool, queue, running, profiles, reservation, shares } = this.state;
         const { current } = reservation;
--- a/packages/policy/src/waitingQueue.ts
+++ b/packages/policy/src/waitingQueue.ts
@@ -1,7 +1,7 @@
 /** All waiting work of the shard: jobs by identifier, alike jobs in groups, groups by class and team. */
 import { type Resources, WorkClass } from "@tanagerlink/model";
 import type { WorkProfiles } from "./learning.ts";
-import { resourcesKey } from "./resourceTally.ts";
+import { resourcesKey, ResourceTally } from "./resourceTally.ts";
 import type { WaitingJob } from "./schedulingPolicy.ts";
 import { TeamLane } from "./teamLane.ts";
 import { type JobEntry, type SizeClass, WaitingGroup } from "./waitingGroup.ts";
@@ -57,6 +57,15 @@
         return this.jobs.get(job);
     }
 
+    /** Sum of the planned sizes of all waiting tasks. */
+    waitingResources(): Resources {
+        const sum = new ResourceTally();
+        for (const group of this.groups.values()) {
+            sum.add(group.sizeClass.size, group.waiting);
+        }
+        return sum.snapshot();
+    }
+
     /** A waiting task turned out to run. */
     taskRuns(job: string, task: number): void {
         const entry = this.jobs.get(job);
--- a/packages/replay/src/replayShard.ts
+++ b/packages/replay/src/replayShard.ts
@@ -164,6 +164,7 @@
             largestAccelerators: largest.accelerators,
             capacity: this.capacity,
             queuedTasks: this.policy.waitingTaskCount(),
+            waiting: this.policy.waitingResources(),
             services: [],
             teams: [],
         };
--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -14,8 +14,11 @@
 import type { JobStatus, Submission } from "./submission.ts";
 import type { ShardHeadline } from "./summaryPayload.ts";
 
-/** Thousandths in one processor. */
-const MILLIS_PER_PROCESSOR = 1_000;
+/** Cost of another failure domain while the shard has room. Above any load, so that work stays near its caller. */
+const FOREIGN_COST = 2;
+
+/** Cost of another failure domain for work that has to wait; small, so that queues even out. */
+const FOREIGN_QUEUE_COST = 0.05;
 
 /** Shards that are tried for one submission. */
 const MAXIMUM_ATTEMPTS = 4;
@@ -89,7 +92,8 @@
 
     /**
      * Lower is better: first whether the shape fits a worker at all, then whether the team has units there, then
-     * whether there is room now, then the own failure domain, then the lower load.
+     * whether there is room now, then the own failure domain (which counts little where the work must wait anyway), then
+     * the lower load.
      */
     private cost(headline: ShardHeadline, specification: JobSpecification): number {
         const { size, tasks, team } = specification;
@@ -108,15 +112,33 @@
         const withoutGrant = unusedGrant === undefined || unusedGrant > 0 ? 0 : 1;
         const full = fitsInto(multiplyResources(size, tasks), free) ? 0 : 1;
         const foreign = failureDomainOfShard(headline.shard) === this.dependencies.failureDomain ? 0 : 1;
-        return neverFits * 16 + full * 8 + withoutGrant * 4 + foreign * 2 + load(headline);
+        const distance = foreign * (full === 1 ? FOREIGN_QUEUE_COST : FOREIGN_COST);
+        return neverFits * 16 + full * 8 + withoutGrant * 4 + distance + loadCost(headline, size);
     }
 }
 
-/** Part of the shard's processors that is in use or waited for, below 2. A larger shard takes more work. */
-function load(headline: ShardHeadline): number {
-    const total = Math.max(1, headline.capacity.processorMillis);
-    const used = Math.max(0, total - headline.freeProcessorMillis) / total;
-    return Math.min(1, used) + headline.queuedTasks / (headline.queuedTasks + total / MILLIS_PER_PROCESSOR);
+/**
+ * Load of a shard in the resource of which it has least for this size, as a cost from 0 to below 2. Work that waits
+ * counts like work that runs, so that queues grow evenly.
+ */
+function loadCost(headline: ShardHeadline, size: Resources): number {
+    const { capacity, waiting } = headline;
+    const loads = [
+        size.processorMillis === 0
+            ? 0
+            : (capacity.processorMillis - headline.freeProcessorMillis + waiting.processorMillis)
+                / Math.max(1, capacity.processorMillis),
+        size.memoryMebibytes === 0
+            ? 0
+            : (capacity.memoryMebibytes - headline.freeMemoryMebibytes + waiting.memoryMebibytes)
+                / Math.max(1, capacity.memoryMebibytes),
+        size.accelerators === 0
+            ? 0
+            : (capacity.accelerators - headline.freeAccelerators + waiting.accelerators)
+                / Math.max(1, capacity.accelerators),
+    ];
+    const load = Math.max(0, ...loads);
+    return 2 * load / (1 + load);
 }
 
 /** A refusal that names a lasting reason tells the caller more than one about the shard's momentary state. */
--- a/packages/scheduler/src/shardStatistics.ts
+++ b/packages/scheduler/src/shardStatistics.ts
@@ -65,6 +65,7 @@
             largestAccelerators: largest.accelerators,
             capacity: this.context.policy.totalCapacity(),
             queuedTasks: this.context.policy.waitingTaskCount(),
+            waiting: this.context.policy.waitingResources(),
             services: this.executors.summaries(),
             teams: this.teamSummaries(),
         };
--- a/packages/scheduler/src/summaryPayload.ts
+++ b/packages/scheduler/src/summaryPayload.ts
@@ -31,6 +31,7 @@
     largestAccelerators: z.number(),
     capacity: resourcesSchema.or(signedResources),
     queuedTasks: z.number(),
+    waiting: signedResources,
     services: z.array(serviceSummarySchema),
     /** Age of the summary when it was sent, in milliseconds. */
     ageMilliseconds: z.number(),
--- a/packages/stand-ins/src/workerProtocol.ts
+++ b/packages/stand-ins/src/workerProtocol.ts
@@ -14,8 +14,11 @@
     epoch,
     bootId: z.string(),
     lastReport: z.int().min(0),
-    renew: z.array(attempt),
+    /** `listed` stands for all attempts that the report `lastReport` lists as running. */
+    renew: z.union([z.array(attempt), z.literal("listed")]),
     acknowledge: z.array(attempt),
+    /** The report may be a difference to the report `lastReport`. */
+    differences: z.boolean().default(false),
 });
 
 export const startSchema = attempt.extend({
--- a/packages/stand-ins/src/workerStandIn.ts
+++ b/packages/stand-ins/src/workerStandIn.ts
@@ -5,6 +5,7 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { sleep, SystemTimers, type Timers } from "@tanagerlink/timers";
 import { type Context, Hono } from "hono";
+import { ReportHistory } from "./workerDifferences.ts";
 import { type LoopbackServer, type StandInEnvironment, startLoopbackServer } from "./workerLoopbackServer.ts";
 import { attachSchema, attemptSchema, heartbeatSchema, startSchema } from "./workerProtocol.ts";
 import { WorkerRecord } from "./workerRecord.ts";
@@ -26,6 +27,7 @@
 export class WorkerStandIn implements AsyncDisposable {
     readonly record = new WorkerRecord();
     private readonly byId = new Map<string, SimulatedWorker>();
+    private readonly histories = new Map<string, ReportHistory>();
     private readonly surroundings: WorkerSurroundings;
     private server: LoopbackServer | undefined;
 
@@ -88,6 +90,12 @@
         await this.server?.[Symbol.asyncDispose]();
     }
 
+    private historyOf(worker: string): ReportHistory {
+        const history = this.histories.get(worker) ?? new ReportHistory();
+        this.histories.set(worker, history);
+        return history;
+    }
+
     private running(): LoopbackServer {
         if (this.server === undefined) {
             throw new Error("the stand-in does not listen yet");
@@ -108,7 +116,7 @@
         if (worker.faults.unreachable) {
             return breakConnection(context);
         }
-        const result = call(worker, body);
+        const result = call(worker, body, this.historyOf(worker.id));
         if (worker.faults.loseAnswers > 0) {
             worker.faults.loseAnswers--;
             return breakConnection(context);
@@ -120,11 +128,23 @@
     }
 }
 
-type Call = (worker: SimulatedWorker, body: unknown) => object | undefined;
+type Call = (worker: SimulatedWorker, body: unknown, history: ReportHistory) => object | undefined;
 
 const calls: Readonly<Record<string, Call>> = {
-    attach: (worker, body) => checked(attachSchema, body, ({ epoch }) => worker.attach(epoch)),
-    heartbeat: (worker, body) => checked(heartbeatSchema, body, request => worker.heartbeat(request)),
+    attach: (worker, body, history) =>
+        checked(attachSchema, body, ({ epoch }) => {
+            const report = worker.attach(epoch);
+            return "error" in report ? report : history.shorten(report, undefined);
+        }),
+    heartbeat: (worker, body, history) =>
+        checked(heartbeatSchema, body, ({ differences, renew, ...request }) => {
+            const attempts = renew === "listed" ? history.runningIn(request.bootId, request.lastReport) : renew;
+            if (attempts === undefined) {
+                return { error: "unknown_report", message: `report ${request.lastReport} is not known` };
+            }
+            const report = worker.heartbeat({ ...request, renew: attempts });
+            return "error" in report ? report : history.shorten(report, differences ? request.lastReport : undefined);
+        }),
     start: (worker, body) => checked(startSchema, body, start => worker.start(start)),
     stop: (worker, body) => checked(attemptSchema, body, ({ epoch, attempt }) => worker.stop(epoch, attempt)),
     checkpoint: (worker, body) =>
--- /dev/null
+++ b/packages/targets/__tests__/workerView.spec.ts
@@ -0,0 +1,77 @@
+import { startWorkerStandIn } from "@tanagerlink/stand-ins";
+import { SystemTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import fc from "fast-check";
+import { HttpWorkerClientFactory, type TaskAttempt, type WorkerReport } from "../src/index.ts";
+
+const timers = new SystemTimers(failure => {
+    throw failure;
+});
+const size = { processorMillis: 100, memoryMebibytes: 64, accelerators: 0 };
+
+type Step = "start" | "stop" | "acknowledge" | "lose" | "restart" | "beat" | "renew part";
+
+function identify({ job, task, attempt }: TaskAttempt): TaskAttempt {
+    return { job, task, attempt };
+}
+
+describe("WorkerView", () => {
+    it("completes differences to what the worker runs, through lost answers, restarts and acknowledgements", async () => {
+        await using workers = await startWorkerStandIn({ workers: [{ id: "w1", capacity: size }] });
+        await using clients = new HttpWorkerClientFactory({ timers, deadlineMilliseconds: 1_000 });
+        const steps = fc.array(
+            fc.constantFrom<Step>("start", "stop", "acknowledge", "lose", "restart", "beat", "renew part"),
+            { minLength: 1, maxLength: 25 },
+        );
+        await fc.assert(
+            fc.asyncProperty(steps, async sequence => {
+                const worker = workers.worker("w1");
+                worker.restart();
+                const client = clients.client("w1", workers.address);
+                let report: WorkerReport = (await client.attach("a/0", 1))._unsafeUnwrap();
+                let jobs = 0;
+                for (const step of sequence) {
+                    const running = report.tasks.filter(task => task.state === "running").map(identify);
+                    const ended = report.tasks.filter(task => task.state !== "running").map(identify);
+                    if (step === "start") {
+                        await client.start({
+                            epoch: 1,
+                            bootId: report.bootId,
+                            job: `j${jobs++}`,
+                            task: 0,
+                            attempt: 1,
+                            team: "t",
+                            size,
+                            leaseMilliseconds: 60_000,
+                            lastReport: report.sequence,
+                            payload: "{}",
+                        });
+                    }
+                    else if (step === "stop" && running[0] !== undefined) {
+                        await client.stop(1, running[0]);
+                    }
+                    else if (step === "restart") {
+                        worker.restart();
+                    }
+                    worker.faults.loseAnswers = step === "lose" ? 1 : 0;
+                    const answer = await client.heartbeat({
+                        epoch: 1,
+                        bootId: report.bootId,
+                        lastReport: report.sequence,
+                        renew: step === "renew part" ? running.slice(1) : running,
+                        acknowledge: step === "acknowledge" ? ended : [],
+                    });
+                    if (answer.isErr()) {
+                        const again = step === "lose" ? undefined : await client.attach("a/0", 1);
+                        report = again?._unsafeUnwrap() ?? report;
+                        continue;
+                    }
+                    report = answer.value;
+                    const truth = worker.attach(1) as WorkerReport;
+                    expect(report.tasks).to.have.deep.members(truth.tasks);
+                }
+            }),
+            { numRuns: 30, seed: 4 },
+        );
+    });
+});
--- a/packages/targets/src/httpWorkerClient.ts
+++ b/packages/targets/src/httpWorkerClient.ts
@@ -18,7 +18,8 @@
     WorkerReport,
     WorkerTask,
 } from "./workerClient.ts";
-import { parseJson, refusalSchema, workerReportSchema, workerTaskSchema } from "./workerSchemas.ts";
+import { parseJson, refusalSchema, type WireReport, workerReportSchema, workerTaskSchema } from "./workerSchemas.ts";
+import { WorkerView } from "./workerView.ts";
 
 export interface HttpWorkerClientOptions {
     readonly timers: Timers;
@@ -64,6 +65,7 @@
     readonly id: string;
     private readonly dispatcher: Dispatcher;
     private readonly options: HttpWorkerClientOptions;
+    private readonly view = new WorkerView();
 
     constructor(id: string, dispatcher: Dispatcher, options: HttpWorkerClientOptions) {
         this.id = id;
@@ -72,11 +74,18 @@
     }
 
     async attach(shard: string, epoch: number): Promise<Result<WorkerReport, ServiceError>> {
-        return this.ownReport(await this.call("attach", { shard, epoch }, workerReportSchema));
+        const report = this.ownReport(await this.call("attach", { shard, epoch }, workerReportSchema));
+        return report.andThen(received => this.view.complete(received, undefined));
     }
 
     async heartbeat(request: HeartbeatRequest): Promise<Result<WorkerReport, ServiceError>> {
-        return this.ownReport(await this.call("heartbeat", request, workerReportSchema));
+        const shortened = this.view.shorten(request);
+        const report = this.ownReport(await this.call("heartbeat", shortened, workerReportSchema));
+        if (report.isErr()) {
+            // The worker may not be able to expand a shortened heartbeat any more; the next one is whole.
+            this.view.forget();
+        }
+        return report.andThen(received => this.view.complete(received, request));
     }
 
     async start(start: TaskStart): Promise<Result<WorkerTask, ServiceError>> {
@@ -100,7 +109,7 @@
     }
 
     /** A worker at a reused address answers under its own name; its report must not be taken for this worker's. */
-    private ownReport(result: Result<WorkerReport, ServiceError>): Result<WorkerReport, ServiceError> {
+    private ownReport(result: Result<WireReport, ServiceError>): Result<WireReport, ServiceError> {
         return result.andThen(report =>
             report.worker === this.id ? ok(report) : err(serviceError(
                 ErrorKind.TargetRefused,
--- a/packages/targets/src/workerSchemas.ts
+++ b/packages/targets/src/workerSchemas.ts
@@ -3,7 +3,7 @@
  */
 import { resourcesSchema } from "@tanagerlink/model";
 import { z } from "zod";
-import { type WorkerReport, type WorkerTask, WorkerTaskState } from "./workerClient.ts";
+import { type TaskAttempt, type WorkerReport, type WorkerTask, WorkerTaskState } from "./workerClient.ts";
 
 export const workerTaskSchema: z.ZodType<WorkerTask> = z.object({
     job: z.string(),
@@ -16,7 +16,18 @@
     exitCode: z.int().optional(),
 }).transform(task => ({ ...task, usage: task.usage, exitCode: task.exitCode }));
 
-export const workerReportSchema: z.ZodType<WorkerReport> = z.object({
+const attemptSchema = z.object({ job: z.string(), task: z.int().min(0), attempt: z.int().min(0) });
+
+/** Report as it is received, possibly as the difference to an earlier one. */
+export interface WireReport extends WorkerReport {
+    /** The worker can send differences and expand shortened heartbeats. */
+    readonly differences?: boolean | undefined;
+    /** Report to which `tasks` and `removed` are the difference. */
+    readonly since?: number | undefined;
+    readonly removed?: readonly TaskAttempt[] | undefined;
+}
+
+export const workerReportSchema: z.ZodType<WireReport> = z.object({
     worker: z.string(),
     bootId: z.string().min(1),
     epoch: z.int().min(0),
@@ -30,6 +41,9 @@
     }),
     leaving: z.boolean(),
     tasks: z.array(workerTaskSchema),
+    differences: z.boolean().optional(),
+    since: z.int().min(0).optional(),
+    removed: z.array(attemptSchema).optional(),
 });
 
 /** Body of a refusal. */
