--- /dev/null
+++ b/packages/scheduler/__tests__/starts.spec.ts
@@ -0,0 +1,206 @@
+/** Faults between an owner and its workers while tasks are started and run. */
+import { JobState } from "@tanagerlink/model";
+import { expect } from "chai";
+import fc from "fast-check";
+import { type CellProcess, SchedulerCell, size } from "./support/schedulerCell.ts";
+import type { CallFate, WorkerCallName } from "./support/workerLinks.ts";
+
+/** Gives the next `count` calls of one kind a fate. */
+function hit(owner: CellProcess, name: WorkerCallName, fate: CallFate, count = 1): void {
+    let left = count;
+    owner.links.plan = (_worker, call) => call === name && left-- > 0 ? fate : "normal";
+}
+
+describe("starts under faults", () => {
+    for (const fate of ["unreachable", "request_lost", "answer_lost", "delivered_late"] as const) {
+        for (const idempotent of [true, false]) {
+            it(`runs a task once when its start is ${fate} (idempotent: ${idempotent})`, async () => {
+                const cell = new SchedulerCell();
+                const owner = await cell.begin(2);
+                hit(owner, "start", fate);
+                const job = await cell.submit(owner, { idempotent, runMilliseconds: 3_000 });
+                await cell.timers.advance(90_000);
+                expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+                cell.check([job]);
+            });
+        }
+    }
+
+    it("starts the task of a silent worker elsewhere after its lease, never at the same time", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(3);
+        const job = await cell.submitAndStart(owner, { runMilliseconds: 20_000 });
+        const first = cell.attempts(job)[0]!;
+        owner.links.plan = worker => worker === first.worker ? "request_lost" : "normal";
+        await cell.timers.advance(50_000);
+        owner.links.plan = () => "normal";
+        await cell.timers.advance(30_000);
+        expect(cell.attempts(job).map(attempt => attempt.worker === first.worker)).to.deep.equal([true, false]);
+        expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
+    it("does not restart the task of an unreachable worker that the VM list lacks before its lease ends", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(3);
+        const job = await cell.submitAndStart(owner, { runMilliseconds: 60_000 });
+        const first = cell.attempts(job)[0]!;
+        owner.links.plan = worker => worker === first.worker ? "unreachable" : "normal";
+        cell.vms = cell.vms.filter(vm => vm.id !== first.worker);
+        owner.service.targetsChanged();
+        await cell.timers.advance(60_000);
+        expect(cell.attempts(job)).to.have.lengthOf(2);
+        cell.check();
+    });
+
+    it("keeps a worker that the VM list lacks but that still answers", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(1);
+        const job = await cell.submitAndStart(owner, { runMilliseconds: 60_000 });
+        cell.vms = [];
+        owner.service.targetsChanged();
+        await cell.timers.advance(70_000);
+        expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+        expect(cell.attempts(job)).to.have.lengthOf(1);
+    });
+
+    it("runs tasks of a restarted worker again and settles non-idempotent ones as unknown", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(1);
+        const repeated = await cell.submitAndStart(owner, { runMilliseconds: 5_000 });
+        const once = await cell.submitAndStart(owner, { idempotent: false, runMilliseconds: 5_000 });
+        cell.worker("worker0").restart();
+        await cell.timers.advance(15_000);
+        expect(await cell.state(owner, repeated)).to.equal(JobState.Succeeded);
+        expect(await cell.state(owner, once)).to.equal(JobState.OutcomeUnknown);
+        cell.check([once]);
+    });
+
+    it("frees the room of a cancelled job whose start was lost on the way", async () => {
+        const cell = new SchedulerCell({ limit: 1 });
+        const owner = await cell.begin(1);
+        hit(owner, "start", "request_lost", 1_000);
+        const lost = await cell.submit(owner, { runMilliseconds: 1_000 });
+        await cell.timers.advance(5_000);
+        const cancelled = owner.service.cancel(lost);
+        await cell.timers.advance(1_000);
+        expect((await cancelled)._unsafeUnwrap().state).to.equal(JobState.Cancelled);
+        owner.links.plan = () => "normal";
+        await cell.timers.advance(40_000);
+        const next = await cell.submit(owner, { runMilliseconds: 1_000 });
+        await cell.timers.advance(5_000);
+        expect(await cell.state(owner, next)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
+    it("gives a lost start back when the worker leaves before the start can be repeated", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(1);
+        hit(owner, "start", "request_lost", 1_000);
+        const job = await cell.submit(owner, { runMilliseconds: 1_000 });
+        await cell.timers.advance(5_000);
+        cell.worker("worker0").leaving = true;
+        await cell.timers.advance(5_000);
+        owner.links.plan = () => "normal";
+        cell.addWorkers(1);
+        await cell.timers.advance(45_000);
+        expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+        expect(cell.attempts(job).map(attempt => attempt.worker)).to.deep.equal(["worker1"]);
+    });
+
+    it("starts nothing on a leaving worker", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(2);
+        cell.worker("worker0").leaving = true;
+        await cell.timers.advance(2_100);
+        const job = await cell.submit(owner, { tasks: 8, runMilliseconds: 3_000 });
+        await cell.timers.advance(20_000);
+        expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+        expect(cell.attempts(job).every(attempt => attempt.worker === "worker1")).to.equal(true);
+    });
+
+    it("does not repeat starts in a tight loop while a worker refuses them", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(1);
+        owner.links.plan = (_worker, call) => call === "start" ? "unreachable" : "normal";
+        await cell.submit(owner, { tasks: 2 });
+        await cell.timers.advance(4_000);
+        const starts = owner.links.calls.filter(({ call }) => call === "start").length;
+        expect(starts).to.be.within(2, 60);
+    });
+
+    it("loses no job and doubles no task under random call faults and restarts", async () => {
+        const fates = fc.constantFrom<CallFate>("unreachable", "request_lost", "answer_lost", "delivered_late");
+        const schedule = fc.record({
+            fates: fc.array(fc.option(fates, { nil: "normal" as const, freq: 2 }), { minLength: 1, maxLength: 40 }),
+            restarts: fc.array(fc.record({ at: fc.nat(60), worker: fc.nat(2) }), { maxLength: 3 }),
+            late: fc.constantFrom(3_000, 25_000, 60_000),
+        });
+        await fc.assert(
+            fc.asyncProperty(schedule, async ({ fates: plan, restarts, late }) => {
+                const cell = new SchedulerCell({ limit: 7 });
+                const owner = await cell.begin(3);
+                owner.links.lateMilliseconds = late;
+                const queue = [...plan];
+                owner.links.plan = (_worker, call) => call === "attach" ? "normal" : queue.shift() ?? "normal";
+                const repeated = await cell.submit(owner, { tasks: 8, runMilliseconds: 7_000 });
+                const gang = await cell.submit(owner, { tasks: 3, allAtOnce: true, runMilliseconds: 5_000 });
+                const once = await cell.submit(owner, { tasks: 4, idempotent: false, runMilliseconds: 6_000 });
+                for (let second = 0; second < 240; second += 2) {
+                    const due = restarts.filter(({ at }) => at >= second && at < second + 2);
+                    due.forEach(({ worker }) => cell.worker(`worker${worker}`).restart());
+                    await cell.timers.advance(2_000);
+                }
+                cell.check([once]);
+                expect(await cell.state(owner, repeated)).to.equal(JobState.Succeeded);
+                expect(await cell.state(owner, gang)).to.equal(JobState.Succeeded);
+                expect(await cell.state(owner, once)).to.be.oneOf([JobState.Succeeded, JobState.OutcomeUnknown]);
+            }),
+            { numRuns: 12 },
+        );
+    });
+});
+
+describe("gangs and workers over their capacity", () => {
+    it("starts a gang again as a whole after one member was lost", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(3, size(1_000));
+        const job = await cell.submitAndStart(owner, { tasks: 3, allAtOnce: true, runMilliseconds: 20_000 });
+        cell.worker("worker1").restart();
+        await cell.timers.advance(60_000);
+        expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+        const second = cell.attempts(job).slice(3).map(attempt => attempt.startedAt);
+        expect(second).to.have.lengthOf(3);
+        expect(Math.max(...second) - Math.min(...second), "members start together").to.be.below(100);
+        cell.check();
+    });
+
+    it("never runs a member of a non-idempotent gang again when another member could not start", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(2, size(1_000));
+        hit(owner, "start", "unreachable");
+        const job = await cell.submit(owner, {
+            tasks: 2,
+            allAtOnce: true,
+            idempotent: false,
+            runMilliseconds: 20_000,
+        });
+        await cell.timers.advance(60_000);
+        cell.check([job]);
+        expect(await cell.state(owner, job)).to.equal(JobState.OutcomeUnknown);
+    });
+
+    it("throttles a task over its size, then checkpoints it while its worker is over capacity", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(1);
+        const large = await cell.submitAndStart(owner, { usage: size(3_500), runMilliseconds: 600_000 });
+        await cell.timers.advance(100);
+        const others = await cell.submitAndStart(owner, { tasks: 3, name: "other", runMilliseconds: 600_000 });
+        await cell.timers.advance(10_000);
+        const reasons = (await cell.status(owner, large)).decisions.map(decision => decision.reason);
+        expect(reasons).to.include("throttled");
+        expect(reasons.filter(reason => reason === "stopped_over_size")).to.have.length.at.most(1);
+        expect((await cell.status(owner, others)).tasks.running).to.equal(3);
+        cell.check();
+    });
+});
--- /dev/null
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -0,0 +1,264 @@
+/**
+ * Several processes of one failure domain with their schedulers, on one table and one set of simulated workers, in
+ * virtual time. The checks use the workers' own record, not the account of the schedulers.
+ */
+import { TableJobStore } from "@tanagerlink/jobs";
+import { defaultGrantDurations, TableGrantLedger } from "@tanagerlink/limits";
+import {
+    type ConfigurationSnapshot,
+    type JobSpecification,
+    jobSpecificationSchema,
+    type JobState,
+    type Resources,
+    type VmRecord,
+    WorkClass,
+} from "@tanagerlink/model";
+import { defaultOwnershipDurations, Rendezvous, TableShardOwnership } from "@tanagerlink/ownership";
+import type { PeerNetwork } from "@tanagerlink/peer";
+import { MemoryTableService } from "@tanagerlink/platform";
+import { ShardPolicy } from "@tanagerlink/policy";
+import type { ExecutorPool } from "@tanagerlink/routing";
+import { SimulatedWorker, type WorkerOptions, WorkerRecord } from "@tanagerlink/stand-ins";
+import { Metrics, silentLogger } from "@tanagerlink/telemetry";
+import { ManualTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import { createSchedulerMetrics, type JobStatus, SchedulerService, type ShardSettings } from "../../src/index.ts";
+import { SimulatedProcess } from "./simulatedProcess.ts";
+import { WorkerLinks } from "./workerLinks.ts";
+
+const rendezvous = await Rendezvous.load();
+
+export const SHARD = "north/0";
+
+export function size(processorMillis: number): Resources {
+    return { processorMillis, memoryMebibytes: processorMillis, accelerators: 0 };
+}
+
+/** One process of the cell. */
+export interface CellProcess {
+    readonly id: string;
+    readonly process: SimulatedProcess;
+    readonly links: WorkerLinks;
+    readonly ownership: TableShardOwnership;
+    readonly service: SchedulerService;
+    readonly ledger: TableGrantLedger;
+}
+
+/** What a test sets about a job; the rest has defaults. */
+export interface JobChoice extends Partial<JobSpecification> {
+    readonly workClass?: WorkClass;
+    readonly runMilliseconds?: number;
+    readonly exitCode?: number;
+    readonly usage?: Resources;
+    readonly key?: string;
+}
+
+export class SchedulerCell {
+    readonly timers = new ManualTimers();
+    readonly table = new MemoryTableService(this.timers);
+    readonly record = new WorkerRecord();
+    readonly workers = new Map<string, SimulatedWorker>();
+    readonly processes: CellProcess[] = [];
+    readonly limit: number;
+    vms: VmRecord[] = [];
+    configuration: ConfigurationSnapshot;
+    private readonly progress = new Map<string, number>();
+    private transactions = 0;
+
+    constructor(options: { readonly limit?: number; readonly jobFailureLimit?: number; } = {}) {
+        this.limit = options.limit ?? 1_000;
+        this.configuration = configurationOf(this.limit, options.jobFailureLimit ?? 3);
+    }
+
+    addWorkers(count: number, capacity = size(4_000), capabilities: WorkerOptions["capabilities"] = {}): void {
+        for (let index = 0; index < count; index++) {
+            const id = `worker${this.workers.size}`;
+            const surroundings = {
+                timers: this.timers,
+                record: this.record,
+                progress: this.progress,
+                defaultRunMilliseconds: undefined,
+            };
+            this.workers.set(
+                id,
+                new SimulatedWorker({ id, capacity, capabilities: { ...capabilities } }, surroundings),
+            );
+            this.vms.push({
+                id,
+                role: "worker",
+                address: "127.0.0.1:1",
+                failureDomain: "north",
+                rack: `rack${index % 2}`,
+                state: "live",
+            });
+        }
+        this.processes.forEach(process => process.service.targetsChanged());
+    }
+
+    worker(id: string): SimulatedWorker {
+        return this.workers.get(id)!;
+    }
+
+    addProcess(settings: Partial<ShardSettings> = {}): CellProcess {
+        const id = `process${this.processes.length}`;
+        const process = new SimulatedProcess(this.timers);
+        const table = process.connect(this.table);
+        const nextTransactionId = (): string => `${id}-${++this.transactions}`;
+        const links = new WorkerLinks(this.timers, process, this.workers);
+        const ownership = new TableShardOwnership({
+            nodeId: id,
+            failureDomain: "north",
+            shards: [SHARD],
+            timers: process,
+            table,
+            rendezvous,
+            durations: defaultOwnershipDurations,
+            liveMembers: () => this.processes.filter(other => !other.process.isKilled).map(other => other.id),
+            nextTransactionId,
+        });
+        const ledger = new TableGrantLedger({ timers: process, table, nextTransactionId, ...defaultGrantDurations });
+        ledger.setTeamLimits({ alder: this.limit }, 1);
+        const service = new SchedulerService({
+            node: id,
+            failureDomain: "north",
+            peers: { handle: () => undefined } as unknown as PeerNetwork,
+            targets: { workers: () => this.vms, executors: () => [] },
+            shardOfTarget: () => SHARD,
+            dependencies: {
+                timers: process,
+                logger: silentLogger,
+                metrics: createSchedulerMetrics(new Metrics()),
+                settings: { ...defaultSettings, ...settings },
+                ownership,
+                ledger,
+                jobs: new TableJobStore({ timers: process, table, nextTransactionId }),
+                workerClients: links,
+                configuration: () => this.configuration,
+                configurationAgeMilliseconds: () => 0,
+                createPolicy: () => new ShardPolicy(this.configuration.policy),
+                createExecutorPool: () => noExecutors,
+            },
+        });
+        const cellProcess = { id, process, links, ownership, service, ledger };
+        this.processes.push(cellProcess);
+        ownership.start(service);
+        return cellProcess;
+    }
+
+    /** A cell with one process that owns the shard and has attached all workers. */
+    async begin(workers: number, capacity = size(4_000)): Promise<CellProcess> {
+        this.addWorkers(workers, capacity);
+        const process = this.addProcess();
+        await this.timers.advance(6_000);
+        return process;
+    }
+
+    configure(change: Partial<ConfigurationSnapshot>): void {
+        this.configuration = { ...this.configuration, ...change, version: this.configuration.version + 1 };
+        this.processes.forEach(process => process.service.configurationChanged(this.configuration));
+    }
+
+    /** Submits a job and answers with its identifier. */
+    async submit(process: CellProcess, choice: JobChoice = {}): Promise<string> {
+        const { workClass = WorkClass.Batch, runMilliseconds, exitCode, usage, key, ...rest } = choice;
+        process.service.heartbeat();
+        const behaviour = { runMilliseconds, exitCode, usage };
+        const submission = process.service.submit({
+            specification: jobSpecificationSchema.parse({
+                name: "job",
+                team: "alder",
+                queue: workClass,
+                size: size(1_000),
+                payload: JSON.stringify(behaviour),
+                ...rest,
+            }),
+            workClass,
+            submittedAt: this.timers.wallClock(),
+            ...(key === undefined ? {} : { idempotencyKey: key }),
+        });
+        return (await this.settle(submission))._unsafeUnwrap().id;
+    }
+
+    /** Submits a job and waits until all its tasks have been started once. */
+    async submitAndStart(process: CellProcess, choice: JobChoice = {}): Promise<string> {
+        const job = await this.submit(process, choice);
+        const started = (): number => new Set(this.attempts(job).map(attempt => attempt.task)).size;
+        for (let step = 0; step < 100 && started() < (choice.tasks ?? 1); step++) {
+            await this.timers.advance(50);
+        }
+        expect(started(), "tasks started").to.equal(choice.tasks ?? 1);
+        return job;
+    }
+
+    /** Moves time until the promise has settled, at most 10 s. */
+    async settle<Value>(promise: Promise<Value>): Promise<Value> {
+        let settled = false;
+        const done = promise.finally(() => settled = true);
+        for (let step = 0; step < 200 && !settled; step++) {
+            await this.timers.advance(50);
+        }
+        expect(settled, "the call was answered within 10 s").to.equal(true);
+        return await done;
+    }
+
+    async status(process: CellProcess, job: string): Promise<JobStatus> {
+        return (await process.service.status(job))._unsafeUnwrap();
+    }
+
+    async state(process: CellProcess, job: string): Promise<JobState> {
+        return (await this.status(process, job)).state;
+    }
+
+    /** Runs of one job, as the workers recorded them. */
+    attempts(job: string): WorkerRecord["attempts"] {
+        return this.record.attempts.filter(attempt => attempt.job === job);
+    }
+
+    /** Promises that hold under every fault. */
+    check(nonIdempotent: readonly string[] = []): void {
+        expect(this.record.overlaps(), "a task ran in two places at once").to.deep.equal([]);
+        expect(this.record.overcommits, "a worker was overcommitted").to.deep.equal([]);
+        expect(this.record.highestOfTeam("alder"), "upper limit").to.be.at.most(this.limit);
+        for (const job of nonIdempotent) {
+            const tasks = this.attempts(job).map(attempt => attempt.task);
+            expect(tasks, `a task of ${job} ran more than once`).to.have.lengthOf(new Set(tasks).size);
+        }
+    }
+}
+
+const defaultSettings: ShardSettings = {
+    workerHeartbeatMilliseconds: 2_000,
+    leaseMarginMilliseconds: 1_000,
+    roundPeriodMilliseconds: 200,
+    maximumStartsPerRound: 256,
+    maximumJobs: 50_000,
+    explanationMilliseconds: 3_600_000,
+    maximumConfigurationAgeMilliseconds: 0,
+};
+
+const noExecutors: ExecutorPool = {
+    setExecutors: () => undefined,
+    dispatch: () => Promise.reject(new Error("no executors in this cell")),
+    summaries: () => [],
+    unknownUnits: () => 0,
+    inheritedUnits: () => new Map(),
+    inFlight: () => 0,
+    describe: () => undefined,
+    [Symbol.asyncDispose]: () => Promise.resolve(),
+};
+
+function configurationOf(limit: number, jobFailureLimit: number): ConfigurationSnapshot {
+    const origin = "cell.yaml:1";
+    const queues = Object.values(WorkClass).map(name =>
+        [name, { name, workClass: name, open: false, origin }] as const
+    );
+    return {
+        version: 1,
+        teams: { alder: { name: "alder", share: 1, upperLimit: limit, origin } },
+        keys: {},
+        queues: Object.fromEntries(queues),
+        failureDomains: { north: { name: "north", region: "west", state: "active", shards: 1, origin } },
+        services: {},
+        policy: { urgentReserve: 0, agingSeconds: 600, workerFailureLimit: 5, jobFailureLimit },
+    };
+}
--- /dev/null
+++ b/packages/scheduler/__tests__/support/simulatedProcess.ts
@@ -0,0 +1,103 @@
+/** One process on the shared virtual time that can be paused, resumed or killed, together with its table access. */
+import type { TableService } from "@tanagerlink/platform";
+import type { ManualTimers, Subscription, Timers } from "@tanagerlink/timers";
+
+/** Timers of a process: while it is paused nothing runs, but its monotonic clock goes on. */
+export class SimulatedProcess implements Timers {
+    private readonly base: ManualTimers;
+    private paused = false;
+    private killed = false;
+    private deferred: (() => void)[] = [];
+
+    constructor(base: ManualTimers) {
+        this.base = base;
+    }
+
+    get isKilled(): boolean {
+        return this.killed;
+    }
+
+    pause(): void {
+        this.paused = true;
+    }
+
+    /** Runs everything that fell due during the pause, in order. */
+    resume(): void {
+        this.paused = this.killed;
+        const due = this.killed ? [] : this.deferred;
+        this.deferred = [];
+        due.forEach(action => action());
+    }
+
+    /** The process never runs again. */
+    kill(): void {
+        this.killed = true;
+        this.paused = true;
+    }
+
+    /** Resolves when the process runs, so that no answer reaches a paused process. */
+    whenRunning(): Promise<void> {
+        return this.paused ? new Promise(resolve => this.deferred.push(resolve)) : Promise.resolve();
+    }
+
+    now(): number {
+        return this.base.now();
+    }
+
+    wallClock(): number {
+        return this.base.wallClock();
+    }
+
+    every(periodMilliseconds: number, action: () => void | Promise<void>): Subscription {
+        let waiting = false;
+        const subscription: Subscription = this.base.every(periodMilliseconds, () => {
+            if (!waiting) {
+                waiting = true;
+                this.run(() => {
+                    waiting = false;
+                    return subscription.active ? action() : undefined;
+                });
+            }
+        });
+        return subscription;
+    }
+
+    after(delayMilliseconds: number, action: () => void | Promise<void>): Subscription {
+        let disposed = false;
+        const subscription = this.base.after(delayMilliseconds, () => {
+            this.run(() => disposed ? undefined : action());
+        });
+        return {
+            get active(): boolean {
+                return subscription.active;
+            },
+            [Symbol.dispose](): void {
+                disposed = true;
+                subscription[Symbol.dispose]();
+            },
+        };
+    }
+
+    /** The table as this process reaches it. */
+    connect(table: TableService): TableService {
+        const answer = async <Answer>(call: Promise<Answer>): Promise<Answer> => {
+            const result = await call;
+            await this.whenRunning();
+            return result;
+        };
+        return {
+            read: key => answer(table.read(key)),
+            readRange: request => answer(table.readRange(request)),
+            transact: transaction => answer(table.transact(transaction)),
+        };
+    }
+
+    private run(action: () => void | Promise<void>): void {
+        if (this.paused) {
+            this.deferred.push(() => void action());
+        }
+        else {
+            void action();
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/__tests__/support/workerLinks.ts
@@ -0,0 +1,104 @@
+/** Calls of one process to simulated workers, without a network but with its faults. */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import type { SimulatedWorker } from "@tanagerlink/stand-ins";
+import type { WorkerClient, WorkerClientFactory } from "@tanagerlink/targets";
+import { type ManualTimers, sleep } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import type { SimulatedProcess } from "./simulatedProcess.ts";
+
+const LATENCY_MILLISECONDS = 1;
+/** Deadline of a call, as in the HTTP client. */
+const DEADLINE_MILLISECONDS = 2_000;
+
+/** Calls of the worker protocol. */
+export type WorkerCallName = "attach" | "heartbeat" | "start" | "stop" | "checkpoint" | "throttle";
+
+/** What happens to a call. A call `delivered_late` takes effect after `lateMilliseconds`, long after its deadline. */
+export type CallFate = "normal" | "unreachable" | "request_lost" | "answer_lost" | "delivered_late";
+
+/** Decides the fate of each call of one process. */
+export type LinkPlan = (worker: string, call: WorkerCallName) => CallFate;
+
+/** Clients of one process. */
+export class WorkerLinks implements WorkerClientFactory {
+    plan: LinkPlan = () => "normal";
+    lateMilliseconds = 60_000;
+    readonly calls: { readonly at: number; readonly worker: string; readonly call: WorkerCallName; }[] = [];
+    private readonly timers: ManualTimers;
+    private readonly process: SimulatedProcess;
+    private readonly workers: ReadonlyMap<string, SimulatedWorker>;
+
+    constructor(timers: ManualTimers, process: SimulatedProcess, workers: ReadonlyMap<string, SimulatedWorker>) {
+        this.timers = timers;
+        this.process = process;
+        this.workers = workers;
+    }
+
+    client(id: string): WorkerClient {
+        const worker = this.workers.get(id);
+        return {
+            id,
+            attach: (_shard, epoch) => this.call(id, "attach", () => worker?.attach(epoch)),
+            heartbeat: request => this.call(id, "heartbeat", () => worker?.heartbeat(request)),
+            start: start => this.call(id, "start", () => worker?.start(start)),
+            stop: (epoch, attempt) => this.control(id, "stop", () => worker?.stop(epoch, attempt)),
+            checkpoint: (epoch, attempt) => this.control(id, "checkpoint", () => worker?.checkpoint(epoch, attempt)),
+            throttle: (epoch, attempt) => this.control(id, "throttle", () => worker?.throttle(epoch, attempt)),
+        };
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        return Promise.resolve();
+    }
+
+    private async control(
+        worker: string,
+        name: WorkerCallName,
+        effect: () => object | undefined,
+    ): Promise<Result<void, ServiceError>> {
+        return (await this.call(worker, name, () => effect() ?? {})).map(() => undefined);
+    }
+
+    private async call<Answer extends object>(
+        worker: string,
+        name: WorkerCallName,
+        effect: () => Answer | undefined,
+    ): Promise<Result<Exclude<Answer, { readonly error: string; }>, ServiceError>> {
+        this.calls.push({ at: this.timers.now(), worker, call: name });
+        const result = await this.transfer(worker, this.plan(worker, name), effect);
+        await this.process.whenRunning();
+        return result as Result<Exclude<Answer, { readonly error: string; }>, ServiceError>;
+    }
+
+    private async transfer(
+        worker: string,
+        fate: CallFate,
+        effect: () => object | undefined,
+    ): Promise<Result<object, ServiceError>> {
+        await sleep(this.timers, LATENCY_MILLISECONDS);
+        if (fate === "unreachable") {
+            return err(serviceError(ErrorKind.TargetUnreachable, `${worker} refused the connection`));
+        }
+        if (fate === "delivered_late") {
+            this.timers.after(this.lateMilliseconds, () => void effect());
+        }
+        if (fate === "request_lost" || fate === "delivered_late") {
+            await sleep(this.timers, DEADLINE_MILLISECONDS);
+            return err(serviceError(ErrorKind.OutcomeUnknown, `${worker} did not answer in time`));
+        }
+        const answer = effect();
+        await sleep(this.timers, LATENCY_MILLISECONDS);
+        if (fate === "answer_lost" || answer === undefined) {
+            return err(serviceError(ErrorKind.OutcomeUnknown, `the answer of ${worker} was lost`));
+        }
+        return "error" in answer ? err(refusal(answer)) : ok(answer);
+    }
+}
+
+function refusal(answer: object): ServiceError {
+    const { error, epoch, message } = answer as { error: string; epoch: number; message: string; };
+    if (error === ErrorKind.StaleEpoch || error === ErrorKind.StaleBoot) {
+        return serviceError(error, message, { epoch });
+    }
+    return serviceError(ErrorKind.TargetRefused, message);
+}
--- /dev/null
+++ b/packages/scheduler/__tests__/takeover.spec.ts
@@ -0,0 +1,235 @@
+/** Owners that pause, die or hand over while their jobs run. */
+import { FailureDomainState, JobState } from "@tanagerlink/model";
+import { expect } from "chai";
+import fc from "fast-check";
+import { SchedulerCell, SHARD, size } from "./support/schedulerCell.ts";
+
+/** Lease, margin, polls and the confirmation window together. */
+const TAKEOVER_MILLISECONDS = 18_000;
+
+describe("takeover of a shard", () => {
+    it("starts nothing twice when an owner pauses past its lease and resumes under a successor", async () => {
+        await fc.assert(
+            fc.asyncProperty(
+                fc.record({
+                    pauseAfter: fc.integer({ min: 0, max: 4_000 }),
+                    pause: fc.constantFrom(5_000, 9_000, 14_000, 40_000),
+                    unreachable: fc.option(fc.nat(2), { nil: undefined }),
+                }),
+                async ({ pauseAfter, pause, unreachable }) => {
+                    const cell = new SchedulerCell({ limit: 6 });
+                    const first = await cell.begin(3);
+                    const second = cell.addProcess();
+                    second.links.plan = worker => worker === `worker${unreachable}` ? "unreachable" : "normal";
+                    const repeated = await cell.submit(first, { tasks: 9, runMilliseconds: 6_000 });
+                    const once = await cell.submit(first, { tasks: 5, idempotent: false, runMilliseconds: 5_000 });
+                    await cell.timers.advance(pauseAfter);
+                    first.process.pause();
+                    await cell.timers.advance(pause);
+                    first.process.resume();
+                    await cell.timers.advance(30_000);
+                    second.links.plan = () => "normal";
+                    await cell.timers.advance(120_000);
+                    cell.check([once]);
+                    const owner = second.ownership.owned().length > 0 ? second : first;
+                    expect(await cell.state(owner, repeated)).to.equal(JobState.Succeeded);
+                    expect(await cell.state(owner, once)).to.be.oneOf([JobState.Succeeded, JobState.OutcomeUnknown]);
+                },
+            ),
+            { numRuns: 12 },
+        );
+    });
+
+    it("settles every job when an owner dies at any moment of the starts", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.integer({ min: 0, max: 150 }), fc.boolean(), async (moment, storeSlow) => {
+                const cell = new SchedulerCell();
+                const first = await cell.begin(3);
+                const repeated = await cell.submitAndStart(first, { tasks: 4, runMilliseconds: 8_000 });
+                cell.table.faults.delayMilliseconds = storeSlow ? 20 : 0;
+                const once = await cell.submit(first, { tasks: 4, idempotent: false, runMilliseconds: 8_000 });
+                await cell.timers.advance(moment);
+                first.process.kill();
+                const second = cell.addProcess();
+                await cell.timers.advance(80_000);
+                expect(await cell.state(second, repeated)).to.equal(JobState.Succeeded);
+                expect(await cell.state(second, once)).to.be.oneOf([JobState.Succeeded, JobState.OutcomeUnknown]);
+                cell.check([once]);
+            }),
+            { numRuns: 15 },
+        );
+    });
+
+    it("lets tasks wait that may run on a worker which the new owner has not read", async () => {
+        const cell = new SchedulerCell({ limit: 4 });
+        const first = await cell.begin(3, size(2_000));
+        const job = await cell.submitAndStart(first, { tasks: 4, runMilliseconds: 25_000 });
+        const hidden = cell.attempts(job)[0]!.worker;
+        first.process.kill();
+        const second = cell.addProcess();
+        second.links.plan = worker => worker === hidden ? "request_lost" : "normal";
+        await cell.timers.advance(TAKEOVER_MILLISECONDS);
+        const other = await cell.submit(second, { tasks: 4, name: "other", runMilliseconds: 1_000 });
+        await cell.timers.advance(3_000);
+        expect(cell.attempts(other), "unseen tasks count towards the limit").to.have.lengthOf(0);
+        await cell.timers.advance(80_000);
+        expect(await cell.state(second, job)).to.equal(JobState.Succeeded);
+        expect(await cell.state(second, other)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
+    it("waits for a worker of the stored roster that its own VM list lacks", async () => {
+        const cell = new SchedulerCell();
+        const first = await cell.begin(3);
+        const job = await cell.submitAndStart(first, { runMilliseconds: 600_000 });
+        const hidden = cell.attempts(job)[0]!.worker;
+        cell.vms = cell.vms.filter(vm => vm.id !== hidden);
+        cell.addProcess();
+        first.process.pause();
+        await cell.timers.advance(60_000);
+        cell.check();
+        expect(cell.attempts(job)).to.have.lengthOf(2);
+    });
+
+    it("restarts nothing while its VM list is still empty", async () => {
+        const cell = new SchedulerCell();
+        const first = await cell.begin(3);
+        const job = await cell.submitAndStart(first, { idempotent: false, runMilliseconds: 25_000 });
+        const { vms } = cell;
+        cell.vms = [];
+        first.process.kill();
+        const second = cell.addProcess();
+        await cell.timers.advance(13_000);
+        cell.vms = vms;
+        second.service.targetsChanged();
+        await cell.timers.advance(40_000);
+        expect(await cell.state(second, job)).to.equal(JobState.Succeeded);
+        cell.check([job]);
+    });
+
+    it("starts a task again that was adopted and then lost", async () => {
+        const cell = new SchedulerCell();
+        const first = await cell.begin(2);
+        const job = await cell.submitAndStart(first, { runMilliseconds: 60_000 });
+        first.process.kill();
+        const second = cell.addProcess();
+        await cell.timers.advance(TAKEOVER_MILLISECONDS);
+        cell.worker(cell.attempts(job)[0]!.worker).restart();
+        await cell.timers.advance(80_000);
+        expect(await cell.state(second, job)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
+    it("keeps room and unit for a running task of a job that was cancelled before the takeover", async () => {
+        const cell = new SchedulerCell({ limit: 1 });
+        const first = await cell.begin(1, size(1_000));
+        const cancelled = await cell.submitAndStart(first, { runMilliseconds: 600_000 });
+        first.links.plan = (_worker, call) => call === "stop" ? "request_lost" : "normal";
+        void first.service.cancel(cancelled);
+        await cell.timers.advance(500);
+        first.process.kill();
+        const second = cell.addProcess();
+        let stops = 3;
+        second.links.plan = (_worker, call) => call === "stop" && stops-- > 0 ? "request_lost" : "normal";
+        await cell.timers.advance(15_000);
+        const next = await cell.submit(second, { runMilliseconds: 1_000 });
+        await cell.timers.advance(40_000);
+        expect(await cell.state(second, next)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
+    it("does not acknowledge the failure of a non-idempotent task before it is durable", async () => {
+        const cell = new SchedulerCell();
+        const first = await cell.begin(1);
+        const job = await cell.submitAndStart(first, { idempotent: false, runMilliseconds: 1_000, exitCode: 1 });
+        cell.table.faults.down = true;
+        await cell.timers.advance(4_500);
+        first.process.kill();
+        cell.table.faults.down = false;
+        const second = cell.addProcess();
+        await cell.timers.advance(40_000);
+        cell.check([job]);
+        expect(await cell.state(second, job)).to.equal(JobState.Failed);
+    });
+
+    it("makes pending ends durable before a planned handover", async () => {
+        const cell = new SchedulerCell();
+        const first = await cell.begin(1);
+        const second = cell.addProcess();
+        const job = await cell.submitAndStart(first, { runMilliseconds: 1_000 });
+        await cell.timers.advance(3_000);
+        cell.table.faults.delayMilliseconds = 700;
+        void first.service.cancel(await cell.submit(first, { runMilliseconds: 600_000 }));
+        const released = first.ownership.releaseAll(10_000);
+        await cell.timers.advance(8_000);
+        await released;
+        cell.table.faults.delayMilliseconds = 0;
+        await cell.timers.advance(10_000);
+        expect(second.ownership.owned().map(owned => owned.shard)).to.deep.equal([SHARD]);
+        expect(await cell.state(second, job)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+});
+
+describe("outages and operators", () => {
+    it("records ends that happen while the store is down, and acknowledges them only then", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(2);
+        const job = await cell.submitAndStart(owner, { tasks: 4, runMilliseconds: 5_000 });
+        cell.table.faults.down = true;
+        await cell.timers.advance(30_000);
+        const reported = [...cell.workers.values()].flatMap(worker => worker.attach(worker.epoch));
+        expect(reported.flatMap(report => "tasks" in report ? report.tasks : []), "unacknowledged").to.have.lengthOf(4);
+        cell.table.faults.down = false;
+        await cell.timers.advance(10_000);
+        expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+        expect(JSON.stringify(cell.table.rows())).to.include("succeeded");
+        cell.check();
+    });
+
+    it("answers a cancellation in bounded time while the store is down, and repeats do not claim durability", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(1);
+        const job = await cell.submitAndStart(owner, { runMilliseconds: 600_000 });
+        cell.table.faults.down = true;
+        for (let attempt = 0; attempt < 2; attempt++) {
+            const result = await cell.settle(owner.service.cancel(job));
+            expect(result.isErr() ? result.error.kind : "ok").to.equal("store_outcome_unknown");
+        }
+    });
+
+    it("starts urgent work within 1.3 s by checkpointing batch work, which continues later", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(2);
+        const batch = await cell.submitAndStart(owner, { tasks: 8, runMilliseconds: 20_000 });
+        await cell.timers.advance(10_000);
+        let lost = 1;
+        owner.links.plan = (_worker, call) => call === "checkpoint" && lost-- > 0 ? "request_lost" : "normal";
+        const at = cell.timers.now();
+        const urgent = await cell.submit(owner, { workClass: "urgent", runMilliseconds: 1_000, size: size(1_000) });
+        const second = await cell.submit(owner, { workClass: "urgent", runMilliseconds: 1_000, size: size(1_000) });
+        await cell.timers.advance(12_000);
+        const delays = [...cell.attempts(urgent), ...cell.attempts(second)].map(attempt => attempt.startedAt - at);
+        expect(Math.min(...delays)).to.be.below(1_300);
+        await cell.timers.advance(20_000);
+        expect(await cell.state(owner, batch)).to.equal(JobState.Succeeded);
+        const work = cell.attempts(batch).reduce((sum, run) => sum + run.endedAt! - run.startedAt, 0);
+        expect(work, "progress is kept").to.be.at.most(8 * 20_000 + 10);
+        cell.check();
+    });
+
+    it("starts nothing in a failure domain that was taken out, and resumes when it is back", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(1);
+        const job = await cell.submit(owner, { tasks: 12, runMilliseconds: 3_000 });
+        const { north } = cell.configuration.failureDomains;
+        cell.configure({ failureDomains: { north: { ...north!, state: FailureDomainState.Out } } });
+        const out = cell.timers.now();
+        await cell.timers.advance(20_000);
+        expect(cell.attempts(job).every(attempt => attempt.startedAt <= out)).to.equal(true);
+        cell.configure({ failureDomains: { north: north! } });
+        await cell.timers.advance(20_000);
+        expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+});
--- a/packages/scheduler/src/jobEntry.ts
+++ b/packages/scheduler/src/jobEntry.ts
@@ -29,11 +29,17 @@
     startInFlight: boolean;
     /** Monotonic time at which the task was seen running. */
     startedAt: number;
-    throttled: boolean;
-    /** A stop or checkpoint was sent; the result decides what follows. */
-    stopping: boolean;
+    /** Monotonic time at which the task was first throttled; 0 when it was not. */
+    throttledAt: number;
+    /** Set once a stop or checkpoint was sent; the worker's report decides what follows. */
+    stopping: StopKind | undefined;
+    /** Monotonic time at which the stop or checkpoint was last sent. */
+    stopSentAt: number;
 }
 
+/** How a task is ended by its owner. */
+export type StopKind = "stop" | "checkpoint";
+
 /** One job of the shard. */
 export interface JobEntry {
     record: JobRecord;
@@ -42,6 +48,10 @@
     readonly waitingSince: number;
     /** Reason last recorded for waiting, to record changes only. */
     lastHold: string | undefined;
+    /** Whether the policy knows the job. */
+    queued: boolean;
+    /** Writes of the record that are not durable yet. */
+    pendingWrites: number;
 }
 
 /** Creates the entry of a job; `recovering` for jobs that were accepted under an earlier epoch. */
@@ -58,11 +68,12 @@
         startSentAt: 0,
         startInFlight: false,
         startedAt: 0,
-        throttled: false,
-        stopping: false,
+        throttledAt: 0,
+        stopping: undefined,
+        stopSentAt: 0,
     }));
     const waitingSince = now - Math.max(0, wallClock - record.submittedAt);
-    return { record, tasks, waitingSince, lastHold: undefined };
+    return { record, tasks, waitingSince, lastHold: undefined, queued: false, pendingWrites: 0 };
 }
 
 /** Tasks that occupy room: running ones and those whose start may have been sent. */
@@ -93,8 +104,9 @@
     task.bootId = undefined;
     task.renewedAt = 0;
     task.startSentAt = 0;
-    task.throttled = false;
-    task.stopping = false;
+    task.throttledAt = 0;
+    task.stopping = undefined;
+    task.stopSentAt = 0;
 }
 
 /** Number of latest decisions kept in a job's record. */
--- a/packages/scheduler/src/recovery.ts
+++ b/packages/scheduler/src/recovery.ts
@@ -87,7 +87,7 @@
         const session = this.workers.session(intent.worker);
         const sameBoot = session?.attached === true && session.bootId === intent.bootId;
         if (!sameBoot) {
-            this.lifecycle.outcomeUnknown(entry, task, `worker ${intent.worker}, which may have run it, is gone`);
+            void this.lifecycle.outcomeUnknown(entry, task, `worker ${intent.worker}, which may have run it, is gone`);
         }
     }
 }
--- a/packages/scheduler/src/reportHandler.ts
+++ b/packages/scheduler/src/reportHandler.ts
@@ -1,5 +1,5 @@
 /** Takes in the reports of workers: what runs, what has ended, and what should not run. */
-import { isFinished, JobState, Reason, TaskState } from "@tanagerlink/model";
+import { isFinished, JobState, Reason, taskLeaseMilliseconds, TaskState } from "@tanagerlink/model";
 import { type WorkerReport, type WorkerTask, WorkerTaskState } from "@tanagerlink/targets";
 import { isActive, type JobEntry, type TaskEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
@@ -53,22 +53,34 @@
         const { policy, dependencies } = this.context;
         if (reported.state === WorkerTaskState.Succeeded) {
             policy.taskSucceededOn(worker);
-            void this.actions.lifecycle.succeeded(entry, task).then(durable => {
-                if (durable) {
-                    session.acknowledge(reported);
-                }
-            });
-            return;
+            void this.actions.lifecycle.succeeded(entry, task);
         }
-        session.acknowledge(reported);
-        if (reported.state === WorkerTaskState.Failed) {
+        else if (reported.state === WorkerTaskState.Failed) {
             dependencies.metrics.tasksEnded.increment({ result: "failed" });
             policy.taskFailedOn(worker, entry.record.id, dependencies.timers.now());
             this.taskFailed(entry, task, worker, reported);
+        }
+        else {
+            dependencies.metrics.tasksEnded.increment({ result: reported.state });
+            this.taskStopped(entry, task, worker, reported);
+        }
+        this.acknowledgeWhenDurable(session, entry, reported);
+    }
+
+    /**
+     * An acknowledged attempt is forgotten by the worker, so a later owner would take it for never started. Each end of
+     * a non-idempotent task is therefore made durable first, as is each success.
+     */
+    private acknowledgeWhenDurable(session: WorkerSession, entry: JobEntry, reported: WorkerTask): void {
+        if (entry.record.specification.idempotent && entry.pendingWrites === 0) {
+            session.acknowledge(reported);
             return;
         }
-        dependencies.metrics.tasksEnded.increment({ result: reported.state });
-        this.taskStopped(entry, task, worker, reported);
+        void this.actions.lifecycle.persist(entry).then(durable => {
+            if (durable) {
+                session.acknowledge(reported);
+            }
+        });
     }
 
     private takeIn(session: WorkerSession, entry: JobEntry, task: TaskEntry, reported: WorkerTask): void {
@@ -90,7 +102,7 @@
         else if (runs) {
             this.stopUnknown(session, reported);
         }
-        else {
+        else if (entry.pendingWrites === 0) {
             session.acknowledge(reported);
         }
     }
@@ -102,7 +114,7 @@
         task: TaskEntry,
         reported: WorkerTask,
     ): void {
-        if (reported.state === WorkerTaskState.Stopped && entry.record.specification.idempotent) {
+        if (reported.state !== WorkerTaskState.Succeeded && entry.record.specification.idempotent) {
             // A later attempt may run on a worker that was not read yet, so the task goes on recovering.
             session.acknowledge(reported);
             return;
@@ -115,8 +127,8 @@
         if (task.state === TaskState.Starting) {
             this.actions.lifecycle.running(entry, task);
         }
-        if (isFinished(entry.record.state) || task.stopping) {
-            this.actions.requests.stop(entry, task);
+        if (isFinished(entry.record.state) || task.stopping !== undefined) {
+            this.actions.requests.repeatStop(entry, task);
         }
     }
 
@@ -135,6 +147,11 @@
             if (listed.has(task)) {
                 continue;
             }
+            // A VM replaced under the same identifier says nothing of tasks on the earlier one; they wait for their
+            // leases. A worker that lists nothing says nothing of any task.
+            if (task.bootId !== session.bootId || session.lastReport?.capabilities.listing === false) {
+                continue;
+            }
             // A report asked for before the start was confirmed says nothing of the task.
             if (task.state === TaskState.Running && task.startedAt < sentAt) {
                 this.vanished(session, entry, task);
@@ -149,13 +166,31 @@
         if (session.lastReport?.capabilities.deduplication === false) {
             return;
         }
-        if (isFinished(entry.record.state)) {
-            // The start may still be on its way; the worker counts its lease from an old report, so it ends by itself.
+        if (this.cannotArrive(session, entry, task)) {
+            this.actions.lifecycle.requeue(entry, task, Reason.WaitingForCapacity, {
+                detail: `the start did not reach worker ${session.client.id}`,
+            });
+            if (entry.record.specification.allAtOnce) {
+                this.actions.lifecycle.dissolveGang(entry, Reason.WaitingForGang);
+            }
+            return;
+        }
+        if (isFinished(entry.record.state) || task.stopping !== undefined) {
             return;
         }
         void this.actions.starter().sendAgain(entry, task, session);
     }
 
+    /**
+     * Whether the worker would refuse every copy of the start that may still be on its way, since the lease named in it
+     * is over. The report was asked for after that and lists neither a running nor an ended attempt, so the task never ran.
+     */
+    private cannotArrive(session: WorkerSession, entry: JobEntry, task: TaskEntry): boolean {
+        const lease = taskLeaseMilliseconds[entry.record.workClass];
+        const margin = this.context.dependencies.settings.leaseMarginMilliseconds;
+        return session.lastExchangeSentAt > task.startSentAt + lease + margin;
+    }
+
     /** A running task that its worker no longer reports, under the same boot identifier. */
     private vanished(session: WorkerSession, entry: JobEntry, task: TaskEntry): void {
         const detail = `worker ${session.client.id} no longer reports the task`;
@@ -166,7 +201,7 @@
             }
         }
         else {
-            this.actions.lifecycle.outcomeUnknown(entry, task, detail);
+            void this.actions.lifecycle.outcomeUnknown(entry, task, detail);
         }
     }
 
@@ -199,9 +234,11 @@
             this.freeEnded(entry, task, TaskState.Cancelled);
             return;
         }
-        const stoppedByOwner = task.stopping;
-        if (!entry.record.specification.idempotent && !stoppedByOwner) {
-            this.actions.lifecycle.outcomeUnknown(entry, task, `worker ${worker} ended the task: ${reported.state}`);
+        const stoppedByOwner = task.stopping !== undefined;
+        if (!entry.record.specification.idempotent) {
+            // It ran in part, so it must not start again, also when the owner itself stopped it.
+            const detail = `worker ${worker} ended the task: ${reported.state}`;
+            void this.actions.lifecycle.outcomeUnknown(entry, task, detail);
             return;
         }
         this.actions.lifecycle.requeue(entry, task, stoppedByOwner ? Reason.Preempted : Reason.WorkerLost, { worker });
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -94,7 +94,7 @@
         logger.info({ shard: owned.shard, epoch: owned.epoch }, "shard acquired");
         const scheduler = new ShardScheduler(owned.shard, owned.epoch, this.options.dependencies);
         this.shards.set(owned.shard, scheduler);
-        scheduler.start(...this.targetsOf(owned.shard));
+        scheduler.start(...this.targetsOf(owned.shard), owned.roster);
     }
 
     lost(shard: string, epoch: number): void {
--- a/packages/scheduler/src/schedulingRounds.ts
+++ b/packages/scheduler/src/schedulingRounds.ts
@@ -2,7 +2,7 @@
 import { Reason, TaskState } from "@tanagerlink/model";
 import type { LimitGate, RoundResult } from "@tanagerlink/policy";
 import type { Subscription } from "@tanagerlink/timers";
-import { isActive } from "./jobEntry.ts";
+import { isActive, type JobEntry } from "./jobEntry.ts";
 import { decide, type ShardContext } from "./shardContext.ts";
 import { startRefusal } from "./startGate.ts";
 import type { TaskStarter, TaskStopRequests } from "./taskStarter.ts";
@@ -77,7 +77,7 @@
         for (const preemption of result.preemptions) {
             const entry = this.context.book.get(preemption.job);
             const task = entry?.tasks[preemption.task];
-            if (entry !== undefined && task !== undefined && isActive(task) && !task.stopping) {
+            if (entry !== undefined && task !== undefined && isActive(task) && task.stopping === undefined) {
                 this.context.dependencies.metrics.preemptions.increment();
                 decide(this.context, entry, Reason.Preempted, {
                     task: task.index,
@@ -103,13 +103,24 @@
         const task = entry?.tasks[index];
         const session = this.workers.session(worker);
         if (entry === undefined || task === undefined || session === undefined || task.state !== TaskState.Waiting) {
-            this.context.policy.taskEnded(job, index, undefined);
+            this.takeBack(entry, job, index, task?.state === TaskState.Waiting);
             return;
         }
         decide(this.context, entry, reason, { task: index, worker });
         void this.starter.start(entry, task, session);
     }
 
+    /** Gives back the room and the unit of a placement that can't be carried out. */
+    private takeBack(entry: JobEntry | undefined, job: string, index: number, waits: boolean): void {
+        this.context.policy.taskEnded(job, index, undefined);
+        if (entry !== undefined) {
+            this.context.dependencies.ledger.release(this.context.shard, entry.record.specification.team);
+        }
+        if (waits) {
+            this.context.policy.requeueTasks(job, [index]);
+        }
+    }
+
     private limits(): LimitGate {
         const { ledger } = this.context.dependencies;
         const giveBack = (team: string, units: number): void => {
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -41,7 +41,7 @@
 /** Longest wait for pending job records when the shard is given up, in milliseconds. */
 const CLOSE_JOBS_MILLISECONDS = 1_000;
 
-/** Longest wait for the durable acceptance of a job, in milliseconds. */
+/** Longest wait for the durable acceptance or cancellation of a job, in milliseconds. */
 const ACCEPT_MILLISECONDS = 4_000;
 
 /** Pause between attempts to read the jobs of a shard, in milliseconds. */
@@ -97,8 +97,12 @@
         this.statistics = new ShardStatistics(this.context, this.executors);
     }
 
-    /** Opens the grants, reads the jobs and then begins to talk to the workers and to schedule. */
-    start(workers: readonly VmRecord[], executors: readonly VmRecord[]): void {
+    /**
+     * Opens the grants, reads the jobs and then begins to talk to the workers and to schedule. `storedRoster` are the
+     * workers on which the former owner may have started tasks.
+     */
+    start(workers: readonly VmRecord[], executors: readonly VmRecord[], storedRoster: readonly string[] = []): void {
+        this.workers.setStoredRoster(storedRoster);
         this.loading = this.run(workers, executors);
     }
 
@@ -168,11 +172,15 @@
         if (entry === undefined) {
             return err(this.jobNotFound(job));
         }
-        if (isFinished(entry.record.state)) {
+        if (isFinished(entry.record.state) && entry.pendingWrites === 0) {
             return ok(this.statistics.status(entry));
         }
-        const durable = await this.lifecycle.finish(entry, JobState.Cancelled, Reason.CancelledByCaller);
-        if (!durable) {
+        const written = isFinished(entry.record.state)
+            ? this.lifecycle.persist(entry)
+            : this.lifecycle.finish(entry, JobState.Cancelled, Reason.CancelledByCaller);
+        // The write goes on through an outage of the store; only this caller does not learn of it.
+        const durable = await withDeadline(this.dependencies.timers, ACCEPT_MILLISECONDS, written);
+        if (durable !== true) {
             return err(serviceError(ErrorKind.StoreOutcomeUnknown, `the cancellation of ${job} is not durable yet`));
         }
         return ok(this.statistics.status(entry));
@@ -307,7 +315,8 @@
             return serviceError(ErrorKind.Overloaded, `shard ${this.shard} has ${maximumJobs} unfinished jobs`);
         }
         const { size, tasks, allAtOnce } = submission.specification;
-        if (!this.workers.allAttached()) {
+        // Without any worker the VM list was probably not read yet; that tells nothing about what can run.
+        if (!this.workers.allAttached() || this.workers.states().length === 0) {
             return undefined;
         }
         const feasibility = this.context.policy.feasibility(size, tasks, allAtOnce);
--- a/packages/scheduler/src/taskLifecycle.ts
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -30,6 +30,7 @@
         const waiting = entry.tasks.filter(task => task.state === TaskState.Waiting && !task.recovering);
         if (waiting.length > 0 && !isFinished(entry.record.state)) {
             this.context.policy.addJob(waitingJob(entry, waiting));
+            entry.queued = true;
         }
         this.context.requestRound();
     }
@@ -103,11 +104,33 @@
             return;
         }
         decide(this.context, entry, reason, { task: task.index, ...facts });
-        this.context.policy.requeueTasks(entry.record.id, [task.index]);
+        this.waitAgain(entry, task);
         this.refresh(entry);
         this.context.requestRound();
     }
 
+    /**
+     * Tasks of a gang wait until none of them is active, so that the gang starts as a whole. A job all of whose tasks
+     * were adopted from an earlier owner is not in the queue yet; adding it again replaces an earlier entry.
+     */
+    private waitAgain(entry: JobEntry, task: TaskEntry): void {
+        if (entry.record.specification.allAtOnce) {
+            this.enqueueIdleGang(entry);
+        }
+        else if (entry.queued) {
+            this.context.policy.requeueTasks(entry.record.id, [task.index]);
+        }
+        else {
+            this.enqueue(entry);
+        }
+    }
+
+    private enqueueIdleGang(entry: JobEntry): void {
+        if (!entry.tasks.some(task => isActive(task) || task.recovering)) {
+            this.enqueue(entry);
+        }
+    }
+
     /** The task ended well. The promise settles when this is durable. */
     succeeded(entry: JobEntry, task: TaskEntry): Promise<boolean> {
         const ranSeconds = (this.context.dependencies.timers.now() - task.startedAt) / SECOND;
@@ -123,11 +146,14 @@
         });
         this.context.dependencies.metrics.tasksEnded.increment({ result: "succeeded" });
         this.refresh(entry);
+        if (entry.record.specification.allAtOnce) {
+            this.enqueueIdleGang(entry);
+        }
         return this.persist(entry);
     }
 
     /** Nobody can tell whether the task of a non-idempotent job ran to its end; it never starts again. */
-    outcomeUnknown(entry: JobEntry, task: TaskEntry, detail: string): void {
+    outcomeUnknown(entry: JobEntry, task: TaskEntry, detail: string): Promise<boolean> {
         if (isActive(task)) {
             this.free(entry, task, undefined);
         }
@@ -136,7 +162,7 @@
         decide(this.context, entry, Reason.TaskOutcomeUnknown, { task: task.index, detail });
         this.context.dependencies.metrics.tasksEnded.increment({ result: "outcome_unknown" });
         this.refresh(entry);
-        void this.persist(entry);
+        return this.persist(entry);
     }
 
     /** Ends a job as a whole; what still runs is stopped. The promise settles when the end is durable. */
@@ -162,7 +188,7 @@
      */
     dissolveGang(entry: JobEntry, reason: Reason): void {
         for (const task of activeTasks(entry)) {
-            if (!task.stopping) {
+            if (task.stopping === undefined) {
                 this.stopper.stop(entry, task);
             }
         }
@@ -171,7 +197,9 @@
 
     /** Writes the record; false when this owner may not write it any more. */
     async persist(entry: JobEntry): Promise<boolean> {
+        entry.pendingWrites++;
         const result = await this.context.dependencies.jobs.update(entry.record);
+        entry.pendingWrites--;
         if (result.isErr()) {
             this.context.dependencies.logger.warn(
                 { job: entry.record.id, shard: this.context.shard, error: result.error },
--- a/packages/scheduler/src/taskStarter.ts
+++ b/packages/scheduler/src/taskStarter.ts
@@ -5,7 +5,7 @@
 import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
 import { isFinished, Reason, type StartIntent, taskLeaseMilliseconds, TaskState } from "@tanagerlink/model";
 import { type WorkerTask, WorkerTaskState } from "@tanagerlink/targets";
-import { attemptOf, type JobEntry, type TaskEntry } from "./jobEntry.ts";
+import { attemptOf, type JobEntry, type StopKind, type TaskEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
 import { startRefusal } from "./startGate.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
@@ -14,6 +14,9 @@
 /** Attempts of one epoch; an attempt number is `epoch * ATTEMPTS_PER_EPOCH + counter` and so never repeats. */
 const ATTEMPTS_PER_EPOCH = 10_000_000;
 
+/** Least time between two stops or checkpoints of the same attempt, in milliseconds. */
+const STOP_REPEAT_MILLISECONDS = 1_000;
+
 /** Receives what a worker says of a task that has ended by the time of the answer. */
 export interface EndedTaskHandler {
     taskEnded(session: WorkerSession, entry: JobEntry, task: TaskEntry, reported: WorkerTask): void;
@@ -56,7 +59,7 @@
         }
         const first = task.renewedAt === 0;
         const bootId = task.bootId;
-        const refusal = this.refusal(entry, session, bootId);
+        const refusal = this.refusal(entry, task, session);
         if (refusal !== undefined || bootId === undefined) {
             if (first) {
                 this.abandon(entry, task, attempt, refusal ?? "the worker was not read yet");
@@ -115,6 +118,10 @@
             return;
         }
         const worker = task.worker;
+        if (worker !== undefined) {
+            // Until the next sweep, so that rounds do not place on the same worker again and again in between.
+            this.context.policy.setWorkerAvailable(worker, false);
+        }
         this.lifecycle.requeue(entry, task, Reason.WaitingForCapacity, {
             detail,
             ...(worker === undefined ? {} : { worker }),
@@ -124,11 +131,14 @@
         }
     }
 
-    private refusal(entry: JobEntry, session: WorkerSession, bootId: string | undefined): string | undefined {
+    private refusal(entry: JobEntry, task: TaskEntry, session: WorkerSession): string | undefined {
         if (isFinished(entry.record.state)) {
             return "the job has ended";
         }
-        if (!session.attached || session.bootId !== bootId) {
+        if (task.stopping !== undefined) {
+            return "the task is being stopped";
+        }
+        if (!session.attached || session.bootId !== task.bootId) {
             return "the worker was restarted or is not attached";
         }
         if (session.leaving) {
@@ -165,20 +175,38 @@
     }
 
     stop(entry: JobEntry, task: TaskEntry): void {
-        task.stopping = true;
+        this.noteStop(task, "stop");
         this.request(entry, task, session => session.client.stop(this.context.epoch, attemptOf(entry, task)));
     }
 
     checkpoint(entry: JobEntry, task: TaskEntry): void {
-        task.stopping = true;
+        this.noteStop(task, "checkpoint");
         this.request(entry, task, session => session.client.checkpoint(this.context.epoch, attemptOf(entry, task)));
     }
 
+    /** Repeats a stop or checkpoint that may have been lost. A checkpoint takes time, so repeats have a least period. */
+    repeatStop(entry: JobEntry, task: TaskEntry): void {
+        const now = this.context.dependencies.timers.now();
+        if (task.stopping !== undefined && now - task.stopSentAt < STOP_REPEAT_MILLISECONDS) {
+            return;
+        }
+        if (task.stopping === "checkpoint" && !isFinished(entry.record.state)) {
+            this.checkpoint(entry, task);
+        }
+        else {
+            this.stop(entry, task);
+        }
+    }
+
     throttle(entry: JobEntry, task: TaskEntry): void {
-        task.throttled = true;
         this.request(entry, task, session => session.client.throttle(this.context.epoch, attemptOf(entry, task)));
     }
 
+    private noteStop(task: TaskEntry, kind: StopKind): void {
+        task.stopping = kind;
+        task.stopSentAt = this.context.dependencies.timers.now();
+    }
+
     private request(
         entry: JobEntry,
         task: TaskEntry,
--- a/packages/scheduler/src/usageGuard.ts
+++ b/packages/scheduler/src/usageGuard.ts
@@ -19,6 +19,9 @@
 import type { TaskLifecycle } from "./taskLifecycle.ts";
 import type { TaskStopRequests } from "./taskStarter.ts";
 
+/** Heartbeat periods after which a throttle shows in the usage, which workers report with a lag. */
+const THROTTLE_PERIODS = 2;
+
 /** Reacts to the usage that workers report. */
 export class UsageGuard {
     private readonly context: ShardContext;
@@ -52,10 +55,15 @@
         const { entry, task } = reference;
         const { size } = entry.record.specification;
         this.context.policy.taskUsage(entry.record.id, task.index, usage);
-        if (!fitsInto(usage, size) && !task.throttled && !task.stopping) {
+        if (fitsInto(usage, size) || task.stopping !== undefined) {
+            return;
+        }
+        if (task.throttledAt === 0) {
+            task.throttledAt = this.context.dependencies.timers.now();
             decide(this.context, entry, Reason.Throttled, { task: task.index, detail: "uses more than its size" });
-            this.requests.throttle(entry, task);
         }
+        // Sent with each report that shows too much use, since the call before may have been lost.
+        this.requests.throttle(entry, task);
     }
 
     private relieve(
@@ -65,7 +73,13 @@
         capacity: Resources,
     ): void {
         let remaining = total;
-        const overSize = references.filter(({ task }) => task.throttled && !task.stopping).sort(newestBatchFirst);
+        const { timers, settings } = this.context.dependencies;
+        const throttledBefore = timers.now() - THROTTLE_PERIODS * settings.workerHeartbeatMilliseconds;
+        const overSize = references
+            .filter(({ task }) =>
+                task.throttledAt > 0 && task.throttledAt <= throttledBefore && task.stopping === undefined
+            )
+            .sort(newestBatchFirst);
         for (const reference of overSize) {
             if (fitsInto(remaining, capacity)) {
                 return;
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -26,7 +26,9 @@
     private readonly reports: ReportHandler;
     private readonly sessions = new Map<string, WorkerSession>();
     private readonly absent = new Set<string>();
-    private everReady = false;
+    /** Workers that may run tasks of earlier epochs: the stored roster and every worker listed since. */
+    private readonly witnesses = new Set<string>();
+    private readonly read = new Set<string>();
     /** Monotonic time since when this owner has been allowed to start work. */
     readySince: number | undefined;
 
@@ -44,11 +46,17 @@
         return Array.from(this.sessions.values(), session => session.state());
     }
 
+    /** Names the workers on which the former owner may have started tasks; they may be missing from the VM list. */
+    setStoredRoster(workers: readonly string[]): void {
+        workers.forEach(worker => this.witnesses.add(worker));
+    }
+
     /** Takes over the list of workers of this shard. Workers that left the list are gone unless they still answer. */
     setWorkers(workers: readonly VmRecord[]): void {
         const listed = new Set(workers.map(worker => worker.id));
         for (const worker of workers) {
             this.absent.delete(worker.id);
+            this.witnesses.add(worker.id);
             this.addOrUpdate(worker);
         }
         for (const session of this.sessions.values()) {
@@ -59,9 +67,14 @@
         this.context.dependencies.ownership.setRoster(this.context.shard, Array.from(this.sessions.keys()));
     }
 
-    /** Whether every worker of the stored roster was read under this epoch or is gone. */
+    /** Whether every worker of the stored roster and of the VM list was read under this epoch. */
     allAttached(): boolean {
-        return Array.from(this.sessions.values()).every(session => session.lastReport !== undefined);
+        for (const worker of this.witnesses) {
+            if (!this.read.has(worker)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Periodic work: readiness, availability, and tasks whose leases have ended on silent workers. */
@@ -70,7 +83,6 @@
         const mayStart = ownership.mayStart(this.context.shard, this.context.epoch);
         if (mayStart && this.readySince === undefined) {
             this.readySince = timers.now();
-            this.everReady = true;
         }
         for (const session of [...this.sessions.values()]) {
             this.updateAvailability(session);
@@ -79,22 +91,27 @@
     }
 
     attemptsToRenew(worker: string): readonly TaskAttempt[] {
-        const { ownership, timers } = this.context.dependencies;
-        // An owner that has lost both its lease and the majority may have a successor, which counts on the leases of
-        // unread workers to end. Before this owner was ready for the first time nobody counts on that yet.
-        if (this.everReady && !ownership.mayStart(this.context.shard, this.context.epoch)) {
+        const { ownership } = this.context.dependencies;
+        // A successor counts on the leases of workers that it can't read to end. It may exist as soon as this owner has
+        // neither its lease nor the majority, also when this owner was never ready itself.
+        if (!ownership.mayStart(this.context.shard, this.context.epoch)) {
             return [];
         }
-        const now = timers.now();
-        return this.context.book.tasksOn(worker).filter(({ task }) => !task.stopping).map(({ entry, task }) => {
-            if (task.renewedAt > 0) {
-                task.renewedAt = now;
-            }
-            return attemptOf(entry, task);
-        });
+        const session = this.sessions.get(worker);
+        // The worker counts the renewed lease from the last report that this owner received, not from this message.
+        const countedFrom = session?.lastContactAt ?? 0;
+        return this.context.book.tasksOn(worker)
+            .filter(({ task }) => task.stopping === undefined && task.bootId === session?.bootId)
+            .map(({ entry, task }) => {
+                if (task.renewedAt > 0) {
+                    task.renewedAt = Math.max(task.renewedAt, countedFrom);
+                }
+                return attemptOf(entry, task);
+            });
     }
 
     workerAttached(session: WorkerSession, report: WorkerReport): void {
+        this.read.add(session.client.id);
         this.context.policy.removeWorker(session.client.id);
         this.context.policy.addWorker({ id: session.client.id, rack: session.vm.rack, capacity: report.capacity });
         this.reports.attached(session, report);
@@ -193,34 +210,41 @@
         const silentFor = timers.now() - (session.lastContactAt ?? 0);
         const answers = session.lastContactAt !== undefined
             && silentFor <= SILENT_PERIODS * settings.workerHeartbeatMilliseconds;
-        if (answers) {
-            return;
-        }
-        if (this.absent.has(worker)) {
+        this.endLapsedTasks(session, answers);
+        if (!answers && this.absent.has(worker)) {
             this.removeGoneWorker(session);
-            return;
         }
-        // A worker without a lease timer of its own may run its tasks for ever; only a restart or its absence from the
-        // platform's list proves their end.
+    }
+
+    /** Ends tasks whose leases have ended on a silent worker, or on a VM that was replaced under the same identifier. */
+    private endLapsedTasks(session: WorkerSession, answers: boolean): void {
+        const { timers, settings } = this.context.dependencies;
+        const worker = session.client.id;
+        // A worker without a lease timer of its own may run its tasks for ever.
         if (session.lastReport?.capabilities.leaseTimer === false) {
             return;
         }
-        const ended = (entry: JobEntry, task: TaskEntry): boolean =>
-            timers.now() > leaseEnd(entry, task, settings.leaseMarginMilliseconds);
         for (const { entry, task } of this.context.book.tasksOn(worker)) {
-            if (ended(entry, task)) {
+            const unseen = !answers || task.bootId !== session.bootId;
+            if (unseen && timers.now() > leaseEnd(entry, task, settings.leaseMarginMilliseconds)) {
                 this.taskLost(entry, task, `the lease of the task on worker ${worker} ended`);
             }
         }
     }
 
+    /** A VM that the lagging list lacks may still run its tasks, so the worker is kept until their leases have ended. */
     private removeGoneWorker(session: WorkerSession): void {
         const worker = session.client.id;
-        this.endTasksOf(worker, `the platform no longer lists worker ${worker}`, () => true);
+        this.context.dependencies.ownership.witnessGone(this.context.shard, this.context.epoch, worker);
+        if (session.lastReport?.capabilities.leaseTimer === false) {
+            this.endTasksOf(worker, `the platform no longer lists worker ${worker}`, () => true);
+        }
+        if (this.context.book.tasksOn(worker).length > 0) {
+            return;
+        }
         this.sessions.delete(worker);
         this.absent.delete(worker);
         this.context.policy.removeWorker(worker);
-        this.context.dependencies.ownership.witnessGone(this.context.shard, this.context.epoch, worker);
         this.context.dependencies.ownership.setRoster(this.context.shard, Array.from(this.sessions.keys()));
         void session[Symbol.asyncDispose]();
     }
@@ -240,7 +264,7 @@
         const worker = task.worker;
         const { idempotent, allAtOnce } = entry.record.specification;
         if (!idempotent && task.renewedAt > 0) {
-            this.lifecycle.outcomeUnknown(entry, task, detail);
+            void this.lifecycle.outcomeUnknown(entry, task, detail);
             return;
         }
         this.lifecycle.requeue(entry, task, Reason.WorkerLost, {
--- a/packages/scheduler/src/workerSession.ts
+++ b/packages/scheduler/src/workerSession.ts
@@ -174,6 +174,7 @@
         if (error.kind === ErrorKind.StaleBoot) {
             // The next exchange attaches again and reports the restart with the new boot identifier.
             this.attached = false;
+            this.hurry();
             return;
         }
         this.failures++;
