fix(scheduler): count running tasks of ended and unknown jobs until they are stopped

Cause: a new owner that found a running task of a cancelled job, or of no job, only sent a stop and took the worker's room and the team's unit for free meanwhile; the worker was overcommitted while the stop was lost. The stop was repeated with every report, each of which asked for the next report at once. A gang of which a new owner found only some members got the others started alone. A worker without listing or fencing was taken as proof that a recorded start never ran.

Change: such a task of a known job is taken over until it has ended; on workers that are not read yet, jobs that ended after a placement count as recovering. A task without a job closes its worker for new work and holds one unit back. Stops have a least period. Incomplete gangs are stopped and wait as a whole.

--- a/packages/scheduler/__tests__/takeover.spec.ts
+++ b/packages/scheduler/__tests__/takeover.spec.ts
@@ -129,8 +129,9 @@
         await cell.timers.advance(500);
         first.process.kill();
         const second = cell.addProcess();
-        let stops = 3;
-        second.links.plan = (_worker, call) => call === "stop" && stops-- > 0 ? "request_lost" : "normal";
+        const stopsReach = cell.timers.now() + 22_000;
+        second.links.plan = (_worker, call) =>
+            call === "stop" && cell.timers.now() < stopsReach ? "unreachable" : "normal";
         await cell.timers.advance(15_000);
         const next = await cell.submit(second, { runMilliseconds: 1_000 });
         await cell.timers.advance(40_000);
@@ -138,6 +139,36 @@
         cell.check();
     });
 
+    it("counts a running task that has no job record until it is stopped", async () => {
+        const cell = new SchedulerCell({ limit: 1 });
+        const owner = await cell.begin(1, size(1_000));
+        const { bootId, epoch } = cell.worker("worker0");
+        let reach = false;
+        owner.links.plan = (_worker, call) => call === "stop" && !reach ? "unreachable" : "normal";
+        const report = cell.worker("worker0").attach(epoch);
+        cell.worker("worker0").start({
+            epoch,
+            bootId,
+            job: "north.0.foreign",
+            task: 0,
+            attempt: 1,
+            team: "alder",
+            size: size(1_000),
+            leaseMilliseconds: 600_000,
+            lastReport: "sequence" in report ? report.sequence : 0,
+            payload: "",
+        });
+        await cell.timers.advance(2_500);
+        const job = await cell.submit(owner, { runMilliseconds: 1_000 });
+        await cell.timers.advance(10_000);
+        const stops = owner.links.calls.filter(({ call }) => call === "stop").length;
+        expect(stops, "repeated stops are bounded").to.be.below(10);
+        reach = true;
+        await cell.timers.advance(10_000);
+        expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
     it("does not acknowledge the failure of a non-idempotent task before it is durable", async () => {
         const cell = new SchedulerCell();
         const first = await cell.begin(1);
--- a/packages/scheduler/src/jobEntry.ts
+++ b/packages/scheduler/src/jobEntry.ts
@@ -76,6 +76,15 @@
     return { record, tasks, waitingSince, lastHold: undefined, queued: false, pendingWrites: 0 };
 }
 
+/** Whether tasks of a loaded job may run: those of an ended job run until their stop has reached the worker. */
+export function mayHaveActiveTasks(record: JobRecord): boolean {
+    if (!isFinished(record.state)) {
+        return true;
+    }
+    const placed = record.decisions.some(({ reason }) => reason.startsWith("placed"));
+    return record.state !== JobState.Succeeded && (placed || record.decisions.length >= DECISIONS_PER_JOB);
+}
+
 /** Tasks that occupy room: running ones and those whose start may have been sent. */
 export function activeTasks(entry: JobEntry): TaskEntry[] {
     return entry.tasks.filter(isActive);
--- a/packages/scheduler/src/recovery.ts
+++ b/packages/scheduler/src/recovery.ts
@@ -2,9 +2,9 @@
  * Recovery of a shard by a new owner. Tasks accepted under an earlier epoch may still run on workers that were not
  * read yet. They count as used units of their teams and wait, until all workers are read or their leases have ended.
  */
-import { Reason, taskLeaseMilliseconds, TaskState } from "@tanagerlink/model";
+import { isFinished, Reason, taskLeaseMilliseconds, TaskState } from "@tanagerlink/model";
 import type { ExecutorPool } from "@tanagerlink/routing";
-import type { JobEntry, TaskEntry } from "./jobEntry.ts";
+import { activeTasks, type JobEntry, type TaskEntry } from "./jobEntry.ts";
 import { decide, type ShardContext } from "./shardContext.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
 import type { WorkerRegistry } from "./workerRegistry.ts";
@@ -36,12 +36,22 @@
                 }
             }
             for (const entry of resolvedJobs) {
-                this.lifecycle.enqueue(entry);
+                this.enqueue(entry);
             }
         }
         this.updateHeldBack();
     }
 
+    /** Found members of a gang are stopped when others were not found, since a gang runs as a whole. */
+    private enqueue(entry: JobEntry): void {
+        if (!entry.record.specification.allAtOnce || activeTasks(entry).length === 0) {
+            this.lifecycle.enqueue(entry);
+        }
+        else if (entry.tasks.some(task => task.state === TaskState.Waiting)) {
+            this.lifecycle.dissolveGang(entry, Reason.WorkerLost);
+        }
+    }
+
     /** Units that may be in use unseen, by team; they lower what the ledger gives. */
     private updateHeldBack(): void {
         const next = new Map(this.executors.inheritedUnits());
@@ -50,6 +60,9 @@
         for (const team of unknownUnits > 0 ? this.teams() : []) {
             next.set(team, (next.get(team) ?? 0) + unknownUnits);
         }
+        for (const [team, units] of this.workers.foreignUnits()) {
+            next.set(team, (next.get(team) ?? 0) + units);
+        }
         for (const { entry } of this.context.book.recoveringTasks()) {
             const team = entry.record.specification.team;
             next.set(team, (next.get(team) ?? 0) + 1);
@@ -78,6 +91,10 @@
     /** No read worker runs the task and no unread one can. */
     private resolve(entry: JobEntry, task: TaskEntry): void {
         task.recovering = false;
+        if (isFinished(entry.record.state)) {
+            task.state = TaskState.Cancelled;
+            return;
+        }
         task.state = TaskState.Waiting;
         const intent = entry.record.intents.find(candidate => candidate.task === task.index);
         if (entry.record.specification.idempotent || intent === undefined) {
@@ -85,7 +102,8 @@
             return;
         }
         const session = this.workers.session(intent.worker);
-        const sameBoot = session?.attached === true && session.bootId === intent.bootId;
+        const sameBoot = session?.attached === true && session.bootId === intent.bootId
+            && session.lastReport?.capabilities.listing === true && session.lastReport.capabilities.fencing;
         if (!sameBoot) {
             void this.lifecycle.outcomeUnknown(entry, task, `worker ${intent.worker}, which may have run it, is gone`);
         }
--- a/packages/scheduler/src/reportHandler.ts
+++ b/packages/scheduler/src/reportHandler.ts
@@ -33,16 +33,22 @@
 
     reported(session: WorkerSession, report: WorkerReport): void {
         const listed = new Set<TaskEntry>();
+        const foreign: WorkerTask[] = [];
         for (const reported of report.tasks) {
             const entry = this.context.book.get(reported.job);
             const task = entry?.tasks[reported.task];
-            if (entry === undefined || task === undefined) {
-                this.stopUnknown(session, reported);
-                continue;
+            if (entry !== undefined && task !== undefined) {
+                listed.add(task);
+            }
+            if (entry === undefined || task === undefined || isForeign(session, entry, task, reported)) {
+                this.takeInForeign(session, entry, reported, foreign);
+            }
+            else {
+                this.takeIn(session, entry, task, reported);
             }
-            listed.add(task);
-            this.takeIn(session, entry, task, reported);
         }
+        session.foreignTasks = foreign;
+        session.stopForeignTasks();
         this.findMissing(session, listed);
         this.actions.usage.examine(session.client.id, report);
     }
@@ -84,7 +90,7 @@
     }
 
     private takeIn(session: WorkerSession, entry: JobEntry, task: TaskEntry, reported: WorkerTask): void {
-        const current = isActive(task) && task.worker === session.client.id && task.attempt === reported.attempt;
+        const current = isCurrent(session, task, reported);
         const runs = reported.state === WorkerTaskState.Running;
         if (current && runs) {
             this.takeInRunning(entry, task);
@@ -92,17 +98,25 @@
         else if (current) {
             this.taskEnded(session, entry, task, reported);
         }
-        else if (task.recovering && runs) {
+        else if (runs) {
             this.actions.lifecycle.adopted(entry, task, session.client.id, session.bootId ?? "", reported.attempt);
             this.takeInRunning(entry, task);
         }
-        else if (task.recovering) {
+        else {
             this.takeInEndedWhileAway(session, entry, task, reported);
         }
-        else if (runs) {
-            this.stopUnknown(session, reported);
+    }
+
+    private takeInForeign(
+        session: WorkerSession,
+        entry: JobEntry | undefined,
+        reported: WorkerTask,
+        foreign: WorkerTask[],
+    ): void {
+        if (reported.state === WorkerTaskState.Running) {
+            foreign.push(reported);
         }
-        else if (entry.pendingWrites === 0) {
+        else if (entry === undefined || entry.pendingWrites === 0) {
             session.acknowledge(reported);
         }
     }
@@ -132,14 +146,6 @@
         }
     }
 
-    private stopUnknown(session: WorkerSession, reported: WorkerTask): void {
-        if (reported.state !== WorkerTaskState.Running) {
-            session.acknowledge(reported);
-            return;
-        }
-        void session.client.stop(this.context.epoch, reported).then(() => session.hurry());
-    }
-
     /** Starts without an answer that the worker does not report are sent again under the same attempt. */
     private findMissing(session: WorkerSession, listed: ReadonlySet<TaskEntry>): void {
         const sentAt = session.lastExchangeSentAt;
@@ -254,3 +260,19 @@
         task.state = state;
     }
 }
+
+function isCurrent(session: WorkerSession, task: TaskEntry, reported: WorkerTask): boolean {
+    return isActive(task) && task.worker === session.client.id && task.attempt === reported.attempt;
+}
+
+/**
+ * Whether a reported attempt is none that the shard may take over. A running task of a job that has ended is taken over
+ * until it is stopped, so that its room and its unit count.
+ */
+function isForeign(session: WorkerSession, entry: JobEntry, task: TaskEntry, reported: WorkerTask): boolean {
+    if (isCurrent(session, task, reported) || task.recovering) {
+        return false;
+    }
+    const runs = reported.state === WorkerTaskState.Running;
+    return !(runs && isFinished(entry.record.state) && !isActive(task) && task.state !== TaskState.Succeeded);
+}
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -20,7 +20,7 @@
 import { sleep, type Subscription, withDeadline } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { JobBook } from "./jobBook.ts";
-import { createJobEntry, describeSize, type JobEntry } from "./jobEntry.ts";
+import { createJobEntry, describeSize, type JobEntry, mayHaveActiveTasks } from "./jobEntry.ts";
 import { Recovery } from "./recovery.ts";
 import { WorkerReports } from "./reportHandler.ts";
 import { SchedulingRounds } from "./schedulingRounds.ts";
@@ -282,7 +282,7 @@
 
     private addLoaded(record: JobRecord): void {
         const { timers } = this.dependencies;
-        const recovering = record.acceptedEpoch < this.epoch && !isFinished(record.state);
+        const recovering = record.acceptedEpoch < this.epoch && mayHaveActiveTasks(record);
         const entry = createJobEntry(record, timers.now(), timers.wallClock(), recovering);
         this.context.book.add(entry);
         this.lifecycle.enqueue(entry);
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -42,6 +42,17 @@
         return this.sessions.get(worker);
     }
 
+    /** Running tasks, by team, that the shard does not know and is stopping. */
+    foreignUnits(): Map<string, number> {
+        const units = new Map<string, number>();
+        for (const session of this.sessions.values()) {
+            for (const { team } of session.foreignTasks) {
+                units.set(team, (units.get(team) ?? 0) + 1);
+            }
+        }
+        return units;
+    }
+
     states(): WorkerSessionState[] {
         return Array.from(this.sessions.values(), session => session.state());
     }
@@ -187,7 +198,7 @@
         const silentSince = timers.now() - (session.lastContactAt ?? 0);
         const silent = silentSince > SILENT_PERIODS * settings.workerHeartbeatMilliseconds;
         const failureDomain = configuration()?.failureDomains[this.context.failureDomain];
-        const available = session.attached && !session.leaving && !silent
+        const available = session.attached && !session.leaving && !silent && session.foreignTasks.length === 0
             && failureDomain?.state === FailureDomainState.Active
             && ownership.rosterContains(this.context.shard, session.client.id)
             && this.capabilitiesAllowStarts(session.lastReport);
--- a/packages/scheduler/src/workerSession.ts
+++ b/packages/scheduler/src/workerSession.ts
@@ -4,7 +4,7 @@
  */
 import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
 import type { VmRecord } from "@tanagerlink/model";
-import type { TaskAttempt, WorkerClient, WorkerReport } from "@tanagerlink/targets";
+import type { TaskAttempt, WorkerClient, WorkerReport, WorkerTask } from "@tanagerlink/targets";
 import { sleep, type Timers } from "@tanagerlink/timers";
 
 /** What the session asks of the shard and tells it. All calls are synchronous. */
@@ -51,6 +51,9 @@
     /** Sequence of the last report received, which tells the worker from when its leases count. */
     reportSequence = 0;
 
+    /** Running tasks of the last report that belong to no active task of the shard; they are being stopped. */
+    foreignTasks: readonly WorkerTask[] = [];
+
     private readonly epoch: number;
     private readonly shard: string;
     private readonly host: WorkerSessionHost;
@@ -60,6 +63,7 @@
     private readonly closing = new AbortController();
     private wake = new AbortController();
     private failures = 0;
+    private foreignStopSentAt = Number.NEGATIVE_INFINITY;
     private finished: Promise<void> = Promise.resolve();
 
     constructor(options: {
@@ -90,6 +94,16 @@
         this.acknowledgements.push(attempt);
     }
 
+    /** Stops the foreign tasks, at most once in a heartbeat period since a stop takes time. */
+    stopForeignTasks(): void {
+        if (this.foreignTasks.length === 0 || this.timers.now() < this.foreignStopSentAt + this.periodMilliseconds) {
+            return;
+        }
+        this.foreignStopSentAt = this.timers.now();
+        const stops = this.foreignTasks.map(task => this.client.stop(this.epoch, task));
+        void Promise.all(stops).then(() => this.hurry());
+    }
+
     /** Sends the next heartbeat at once instead of at the end of the period. */
     hurry(): void {
         this.wake.abort();
