fix(scheduler): make pending job records durable before a planned handover

Cause: the releasing hook of OwnershipListener was not used, so a planned handover gave up writes that waited behind one in flight; a cancellation was answered as unknown although the store was only slow. A process that acquired a shard again before its former scheduler had closed lost grants and job records to that close, which goes by the shard's name. An ended job was forgotten while a task of it still ran.

Change: PendingWrites follows record writes and acceptances; the hook refuses new jobs and waits for them, within the bound of ownership. A new scheduler starts after the former one of the same shard has closed. Jobs are kept while a task is active or a write is pending. Acceptance and cancellation move to jobAdmission.ts.

Before: the handover test, with the hook disabled, answered one of two cancellations as unknown. The order of closing and acquiring has no test.

--- a/packages/scheduler/__tests__/takeover.spec.ts
+++ b/packages/scheduler/__tests__/takeover.spec.ts
@@ -187,17 +187,22 @@
         const cell = new SchedulerCell();
         const first = await cell.begin(1);
         const second = cell.addProcess();
-        const job = await cell.submitAndStart(first, { runMilliseconds: 1_000 });
-        await cell.timers.advance(3_000);
-        cell.table.faults.delayMilliseconds = 700;
-        void first.service.cancel(await cell.submit(first, { runMilliseconds: 600_000 }));
+        const jobs = [await cell.submit(first), await cell.submit(first)];
+        cell.table.faults.delayMilliseconds = 1_600;
+        const earlier = first.service.cancel(jobs[0]!);
+        await cell.timers.advance(100);
+        const later = first.service.cancel(jobs[1]!);
+        await cell.timers.advance(50);
         const released = first.ownership.releaseAll(10_000);
-        await cell.timers.advance(8_000);
-        await released;
+        const answers = [await cell.settle(earlier), await cell.settle(later)];
+        expect(answers.map(answer => answer.isOk())).to.deep.equal([true, true]);
+        await cell.settle(released);
         cell.table.faults.delayMilliseconds = 0;
         await cell.timers.advance(10_000);
         expect(second.ownership.owned().map(owned => owned.shard)).to.deep.equal([SHARD]);
-        expect(await cell.state(second, job)).to.equal(JobState.Succeeded);
+        for (const job of jobs) {
+            expect(await cell.state(second, job)).to.equal(JobState.Cancelled);
+        }
         cell.check();
     });
 });
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -51,7 +51,7 @@
 
     private readonly options: SchedulerServiceOptions;
     private readonly shards = new Map<string, ShardScheduler>();
-    private readonly closingShards = new Set<Promise<void>>();
+    private readonly closingShards = new Map<string, Promise<void>>();
     private readonly feed: SummaryFeed;
     private readonly access: ShardAccess;
     private readonly jobRouter: JobRouter;
@@ -94,7 +94,23 @@
         logger.info({ shard: owned.shard, epoch: owned.epoch }, "shard acquired");
         const scheduler = new ShardScheduler(owned.shard, owned.epoch, this.options.dependencies);
         this.shards.set(owned.shard, scheduler);
-        scheduler.start(...this.targetsOf(owned.shard), owned.roster);
+        const begin = (): void => scheduler.start(...this.targetsOf(owned.shard), owned.roster);
+        // The former scheduler of the shard closes its grants and job records by the name of the shard.
+        const closing = this.closingShards.get(owned.shard);
+        if (closing === undefined) {
+            begin();
+        }
+        else {
+            void closing.then(begin);
+        }
+    }
+
+    /** Makes pending job records durable before a planned handover. */
+    async releasing(shard: string, epoch: number): Promise<void> {
+        const scheduler = this.shards.get(shard);
+        if (scheduler?.epoch === epoch) {
+            await scheduler.prepareHandover();
+        }
     }
 
     lost(shard: string, epoch: number): void {
@@ -104,9 +120,14 @@
         }
         this.options.dependencies.logger.info({ shard, epoch }, "shard given up");
         this.shards.delete(shard);
-        const closing = scheduler[Symbol.asyncDispose]();
-        this.closingShards.add(closing);
-        void closing.finally(() => this.closingShards.delete(closing));
+        const former = this.closingShards.get(shard);
+        const closing = Promise.all([former, scheduler[Symbol.asyncDispose]()]).then(() => undefined);
+        this.closingShards.set(shard, closing);
+        void closing.finally(() => {
+            if (this.closingShards.get(shard) === closing) {
+                this.closingShards.delete(shard);
+            }
+        });
     }
 
     /** Takes over a new list of workers and executors. */
@@ -192,7 +213,7 @@
         this.subscription[Symbol.dispose]();
         const closing = Array.from(this.shards.values(), scheduler => scheduler[Symbol.asyncDispose]());
         this.shards.clear();
-        await Promise.all([...closing, ...this.closingShards]);
+        await Promise.all([...closing, ...this.closingShards.values()]);
     }
 
     private targetsOf(shard: string): [workers: VmRecord[], executors: VmRecord[]] {
--- a/packages/scheduler/src/shardContext.ts
+++ b/packages/scheduler/src/shardContext.ts
@@ -3,6 +3,7 @@
 import type { SchedulingPolicy } from "@tanagerlink/policy";
 import type { JobBook } from "./jobBook.ts";
 import { type JobEntry, recordDecision } from "./jobEntry.ts";
+import type { PendingWrites } from "./pendingWrites.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
 
 /** One owned shard under one epoch. */
@@ -13,6 +14,8 @@
     readonly dependencies: ShardDependencies;
     readonly policy: SchedulingPolicy;
     readonly book: JobBook;
+    /** Writes of job records that a planned handover waits for. */
+    readonly writes: PendingWrites;
     /** Asks for a scheduling round as soon as the current work is done. */
     requestRound(): void;
 }
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -6,10 +6,7 @@
 import {
     type ConfigurationSnapshot,
     failureDomainOfShard,
-    isFinished,
     type JobRecord,
-    JobState,
-    Reason,
     type Resources,
     type ServiceAnswer,
     type ServiceRequest,
@@ -17,14 +14,16 @@
     type VmRecord,
 } from "@tanagerlink/model";
 import type { DispatchGate, ExecutorPool } from "@tanagerlink/routing";
-import { sleep, type Subscription, withDeadline } from "@tanagerlink/timers";
-import { err, ok, type Result } from "neverthrow";
+import { sleep, type Subscription } from "@tanagerlink/timers";
+import { err, type Result } from "neverthrow";
+import { JobAdmission } from "./jobAdmission.ts";
 import { JobBook } from "./jobBook.ts";
-import { createJobEntry, describeSize, type JobEntry, mayHaveActiveTasks } from "./jobEntry.ts";
+import { activeTasks, createJobEntry, mayHaveActiveTasks } from "./jobEntry.ts";
+import { PendingWrites } from "./pendingWrites.ts";
 import { Recovery } from "./recovery.ts";
 import { WorkerReports } from "./reportHandler.ts";
 import { SchedulingRounds } from "./schedulingRounds.ts";
-import { decide, type ShardContext } from "./shardContext.ts";
+import type { ShardContext } from "./shardContext.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
 import { ShardStatistics } from "./shardStatistics.ts";
 import { startRefusal } from "./startGate.ts";
@@ -41,9 +40,6 @@
 /** Longest wait for pending job records when the shard is given up, in milliseconds. */
 const CLOSE_JOBS_MILLISECONDS = 1_000;
 
-/** Longest wait for the durable acceptance or cancellation of a job, in milliseconds. */
-const ACCEPT_MILLISECONDS = 4_000;
-
 /** Pause between attempts to read the jobs of a shard, in milliseconds. */
 const LOAD_RETRY_MILLISECONDS = 500;
 
@@ -60,10 +56,12 @@
     private readonly rounds: SchedulingRounds;
     private readonly executors: ExecutorPool;
     private readonly statistics: ShardStatistics;
+    private readonly admission: JobAdmission;
     private readonly unitWait: UnitWait;
     private readonly closing = new AbortController();
     private readonly subscriptions: Subscription[] = [];
     private loaded = false;
+    private handingOver = false;
     private loading: Promise<void> = Promise.resolve();
 
     constructor(shard: string, epoch: number, dependencies: ShardDependencies) {
@@ -77,6 +75,7 @@
             dependencies,
             policy: dependencies.createPolicy(),
             book: new JobBook(),
+            writes: new PendingWrites(),
             requestRound: () => this.rounds.request(),
         };
         const requests = new TaskStopRequests(this.context, worker => this.workers.session(worker));
@@ -95,6 +94,12 @@
         this.executors = dependencies.createExecutorPool(shard, epoch, this.dispatchGate());
         this.recovery = new Recovery(this.context, this.lifecycle, this.workers, this.executors);
         this.statistics = new ShardStatistics(this.context, this.executors);
+        this.admission = new JobAdmission(this.context, {
+            lifecycle: this.lifecycle,
+            workers: this.workers,
+            statistics: this.statistics,
+            closed: () => this.closing.signal.aborted,
+        });
     }
 
     /**
@@ -108,7 +113,7 @@
 
     /** Whether the shard takes jobs. */
     get ready(): boolean {
-        return this.loaded && !this.closing.signal.aborted;
+        return this.loaded && !this.handingOver && !this.closing.signal.aborted;
     }
 
     setTargets(workers: readonly VmRecord[], executors: readonly VmRecord[]): void {
@@ -133,63 +138,24 @@
     }
 
     /** Accepts a job durably. Repeating a submission answers with the first one's job. */
-    async submit(submission: Submission): Promise<Result<JobStatus, ServiceError>> {
-        const known = this.context.book.get(submission.id);
-        if (known !== undefined) {
-            return ok({ ...this.statistics.status(known), repeated: true });
-        }
-        const refusal = this.submissionRefusal(submission);
-        if (refusal !== undefined) {
-            return err(refusal);
-        }
-        const entry = this.createEntry(submission);
-        decide(this.context, entry, Reason.Accepted);
-        const acceptance = this.dependencies.jobs.accept(entry.record, submission.idempotencyKey)
-            .then(accepted => accepted.map(({ record, repeated }) => this.accepted(entry, record, repeated)));
-        const result = await withDeadline(this.dependencies.timers, ACCEPT_MILLISECONDS, acceptance);
-        // A late acceptance still takes the job into the queue; only this caller does not learn of it.
-        return result
-            ?? err(
-                serviceError(ErrorKind.StoreOutcomeUnknown, `job ${submission.id} may be accepted; ask for its status`),
-            );
-    }
-
-    /** The job is durable: it enters the queue, unless it repeats another one or a new owner will read it. */
-    private accepted(entry: JobEntry, record: JobRecord, repeated: boolean): JobStatus {
-        if (repeated) {
-            return this.repeatedStatus(record);
-        }
-        if (!this.closing.signal.aborted && this.context.book.get(record.id) === undefined) {
-            this.context.book.add(entry);
-            this.lifecycle.enqueue(entry);
-        }
-        return this.statistics.status(this.context.book.get(record.id) ?? entry);
+    submit(submission: Submission): Promise<Result<JobStatus, ServiceError>> {
+        return this.admission.submit(submission, this.ready);
     }
 
     /** Cancels a job. The answer comes once the cancellation is durable. */
-    async cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
-        const entry = this.context.book.get(job);
-        if (entry === undefined) {
-            return err(this.jobNotFound(job));
-        }
-        if (isFinished(entry.record.state) && entry.pendingWrites === 0) {
-            return ok(this.statistics.status(entry));
-        }
-        const written = isFinished(entry.record.state)
-            ? this.lifecycle.persist(entry)
-            : this.lifecycle.finish(entry, JobState.Cancelled, Reason.CancelledByCaller);
-        // The write goes on through an outage of the store; only this caller does not learn of it.
-        const durable = await withDeadline(this.dependencies.timers, ACCEPT_MILLISECONDS, written);
-        if (durable !== true) {
-            return err(serviceError(ErrorKind.StoreOutcomeUnknown, `the cancellation of ${job} is not durable yet`));
-        }
-        return ok(this.statistics.status(entry));
+    cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
+        return this.admission.cancel(job);
     }
 
     /** Current state of a job with its decisions. */
     status(job: string): Result<JobStatus, ServiceError> {
-        const entry = this.context.book.get(job);
-        return entry === undefined ? err(this.jobNotFound(job)) : ok(this.statistics.status(entry));
+        return this.admission.status(job);
+    }
+
+    /** Takes no more jobs and resolves when everything accepted, cancelled or ended so far is durable. */
+    async prepareHandover(): Promise<void> {
+        this.handingOver = true;
+        await this.context.writes.settled();
     }
 
     /** Runs a request on one of the shard's executors. */
@@ -299,62 +265,14 @@
         const { timers, settings } = this.dependencies;
         const oldest = timers.wallClock() - settings.explanationMilliseconds;
         for (const entry of this.context.book.entries()) {
-            if ((entry.record.finishedAt ?? Number.POSITIVE_INFINITY) < oldest) {
+            const expired = (entry.record.finishedAt ?? Number.POSITIVE_INFINITY) < oldest;
+            if (expired && entry.pendingWrites === 0 && activeTasks(entry).length === 0) {
                 this.context.book.delete(entry.record.id);
                 this.dependencies.jobs.remove(this.shard, entry.record.id);
             }
         }
     }
 
-    private submissionRefusal(submission: Submission): ServiceError | undefined {
-        if (!this.ready) {
-            return serviceError(ErrorKind.ShardNotReady, `shard ${this.shard} is still being read by its new owner`);
-        }
-        const { maximumJobs } = this.dependencies.settings;
-        if (this.context.book.unfinishedJobs() >= maximumJobs) {
-            return serviceError(ErrorKind.Overloaded, `shard ${this.shard} has ${maximumJobs} unfinished jobs`);
-        }
-        const { size, tasks, allAtOnce } = submission.specification;
-        // Without any worker the VM list was probably not read yet; that tells nothing about what can run.
-        if (!this.workers.allAttached() || this.workers.states().length === 0) {
-            return undefined;
-        }
-        const feasibility = this.context.policy.feasibility(size, tasks, allAtOnce);
-        if (feasibility.feasible) {
-            return undefined;
-        }
-        return serviceError(
-            ErrorKind.NeverRunnable,
-            `${feasibility.reason}; the nearest shape that could run is ${describeSize(feasibility.nearest)}`,
-            { ...feasibility.nearest },
-        );
-    }
-
-    private createEntry(submission: Submission): JobEntry {
-        const { timers } = this.dependencies;
-        const record: JobRecord = {
-            id: submission.id,
-            specification: submission.specification,
-            workClass: submission.workClass,
-            shard: this.shard,
-            acceptedEpoch: this.epoch,
-            state: JobState.Queued,
-            submittedAt: submission.submittedAt,
-            succeededTasks: [],
-            intents: [],
-            decisions: [],
-        };
-        return createJobEntry(record, timers.now(), timers.wallClock(), false);
-    }
-
-    private repeatedStatus(record: JobRecord): JobStatus {
-        const entry = this.context.book.get(record.id);
-        const status = entry === undefined
-            ? this.statistics.statusOfRecord(record)
-            : this.statistics.status(entry);
-        return { ...status, repeated: true };
-    }
-
     private dispatchGate(): DispatchGate {
         return {
             enter: team => {
@@ -364,8 +282,4 @@
             leave: team => this.dependencies.ledger.release(this.shard, team),
         };
     }
-
-    private jobNotFound(job: string): ServiceError {
-        return serviceError(ErrorKind.JobNotFound, `shard ${this.shard} has no job ${job}`);
-    }
 }
--- a/packages/scheduler/src/taskLifecycle.ts
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -198,7 +198,7 @@
     /** Writes the record; false when this owner may not write it any more. */
     async persist(entry: JobEntry): Promise<boolean> {
         entry.pendingWrites++;
-        const result = await this.context.dependencies.jobs.update(entry.record);
+        const result = await this.context.writes.track(this.context.dependencies.jobs.update(entry.record));
         entry.pendingWrites--;
         if (result.isErr()) {
             this.context.dependencies.logger.warn(
