perf(scheduler): keep counts of jobs and tasks incrementally

Change: JobBook recounts only jobs that changed since the counts were last read; recovering jobs are kept in a set; the active sizes by team come from the occupied tasks; ended jobs to forget are looked for each 10 s. The random schedules compare the counts with the state of all jobs every 2 s.

--- a/packages/scheduler/__tests__/starts.spec.ts
+++ b/packages/scheduler/__tests__/starts.spec.ts
@@ -150,6 +150,7 @@
                     const due = restarts.filter(({ at }) => at >= second && at < second + 2);
                     due.forEach(({ worker }) => cell.worker(`worker${worker}`).restart());
                     await cell.timers.advance(2_000);
+                    cell.checkCounts(owner);
                 }
                 cell.check([once]);
                 expect(await cell.state(owner, repeated)).to.equal(JobState.Succeeded);
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -214,6 +214,15 @@
         return this.record.attempts.filter(attempt => attempt.job === job);
     }
 
+    /** The incremental counts of an owner agree with the state of its jobs. */
+    checkCounts({ service }: CellProcess): void {
+        const { shards } = service.describe() as { shards: { jobs: JobStatus[]; }[]; };
+        const open = (shards[0]?.jobs ?? []).filter(({ state }) => state === "queued" || state === "running");
+        const waiting = open.reduce((sum, job) => sum + (job.tasks.waiting ?? 0), 0);
+        const counted = service.heartbeat().teams.find(({ team }) => team === "alder");
+        expect(counted?.waitingTasks ?? 0, "waiting tasks by team").to.equal(waiting);
+    }
+
     /** Promises that hold under every fault. */
     check(nonIdempotent: readonly string[] = []): void {
         expect(this.record.overlaps(), "a task ran in two places at once").to.deep.equal([]);
--- a/packages/scheduler/src/recovery.ts
+++ b/packages/scheduler/src/recovery.ts
@@ -91,6 +91,7 @@
     /** No read worker runs the task and no unread one can. */
     private resolve(entry: JobEntry, task: TaskEntry): void {
         task.recovering = false;
+        this.context.book.touch(entry);
         if (isFinished(entry.record.state)) {
             task.state = TaskState.Cancelled;
             return;
--- a/packages/scheduler/src/reportHandler.ts
+++ b/packages/scheduler/src/reportHandler.ts
@@ -258,6 +258,7 @@
             this.actions.lifecycle.free(entry, task, undefined);
         }
         task.state = state;
+        this.context.book.touch(entry);
     }
 }
 
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -37,6 +37,9 @@
 /** Period of checks on leases, availability and recovery, in milliseconds. */
 const SWEEP_MILLISECONDS = 200;
 
+/** Period of looking for ended jobs whose explanation may be dropped, in milliseconds. */
+const FORGET_MILLISECONDS = 10_000;
+
 /** Longest wait for pending job records when the shard is given up, in milliseconds. */
 const CLOSE_JOBS_MILLISECONDS = 1_000;
 
@@ -226,6 +229,7 @@
         this.setTargets(this.pendingTargets.workers, this.pendingTargets.executors);
         this.subscriptions.push(
             timers.every(SWEEP_MILLISECONDS, () => this.sweep()),
+            timers.every(FORGET_MILLISECONDS, () => this.forgetFinishedJobs()),
             timers.every(this.dependencies.settings.roundPeriodMilliseconds, () => this.rounds.request()),
         );
     }
@@ -258,7 +262,6 @@
         this.workers.sweep();
         this.recovery.sweep();
         this.statistics.sweep();
-        this.forgetFinishedJobs();
     }
 
     private forgetFinishedJobs(): void {
--- a/packages/scheduler/src/shardStatistics.ts
+++ b/packages/scheduler/src/shardStatistics.ts
@@ -2,7 +2,6 @@
 import {
     addResources,
     type JobRecord,
-    multiplyResources,
     noResources,
     type Resources,
     type ShardSummary,
@@ -10,7 +9,7 @@
     type TeamSummary,
 } from "@tanagerlink/model";
 import type { ExecutorPool } from "@tanagerlink/routing";
-import { activeTasks, type JobEntry } from "./jobEntry.ts";
+import type { JobEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
 import { type JobStatus, statusOfRecord } from "./submission.ts";
 
@@ -88,12 +87,9 @@
 
     private activeSizeByTeam(): Map<string, Resources> {
         const sizes = new Map<string, Resources>();
-        for (const entry of this.context.book.entries()) {
-            const active = activeTasks(entry).length;
-            if (active > 0) {
-                const { team, size } = entry.record.specification;
-                sizes.set(team, addResources(sizes.get(team) ?? noResources, multiplyResources(size, active)));
-            }
+        for (const entry of this.context.book.occupants()) {
+            const { team, size } = entry.record.specification;
+            sizes.set(team, addResources(sizes.get(team) ?? noResources, size));
         }
         return sizes;
     }
--- a/packages/scheduler/src/taskLifecycle.ts
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -87,7 +87,7 @@
 
     /** Frees room and unit of a task. `ranSeconds` only for a normal end, which feeds learning. */
     free(entry: JobEntry, task: TaskEntry, ranSeconds: number | undefined): void {
-        this.context.book.vacate(task);
+        this.context.book.vacate(entry, task);
         this.context.policy.taskEnded(entry.record.id, task.index, ranSeconds);
         this.context.dependencies.ledger.release(this.context.shard, entry.record.specification.team);
         this.context.requestRound();
@@ -99,6 +99,7 @@
             this.free(entry, task, undefined);
         }
         resetTask(task);
+        this.context.book.touch(entry);
         if (isFinished(entry.record.state)) {
             task.state = TaskState.Cancelled;
             return;
@@ -168,6 +169,7 @@
     /** Ends a job as a whole; what still runs is stopped. The promise settles when the end is durable. */
     finish(entry: JobEntry, state: JobState, reason: Reason, detail?: string): Promise<boolean> {
         entry.record = { ...entry.record, state, finishedAt: this.context.dependencies.timers.wallClock() };
+        this.context.book.touch(entry);
         decide(this.context, entry, reason, detail === undefined ? {} : { detail });
         this.context.policy.removeJob(entry.record.id);
         for (const task of entry.tasks) {
@@ -211,6 +213,7 @@
 
     /** Derives the job's state from its tasks and ends the job when all tasks have ended. */
     private refresh(entry: JobEntry): void {
+        this.context.book.touch(entry);
         const state = derivedState(entry);
         if (state === entry.record.state) {
             return;
