test(scheduler): start urgent work during a burst of 10,000 cancellations

Guards against a burst that delays starts or leaves a cancellation without a durable record, with 4 ms for each call of the table.

--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -160,10 +160,15 @@
 
     /** Submits a job and answers with its identifier. */
     async submit(process: CellProcess, choice: JobChoice = {}): Promise<string> {
+        return (await this.settle(this.submission(process, choice)))._unsafeUnwrap().id;
+    }
+
+    /** Submits a job without moving time. */
+    submission(process: CellProcess, choice: JobChoice = {}): ReturnType<SchedulerService["submit"]> {
         const { workClass = WorkClass.Batch, runMilliseconds, exitCode, usage, key, ...rest } = choice;
         process.service.heartbeat();
         const behaviour = { runMilliseconds, exitCode, usage };
-        const submission = process.service.submit({
+        return process.service.submit({
             specification: jobSpecificationSchema.parse({
                 name: "job",
                 team: "alder",
@@ -176,7 +181,6 @@
             submittedAt: this.timers.wallClock(),
             ...(key === undefined ? {} : { idempotencyKey: key }),
         });
-        return (await this.settle(submission))._unsafeUnwrap().id;
     }
 
     /** Submits a job and waits until all its tasks have been started once. */
--- a/packages/scheduler/__tests__/takeover.spec.ts
+++ b/packages/scheduler/__tests__/takeover.spec.ts
@@ -254,6 +254,22 @@
         cell.check();
     });
 
+    it("starts urgent work in time during a burst of 10,000 cancellations, which all become durable", async () => {
+        const cell = new SchedulerCell({ limit: 100 });
+        const owner = await cell.begin(2);
+        await cell.submitAndStart(owner, { tasks: 7, runMilliseconds: 600_000 });
+        const submitted = Array.from({ length: 10_000 }, () => cell.submission(owner, { runMilliseconds: 600_000 }));
+        const jobs = (await cell.settle(Promise.all(submitted))).map(result => result._unsafeUnwrap().id);
+        cell.table.faults.delayMilliseconds = 4;
+        const cancelled = jobs.map(job => owner.service.cancel(job));
+        const at = cell.timers.now();
+        const urgent = await cell.submitAndStart(owner, { workClass: "urgent", runMilliseconds: 1_000 });
+        expect(cell.attempts(urgent)[0]!.startedAt - at).to.be.below(1_300);
+        const answers = await cell.settle(Promise.all(cancelled));
+        expect(answers.filter(answer => answer.isErr())).to.have.lengthOf(0);
+        cell.check();
+    });
+
     it("starts nothing in a failure domain that was taken out, and resumes when it is back", async () => {
         const cell = new SchedulerCell();
         const owner = await cell.begin(1);
