--- a/packages/scheduler/src/taskLifecycle.ts
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -30,6 +30,7 @@
         const waiting = entry.tasks.filter(task => task.state === TaskState.Waiting && !task.recovering);
         if (waiting.length > 0 && !isFinished(entry.record.state)) {
             this.context.policy.addJob(waitingJob(entry, waiting));
+            entry.queued = true;
         }
         this.context.requestRound();
     }
@@ -86,7 +87,7 @@
 
     /** Frees room and unit of a task. `ranSeconds` only for a normal end, which feeds learning. */
     free(entry: JobEntry, task: TaskEntry, ranSeconds: number | undefined): void {
-        this.context.book.vacate(task);
+        this.context.book.vacate(entry, task);
         this.context.policy.taskEnded(entry.record.id, task.index, ranSeconds);
         this.context.dependencies.ledger.release(this.context.shard, entry.record.specification.team);
         this.context.requestRound();
@@ -98,16 +99,39 @@
             this.free(entry, task, undefined);
         }
         resetTask(task);
+        this.context.book.touch(entry);
         if (isFinished(entry.record.state)) {
             task.state = TaskState.Cancelled;
             return;
         }
         decide(this.context, entry, reason, { task: task.index, ...facts });
-        this.context.policy.requeueTasks(entry.record.id, [task.index]);
+        this.waitAgain(entry, task);
         this.refresh(entry);
         this.context.requestRound();
     }
 
+    /**
+     * Tasks of a gang wait until none of them is active, so that the gang starts as a whole. A job all of whose tasks
+     * were adopted from an earlier owner is not in the queue yet; adding it again replaces an earlier entry.
+     */
+    private waitAgain(entry: JobEntry, task: TaskEntry): void {
+        if (entry.record.specification.allAtOnce) {
+            this.enqueueIdleGang(entry);
+        }
+        else if (entry.queued) {
+            this.context.policy.requeueTasks(entry.record.id, [task.index]);
+        }
+        else {
+            this.enqueue(entry);
+        }
+    }
+
+    private enqueueIdleGang(entry: JobEntry): void {
+        if (!entry.tasks.some(task => isActive(task) || task.recovering)) {
+            this.enqueue(entry);
+        }
+    }
+
     /** The task ended well. The promise settles when this is durable. */
     succeeded(entry: JobEntry, task: TaskEntry): Promise<boolean> {
         const ranSeconds = (this.context.dependencies.timers.now() - task.startedAt) / SECOND;
@@ -123,11 +147,14 @@
         });
         this.context.dependencies.metrics.tasksEnded.increment({ result: "succeeded" });
         this.refresh(entry);
+        if (entry.record.specification.allAtOnce) {
+            this.enqueueIdleGang(entry);
+        }
         return this.persist(entry);
     }
 
     /** Nobody can tell whether the task of a non-idempotent job ran to its end; it never starts again. */
-    outcomeUnknown(entry: JobEntry, task: TaskEntry, detail: string): void {
+    outcomeUnknown(entry: JobEntry, task: TaskEntry, detail: string): Promise<boolean> {
         if (isActive(task)) {
             this.free(entry, task, undefined);
         }
@@ -136,12 +163,13 @@
         decide(this.context, entry, Reason.TaskOutcomeUnknown, { task: task.index, detail });
         this.context.dependencies.metrics.tasksEnded.increment({ result: "outcome_unknown" });
         this.refresh(entry);
-        void this.persist(entry);
+        return this.persist(entry);
     }
 
     /** Ends a job as a whole; what still runs is stopped. The promise settles when the end is durable. */
     finish(entry: JobEntry, state: JobState, reason: Reason, detail?: string): Promise<boolean> {
         entry.record = { ...entry.record, state, finishedAt: this.context.dependencies.timers.wallClock() };
+        this.context.book.touch(entry);
         decide(this.context, entry, reason, detail === undefined ? {} : { detail });
         this.context.policy.removeJob(entry.record.id);
         for (const task of entry.tasks) {
@@ -162,7 +190,7 @@
      */
     dissolveGang(entry: JobEntry, reason: Reason): void {
         for (const task of activeTasks(entry)) {
-            if (!task.stopping) {
+            if (task.stopping === undefined) {
                 this.stopper.stop(entry, task);
             }
         }
@@ -171,7 +199,9 @@
 
     /** Writes the record; false when this owner may not write it any more. */
     async persist(entry: JobEntry): Promise<boolean> {
-        const result = await this.context.dependencies.jobs.update(entry.record);
+        entry.pendingWrites++;
+        const result = await this.context.writes.track(this.context.dependencies.jobs.update(entry.record));
+        entry.pendingWrites--;
         if (result.isErr()) {
             this.context.dependencies.logger.warn(
                 { job: entry.record.id, shard: this.context.shard, error: result.error },
@@ -183,6 +213,7 @@
 
     /** Derives the job's state from its tasks and ends the job when all tasks have ended. */
     private refresh(entry: JobEntry): void {
+        this.context.book.touch(entry);
         const state = derivedState(entry);
         if (state === entry.record.state) {
             return;
