perf(policy): keep the order of teams between rounds

Change: lanes of teams stay sorted by a key that does not change with time; blocked work is only tried against workers whose room has grown, by the largest of their present rooms.

--- a/packages/policy/src/fairShare.ts
+++ b/packages/policy/src/fairShare.ts
@@ -16,6 +16,9 @@
 
 /** Use and weights of all teams. */
 export class FairShare {
+    /** Increases when the ranks of all teams may have changed. */
+    version = 0;
+    private readonly observers: Set<string>[] = [];
     private readonly teams = new Map<string, TeamUsage>();
     private shares: ReadonlyMap<string, number> = new Map();
     private totalWeight = DEFAULT_WEIGHT;
@@ -28,6 +31,7 @@
     }
 
     setShares(shares: ReadonlyMap<string, number>): void {
+        this.version++;
         this.shares = shares;
         this.totalWeight = Math.max(Number.MIN_VALUE, [...shares.values()].reduce((sum, share) => sum + share, 0));
         for (const [team, usage] of this.teams) {
@@ -36,6 +40,7 @@
     }
 
     setFleetUsage(usage: ReadonlyMap<string, Resources>, fleetCapacity: Resources): void {
+        this.version++;
         this.fleetCapacity = fleetCapacity;
         for (const [team, entry] of this.teams) {
             entry.remote = usage.get(team) ?? noResources;
@@ -47,10 +52,24 @@
 
     add(team: string, size: Resources): void {
         this.usageOf(team).local.add(size);
+        this.notify(team);
     }
 
     subtract(team: string, size: Resources): void {
         this.usageOf(team).local.subtract(size);
+        this.notify(team);
+    }
+
+    /** Tells that the capacity of the shard has changed. */
+    capacityChanged(): void {
+        this.version++;
+    }
+
+    /** A set that receives the names of teams whose use changes; the caller empties it. */
+    observe(): Set<string> {
+        const observer = new Set<string>();
+        this.observers.push(observer);
+        return observer;
     }
 
     /**
@@ -76,6 +95,12 @@
         return Object.fromEntries([...this.teams].map(([team, usage]) => [team, usage.local.snapshot()]));
     }
 
+    private notify(team: string): void {
+        for (const observer of this.observers) {
+            observer.add(team);
+        }
+    }
+
     private usageOf(team: string): TeamUsage {
         const known = this.teams.get(team);
         if (known !== undefined) {
--- a/packages/policy/src/gangReservation.ts
+++ b/packages/policy/src/gangReservation.ts
@@ -14,6 +14,8 @@
 const PLAN_GRACE_MS = 1_000;
 /** Shortest time between two attempts to plan, because planning reads all running tasks. */
 const PLAN_INTERVAL_MS = 250;
+/** Shortest time between two searches of all teams for tasks that smaller ones have passed over. */
+const TEAMS_INTERVAL_MS = 1_000;
 /** Part of its present run time that an overdue task is expected to need in addition. */
 const OVERDUE_PART = 0.25;
 /** Least additional time expected of an overdue task. */
@@ -42,6 +44,7 @@
     current: Reservation | undefined;
     private readonly pool: WorkerPool;
     private nextPlanAt = -Infinity;
+    private nextTeamsAt = -Infinity;
     private gangsFirst = false;
 
     constructor(pool: WorkerPool) {
@@ -74,6 +77,15 @@
         return this.gangsFirst;
     }
 
+    /** Whether the oldest tasks of all teams may be read again. */
+    mayReadTeams(now: number): boolean {
+        if (now < this.nextTeamsAt) {
+            return false;
+        }
+        this.nextTeamsAt = now + TEAMS_INTERVAL_MS;
+        return true;
+    }
+
     canPlan(now: number): boolean {
         return this.current === undefined && now >= this.nextPlanAt;
     }
--- a/packages/policy/src/placer.ts
+++ b/packages/policy/src/placer.ts
@@ -88,6 +88,11 @@
             && this.state.pool.find(group.sizeClass.size, heldAccess) !== undefined;
     }
 
+    /** Whether the group's tasks end before the planned gang starts. */
+    mayBackfill(group: WaitingGroup): boolean {
+        return this.accessOf(group) === heldAccess;
+    }
+
     private accessOf(group: WaitingGroup): Access {
         const planned = this.state.reservation.current;
         const ends = planned !== undefined && this.expectedEnd(group) <= planned.startAt;
@@ -106,6 +111,7 @@
         if (pool.fitsOutsideReserve(size)) {
             return pool.find(size, access, spread);
         }
+        this.state.reserveNeeded = true;
         // Too large for any room outside the reserve; the room held for a gang stays closed.
         const avoidHeld: WorkerCost = worker => worker.held === undefined ? (spread?.(worker) ?? 0) : Infinity;
         return pool.find(size, { reserve: true, held: access.held }, access.held ? spread : avoidHeld);
--- a/packages/policy/src/policyState.ts
+++ b/packages/policy/src/policyState.ts
@@ -4,10 +4,10 @@
 import { GangReservation } from "./gangReservation.ts";
 import { WorkProfiles } from "./learning.ts";
 import { Preemptor } from "./preemption.ts";
-import type { Growth } from "./roomIndexes.ts";
 import { RunningTasks } from "./runningTasks.ts";
 import type { WaitingGroup } from "./waitingGroup.ts";
 import { WaitingQueue } from "./waitingQueue.ts";
+import type { WorkerNode } from "./workerNode.ts";
 import { WorkerPool } from "./workerPool.ts";
 
 /** State of one shard's policy. */
@@ -17,14 +17,16 @@
     readonly shares = new FairShare(this.pool.capacity);
     readonly running = new RunningTasks(this.pool, this.shares);
     readonly profiles = new WorkProfiles();
-    readonly queue = new WaitingQueue(this.profiles);
+    readonly queue = new WaitingQueue(this.profiles, this.shares);
     readonly preemptor = new Preemptor(this.pool, this.running);
     readonly reservation = new GangReservation(this.pool);
-    /** Groups without room, from which the reservation is chosen. */
-    readonly blockedGroups = new Set<WaitingGroup>();
+    /** Groups of gangs without room. */
+    readonly blockedGangs = new Set<WaitingGroup>();
+    /** Some size was seen that fits only with the room of the reserve. */
+    reserveNeeded = false;
     roundNumber = 0;
-    /** Growth of room that a round ended too early to use. */
-    unusedGrowth: Growth | undefined;
+    /** Workers with grown room that a round ended too early to use. */
+    unusedGrowth: ReadonlySet<WorkerNode> = new Set();
 
     constructor(settings: PolicySettings) {
         this.settings = settings;
--- a/packages/policy/src/reservationStart.ts
+++ b/packages/policy/src/reservationStart.ts
@@ -1,4 +1,5 @@
 /** Chooses which blocked work gets the shard's reservation, and starts it when its room is there. */
+import { WorkClass } from "@tanagerlink/model";
 import type { Placer } from "./placer.ts";
 import type { PolicyState } from "./policyState.ts";
 import type { LimitGate } from "./schedulingPolicy.ts";
@@ -42,45 +43,67 @@
             this.limits.giveBack(entry.job.team, count);
             return;
         }
-        this.state.blockedGroups.delete(group);
+        this.state.blockedGangs.delete(group);
         reservation.clear();
         group.blocked = false;
         lane.lastStart = this.now;
-        lane.place(group);
         lane.attention = true;
+        queue.place(group);
     }
 
     /** Plans a new reservation when there is none. */
     plan(): void {
-        const { reservation, blockedGroups } = this.state;
-        if (blockedGroups.size === 0 || !reservation.canPlan(this.now)) {
+        const { reservation } = this.state;
+        if (!reservation.canPlan(this.now)) {
             return;
         }
-        reservation.plan(this.candidates(), this.now);
+        const candidates = this.candidates();
+        if (candidates.length === 0) {
+            return;
+        }
+        reservation.plan(candidates, this.now);
         if (reservation.current !== undefined && reservation.current.startAt <= this.now) {
             this.start(true);
         }
     }
 
-    /** Oldest blocked gangs, and tasks that got no start for the ageing time, in turns. */
     private candidates(): readonly JobEntry[] {
-        const agingMilliseconds = this.state.settings.agingSeconds * 1_000;
-        const gangs: JobEntry[] = [];
-        const singles: JobEntry[] = [];
-        for (const group of this.state.blockedGroups) {
+        const gangs = oldest(this.blockedGangs());
+        const singles = oldest(this.passedOverTasks());
+        return this.state.reservation.takeTurn() ? [...gangs, ...singles] : [...singles, ...gangs];
+    }
+
+    private blockedGangs(): JobEntry[] {
+        const entries: JobEntry[] = [];
+        for (const group of this.state.blockedGangs) {
             const entry = group.head();
             if (entry === undefined || !group.blocked) {
-                this.state.blockedGroups.delete(group);
+                this.state.blockedGangs.delete(group);
             }
-            else if (entry.job.allAtOnce) {
-                gangs.push(entry);
+            else {
+                entries.push(entry);
             }
-            else if (this.now - Math.max(entry.job.waitingSince, group.lastStart) >= agingMilliseconds) {
-                singles.push(entry);
+        }
+        return entries;
+    }
+
+    /** Oldest task of each team, where its kind had room for none for the ageing time. */
+    private passedOverTasks(): JobEntry[] {
+        if (!this.state.reservation.mayReadTeams(this.now)) {
+            return [];
+        }
+        const agingMilliseconds = this.state.settings.agingSeconds * 1_000;
+        const entries: JobEntry[] = [];
+        for (const workClass of [WorkClass.Service, WorkClass.Batch]) {
+            for (const { first } of this.state.queue.ofClass(workClass).lanes) {
+                const entry = first?.blocked === true && !first.sample.allAtOnce ? first.head() : undefined;
+                const since = Math.max(entry?.job.waitingSince ?? Infinity, first?.lastStart ?? Infinity);
+                if (entry !== undefined && this.now - since >= agingMilliseconds) {
+                    entries.push(entry);
+                }
             }
         }
-        const gangsFirst = this.state.reservation.takeTurn();
-        return gangsFirst ? [...oldest(gangs), ...oldest(singles)] : [...oldest(singles), ...oldest(gangs)];
+        return entries;
     }
 }
 
--- a/packages/policy/src/roomIndexes.ts
+++ b/packages/policy/src/roomIndexes.ts
@@ -1,10 +1,10 @@
 /**
  * Indexes over the rooms of workers, one for each kind of access, and the record of what has grown since the last round.
  */
-import { addResources, fitsInto, noResources, type Resources, subtractResources } from "@tanagerlink/model";
+import { addResources, fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
 import { ResourceTally } from "./resourceTally.ts";
 import { type ResourceScale, type WorkerCost, WorkerIndex } from "./workerIndex.ts";
-import type { HeldRoom, WorkerNode } from "./workerNode.ts";
+import { type HeldRoom, noRooms, type WorkerNode } from "./workerNode.ts";
 
 /** Which kept-free rooms a task may use. */
 export interface Access {
@@ -21,24 +21,6 @@
 /** Access of urgent work. */
 export const fullAccess: Access = { reserve: true, held: true };
 
-/** Component-wise largest rooms of workers whose room has grown. Work larger than that is not worth another try. */
-export interface Growth {
-    /** Open room. */
-    readonly open: ResourceTally;
-    /** Room if all batch work were preempted. */
-    readonly afterPreemption: ResourceTally;
-}
-
-/** Adds the growth of one span of time to that of another. */
-export function mergeGrowth(left: Growth | undefined, right: Growth | undefined): Growth | undefined {
-    if (left === undefined || right === undefined) {
-        return left ?? right;
-    }
-    left.open.raise(right.open);
-    left.afterPreemption.raise(right.afterPreemption);
-    return left;
-}
-
 /** Rooms of all usable workers. */
 export class RoomIndexes {
     /** Room that any work may use. */
@@ -50,7 +32,8 @@
     /** Projected room if all batch work were preempted, on workers with such work. */
     private readonly afterPreemption = new WorkerIndex();
     private readonly all = [this.common, this.outsideReserve, this.open, this.afterPreemption];
-    private growth: Growth | undefined;
+    /** Workers whose room has grown since the last call of `takeGrown`. */
+    private grown = new Set<WorkerNode>();
 
     setScale(scale: ResourceScale): void {
         this.all.forEach(index => index.setScale(scale));
@@ -77,17 +60,17 @@
         return this.common.count(size, limit);
     }
 
-    takeGrowth(): Growth | undefined {
-        const { growth } = this;
-        this.growth = undefined;
-        return growth;
+    takeGrown(): Set<WorkerNode> {
+        const { grown } = this;
+        this.grown = new Set();
+        return grown;
     }
 
     withoutGrowth<Value>(change: () => Value): Value {
-        const { growth } = this;
-        this.growth = undefined;
+        const { grown } = this;
+        this.grown = new Set();
         const value = change();
-        this.growth = growth;
+        this.grown = grown;
         return value;
     }
 
@@ -95,8 +78,7 @@
     refresh(node: WorkerNode, retry = false): void {
         if (!node.usable) {
             this.all.forEach(index => index.delete(node));
-            node.indexedRoom = noResources;
-            node.indexedProjection = noResources;
+            node.rooms = noRooms;
             return;
         }
         const open = node.openRoom();
@@ -107,17 +89,10 @@
         setOrDelete(this.open, node, open, node.held !== undefined || hasAny(node.reserve));
         const projected = addResources(node.projectedRoom(), node.preemptible);
         setOrDelete(this.afterPreemption, node, projected, hasAny(node.preemptible) || hasAny(node.ending));
-        this.noteGrowth(node, open, projected, retry);
-    }
-
-    private noteGrowth(node: WorkerNode, open: Resources, projected: Resources, retry: boolean): void {
-        const grown = retry || !fitsInto(open, node.indexedRoom) || !fitsInto(projected, node.indexedProjection);
-        node.indexedRoom = open;
-        node.indexedProjection = projected;
-        if (grown) {
-            this.growth ??= { open: new ResourceTally(), afterPreemption: new ResourceTally() };
-            this.growth.open.raise(open);
-            this.growth.afterPreemption.raise(projected);
+        const before = node.rooms;
+        node.rooms = { common, unreserved, open, afterPreemption: projected };
+        if (retry || !fitsInto(open, before.open) || !fitsInto(projected, before.afterPreemption)) {
+            this.grown.add(node);
         }
     }
 }
--- a/packages/policy/src/schedulingRound.ts
+++ b/packages/policy/src/schedulingRound.ts
@@ -2,12 +2,11 @@
  * One scheduling round. Classes are served in order; within a class the team with the lowest rank starts one task or one
  * gang at a time. Groups that failed before are skipped until room has grown that could hold them.
  */
-import { fitsInto, Reason, WorkClass } from "@tanagerlink/model";
-import { BinaryHeap } from "./binaryHeap.ts";
+import { fitsInto, Reason, type Resources, WorkClass } from "@tanagerlink/model";
+import { Growth } from "./growth.ts";
 import { Placer } from "./placer.ts";
 import type { PolicyState } from "./policyState.ts";
 import { ReservationStart } from "./reservationStart.ts";
-import { type Growth, mergeGrowth } from "./roomIndexes.ts";
 import type { Hold, LimitGate, Preemption, RoundResult } from "./schedulingPolicy.ts";
 import type { TeamLane } from "./teamLane.ts";
 import type { JobEntry, WaitingGroup } from "./waitingGroup.ts";
@@ -36,7 +35,7 @@
     private readonly maximum: number;
     private readonly placer: Placer;
     private readonly preemptions: Preemption[] = [];
-    private growth: Growth | undefined;
+    private growth = new Growth(new Set());
     private incomplete = false;
 
     constructor(state: PolicyState, now: number, limits: LimitGate, maximum: number) {
@@ -50,16 +49,22 @@
     run(): RoundResult {
         const { state, now } = this;
         state.roundNumber++;
-        state.pool.prepareRound();
+        if (state.pool.prepareRound()) {
+            state.shares.capacityChanged();
+            state.reserveNeeded = false;
+        }
         state.preemptor.review(now);
         state.reservation.review(now);
-        this.growth = mergeGrowth(state.unusedGrowth, state.pool.takeGrowth());
+        const grown = state.pool.takeGrown();
+        state.unusedGrowth.forEach(worker => grown.add(worker));
+        this.growth = new Growth(grown);
         const reserved = new ReservationStart(state, this.placer, this.limits, now);
         this.serveClass(WorkClass.Urgent);
-        reserved.start(this.growth !== undefined);
+        reserved.start(this.growth.some);
+        this.growth.used();
         classOrder.filter(name => name !== WorkClass.Urgent).forEach(name => this.serveClass(name));
         reserved.plan();
-        state.unusedGrowth = this.incomplete ? this.growth : undefined;
+        state.unusedGrowth = this.incomplete ? this.growth.remaining() : new Set();
         return { placements: this.placer.placements, preemptions: this.preemptions, holds: this.takeHolds() };
     }
 
@@ -68,47 +73,60 @@
     }
 
     private serveClass(workClass: WorkClass): void {
-        const heap = new BinaryHeap<TeamLane>();
-        for (const lane of this.state.queue.lanesOf(workClass)) {
-            if (this.growth === undefined && !lane.attention) {
+        const { state } = this;
+        const queue = state.queue.ofClass(workClass);
+        queue.reorder(state.settings.agingSeconds);
+        let room = this.largestRoom(workClass);
+        for (let position = 0; position < queue.lanes.length;) {
+            const lane = queue.lanes[position]!;
+            if (!lane.attention && !lane.mayFit(room)) {
+                position++;
                 continue;
             }
-            lane.attention = false;
-            this.pushLane(heap, lane);
-        }
-        while (heap.size > 0 && !this.full) {
-            const lane = heap.pop()!;
+            if (this.full) {
+                this.incomplete = true;
+                return;
+            }
+            // A lane that started work moves behind; the next one is then at the same position.
             if (this.serveLane(lane)) {
-                this.pushLane(heap, lane);
+                lane.lastStart = this.now;
+                queue.move(lane);
+                room = this.largestRoom(workClass);
+            }
+            else if (!queue.dropIfEmpty(position)) {
+                position++;
             }
-        }
-        while (heap.size > 0) {
-            this.incomplete = true;
-            heap.pop()!.attention = true;
         }
     }
 
-    private pushLane(heap: BinaryHeap<TeamLane>, lane: TeamLane): void {
-        const group = this.nextGroup(lane);
-        if (group !== undefined) {
-            heap.push(this.rank(lane, group), lane);
+    /** Largest room that has grown, for work of a class; `undefined` when none has. */
+    private largestRoom(workClass: WorkClass): Resources | undefined {
+        if (!this.growth.some) {
+            return undefined;
+        }
+        const { open, unreserved, afterPreemption } = this.growth.present;
+        if (workClass === WorkClass.Urgent) {
+            return afterPreemption;
         }
+        return this.state.reserveNeeded ? open : unreserved;
     }
 
-    /**
-     * Rank of the team less its ageing. Ageing counts from the team's last start: a team that gets regular starts stays
-     * at its share however long its queue is, and a team that gets none cannot starve.
-     */
-    private rank(lane: TeamLane, group: WaitingGroup): number {
-        const waited = Math.max(0, this.now - Math.max(lane.oldestSince, lane.lastStart));
-        const lift = waited / (1_000 * Math.max(0.001, this.state.settings.agingSeconds));
-        return this.state.shares.rank(lane.team, group.sizeClass.size) - lift;
+    private mayFitGroup(group: WaitingGroup): boolean {
+        const { common, open, unreserved, afterPreemption } = this.growth.present;
+        const { size } = group.sizeClass;
+        if (group.sample.workClass === WorkClass.Urgent) {
+            return fitsInto(size, afterPreemption);
+        }
+        if (this.state.reserveNeeded) {
+            return fitsInto(size, open);
+        }
+        return fitsInto(size, common) || (fitsInto(size, unreserved) && this.placer.mayBackfill(group));
     }
 
     /** Next group of the walk that is worth a try. */
     private nextGroup(lane: TeamLane): WaitingGroup | undefined {
         for (let group = lane.current(); group !== undefined; group = lane.current()) {
-            if (!group.blocked || this.mayFitNow(group)) {
+            if (!group.blocked || (this.growth.some && this.mayFitGroup(group))) {
                 return group;
             }
             lane.advance();
@@ -116,28 +134,27 @@
         return undefined;
     }
 
-    private mayFitNow(group: WaitingGroup): boolean {
-        const room = group.sample.workClass === WorkClass.Urgent ? this.growth?.afterPreemption : this.growth?.open;
-        return room !== undefined && fitsInto(group.sizeClass.size, room);
-    }
-
     /** Serves groups of the team until one start was made; answers whether one was. */
     private serveLane(lane: TeamLane): boolean {
+        if (lane.beginWalk(this.state.roundNumber)) {
+            lane.retry = false;
+        }
         for (let group = this.nextGroup(lane); group !== undefined; group = this.nextGroup(lane)) {
             const outcome = this.serveGroup(group, group.head()!);
             group.blocked = outcome === Outcome.Blocked;
             if (outcome === Outcome.Placed) {
-                lane.lastStart = this.now;
+                this.growth.used();
                 lane.place(group);
                 return true;
             }
             this.report(group);
-            lane.attention ||= outcome !== Outcome.Blocked;
+            lane.retry ||= outcome !== Outcome.Blocked;
             if (outcome === Outcome.Limited) {
-                return false;
+                break;
             }
             lane.advance();
         }
+        lane.attention = lane.retry;
         return false;
     }
 
@@ -178,7 +195,6 @@
 
     private blockForCapacity(entry: JobEntry): void {
         const { group } = entry;
-        this.state.blockedGroups.add(group);
         if (this.placer.heldRoomFits(group)) {
             group.setHold(Reason.WaitingForReservation);
         }
@@ -202,11 +218,11 @@
             return Outcome.Skipped;
         }
         if (this.placer.placeGang(entry)) {
-            this.state.blockedGroups.delete(group);
+            this.state.blockedGangs.delete(group);
             return Outcome.Placed;
         }
         this.limits.giveBack(group.sample.team, count);
-        this.state.blockedGroups.add(group);
+        this.state.blockedGangs.add(group);
         group.setHold(Reason.WaitingForGang);
         return Outcome.Blocked;
     }
--- a/packages/policy/src/waitingQueue.ts
+++ b/packages/policy/src/waitingQueue.ts
@@ -1,9 +1,11 @@
 /** All waiting work of the shard: jobs by identifier, alike jobs in groups, groups by class and team. */
 import { type Resources, WorkClass } from "@tanagerlink/model";
+import { ClassQueue } from "./classQueue.ts";
+import type { FairShare } from "./fairShare.ts";
 import type { WorkProfiles } from "./learning.ts";
 import { resourcesKey } from "./resourceTally.ts";
 import type { WaitingJob } from "./schedulingPolicy.ts";
-import { TeamLane } from "./teamLane.ts";
+import type { TeamLane } from "./teamLane.ts";
 import { type JobEntry, type SizeClass, WaitingGroup } from "./waitingGroup.ts";
 
 /** Order in which the classes are served. */
@@ -20,11 +22,12 @@
     private readonly jobs = new Map<string, JobEntry>();
     private readonly groups = new Map<string, WaitingGroup>();
     private readonly sizeClasses = new Map<string, SizeClass>();
-    private readonly lanes = new Map<WorkClass, Map<string, TeamLane>>(classOrder.map(name => [name, new Map()]));
+    private readonly classes: ReadonlyMap<WorkClass, ClassQueue>;
     private readonly profiles: WorkProfiles;
 
-    constructor(profiles: WorkProfiles) {
+    constructor(profiles: WorkProfiles, shares: FairShare) {
         this.profiles = profiles;
+        this.classes = new Map(classOrder.map(name => [name, new ClassQueue(shares)]));
     }
 
     /** Adds a job without the tasks that `runs` knows as running; a repeated job replaces the earlier one. */
@@ -80,22 +83,20 @@
         this.waitingTasks += tasks.length;
     }
 
-    /** Lanes of a class with waiting groups, each at its oldest group; lanes without work are dropped. */
-    lanesOf(workClass: WorkClass): readonly TeamLane[] {
-        const lanes = this.lanes.get(workClass)!;
-        for (const [team, lane] of lanes) {
-            lane.rewind();
-            if (lane.empty) {
-                lanes.delete(team);
-            }
-        }
-        return [...lanes.values()];
+    ofClass(workClass: WorkClass): ClassQueue {
+        return this.classes.get(workClass)!;
     }
 
     laneOf(group: WaitingGroup): TeamLane {
-        const lanes = this.lanes.get(group.sample.workClass)!;
-        const lane = lanes.get(group.sample.team) ?? new TeamLane(group.sample.team);
-        lanes.set(group.sample.team, lane);
+        return this.ofClass(group.sample.workClass).laneOf(group.sample.team);
+    }
+
+    /** Renews the places of the group in its team and of the team in its class. */
+    place(group: WaitingGroup): TeamLane {
+        const queue = this.ofClass(group.sample.workClass);
+        const lane = queue.laneOf(group.sample.team);
+        lane.place(group);
+        queue.move(lane);
         return lane;
     }
 
@@ -120,8 +121,7 @@
         group.add(entry, tasks);
         this.waitingTasks += group.waiting - before;
         if (group.waiting > 0) {
-            const lane = this.laneOf(group);
-            lane.place(group);
+            const lane = this.place(group);
             // Tasks that join a blocked group share its fate until room grows.
             lane.attention ||= !group.blocked;
             if (group.blocked) {
--- a/packages/policy/src/workerNode.ts
+++ b/packages/policy/src/workerNode.ts
@@ -37,6 +37,25 @@
     readonly amount: Resources;
 }
 
+/** Rooms of a worker by kind of access. */
+export interface WorkerRooms {
+    /** Room that any work may use. */
+    readonly common: Resources;
+    /** Room without the reserve; includes room held for a planned gang. */
+    readonly unreserved: Resources;
+    readonly open: Resources;
+    /** Room if all batch work were preempted. */
+    readonly afterPreemption: Resources;
+}
+
+/** Rooms of a worker that takes no work. */
+export const noRooms: WorkerRooms = {
+    common: noResources,
+    unreserved: noResources,
+    open: noResources,
+    afterPreemption: noResources,
+};
+
 /** One worker. Sums are kept by `WorkerPool`. */
 export class WorkerNode {
     readonly id: string;
@@ -60,10 +79,8 @@
     held: HeldRoom | undefined;
     /** Counted sizes of tasks that end after the held room is needed. */
     readonly outlasting = new ResourceTally();
-    /** Open room at the last refresh of the indexes; growth since then lets blocked work be tried again. */
-    indexedRoom: Resources = noResources;
-    /** Room after preemption of all batch work at the last refresh. */
-    indexedProjection: Resources = noResources;
+    /** Rooms at the last refresh of the indexes. */
+    rooms: WorkerRooms = noRooms;
 
     constructor(id: string) {
         this.id = id;
--- a/packages/policy/src/workerPool.ts
+++ b/packages/policy/src/workerPool.ts
@@ -4,7 +4,7 @@
  */
 import { fitsInto, noResources, type Resources, WorkClass } from "@tanagerlink/model";
 import { ResourceTally } from "./resourceTally.ts";
-import { type Access, type Growth, RoomIndexes } from "./roomIndexes.ts";
+import { type Access, RoomIndexes } from "./roomIndexes.ts";
 import type { PolicyWorker } from "./schedulingPolicy.ts";
 import { distributeReserve, type WorkerKind } from "./urgentReserve.ts";
 import type { ResourceScale, WorkerCost } from "./workerIndex.ts";
@@ -146,9 +146,9 @@
         return this.kinds.some(kind => fitsInto(size, kind.capacity));
     }
 
-    /** What has grown since the last call, or `undefined` when nothing has. */
-    takeGrowth(): Growth | undefined {
-        return this.rooms.takeGrowth();
+    /** Workers whose room has grown since the last call. */
+    takeGrown(): Set<WorkerNode> {
+        return this.rooms.takeGrown();
     }
 
     /** Runs a change that is undone before it ends, so that the returned room does not count as grown. */
@@ -156,10 +156,10 @@
         return this.rooms.withoutGrowth(change);
     }
 
-    /** Renews the reserve and the scale of the indexes after workers have come or gone. */
-    prepareRound(): void {
+    /** Renews the reserve and the scale of the indexes after workers have come or gone; answers whether any have. */
+    prepareRound(): boolean {
         if (!this.reserveStale) {
-            return;
+            return false;
         }
         this.reserveStale = false;
         this.kinds = distributeReserve(
@@ -168,6 +168,7 @@
             node => this.rooms.refresh(node, true),
         );
         this.rooms.setScale(this.scale());
+        return true;
     }
 
     freeResources(): Resources {
