perf(policy): leave room beside free accelerators while accelerator work waits

Cause: work without accelerators took the processors beside free accelerators, which then could not be used. Change: while accelerator work is blocked, other work leaves the mean need of each free accelerator on its worker. A gang whose plan was not met is planned anew at once, before other work can take the room that is free already. Services get a reservation after 2 s.

--- a/packages/policy/src/gangReservation.ts
+++ b/packages/policy/src/gangReservation.ts
@@ -51,7 +51,10 @@
         this.pool = pool;
     }
 
-    /** Ends the reservation when its job no longer waits as planned, a worker was lost or the plan was not met. */
+    /**
+     * Ends the reservation when its job no longer waits as planned. A plan that lost a worker or was not met is made
+     * anew at once: the room that is free already must not go to other work in between.
+     */
     review(now: number): void {
         const { current } = this;
         if (current === undefined) {
@@ -63,6 +66,9 @@
         if (changed || lost || now > current.startAt + PLAN_GRACE_MS) {
             this.clear();
         }
+        if (!changed && this.current === undefined) {
+            this.plan([entry], now);
+        }
     }
 
     clear(): void {
--- a/packages/policy/src/growth.ts
+++ b/packages/policy/src/growth.ts
@@ -44,17 +44,19 @@
     private compute(): void {
         this.staleAfter = this.workers.size * REFRESH_PART;
         const common = new ResourceTally();
+        const besideAccelerators = new ResourceTally();
         const unreserved = new ResourceTally();
         const open = new ResourceTally();
         const afterPreemption = new ResourceTally();
         for (const { usable, rooms } of this.workers) {
             if (usable) {
                 common.raise(rooms.common);
+                besideAccelerators.raise(rooms.besideAccelerators);
                 unreserved.raise(rooms.unreserved);
                 open.raise(rooms.open);
                 afterPreemption.raise(rooms.afterPreemption);
             }
         }
-        this.rooms = { common, unreserved, open, afterPreemption };
+        this.rooms = { common, besideAccelerators, unreserved, open, afterPreemption };
     }
 }
--- a/packages/policy/src/placer.ts
+++ b/packages/policy/src/placer.ts
@@ -189,6 +189,9 @@
             outlasts: false,
         };
         group.lastStart = this.now;
+        if (size.accelerators > 0) {
+            this.state.pool.demand.started(size, this.now);
+        }
         this.state.running.add(started);
         return started;
     }
--- a/packages/policy/src/reservationStart.ts
+++ b/packages/policy/src/reservationStart.ts
@@ -8,6 +8,9 @@
 /** Candidates that are tried when the oldest cannot be planned. */
 const PLANNED_CANDIDATES = 4;
 
+/** Time without a start after which a service gets a reservation; it must be restored soon after a loss. */
+const SERVICE_RESERVATION_MS = 2_000;
+
 /** The reservation's part of one round. */
 export class ReservationStart {
     private readonly state: PolicyState;
@@ -87,7 +90,7 @@
         return entries;
     }
 
-    /** Oldest task of each team, where its kind had room for none for the ageing time. */
+    /** Oldest task of each team, where its kind had room for none for the ageing time, or a shorter one for services. */
     private passedOverTasks(): JobEntry[] {
         if (!this.state.reservation.mayReadTeams(this.now)) {
             return [];
@@ -95,10 +98,13 @@
         const agingMilliseconds = this.state.settings.agingSeconds * 1_000;
         const entries: JobEntry[] = [];
         for (const workClass of [WorkClass.Service, WorkClass.Batch]) {
+            const longest = workClass === WorkClass.Service
+                ? Math.min(SERVICE_RESERVATION_MS, agingMilliseconds)
+                : agingMilliseconds;
             for (const { first } of this.state.queue.ofClass(workClass).lanes) {
                 const entry = first?.blocked === true && !first.sample.allAtOnce ? first.head() : undefined;
                 const since = Math.max(entry?.job.waitingSince ?? Infinity, first?.lastStart ?? Infinity);
-                if (entry !== undefined && this.now - since >= agingMilliseconds) {
+                if (entry !== undefined && this.now - since >= longest) {
                     entries.push(entry);
                 }
             }
--- a/packages/policy/src/roomIndexes.ts
+++ b/packages/policy/src/roomIndexes.ts
@@ -2,6 +2,7 @@
  * Indexes over the rooms of workers, one for each kind of access, and the record of what has grown since the last round.
  */
 import { addResources, fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
+import type { AcceleratorDemand } from "./acceleratorDemand.ts";
 import { ResourceTally } from "./resourceTally.ts";
 import { type ResourceScale, type WorkerCost, WorkerIndex } from "./workerIndex.ts";
 import { type HeldRoom, noRooms, type WorkerNode } from "./workerNode.ts";
@@ -23,25 +24,56 @@
 
 /** Rooms of all usable workers. */
 export class RoomIndexes {
-    /** Room that any work may use. */
-    private readonly common = new WorkerIndex();
+    /** Room that any work may use, on workers without and with accelerators. */
+    private readonly plain = new WorkerIndex();
+    private readonly accelerated = new WorkerIndex();
+    /** The same on workers with accelerators, less what their free accelerators need beside them. */
+    private readonly besideAccelerators = new WorkerIndex();
     /** Room without the reserve, on workers where a gang holds room. */
     private readonly outsideReserve = new WorkerIndex();
     /** Whole open room, on workers where it may exceed the common room. */
     private readonly open = new WorkerIndex();
     /** Projected room if all batch work were preempted, on workers with such work. */
     private readonly afterPreemption = new WorkerIndex();
-    private readonly all = [this.common, this.outsideReserve, this.open, this.afterPreemption];
+    private readonly all = [
+        this.plain,
+        this.accelerated,
+        this.besideAccelerators,
+        this.outsideReserve,
+        this.open,
+        this.afterPreemption,
+    ];
+    private readonly demand: AcceleratorDemand;
+    private leavesRoom = false;
     /** Workers whose room has grown since the last call of `takeGrown`. */
     private grown = new Set<WorkerNode>();
 
+    constructor(demand: AcceleratorDemand) {
+        this.demand = demand;
+    }
+
+    /** Whether work without accelerators leaves room for accelerator work from now on. */
+    leaveRoomForAccelerators(leavesRoom: boolean): void {
+        if (this.leavesRoom && !leavesRoom) {
+            for (const worker of this.accelerated.workers()) {
+                this.grown.add(worker);
+            }
+        }
+        this.leavesRoom = leavesRoom;
+    }
+
+    /** Kind of room that tasks of a size may use without further access. */
+    commonKind(size: Resources): "common" | "besideAccelerators" {
+        return size.accelerators === 0 && this.leavesRoom ? "besideAccelerators" : "common";
+    }
+
     setScale(scale: ResourceScale): void {
         this.all.forEach(index => index.setScale(scale));
     }
 
     /** Best worker with room for `size` within the access, or `undefined`. */
     find(size: Resources, access: Access, cost?: WorkerCost): WorkerNode | undefined {
-        const found = this.common.find(size, cost);
+        const found = this.findCommon(size, access, cost);
         if (found !== undefined) {
             return found;
         }
@@ -57,7 +89,9 @@
     }
 
     countFitting(size: Resources, limit: number): number {
-        return this.common.count(size, limit);
+        const accelerated = this.commonKind(size) === "common" ? this.accelerated : this.besideAccelerators;
+        const count = accelerated.count(size, limit);
+        return size.accelerators > 0 ? count : count + this.plain.count(size, limit);
     }
 
     takeGrown(): Set<WorkerNode> {
@@ -84,17 +118,43 @@
         const open = node.openRoom();
         const unreserved = subtractResources(open, node.reserve);
         const common = node.held === undefined ? unreserved : commonRoom(node, unreserved, node.held);
-        this.common.set(node, common);
+        const beside = this.besideFreeAccelerators(common);
+        const hasAccelerators = node.capacity.accelerators > 0;
+        setOrDelete(this.plain, node, common, !hasAccelerators);
+        setOrDelete(this.accelerated, node, common, hasAccelerators);
+        setOrDelete(this.besideAccelerators, node, beside, hasAccelerators);
         setOrDelete(this.outsideReserve, node, unreserved, node.held !== undefined);
         setOrDelete(this.open, node, open, node.held !== undefined || hasAny(node.reserve));
         const projected = addResources(node.projectedRoom(), node.preemptible);
         setOrDelete(this.afterPreemption, node, projected, hasAny(node.preemptible) || hasAny(node.ending));
         const before = node.rooms;
-        node.rooms = { common, unreserved, open, afterPreemption: projected };
+        node.rooms = { common, besideAccelerators: beside, unreserved, open, afterPreemption: projected };
         if (retry || !fitsInto(open, before.open) || !fitsInto(projected, before.afterPreemption)) {
             this.grown.add(node);
         }
     }
+
+    /** Work without accelerators goes to workers without them first. */
+    private findCommon(size: Resources, access: Access, cost?: WorkerCost): WorkerNode | undefined {
+        if (size.accelerators > 0) {
+            return this.accelerated.find(size, cost);
+        }
+        const leavesRoom = this.leavesRoom && !access.reserve;
+        const other = leavesRoom ? this.besideAccelerators : this.accelerated;
+        return this.plain.find(size, cost) ?? other.find(size, cost);
+    }
+
+    private besideFreeAccelerators(common: Resources): Resources {
+        const free = Math.max(0, common.accelerators);
+        if (free === 0) {
+            return common;
+        }
+        return {
+            processorMillis: Math.floor(common.processorMillis - free * this.demand.processorMillis),
+            memoryMebibytes: Math.floor(common.memoryMebibytes - free * this.demand.memoryMebibytes),
+            accelerators: common.accelerators,
+        };
+    }
 }
 
 /** Room that even work of unknown length may use on a worker with held room. */
--- a/packages/policy/src/schedulingRound.ts
+++ b/packages/policy/src/schedulingRound.ts
@@ -49,7 +49,7 @@
     run(): RoundResult {
         const { state, now } = this;
         state.roundNumber++;
-        if (state.pool.prepareRound()) {
+        if (state.pool.prepareRound(now)) {
             state.shares.capacityChanged();
             state.reserveNeeded = false;
         }
@@ -112,7 +112,7 @@
     }
 
     private mayFitGroup(group: WaitingGroup): boolean {
-        const { common, open, unreserved, afterPreemption } = this.growth.present;
+        const { open, unreserved, afterPreemption, ...rooms } = this.growth.present;
         const { size } = group.sizeClass;
         if (group.sample.workClass === WorkClass.Urgent) {
             return fitsInto(size, afterPreemption);
@@ -120,7 +120,8 @@
         if (this.state.reserveNeeded) {
             return fitsInto(size, open);
         }
-        return fitsInto(size, common) || (fitsInto(size, unreserved) && this.placer.mayBackfill(group));
+        return fitsInto(size, rooms[this.state.pool.commonKind(size)])
+            || (fitsInto(size, unreserved) && this.placer.mayBackfill(group));
     }
 
     /** Next group of the walk that is worth a try. */
@@ -195,6 +196,9 @@
 
     private blockForCapacity(entry: JobEntry): void {
         const { group } = entry;
+        if (group.sizeClass.size.accelerators > 0) {
+            this.state.pool.demand.blocked(group, this.now);
+        }
         if (this.placer.heldRoomFits(group)) {
             group.setHold(Reason.WaitingForReservation);
         }
--- a/packages/policy/src/workerIndex.ts
+++ b/packages/policy/src/workerIndex.ts
@@ -83,6 +83,10 @@
         }
     }
 
+    workers(): Iterable<WorkerNode> {
+        return this.slots.keys();
+    }
+
     /** Best worker with room for `size`, or `undefined` when no worker has it. */
     find(size: Resources, cost?: WorkerCost): WorkerNode | undefined {
         const processorLevel = level(size.processorMillis);
--- a/packages/policy/src/workerNode.ts
+++ b/packages/policy/src/workerNode.ts
@@ -41,6 +41,8 @@
 export interface WorkerRooms {
     /** Room that any work may use. */
     readonly common: Resources;
+    /** The same less what the worker's free accelerators need beside them. */
+    readonly besideAccelerators: Resources;
     /** Room without the reserve; includes room held for a planned gang. */
     readonly unreserved: Resources;
     readonly open: Resources;
@@ -51,6 +53,7 @@
 /** Rooms of a worker that takes no work. */
 export const noRooms: WorkerRooms = {
     common: noResources,
+    besideAccelerators: noResources,
     unreserved: noResources,
     open: noResources,
     afterPreemption: noResources,
--- a/packages/policy/src/workerPool.ts
+++ b/packages/policy/src/workerPool.ts
@@ -3,6 +3,7 @@
  * indexes over the rooms always match the sums of the workers.
  */
 import { fitsInto, noResources, type Resources, WorkClass } from "@tanagerlink/model";
+import { AcceleratorDemand } from "./acceleratorDemand.ts";
 import { ResourceTally } from "./resourceTally.ts";
 import { type Access, RoomIndexes } from "./roomIndexes.ts";
 import type { PolicyWorker } from "./schedulingPolicy.ts";
@@ -15,7 +16,8 @@
     readonly workers = new Map<string, WorkerNode>();
     /** Capacity of workers that are present and available. */
     readonly capacity = new ResourceTally();
-    private readonly rooms = new RoomIndexes();
+    readonly demand = new AcceleratorDemand();
+    private readonly rooms = new RoomIndexes(this.demand);
     private reserveFraction = 0;
     private reserveStale = false;
     private kinds: readonly WorkerKind[] = [];
@@ -156,8 +158,14 @@
         return this.rooms.withoutGrowth(change);
     }
 
+    /** Kind of room that tasks of a size may use without further access. */
+    commonKind(size: Resources): "common" | "besideAccelerators" {
+        return this.rooms.commonKind(size);
+    }
+
     /** Renews the reserve and the scale of the indexes after workers have come or gone; answers whether any have. */
-    prepareRound(): boolean {
+    prepareRound(now: number): boolean {
+        this.rooms.leaveRoomForAccelerators(this.demand.isActive(now));
         if (!this.reserveStale) {
             return false;
         }
