--- a/packages/policy/src/workerPool.ts
+++ b/packages/policy/src/workerPool.ts
@@ -3,8 +3,9 @@
  * indexes over the rooms always match the sums of the workers.
  */
 import { fitsInto, noResources, type Resources } from "@tanagerlink/model";
+import { AcceleratorDemand } from "./acceleratorDemand.ts";
 import { ResourceTally } from "./resourceTally.ts";
-import { type Access, type Growth, RoomIndexes } from "./roomIndexes.ts";
+import { type Access, RoomIndexes } from "./roomIndexes.ts";
 import type { PolicyWorker } from "./schedulingPolicy.ts";
 import { distributeReserve, type WorkerKind } from "./urgentReserve.ts";
 import type { ResourceScale, WorkerCost } from "./workerIndex.ts";
@@ -15,7 +16,8 @@
     readonly workers = new Map<string, WorkerNode>();
     /** Capacity of workers that are present and available. */
     readonly capacity = new ResourceTally();
-    private readonly rooms = new RoomIndexes();
+    readonly demand = new AcceleratorDemand();
+    private readonly rooms = new RoomIndexes(this.demand);
     private reserveFraction = 0;
     private reserveStale = false;
     private kinds: readonly WorkerKind[] = [];
@@ -146,9 +148,9 @@
         return this.kinds.some(kind => fitsInto(size, kind.capacity));
     }
 
-    /** What has grown since the last call, or `undefined` when nothing has. */
-    takeGrowth(): Growth | undefined {
-        return this.rooms.takeGrowth();
+    /** Workers whose room has grown since the last call. */
+    takeGrown(): Set<WorkerNode> {
+        return this.rooms.takeGrown();
     }
 
     /** Runs a change that is undone before it ends, so that the returned room does not count as grown. */
@@ -156,10 +158,16 @@
         return this.rooms.withoutGrowth(change);
     }
 
-    /** Renews the reserve and the scale of the indexes after workers have come or gone. */
-    prepareRound(): void {
+    /** Kind of room that tasks of a size may use without further access. */
+    commonKind(size: Resources): "common" | "besideAccelerators" {
+        return this.rooms.commonKind(size);
+    }
+
+    /** Renews the reserve and the scale of the indexes after workers have come or gone; answers whether any have. */
+    prepareRound(now: number): boolean {
+        this.rooms.leaveRoomForAccelerators(this.demand.isActive(now));
         if (!this.reserveStale) {
-            return;
+            return false;
         }
         this.reserveStale = false;
         this.kinds = distributeReserve(
@@ -168,6 +176,7 @@
             node => this.rooms.refresh(node, true),
         );
         this.rooms.setScale(this.scale());
+        return true;
     }
 
     freeResources(): Resources {
