--- /dev/null
+++ b/packages/entry/__tests__/badInput.spec.ts
@@ -0,0 +1,186 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { Backend, errorKindOf, KEY, OPERATOR_TOKEN, sendRaw } from "./fixture.ts";
+
+const job = {
+    name: "tally",
+    team: "crew",
+    queue: "urgent",
+    size: { processorMillis: 1, memoryMebibytes: 1, accelerators: 0 },
+};
+const RUNS = { numRuns: 300 };
+
+const names = fc.oneof(
+    fc.constantFrom("constructor", "__proto__", "toString", "girth", "crew", "", "..", "%00", "%ff"),
+    fc.string({ unit: "binary" }).map(text => encodeURIComponent(Buffer.from(text).toString())),
+    fc.nat(4_000).map(length => "x".repeat(length)),
+);
+const headerText = fc.oneof(
+    fc.constantFrom(
+        "constructor",
+        "",
+        "true",
+        "-1",
+        "1e9",
+        "0x10",
+        KEY,
+        `Bearer ${KEY}`,
+        `Bearer ${OPERATOR_TOKEN}`,
+        "Bearer",
+    ),
+    fc.string().map(text => text.replace(/[^\x20-\x7e]/g, "")),
+    fc.nat(6_000).map(length => "y".repeat(length)),
+);
+const headers = fc.dictionary(
+    fc.constantFrom(
+        "authorization",
+        "x-team",
+        "x-idempotent",
+        "x-deadline-milliseconds",
+        "idempotency-key",
+        "constructor",
+    ),
+    headerText,
+);
+const bodies = fc.oneof(
+    fc.uint8Array({ maxLength: 6_000 }),
+    fc.json().map(text => Buffer.from(text)),
+    fc.record({
+        ...Object.fromEntries(
+            Object.entries(job).map(([name, value]) => [name, fc.oneof(fc.constant(value), fc.jsonValue())]),
+        ),
+    })
+        .map(value => Buffer.from(JSON.stringify(value))),
+);
+const paths = fc.oneof(
+    fc.tuple(fc.constantFrom("services", "jobs", "operator", "constructor", ""), names, names)
+        .map(segments => `/${segments.join("/")}`),
+    fc.constantFrom("/jobs", "/operator/configuration", "/operator/configuration/spread?version=1e3", "/operator/dump"),
+);
+
+describe("entry under bad input", () => {
+    it("answers generated calls with an error of the closed list or a success, and keeps what was accepted", async () => {
+        const backend = new Backend();
+        const application = backend.application();
+        const submitted = await application.request("/jobs", {
+            method: "POST",
+            headers: { authorization: `Bearer ${KEY}` },
+            body: JSON.stringify(job),
+        });
+        expect(submitted.status).to.equal(201);
+        const method = fc.constantFrom("GET", "POST", "PUT", "DELETE", "PATCH");
+        await fc.assert(
+            fc.asyncProperty(method, paths, headers, bodies, async (verb, path, headerMap, content) => {
+                const body = verb === "GET" ? {} : { body: Buffer.from(content) };
+                const answer = await application.request(path, { method: verb, headers: headerMap, ...body });
+                if (answer.status >= 400) {
+                    const kind = errorKindOf(answer.status, await answer.text());
+                    expect(kind).to.not.equal("internal");
+                }
+            }),
+            RUNS,
+        );
+        expect(backend.logged).to.deep.equal([]);
+        const kept = await application.request("/jobs/north.0.0", { headers: { authorization: `Bearer ${KEY}` } });
+        expect(kept.status).to.equal(200);
+    });
+
+    it("answers calls that break HTTP itself with a JSON error and goes on serving", async () => {
+        const backend = new Backend();
+        await using server = await backend.listen();
+        const start = `POST /services/girth/x HTTP/1.1\r\nhost: a\r\nx-team: crew\r\nauthorization: Bearer ${KEY}\r\n`;
+        const broken: [string, string][] = [
+            ["early end", `${start}content-length: 100\r\n\r\nhalf`],
+            ["chunks that end early", `${start}transfer-encoding: chunked\r\n\r\n5\r\nhal`],
+            ["broken chunk", `${start}transfer-encoding: chunked\r\n\r\nzz\r\nhalf\r\n`],
+            ["too large", `${start}content-length: 999999\r\n\r\n`],
+            ["two lengths", `${start}content-length: 1\r\ncontent-length: 2\r\n\r\nab`],
+            ["no HTTP", "hello\r\n\r\n"],
+            ["headers beyond the bound", `GET / HTTP/1.1\r\nhost: a\r\nx: ${"y".repeat(20_000)}\r\n\r\n`],
+            ["broken host", "GET /live HTTP/1.1\r\nhost: a b\r\n\r\n"],
+            ["backslash", "GET /jobs\\x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"],
+            ["GET with a body", `${start.replace("POST", "GET")}content-length: 4\r\n\r\nbody`],
+        ];
+        for (const [name, text] of broken) {
+            const answer = await sendRaw(server.address, text);
+            if (answer !== "") {
+                const [head = "", body = ""] = answer.split("\r\n\r\n");
+                const kind = errorKindOf(Number(head.split(" ")[1]), body.replace(/^[0-9a-f]+\r\n|\r\n0\r\n$/g, ""));
+                expect(kind, name).to.be.oneOf(["invalid_request", "body_too_large"]);
+            }
+            else {
+                expect(name, "a caller that closed gets no answer").to.match(/end/);
+            }
+        }
+        expect(backend.dispatched, "no broken body may reach an executor").to.deep.equal([]);
+        expect(await sendRaw(server.address, "GET /live HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")).to.contain(
+            "200 OK",
+        );
+    });
+
+    it("never writes a refusal where the answer of an earlier call is owed", async () => {
+        const backend = new Backend();
+        let finish = (): void => undefined;
+        const answering = new Promise<void>(resolve => {
+            finish = resolve;
+        });
+        const dispatch = backend.dispatch;
+        backend.dispatch = async request => {
+            await answering;
+            return dispatch(request);
+        };
+        await using server = await backend.listen();
+        const call = `POST /services/girth/x HTTP/1.1\r\nhost: a\r\nx-team: crew\r\nauthorization: Bearer ${KEY}\r\n`;
+        const answer = await sendRaw(server.address, `${call}content-length: 1\r\n\r\na`, "no HTTP\r\n\r\n");
+        finish();
+        expect(answer).to.equal("");
+    });
+
+    it("refuses broken UTF-8, which would change a payload silently", async () => {
+        const backend = new Backend();
+        const body = Buffer.from(
+            JSON.stringify({ ...job, payload: "\u00e9" }).replace("\u00e9", "\x00")
+                .replace("\\u0000", "\x00"),
+            "latin1",
+        );
+        body[body.indexOf(0)] = 0xff;
+        const answer = await backend.application().request("/jobs", {
+            method: "POST",
+            headers: { authorization: `Bearer ${KEY}` },
+            body,
+        });
+        expect(errorKindOf(answer.status, await answer.text())).to.equal("invalid_request");
+    });
+
+    it("never repeats a key or token in answers, logs, dump, configuration or metrics", async () => {
+        const backend = new Backend(undefined, {
+            fleetStatus: () => {
+                throw new Error("broken");
+            },
+        });
+        const application = backend.application();
+        const operator = { authorization: `Bearer ${OPERATOR_TOKEN}` };
+        const outputs: string[] = [];
+        const call = async (path: string, init: RequestInit = {}): Promise<void> => {
+            const answer = await application.request(path, init);
+            outputs.push(await answer.text(), JSON.stringify([...answer.headers]));
+        };
+        await call("/jobs", { method: "POST", body: KEY });
+        await call("/jobs", { method: "POST", body: `{"name": "${KEY}` });
+        await call("/jobs/x", { headers: { authorization: `Bearer ${KEY}x` } });
+        await call("/operator/configuration", { headers: operator });
+        await call("/operator/configuration", { method: "POST", headers: operator, body: `{"salt": ${KEY}}` });
+        await call("/operator/dump", { headers: operator });
+        await call("/operator/status", { headers: operator });
+        await call("/operator/dump", { headers: { authorization: `Bearer ${OPERATOR_TOKEN}x` } });
+        await call("/metrics");
+        const text = [...outputs, ...backend.logged].join("\n");
+        for (const secret of [KEY.split(".")[1]!, OPERATOR_TOKEN, "scrypt", snapshotHash()]) {
+            expect(text).to.not.contain(secret);
+        }
+    });
+});
+
+function snapshotHash(): string {
+    return new Backend().dependencies.configuration()!.keys["crew-1"]!.hash;
+}
--- /dev/null
+++ b/packages/entry/__tests__/fixture.ts
@@ -0,0 +1,165 @@
+/** An application with fakes behind it, and a small HTTP/1.1 caller that can break the protocol. */
+import { hashKey, KeyVerifier } from "@tanagerlink/admission";
+import { errorAnswers, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import { RequestLedger } from "@tanagerlink/jobs";
+import type { ConfigurationSnapshot, ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
+import { MemoryObjectStore, MemoryTableService } from "@tanagerlink/platform";
+import type { JobStatus, Submission } from "@tanagerlink/scheduler";
+import { type Logger, Metrics } from "@tanagerlink/telemetry";
+import { SystemTimers, type Timers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import { err, ok, type Result } from "neverthrow";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { createApplication, createEntryMetrics, type EntryDependencies, HttpServer } from "../src/index.ts";
+
+export const KEY = "crew-1.secret-of-the-crew-0123456789";
+export const OPERATOR_TOKEN = "token-of-the-operator";
+
+const hashed = (await hashKey(KEY.slice("crew-1.".length)))._unsafeUnwrap();
+
+export const snapshot: ConfigurationSnapshot = {
+    version: 3,
+    teams: { crew: { name: "crew", share: 1, upperLimit: 10, origin: "a.yaml:1" } },
+    keys: { "crew-1": { id: "crew-1", team: "crew", ...hashed, revoked: false, origin: "a.yaml:2" } },
+    queues: { urgent: { name: "urgent", workClass: "urgent", open: false, origin: "a.yaml:3" } },
+    failureDomains: {},
+    services: { girth: { name: "girth", queue: "urgent", deadlineMilliseconds: 2_000, origin: "a.yaml:4" } },
+    policy: { urgentReserve: 0.03, agingSeconds: 600, workerFailureLimit: 3, jobFailureLimit: 3 },
+};
+
+type Dispatch = (request: ServiceRequest) => Promise<Result<ServiceAnswer, ServiceError>>;
+
+export function answerTo(request: ServiceRequest, change: Partial<ServiceAnswer> = {}): ServiceAnswer {
+    const base = { requestId: request.id, status: 200, headers: {}, body: request.body };
+    return { ...base, executor: "executor-1", shard: "north/0", attempts: 1, ...change };
+}
+
+/** Everything behind one application. */
+export class Backend {
+    readonly accepted = new Map<string, JobStatus>();
+    readonly dispatched: ServiceRequest[] = [];
+    readonly logged: string[] = [];
+    readonly table: MemoryTableService;
+    readonly requests: RequestLedger;
+    readonly dependencies: EntryDependencies;
+    dispatch: Dispatch = request => Promise.resolve(ok(answerTo(request)));
+
+    constructor(timers: Timers = new SystemTimers(() => undefined), change: Partial<EntryDependencies> = {}) {
+        this.table = new MemoryTableService(timers);
+        let transactions = 0;
+        const nextTransactionId = (): string => `t${transactions++}`;
+        this.requests = new RequestLedger({
+            timers,
+            table: this.table,
+            objects: new MemoryObjectStore(),
+            nextTransactionId,
+        });
+        const keep = (fields: unknown, message: string): void =>
+            void this.logged.push(JSON.stringify([fields, message]));
+        const logger: Logger = { debug: keep, info: keep, warn: keep, error: keep, child: () => logger };
+        const metrics = new Metrics();
+        const unknownJob = err(serviceError(ErrorKind.JobNotFound, "there is no such job"));
+        const find = (job: string) =>
+            Promise.resolve(this.accepted.has(job) ? ok(this.accepted.get(job)!) : unknownJob);
+        this.dependencies = {
+            node: "entry-1",
+            timers,
+            logger,
+            metrics: createEntryMetrics(metrics),
+            maximumBodyBytes: 4_096,
+            maximumBufferedBytes: 16_384,
+            maximumConfigurationAgeMilliseconds: 0,
+            keys: new KeyVerifier(() => snapshot),
+            operators: {
+                verify: token =>
+                    Promise.resolve(
+                        token === OPERATOR_TOKEN ? ok(undefined) : err(
+                            serviceError(ErrorKind.KeyRejected, "the operator token is unknown"),
+                        ),
+                    ),
+            },
+            configuration: () => snapshot,
+            configurationAgeMilliseconds: () => 5,
+            jobs: {
+                submit: draft => Promise.resolve(ok(this.accept(draft))),
+                status: find,
+                cancel: find,
+                dispatch: request => {
+                    this.dispatched.push(request);
+                    return this.dispatch(request);
+                },
+            },
+            requests: this.requests,
+            operations: {
+                apply: () => Promise.resolve(ok({ version: 4, changed: [] })),
+                spread: () => Promise.resolve([]),
+            },
+            ready: () => true,
+            accepting: () => true,
+            exposition: async () => ({ contentType: metrics.contentType, text: await metrics.exposition() }),
+            fleetStatus: () => ({}),
+            dump: () => ({ node: "entry-1" }),
+            ...change,
+        };
+    }
+
+    application() {
+        return createApplication(this.dependencies);
+    }
+
+    async listen(change: { readonly answerMilliseconds?: number; } = {}): Promise<HttpServer> {
+        const { timers, logger } = this.dependencies;
+        const options = {
+            address: "127.0.0.1:0",
+            timers,
+            logger,
+            keepAliveMilliseconds: 5_000,
+            answerMilliseconds: 5_000,
+        };
+        return (await HttpServer.listen(this.application(), { ...options, ...change }))._unsafeUnwrap();
+    }
+
+    private accept(draft: Omit<Submission, "id" | "shard">): JobStatus {
+        const { specification, workClass, submittedAt } = draft;
+        const { name, team, queue } = specification;
+        const id = `north.0.${this.accepted.size}`;
+        const status: JobStatus = {
+            id,
+            name,
+            team,
+            queue,
+            workClass,
+            shard: "north/0",
+            state: "queued",
+            tasks: {},
+            submittedAt,
+            decisions: [],
+        };
+        this.accepted.set(id, status);
+        return status;
+    }
+}
+
+/** Sends text or bytes as they are, then optionally ends the connection, and reads until the server closes it. */
+export async function sendRaw(address: string, ...parts: readonly (string | Uint8Array)[]): Promise<string> {
+    const [host, port] = address.split(":");
+    const socket = connect(Number(port), host);
+    const chunks: Buffer[] = [];
+    socket.on("data", chunk => chunks.push(chunk));
+    socket.on("error", () => undefined);
+    parts.forEach(part => socket.write(part));
+    socket.end();
+    await once(socket, "close");
+    return Buffer.concat(chunks).toString("latin1");
+}
+
+/** Checks that an answer is an error of the closed list with a JSON body, and returns its kind. */
+export function errorKindOf(status: number, body: string): ErrorKind {
+    const content = JSON.parse(body) as { error: ErrorKind; message: string; outcome: string; };
+    expect(errorAnswers, body).to.have.property(content.error);
+    expect(status).to.equal(errorAnswers[content.error].httpStatus);
+    expect(content.outcome).to.equal(errorAnswers[content.error].outcome);
+    expect(content.message).to.be.a("string");
+    return content.error;
+}
--- a/packages/entry/src/application.ts
+++ b/packages/entry/src/application.ts
@@ -1,7 +1,8 @@
 /** The HTTP application of one entry process. */
-import { describeUnknown, ErrorKind, serviceError } from "@tanagerlink/errors";
+import { describeUnknown, errorAnswers, ErrorKind, serviceError } from "@tanagerlink/errors";
 import { Hono } from "hono";
-import type { EntryDependencies } from "./entryDependencies.ts";
+import { BodyBudget } from "./bodyBudget.ts";
+import type { EntryDependencies, RouteDependencies } from "./entryDependencies.ts";
 import { ERROR_HEADER, errorResponse } from "./errorAnswer.ts";
 import { jobRoutes } from "./jobRoutes.ts";
 import { operatorRoutes } from "./operatorRoutes.ts";
@@ -10,6 +11,9 @@
 /** Milliseconds in a second. */
 const SECOND = 1_000;
 
+/** Characters of a path that are logged or repeated in an answer. */
+const MAXIMUM_PATH_CHARACTERS = 200;
+
 /** First path segments that are counted under their own name. */
 const ROUTES: ReadonlySet<string> = new Set(["jobs", "services", "operator", "metrics", "live", "ready"]);
 
@@ -20,14 +24,16 @@
  * - `/operator`: operators, with their token.
  * - `/live`, `/ready`, `/metrics`: the platform's balancer and monitoring.
  */
-export function createApplication(dependencies: EntryDependencies): Hono {
+export function createApplication(outside: EntryDependencies): Hono {
+    const dependencies: RouteDependencies = { ...outside, budget: new BodyBudget(outside.maximumBufferedBytes) };
     const application = new Hono();
     application.use("*", async (context, next) => {
         const beganAt = dependencies.timers.now();
         await next();
         const segment = context.req.path.split("/")[1] ?? "";
         const route = ROUTES.has(segment) ? segment : "other";
-        const result = context.res.headers.get(ERROR_HEADER) ?? "ok";
+        const kind = context.res.headers.get(ERROR_HEADER) ?? "";
+        const result = Object.hasOwn(errorAnswers, kind) ? kind : "ok";
         dependencies.metrics.answers.increment({ route, result });
         dependencies.metrics.requestTime.observe((dependencies.timers.now() - beganAt) / SECOND, { route });
     });
@@ -44,11 +50,21 @@
     application.route("/services", serviceRoutes(dependencies));
     application.route("/operator", operatorRoutes(dependencies));
     application.notFound(context =>
-        errorResponse(context, serviceError(ErrorKind.InvalidRequest, `there is no route ${context.req.path}`))
+        errorResponse(
+            context,
+            serviceError(ErrorKind.InvalidRequest, `there is no route ${shortPath(context.req.path)}`),
+        )
     );
     application.onError((failure, context) => {
-        dependencies.logger.error({ path: context.req.path, failure: describeUnknown(failure) }, "request failed");
+        dependencies.logger.error(
+            { path: shortPath(context.req.path), failure: describeUnknown(failure) },
+            "request failed",
+        );
         return errorResponse(context, serviceError(ErrorKind.Internal, "the request failed inside the process"));
     });
     return application;
 }
+
+function shortPath(path: string): string {
+    return path.slice(0, MAXIMUM_PATH_CHARACTERS);
+}
--- a/packages/entry/src/entryDependencies.ts
+++ b/packages/entry/src/entryDependencies.ts
@@ -7,6 +7,7 @@
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
 import type { Result } from "neverthrow";
+import type { BodyBudget } from "./bodyBudget.ts";
 import type { ConfigurationOperations } from "./configurationOperations.ts";
 import type { EntryMetrics } from "./entryMetrics.ts";
 
@@ -30,6 +31,8 @@
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
     readonly maximumBodyBytes: number;
+    /** Bytes of all bodies that are held at the same time. */
+    readonly maximumBufferedBytes: number;
     readonly maximumConfigurationAgeMilliseconds: number;
     readonly keys: Pick<KeyVerifier, "admit">;
     readonly operators: OperatorCheck;
@@ -46,3 +49,8 @@
     readonly fleetStatus: () => unknown;
     readonly dump: () => unknown;
 }
+
+/** Dependencies with the state that the routes of one application share. */
+export interface RouteDependencies extends EntryDependencies {
+    readonly budget: BodyBudget;
+}
--- a/packages/entry/src/errorAnswer.ts
+++ b/packages/entry/src/errorAnswer.ts
@@ -12,6 +12,9 @@
 /** Seconds after which a caller may repeat a retryable call. */
 const RETRY_AFTER_SECONDS = "1";
 
+/** Longest message of an answer, in characters. */
+const MAXIMUM_MESSAGE_CHARACTERS = 4_000;
+
 /** Builds the answer to a failed call. */
 export function errorResponse(context: Context, error: ServiceError, requestId?: string): Response {
     const answer = errorAnswers[error.kind];
@@ -20,13 +23,18 @@
     if (answer.retryable && answer.httpStatus === 503) {
         context.header("retry-after", RETRY_AFTER_SECONDS);
     }
-    const body = {
+    return context.json(errorBody(error, requestId), answer.httpStatus as ContentfulStatusCode);
+}
+
+/** Body of the answer to a failed call. */
+export function errorBody(error: ServiceError, requestId?: string): Readonly<Record<string, unknown>> {
+    const { outcome, retryable } = errorAnswers[error.kind];
+    return {
         error: error.kind,
-        message: error.message,
-        outcome: answer.outcome,
-        retryable: answer.retryable,
+        message: error.message.slice(0, MAXIMUM_MESSAGE_CHARACTERS),
+        outcome,
+        retryable,
         ...(error.detail === undefined ? {} : { detail: error.detail }),
         ...(requestId === undefined ? {} : { requestId }),
     };
-    return context.json(body, answer.httpStatus as ContentfulStatusCode);
 }
--- a/packages/entry/src/jobRoutes.ts
+++ b/packages/entry/src/jobRoutes.ts
@@ -5,13 +5,16 @@
 import { type Context, Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
 import { admit, presentedKey } from "./callerAccess.ts";
-import type { EntryDependencies } from "./entryDependencies.ts";
+import type { RouteDependencies } from "./entryDependencies.ts";
 import { errorResponse } from "./errorAnswer.ts";
 import { readJson } from "./requestBody.ts";
 
 /** Longest idempotency key, in characters. */
 const MAXIMUM_KEY_LENGTH = 256;
 
+/** Largest body of a submission, in bytes: a payload of 64 KiB with every character escaped, and the other fields. */
+const MAXIMUM_SUBMISSION_BYTES = 524_288;
+
 /** Reads the optional idempotency key of a call. */
 export function idempotencyKey(context: Context): Result<string | undefined, ServiceError> {
     const key = context.req.header("idempotency-key");
@@ -23,7 +26,7 @@
 }
 
 /** Creates the routes below `/jobs`. */
-export function jobRoutes(dependencies: EntryDependencies): Hono {
+export function jobRoutes(dependencies: RouteDependencies): Hono {
     const routes = new Hono();
     routes.post("/", async context => {
         const result = await submit(dependencies, context);
@@ -51,12 +54,17 @@
     return routes;
 }
 
-async function submit(dependencies: EntryDependencies, context: Context): Promise<Result<JobStatus, ServiceError>> {
+async function submit(dependencies: RouteDependencies, context: Context): Promise<Result<JobStatus, ServiceError>> {
     const key = idempotencyKey(context);
     if (key.isErr()) {
         return err(key.error);
     }
-    const body = await readJson(context.req.raw, dependencies.maximumBodyBytes, jobSpecificationSchema);
+    const bounds = {
+        timers: dependencies.timers,
+        budget: dependencies.budget,
+        maximumBytes: Math.min(dependencies.maximumBodyBytes, MAXIMUM_SUBMISSION_BYTES),
+    };
+    const body = await readJson(context, bounds, jobSpecificationSchema);
     if (body.isErr()) {
         return err(body.error);
     }
@@ -79,7 +87,7 @@
 
 /** Status of a job for a caller who presents a key of its team; jobs of open queues need none. */
 async function authorizedStatus(
-    dependencies: EntryDependencies,
+    dependencies: RouteDependencies,
     context: Context,
 ): Promise<Result<JobStatus, ServiceError>> {
     const status = await dependencies.jobs.status(context.req.param("job") ?? "");
@@ -87,11 +95,12 @@
         return status;
     }
     const presented = presentedKey(context.req.header("authorization"));
-    const operator = await dependencies.operators.verify(presented);
-    if (operator.isOk()) {
-        return status;
-    }
     const { team, queue } = status.value;
     const admission = await dependencies.keys.admit({ team, queue, key: presented });
-    return admission.isErr() ? err(admission.error) : status;
+    if (admission.isOk()) {
+        return status;
+    }
+    // After the key of the team, since each unknown text costs the operator check a hash.
+    const operator = await dependencies.operators.verify(presented);
+    return operator.isOk() ? status : err(admission.error);
 }
--- a/packages/entry/src/operatorRoutes.ts
+++ b/packages/entry/src/operatorRoutes.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { presentedKey } from "./callerAccess.ts";
 import { applyRequestSchema } from "./configurationOperations.ts";
-import type { EntryDependencies } from "./entryDependencies.ts";
+import type { EntryDependencies, RouteDependencies } from "./entryDependencies.ts";
 import { errorResponse } from "./errorAnswer.ts";
 import { readJson } from "./requestBody.ts";
 
@@ -12,7 +12,7 @@
 const MAXIMUM_FOLDER_BYTES = 16 * 1_048_576;
 
 /** Creates the operators' routes. */
-export function operatorRoutes(dependencies: EntryDependencies): Hono {
+export function operatorRoutes(dependencies: RouteDependencies): Hono {
     const routes = new Hono();
     routes.use("*", async (context, next) => {
         const verified = await dependencies.operators.verify(presentedKey(context.req.header("authorization")));
@@ -31,7 +31,12 @@
         });
     });
     routes.post("/configuration", async context => {
-        const body = await readJson(context.req.raw, MAXIMUM_FOLDER_BYTES, applyRequestSchema);
+        const { timers, budget } = dependencies;
+        const body = await readJson(
+            context,
+            { timers, budget, maximumBytes: MAXIMUM_FOLDER_BYTES },
+            applyRequestSchema,
+        );
         const result = body.isErr() ? body : await dependencies.operations.apply(body.value);
         return result.match(answer => context.json(answer), error => errorResponse(context, error));
     });
@@ -59,9 +64,9 @@
 }
 
 function readVersion(context: Context): Result<number, ServiceError> {
-    const version = Number(context.req.query("version"));
-    return Number.isInteger(version) && version >= 1
-        ? ok(version)
+    const version = context.req.query("version") ?? "";
+    return /^[1-9]\d{0,14}$/.test(version)
+        ? ok(Number(version))
         : err(serviceError(ErrorKind.InvalidRequest, "the query parameter version must be a whole number from 1"));
 }
 
--- a/packages/entry/src/requestOnce.ts
+++ b/packages/entry/src/requestOnce.ts
@@ -2,13 +2,21 @@
 import { errorAnswers, ErrorKind, Outcome, type ServiceError, serviceError } from "@tanagerlink/errors";
 import { RequestBegin, type RequestTicket } from "@tanagerlink/jobs";
 import type { ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
-import { sleep } from "@tanagerlink/timers";
+import { sleep, withDeadline } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import type { EntryDependencies } from "./entryDependencies.ts";
 
 /** Period of looking for the answer of an earlier request, in milliseconds. */
 const LOOK_MILLISECONDS = 100;
 
+/**
+ * Each so many looks, the request is begun again in place of a look: the earlier one may have been refused as "not run"
+ * meanwhile, which removes its row.
+ */
+const LOOKS_PER_BEGIN = 10;
+
+type FreshTicket = Extract<RequestTicket, { begin: "fresh"; }>;
+
 /** Records the request, sends it if it is the first one, and otherwise answers with the first one's result. */
 export async function dispatchOnce(
     dependencies: EntryDependencies,
@@ -16,26 +24,49 @@
     idempotencyKey: string,
 ): Promise<Result<ServiceAnswer, ServiceError>> {
     const deadline = dependencies.timers.now() + request.remainingMilliseconds;
-    const begun = await dependencies.requests.begin(request, idempotencyKey);
-    if (begun.isErr()) {
-        return err(begun.error);
-    }
-    const ticket = begun.value;
-    if (ticket.begin === RequestBegin.Answered) {
-        return ok(ticket.answer);
-    }
-    if (ticket.begin === RequestBegin.Sent) {
-        return waitForEarlier(dependencies, request, ticket.key, deadline);
+    let earlierKey: string | undefined;
+    for (;;) {
+        const begun = await dependencies.requests.begin(request, idempotencyKey);
+        if (begun.isErr() && earlierKey === undefined) {
+            return err(begun.error);
+        }
+        const ticket = begun.isOk() ? begun.value : undefined;
+        if (ticket?.begin === RequestBegin.Answered) {
+            return ok(ticket.answer);
+        }
+        if (ticket?.begin === RequestBegin.Fresh) {
+            return send(dependencies, ticket, request, deadline);
+        }
+        earlierKey = ticket?.key ?? earlierKey!;
+        const answer = await waitForEarlier(dependencies, request, earlierKey, deadline);
+        if (answer !== undefined) {
+            return ok(answer);
+        }
+        if (dependencies.timers.now() >= deadline) {
+            return err(earlierUnknown());
+        }
     }
-    const remainingMilliseconds = deadline - dependencies.timers.now();
-    const result = await dependencies.jobs.dispatch({ ...request, remainingMilliseconds });
-    await record(dependencies, ticket, request, result);
+}
+
+async function send(
+    dependencies: EntryDependencies,
+    ticket: FreshTicket,
+    request: ServiceRequest,
+    deadline: number,
+): Promise<Result<ServiceAnswer, ServiceError>> {
+    const { timers, jobs } = dependencies;
+    const remainingMilliseconds = deadline - timers.now();
+    const result = remainingMilliseconds > 0
+        ? await jobs.dispatch({ ...request, remainingMilliseconds })
+        : err(serviceError(ErrorKind.DeadlineExceeded, "the deadline passed before the request was sent"));
+    // A store that does not answer must not keep the answer from the caller.
+    await withDeadline(timers, Math.max(0, deadline - timers.now()), record(dependencies, ticket, request, result));
     return result;
 }
 
 async function record(
     dependencies: EntryDependencies,
-    ticket: Extract<RequestTicket, { begin: "fresh"; }>,
+    ticket: FreshTicket,
     request: ServiceRequest,
     result: Result<ServiceAnswer, ServiceError>,
 ): Promise<void> {
@@ -53,20 +84,25 @@
     }
 }
 
-/** An earlier request was sent and not answered yet; it is never sent again. */
+/** Looks for the answer of an earlier request until it is time to begin again. */
 async function waitForEarlier(
     dependencies: EntryDependencies,
     request: ServiceRequest,
     key: string,
     deadline: number,
-): Promise<Result<ServiceAnswer, ServiceError>> {
-    while (dependencies.timers.now() < deadline) {
-        await sleep(dependencies.timers, LOOK_MILLISECONDS);
-        const found = await dependencies.requests.look(request, key);
+): Promise<ServiceAnswer | undefined> {
+    const { timers, requests } = dependencies;
+    for (let look = 0; look < LOOKS_PER_BEGIN && timers.now() < deadline; look++) {
+        await sleep(timers, Math.min(LOOK_MILLISECONDS, deadline - timers.now()));
+        const found = await requests.look(request, key);
         if (found.isOk() && found.value.begin === RequestBegin.Answered) {
-            return ok(found.value.answer);
+            return found.value.answer;
         }
     }
+    return undefined;
+}
+
+function earlierUnknown(): ServiceError {
     const message = "an earlier request with this idempotency key was sent and its answer is not known";
-    return err(serviceError(ErrorKind.OutcomeUnknown, message));
+    return serviceError(ErrorKind.OutcomeUnknown, message);
 }
--- a/packages/entry/src/serviceHeaders.ts
+++ b/packages/entry/src/serviceHeaders.ts
@@ -11,6 +11,7 @@
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
+    "proxy-connection",
     "te",
     "trailer",
     "transfer-encoding",
@@ -24,14 +25,17 @@
     "x-team",
 ]);
 
-/** Headers that go with the request or the answer. */
+/** Headers by which this system tells its own errors from the answers of executors. */
+const OWN_PREFIX = "x-tanagerlink-";
+
+/** Headers that go with the request or the answer; those that `connection` names belong to one connection. */
 export function passedOnHeaders(headers: Iterable<readonly [string, string]>): Record<string, string> {
-    const result: Record<string, string> = {};
-    for (const [name, value] of headers) {
-        const lower = name.toLowerCase();
-        if (!NOT_PASSED_ON.has(lower)) {
-            result[lower] = value;
-        }
-    }
-    return result;
+    const entries = Array.from(headers, ([name, value]) => [name.toLowerCase(), value] as const);
+    const ofConnection = new Set(
+        entries.filter(([name]) => name === "connection")
+            .flatMap(([, value]) => value.toLowerCase().split(",").map(name => name.trim())),
+    );
+    return Object.fromEntries(
+        entries.filter(([name]) => !NOT_PASSED_ON.has(name) && !ofConnection.has(name) && !name.startsWith(OWN_PREFIX)),
+    );
 }
--- a/packages/entry/src/serviceRoutes.ts
+++ b/packages/entry/src/serviceRoutes.ts
@@ -6,7 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
 import { admit, own, usableConfiguration } from "./callerAccess.ts";
-import type { EntryDependencies } from "./entryDependencies.ts";
+import type { RouteDependencies } from "./entryDependencies.ts";
 import { errorResponse } from "./errorAnswer.ts";
 import { idempotencyKey } from "./jobRoutes.ts";
 import { readBody } from "./requestBody.ts";
@@ -20,13 +20,16 @@
 const WITHOUT_BODY: ReadonlySet<number> = new Set([204, 205, 304]);
 
 /** Creates the routes below `/services`. */
-export function serviceRoutes(dependencies: EntryDependencies): Hono {
+export function serviceRoutes(dependencies: RouteDependencies): Hono {
     const routes = new Hono();
     routes.all("/:service/*", async context => {
         const requestId = randomUUID();
         const result = await handle(dependencies, context, requestId);
         return result.match(
-            answer => serviceResponse(answer),
+            answer => {
+                dependencies.budget.holdAnswer(context, answer.body.byteLength);
+                return serviceResponse(answer);
+            },
             error => errorResponse(context, error, requestId),
         );
     });
@@ -34,31 +37,46 @@
 }
 
 async function handle(
-    dependencies: EntryDependencies,
+    dependencies: RouteDependencies,
     context: Context,
     requestId: string,
 ): Promise<Result<ServiceAnswer, ServiceError>> {
     const arrivedAt = dependencies.timers.now();
-    const request = await readRequest(dependencies, context, requestId, arrivedAt);
-    if (request.isErr()) {
-        return err(request.error);
-    }
     const key = idempotencyKey(context);
     if (key.isErr()) {
         return err(key.error);
     }
-    if (request.value.idempotent || key.value === undefined) {
-        return dependencies.jobs.dispatch(request.value);
+    const draft = await readDraft(dependencies, context, requestId);
+    if (draft.isErr()) {
+        return err(draft.error);
+    }
+    const remaining = (): number => draft.value.remainingMilliseconds - (dependencies.timers.now() - arrivedAt);
+    const body = await readBody(context, {
+        timers: dependencies.timers,
+        budget: dependencies.budget,
+        maximumBytes: dependencies.maximumBodyBytes,
+        withinMilliseconds: remaining(),
+    });
+    if (body.isErr()) {
+        return err(body.error);
+    }
+    try {
+        const request = { ...draft.value, body: body.value.bytes, remainingMilliseconds: remaining() };
+        return request.idempotent || key.value === undefined
+            ? await dependencies.jobs.dispatch(request)
+            : await dispatchOnce(dependencies, request, key.value);
+    }
+    finally {
+        body.value[Symbol.dispose]();
     }
-    return dispatchOnce(dependencies, request.value, key.value);
 }
 
-async function readRequest(
-    dependencies: EntryDependencies,
+/** The request without its body; the time left is counted from its arrival. */
+async function readDraft(
+    dependencies: RouteDependencies,
     context: Context,
     id: string,
-    arrivedAt: number,
-): Promise<Result<ServiceRequest, ServiceError>> {
+): Promise<Result<Omit<ServiceRequest, "body">, ServiceError>> {
     const found = findService(dependencies, context);
     if (found.isErr()) {
         return err(found.error);
@@ -80,10 +98,6 @@
     if (idempotent.isErr() || deadline.isErr()) {
         return err(idempotent.isErr() ? idempotent.error : deadline._unsafeUnwrapErr());
     }
-    const body = await readBody(context.req.raw, dependencies.maximumBodyBytes);
-    if (body.isErr()) {
-        return err(body.error);
-    }
     return ok({
         id,
         service: found.value.name,
@@ -91,15 +105,14 @@
         workClass: admitted.value.workClass,
         idempotent: idempotent.value,
         method: context.req.method,
-        path: pathAtExecutor(context, found.value.name),
+        path: pathAtExecutor(context),
         headers: passedOnHeaders(context.req.raw.headers),
-        body: body.value,
-        remainingMilliseconds: deadline.value - (dependencies.timers.now() - arrivedAt),
+        remainingMilliseconds: deadline.value,
     });
 }
 
 function findService(
-    dependencies: EntryDependencies,
+    dependencies: RouteDependencies,
     context: Context,
 ): Result<ServiceConfiguration, ServiceError> {
     const name = context.req.param("service") ?? "";
@@ -111,12 +124,10 @@
     });
 }
 
-/** Path and query behind `/services/<service>`. */
-function pathAtExecutor(context: Context, service: string): string {
-    const url = new URL(context.req.url);
-    const prefix = `/services/${encodeURIComponent(service)}`;
-    const path = url.pathname.startsWith(prefix) ? url.pathname.slice(prefix.length) : url.pathname;
-    return `${path === "" ? "/" : path}${url.search}`;
+/** Path and query behind `/services/<service>` as the caller wrote them; the name may be percent-encoded there. */
+function pathAtExecutor(context: Context): string {
+    const rest = context.req.raw.url.replace(/^[a-z]+:\/\/[^/]*\/services\/[^/?]*/i, "");
+    return rest.startsWith("/") ? rest : `/${rest}`;
 }
 
 function readIdempotent(context: Context): Result<boolean, ServiceError> {
@@ -136,7 +147,7 @@
         return ok(service.deadlineMilliseconds);
     }
     const value = Number(header);
-    if (!Number.isInteger(value) || value < 1) {
+    if (!/^\d{1,10}$/.test(header) || value < 1) {
         const message = "the header x-deadline-milliseconds must be a whole number from 1";
         return err(serviceError(ErrorKind.InvalidRequest, message));
     }
--- a/packages/node/src/configurationSpread.ts
+++ b/packages/node/src/configurationSpread.ts
@@ -77,6 +77,7 @@
     async spread(version: number): Promise<readonly FailureDomainSpread[]> {
         const names = new Set([
             ...Object.keys(this.parts.follower.current()?.failureDomains ?? {}),
+            ...this.parts.membership.failureDomains(),
             this.parts.failureDomain,
         ]);
         return Promise.all([...names].sort().map(name => this.spreadIn(name, version)));
@@ -109,15 +110,14 @@
 
     private ownView(): DomainView {
         const { node, failureDomain, follower, membership, versions } = this.parts;
-        const usable = membership.usableEntryProcesses(failureDomain);
-        const others = usable.filter(entry => entry.id !== node).flatMap(entry => {
-            const version = versions.versionOf(entry.id);
-            return version === undefined ? [] : [version];
-        });
+        const others = membership.entryProcesses(failureDomain).filter(entry => entry.id !== node && !entry.leaving);
+        const heard = others.flatMap(entry => versions.versionOf(entry.id) ?? []);
+        // Before the first VM list it is not known which processes there are, so the version counts as not complete.
+        const unknown = membership.listAgeMilliseconds() === undefined ? 1 : 0;
         return {
             failureDomain,
-            versions: [follower.current()?.version ?? 0, ...others],
-            listed: membership.entryProcesses(failureDomain).filter(entry => !entry.leaving).length,
+            versions: [follower.current()?.version ?? 0, ...heard],
+            listed: others.length + 1 + unknown,
         };
     }
 }
--- a/packages/node/src/heartbeatPayload.ts
+++ b/packages/node/src/heartbeatPayload.ts
@@ -4,6 +4,7 @@
 import type { PeerNetwork } from "@tanagerlink/peer";
 import { type SchedulerService, summaryPayloadSchema } from "@tanagerlink/scheduler";
 import type { Logger } from "@tanagerlink/telemetry";
+import type { Timers } from "@tanagerlink/timers";
 import { z } from "zod";
 
 const heartbeatSchema = z.strictObject({
@@ -22,16 +23,40 @@
     readonly logger: Logger;
 }
 
-/** Configuration versions of peers, as last heard. */
+/** Configuration versions of peers. One that has not been heard lately counts as unknown: the peer may have restarted. */
 export class PeerVersions {
-    private readonly versions = new Map<string, number>();
+    private readonly timers: Timers;
+    private readonly validMilliseconds: number;
+    private readonly heard = new Map<string, { readonly version: number; readonly at: number; }>();
+
+    constructor(timers: Timers, validMilliseconds: number) {
+        this.timers = timers;
+        this.validMilliseconds = validMilliseconds;
+    }
 
     learn(peer: string, version: number): void {
-        this.versions.set(peer, version);
+        this.heard.delete(peer);
+        this.heard.set(peer, { version, at: this.timers.now() });
+        this.forgetOldest();
     }
 
     versionOf(peer: string): number | undefined {
-        return this.versions.get(peer);
+        const last = this.heard.get(peer);
+        return last !== undefined && this.valid(last.at) ? last.version : undefined;
+    }
+
+    /** Entries stand in the order of their last heartbeat; replaced VMs must not accumulate. */
+    private forgetOldest(): void {
+        for (const [peer, { at }] of this.heard) {
+            if (this.valid(at)) {
+                return;
+            }
+            this.heard.delete(peer);
+        }
+    }
+
+    private valid(at: number): boolean {
+        return this.timers.now() - at <= this.validMilliseconds;
     }
 }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,6 @@
 /** One running process: its parts, their connections, and its graceful shutdown. */
 import type { PlatformConfigurationFollower } from "@tanagerlink/configuration";
+import type { HttpServer } from "@tanagerlink/entry";
 import type { TableGrantLedger } from "@tanagerlink/limits";
 import type { Membership } from "@tanagerlink/membership";
 import { shardsOfFailureDomain } from "@tanagerlink/model";
@@ -8,20 +9,14 @@
 import type { SchedulerService } from "@tanagerlink/scheduler";
 import type { Settings } from "@tanagerlink/settings";
 import type { Logger } from "@tanagerlink/telemetry";
-import { sleep, type Timers } from "@tanagerlink/timers";
-import type { HttpServer } from "./httpServer.ts";
+import { sleep, type Timers, withDeadline } from "@tanagerlink/timers";
 
 /** Longest wait for the first configuration and the first VM list, in milliseconds. */
 const FIRST_READ_MILLISECONDS = 5_000;
 
-/**
- * Time between the answer "not ready" to the balancer and the refusal of new work, in milliseconds. The balancer goes
- * on sending until it has asked again, and those calls are still served.
- */
-const BALANCER_NOTICE_MILLISECONDS = 1_000;
-
-/** Part of the drain timeout that is kept for closing what is left, in milliseconds. */
+/** Part of the drain timeout that is kept for closing what is left: at most this time and this share. */
 const CLOSING_MILLISECONDS = 1_000;
+const CLOSING_SHARE = 0.25;
 
 /** State of the process towards callers. */
 export class AcceptanceState {
@@ -105,29 +100,29 @@
     }
 
     private async drainOnce(): Promise<void> {
-        const { settings, state, timers, server, ownership, logger } = this.parts;
-        const deadline = timers.now() + settings.drainTimeoutSeconds * 1_000;
-        const remaining = (): number => Math.max(0, deadline - CLOSING_MILLISECONDS - timers.now());
+        const { settings, state, timers, server, ownership, scheduler, logger } = this.parts;
+        const total = settings.drainTimeoutSeconds * 1_000;
+        const closing = Math.min(CLOSING_MILLISECONDS, total * CLOSING_SHARE);
+        const deadline = timers.now() + total - closing;
+        const remaining = (): number => Math.max(0, deadline - timers.now());
         logger.info({ drainTimeoutSeconds: settings.drainTimeoutSeconds }, "graceful shutdown begins");
         state.ready = false;
-        await sleep(timers, Math.min(BALANCER_NOTICE_MILLISECONDS, remaining()));
+        // The balancer goes on sending until it has asked again; those calls are still served.
+        await sleep(timers, Math.min(settings.balancerNoticeMilliseconds, remaining()));
         state.accepting = false;
-        await ownership.releaseAll(remaining());
+        await withDeadline(timers, remaining(), ownership.releaseAll(remaining()));
+        server.stopListening();
         const drained = await server.drained(remaining());
-        await this.dispatchesDone(remaining());
+        // Requests that peers sent here while this process owned the executors' slots.
+        await withDeadline(timers, remaining(), scheduler[Symbol.asyncDispose]());
         logger.info({ drained, callsInFlight: server.callsInFlight }, "graceful shutdown ends");
-        await Promise.race([this.close(), sleep(timers, CLOSING_MILLISECONDS)]);
-    }
-
-    /** Requests that peers sent here while this process owned the executors' slots. */
-    private async dispatchesDone(withinMilliseconds: number): Promise<void> {
-        const { scheduler, timers } = this.parts;
-        await Promise.race([scheduler[Symbol.asyncDispose](), sleep(timers, withinMilliseconds)]);
+        await withDeadline(timers, closing, disposeAll(this.parts.disposables));
     }
+}
 
-    private async close(): Promise<void> {
-        for (const part of this.parts.disposables) {
-            await part[Symbol.asyncDispose]();
-        }
+/** Disposes parts in their order. */
+export async function disposeAll(parts: readonly AsyncDisposable[]): Promise<void> {
+    for (const part of parts) {
+        await part[Symbol.asyncDispose]();
     }
 }
--- a/packages/node/src/operatorAccess.ts
+++ b/packages/node/src/operatorAccess.ts
@@ -7,61 +7,89 @@
 import { timingSafeEqual } from "node:crypto";
 import { readFile } from "node:fs/promises";
 
+/** How messages name the setting of the file. */
+const FILE_SETTING = "--operator-key-file (TANAGERLINK_OPERATOR_KEY_FILE)";
+
 const HASH_FORM = /^scrypt:([A-Za-z0-9+/=]+):([A-Za-z0-9+/=]+)$/;
 const OPERATOR_LINE = /^(\S+)\s+(scrypt:\S+)$/;
 
-/** Rejected tokens remembered, so that repeating a wrong one costs no hash. */
+/** Wrong tokens remembered, so that repeating one costs no hash. */
 const REMEMBERED_TOKENS = 256;
 
+/** Checks that wait or run at the same time. Each costs a hash of 4 MiB for every operator. */
+const MAXIMUM_CHECKS = 16;
+
 interface TokenHash {
     readonly salt: string;
     readonly hash: string;
 }
 
-/** Operators of one process. */
+/** Operators of one process. Checks run one after another, so that a flood of wrong tokens takes one thread only. */
 export class OperatorAccess implements OperatorCheck {
     private readonly hashes: readonly TokenHash[];
-    private readonly checked = new Map<string, Promise<boolean>>();
+    private readonly hash: typeof hashKey;
+    private readonly correct = new Set<string>();
+    private readonly wrong = new Set<string>();
+    private readonly running = new Map<string, Promise<Result<boolean, ServiceError>>>();
+    private last: Promise<unknown> = Promise.resolve();
 
-    constructor(hashes: readonly TokenHash[]) {
+    constructor(hashes: readonly TokenHash[], hash: typeof hashKey = hashKey) {
         this.hashes = hashes;
+        this.hash = hash;
     }
 
+    /** Errors: `key_missing`, `key_rejected`, and `overloaded` when too many unknown tokens wait for their check. */
     async verify(presented: string | undefined): Promise<Result<void, ServiceError>> {
         if (presented === undefined) {
             return err(serviceError(ErrorKind.KeyMissing, "this call needs the operator token"));
         }
-        return await this.check(presented)
-            ? ok(undefined)
-            : err(serviceError(ErrorKind.KeyRejected, "the operator token is unknown"));
+        if (this.correct.has(presented)) {
+            return ok(undefined);
+        }
+        const matches = this.wrong.has(presented) ? ok(false) : await this.check(presented);
+        return matches.andThen(match =>
+            match ? ok(undefined) : err(serviceError(ErrorKind.KeyRejected, "the operator token is unknown"))
+        );
     }
 
-    private check(presented: string): Promise<boolean> {
-        let check = this.checked.get(presented);
-        if (check === undefined) {
-            check = this.matchesAny(presented);
-            this.checked.set(presented, check);
-            const oldest = this.checked.keys().next().value;
-            if (this.checked.size > REMEMBERED_TOKENS && oldest !== undefined) {
-                this.checked.delete(oldest);
-            }
+    private check(presented: string): Promise<Result<boolean, ServiceError>> {
+        const running = this.running.get(presented);
+        if (running !== undefined) {
+            return running;
+        }
+        if (this.running.size >= MAXIMUM_CHECKS) {
+            const message = "too many tokens wait for their check; repeat the call shortly";
+            return Promise.resolve(err(serviceError(ErrorKind.Overloaded, message)));
         }
+        const check = this.last.then(() => this.matchesAny(presented)).finally(() => this.running.delete(presented));
+        this.running.set(presented, check);
+        this.last = check;
         return check;
     }
 
-    private async matchesAny(presented: string): Promise<boolean> {
+    private async matchesAny(presented: string): Promise<Result<boolean, ServiceError>> {
         for (const known of this.hashes) {
-            const hashed = await hashKey(presented, known.salt);
+            const hashed = await this.hash(presented, known.salt);
             if (hashed.isErr()) {
-                continue;
+                return err(hashed.error);
             }
             const left = Buffer.from(hashed.value.hash, "base64");
             const right = Buffer.from(known.hash, "base64");
             if (left.length === right.length && timingSafeEqual(left, right)) {
-                return true;
+                this.correct.add(presented);
+                return ok(true);
             }
         }
-        return false;
+        this.rememberWrong(presented);
+        return ok(false);
+    }
+
+    private rememberWrong(token: string): void {
+        this.wrong.add(token);
+        const [oldest] = this.wrong;
+        if (this.wrong.size > REMEMBERED_TOKENS && oldest !== undefined) {
+            this.wrong.delete(oldest);
+        }
     }
 }
 
@@ -78,13 +106,16 @@
         }
         texts.push(...lines.value);
     }
+    if (texts.some(text => !HASH_FORM.test(text))) {
+        const message = `${FILE_SETTING} or --operator-token-hash (TANAGERLINK_OPERATOR_TOKEN_HASH): `
+            + "a hash is not scrypt:<salt>:<hash> in base64";
+        return err(serviceError(ErrorKind.InvalidSettings, message));
+    }
     const hashes = texts.flatMap(text => {
         const match = HASH_FORM.exec(text);
         return match?.[1] === undefined || match[2] === undefined ? [] : [{ salt: match[1], hash: match[2] }];
     });
-    return hashes.length === texts.length
-        ? ok(new OperatorAccess(hashes))
-        : err(serviceError(ErrorKind.InvalidSettings, "an operator token hash is not scrypt:<salt>:<hash> in base64"));
+    return ok(new OperatorAccess(hashes));
 }
 
 async function readOperatorFile(path: string): Promise<Result<string[], ServiceError>> {
@@ -96,10 +127,10 @@
             ? ok(hashes.filter(hash => hash !== undefined))
             : err(serviceError(
                 ErrorKind.InvalidSettings,
-                `--operator-key-file: entry ${broken + 1} is not '<operator> scrypt:<salt>:<hash>'`,
+                `${FILE_SETTING}: entry ${broken + 1} is not '<operator> scrypt:<salt>:<hash>'`,
             ));
     }
     catch (failure) {
-        return err(serviceError(ErrorKind.InvalidSettings, `--operator-key-file: ${describeUnknown(failure)}`));
+        return err(serviceError(ErrorKind.InvalidSettings, `${FILE_SETTING}: ${describeUnknown(failure)}`));
     }
 }
--- a/packages/node/src/shardParts.ts
+++ b/packages/node/src/shardParts.ts
@@ -24,7 +24,6 @@
 
 const ROUND_PERIOD_MILLISECONDS = 200;
 const MAXIMUM_STARTS_PER_ROUND = 256;
-const MAXIMUM_JOBS = 50_000;
 
 /** Policy before the first configuration is in force. */
 const INITIAL_POLICY: PolicySettings = {
@@ -76,7 +75,7 @@
             leaseMarginMilliseconds: LEASE_MARGIN_MILLISECONDS,
             roundPeriodMilliseconds: ROUND_PERIOD_MILLISECONDS,
             maximumStartsPerRound: MAXIMUM_STARTS_PER_ROUND,
-            maximumJobs: MAXIMUM_JOBS,
+            maximumJobs: settings.maximumJobsPerShard,
             explanationMilliseconds: settings.explanationHours * HOUR,
             maximumConfigurationAgeMilliseconds: settings.maximumConfigurationAgeSeconds * 1_000,
         },
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -1,8 +1,8 @@
 /** Builds the parts of a process from its settings and starts them. */
 import { KeyVerifier } from "@tanagerlink/admission";
 import { PlatformConfigurationFollower, TableConfigurationWriter } from "@tanagerlink/configuration";
-import { createApplication, createEntryMetrics } from "@tanagerlink/entry";
-import type { ServiceError } from "@tanagerlink/errors";
+import { createApplication, createEntryMetrics, HttpServer } from "@tanagerlink/entry";
+import { type ServiceError, serviceError } from "@tanagerlink/errors";
 import { RequestLedger, TableJobStore } from "@tanagerlink/jobs";
 import { defaultGrantDurations, TableGrantLedger } from "@tanagerlink/limits";
 import { Membership } from "@tanagerlink/membership";
@@ -18,13 +18,18 @@
 import { ConfigurationSpread } from "./configurationSpread.ts";
 import { fleetStatus } from "./fleetStatus.ts";
 import { connectHeartbeats, PeerVersions } from "./heartbeatPayload.ts";
-import { HttpServer } from "./httpServer.ts";
-import { AcceptanceState, Node } from "./node.ts";
+import { AcceptanceState, disposeAll, Node } from "./node.ts";
 import { readOperators } from "./operatorAccess.ts";
 import { openPlatform, type PlatformAccess } from "./platformAccess.ts";
 import { processGauges } from "./processGauges.ts";
+import { RequestPruning } from "./requestPruning.ts";
 import { createShardDependencies } from "./shardParts.ts";
 
+/** Milliseconds in a second. */
+const SECOND = 1_000;
+const MINUTE = 60 * SECOND;
+const HOUR = 60 * MINUTE;
+
 /** Replacements for tests. */
 export interface NodeOverrides {
     readonly logger?: Logger;
@@ -61,7 +66,8 @@
         },
     });
     if (peers.isErr()) {
-        return err(peers.error);
+        const message = `--peer-address (TANAGERLINK_PEER_ADDRESS): ${peers.error.message}`;
+        return err(serviceError(peers.error.kind, message));
     }
     const platform = openPlatform(settings, timers);
     const parts = await buildParts({ settings, timers, logger, metrics, peers: peers.value, platform });
@@ -69,9 +75,16 @@
         ...parts.entry,
         operators: operators.value,
     });
-    const server = await HttpServer.listen(application, settings.listenAddress, timers);
+    const server = await HttpServer.listen(application, {
+        address: settings.listenAddress,
+        timers,
+        logger,
+        keepAliveMilliseconds: settings.keepAliveSeconds * SECOND,
+        answerMilliseconds: settings.answerTimeoutSeconds * SECOND,
+    });
     if (server.isErr()) {
-        await Promise.all([peers.value[Symbol.asyncDispose](), platform[Symbol.asyncDispose]()]);
+        // Parts keep timers, which would keep the process alive.
+        await disposeAll([...parts.disposables, peers.value, platform]);
         return err(server.error);
     }
     const node = new Node({
@@ -135,6 +148,13 @@
     const ledger = new TableGrantLedger({ timers, table, nextTransactionId, ...defaultGrantDurations });
     const jobs = new TableJobStore({ timers, table, nextTransactionId });
     const requests = new RequestLedger({ timers, table, objects, nextTransactionId });
+    const pruning = new RequestPruning({
+        requests,
+        timers,
+        logger,
+        retentionMilliseconds: settings.requestRetentionHours * HOUR,
+        periodMilliseconds: settings.requestPruneMinutes * MINUTE,
+    });
     const workerClients = new HttpWorkerClientFactory({ timers });
     const executorClients = new HttpExecutorClientFactory({
         timers,
@@ -162,7 +182,7 @@
             follower,
         }),
     });
-    const versions = new PeerVersions();
+    const versions = new PeerVersions(timers, settings.peerSilenceMilliseconds);
     connectHeartbeats({ peers, follower, membership, scheduler, versions, logger });
     const operations = new ConfigurationSpread({
         node: settings.nodeId,
@@ -176,14 +196,26 @@
     const gauges = processGauges({ metrics, timers, follower, membership, peers });
     return {
         node: { settings, timers, logger, state, peers, follower, membership, ownership, ledger, scheduler },
-        disposables: [gauges, scheduler, ownership, ledger, jobs, membership, follower, workerClients, executorClients],
+        disposables: [
+            pruning,
+            gauges,
+            scheduler,
+            ownership,
+            ledger,
+            jobs,
+            membership,
+            follower,
+            workerClients,
+            executorClients,
+        ],
         entry: {
             node: settings.nodeId,
             timers,
             logger,
             metrics: createEntryMetrics(metrics),
             maximumBodyBytes: settings.maximumBodyBytes,
-            maximumConfigurationAgeMilliseconds: settings.maximumConfigurationAgeSeconds * 1_000,
+            maximumBufferedBytes: settings.maximumBufferedBytes,
+            maximumConfigurationAgeMilliseconds: settings.maximumConfigurationAgeSeconds * SECOND,
             keys: new KeyVerifier(() => follower.current()),
             configuration: () => follower.current(),
             configurationAgeMilliseconds: () => follower.ageMilliseconds(),
--- a/packages/settings/src/crossChecks.ts
+++ b/packages/settings/src/crossChecks.ts
@@ -39,6 +39,16 @@
         holds: values => values.platformTimeoutMilliseconds * 2 <= values.shardLeaseMilliseconds,
         reason: "must be at most half of shard-lease-milliseconds, so that a renewal that timed out can be repeated",
     },
+    {
+        settings: ["maximumBufferedBytes", "maximumBodyBytes"],
+        holds: values => values.maximumBufferedBytes >= values.maximumBodyBytes,
+        reason: "must be at least maximum-body-bytes, so that the largest body fits",
+    },
+    {
+        settings: ["balancerNoticeMilliseconds", "drainTimeoutSeconds"],
+        holds: values => values.balancerNoticeMilliseconds <= values.drainTimeoutSeconds * 1_000,
+        reason: "must not exceed drain-timeout-seconds, within which the process ends",
+    },
     {
         settings: ["peerAddress", "listenAddress"],
         holds: values => values.peerAddress !== values.listenAddress || values.peerAddress.endsWith(":0"),
--- a/packages/settings/src/settingsTable.ts
+++ b/packages/settings/src/settingsTable.ts
@@ -106,6 +106,24 @@
         [1, 30, 3_600],
         "Longest time between SIGTERM and the end of the process.",
     ),
+    balancerNoticeMilliseconds: number(
+        "balancer-notice-milliseconds",
+        "milliseconds",
+        [0, 1_000, 60_000],
+        'Time between the answer "not ready" and the refusal of new work at a stop; at least the balancer\'s check period.',
+    ),
+    keepAliveSeconds: number(
+        "keep-alive-seconds",
+        "seconds",
+        [1, 65, 3_600],
+        "Time after which an idle connection of a caller is closed; above the balancer's own.",
+    ),
+    answerTimeoutSeconds: number(
+        "answer-timeout-seconds",
+        "seconds",
+        [1, 30, 3_600],
+        "Longest time for a caller to take an answer; then its connection is closed.",
+    ),
     maximumConfigurationAgeSeconds: number(
         "maximum-configuration-age-seconds",
         "seconds",
@@ -118,6 +136,30 @@
         [1_024, 8 * BYTES_PER_MEBIBYTE, 64 * BYTES_PER_MEBIBYTE],
         "Largest body of a request or an answer.",
     ),
+    maximumBufferedBytes: number(
+        "maximum-buffered-bytes",
+        "bytes",
+        [BYTES_PER_MEBIBYTE, 128 * BYTES_PER_MEBIBYTE, 4_096 * BYTES_PER_MEBIBYTE],
+        "Bytes of all bodies held for callers; further bodies are refused as overloaded. At least maximum-body-bytes.",
+    ),
+    maximumJobsPerShard: number(
+        "maximum-jobs-per-shard",
+        "jobs",
+        [100, 50_000, 1_000_000],
+        "Jobs that one shard holds; further ones are refused as overloaded.",
+    ),
+    requestRetentionHours: number(
+        "request-retention-hours",
+        "hours",
+        [1, 24, 720],
+        "Time for which a repeat of a non-idempotent request with the same idempotency key gets the first one's answer.",
+    ),
+    requestPruneMinutes: number(
+        "request-prune-minutes",
+        "minutes",
+        [1, 60, 1_440],
+        "Mean period, with jitter, at which a process deletes the records of older requests.",
+    ),
     logLevel: text("log-level", "info", {
         unit: "",
         range: LOG_LEVELS.join(", "),
