feat(scenarios): add a test language and scenarios for the promises

Scenarios are YAML files: shape of the cell, work, faults, operator actions and outcomes. A run is driven by a seed. Checks read the records of the stand-ins. Relays on loopback cut and silence links. The stand-ins record the caller's reference and the payload, and show each failure domain its own view of the VM list. A process that does not start is ended instead of left behind.

--- a/packages/scenarios/src/cell.ts
+++ b/packages/scenarios/src/cell.ts
@@ -12,6 +12,7 @@
     startWorkerStandIn,
     type WorkerStandIn,
 } from "@tanagerlink/stand-ins";
+import { CellRelays } from "./cellRelays.ts";
 import { EntryProcess } from "./entryProcess.ts";
 
 /** Token that operators of a test cell present. */
@@ -34,6 +35,10 @@
     readonly settings?: Readonly<Record<string, string>>;
     readonly vmListLagMilliseconds?: number;
     readonly defaultRunMilliseconds?: number;
+    /** Whether relays stand between peers and before executors, so that scenarios can cut these paths. */
+    readonly relays?: boolean;
+    /** Whether relays stand before the addresses for callers as well. */
+    readonly callerRelays?: boolean;
 }
 
 /** A running cell. */
@@ -41,6 +46,7 @@
     readonly platform: PlatformStandIn;
     readonly entries: EntryProcess[] = [];
     readonly executors = new Map<string, ExecutorStandIn>();
+    readonly relays = new CellRelays();
     workers!: WorkerStandIn;
     private readonly options: CellOptions;
     private readonly operatorTokenHash: string;
@@ -58,6 +64,7 @@
         const { salt, hash } = (await hashKey(OPERATOR_TOKEN))._unsafeUnwrap();
         const platform = await startPlatformStandIn({ lagMilliseconds: options.vmListLagMilliseconds ?? 0 });
         const cell = new Cell(options, platform, `scrypt:${salt}:${hash}`);
+        platform.vms.viewFrom = (failureDomain, record) => cell.relays.seenFrom(failureDomain, record);
         try {
             await cell.startTargets();
             await Promise.all(
@@ -84,6 +91,12 @@
             operatorTokenHash: this.operatorTokenHash,
             settings: this.options.settings ?? {},
         });
+        if (this.options.relays === true) {
+            await this.relays.addPeer(entry, this.options.failureDomains);
+        }
+        if (this.options.callerRelays === true) {
+            await this.relays.addCallerPath(entry);
+        }
         this.entries.push(entry);
         this.publish();
         return entry;
@@ -91,8 +104,11 @@
 
     /** Removes a process that has ended from the list of VMs. */
     removeEntry(entry: EntryProcess): void {
-        this.entries.splice(this.entries.indexOf(entry), 1);
-        this.publish();
+        const index = this.entries.indexOf(entry);
+        if (index >= 0) {
+            this.entries.splice(index, 1);
+            this.publish();
+        }
     }
 
     /** Changes the record of a target in the list of VMs; `undefined` removes it. */
@@ -137,6 +153,7 @@
         await Promise.all(this.entries.map(entry => entry[Symbol.asyncDispose]()));
         await this.workers?.[Symbol.asyncDispose]();
         await Promise.all([...this.executors.values()].map(executor => executor[Symbol.asyncDispose]()));
+        await this.relays[Symbol.asyncDispose]();
         await this.platform[Symbol.asyncDispose]();
     }
 
@@ -174,7 +191,9 @@
                     failureDomain,
                     rack: `${failureDomain}-rack-1`,
                     role: "executor",
-                    address: executor.address,
+                    address: this.options.relays === true
+                        ? await this.relays.addTarget(id, executor.address)
+                        : executor.address,
                     state: "live",
                     service,
                     slots: executor.slots,
--- a/packages/scenarios/src/entryProcess.ts
+++ b/packages/scenarios/src/entryProcess.ts
@@ -71,8 +71,14 @@
             child.once("exit", code => resolve(code ?? undefined));
             child.once("error", () => resolve(undefined));
         });
-        const addresses = await waitForAddresses(child, log, exited);
-        return new EntryProcess(options, child, addresses, log, exited);
+        try {
+            const addresses = await waitForAddresses(child, log, exited);
+            return new EntryProcess(options, child, addresses, log, exited);
+        }
+        catch (failure) {
+            child.kill("SIGKILL");
+            throw failure;
+        }
     }
 
     get url(): string {
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,3 +1,5 @@
 /** A small cell of real processes and stand-ins, and the test language of the scenarios that run on it. */
 export { Cell, type CellOptions, OPERATOR_TOKEN } from "./cell.ts";
 export { EntryProcess, type EntryProcessOptions } from "./entryProcess.ts";
+export { readScenario, type Scenario } from "./language.ts";
+export { runScenario, type ScenarioResult } from "./runScenario.ts";
--- /dev/null
+++ b/packages/scenarios/src/runScenario.ts
@@ -0,0 +1,47 @@
+/** Runs a scenario with one seed and reports what was missed, with the trace. */
+import { breachesOf } from "./invariants.ts";
+import type { Scenario } from "./language.ts";
+import { findOutcomes } from "./outcomes.ts";
+import { ScenarioRun } from "./scenarioRun.ts";
+
+/** Result of one run. */
+export interface ScenarioResult {
+    readonly seed: number;
+    readonly milliseconds: number;
+    /** Broken promises, missed outcomes and steps that failed; empty when everything held. */
+    readonly missed: readonly string[];
+    /** What was observed for each stated outcome. */
+    readonly observed: readonly string[];
+    readonly trace: string;
+    /** Last warnings of each process. */
+    readonly warnings: string;
+}
+
+/** Runs the scenario. `command` starts the program. */
+export async function runScenario(
+    scenario: Scenario,
+    seed: number,
+    command: readonly string[],
+): Promise<ScenarioResult> {
+    const startedAt = performance.now();
+    await using run = await ScenarioRun.start(scenario, seed, command);
+    const missed: string[] = [];
+    try {
+        await run.takeSteps();
+    }
+    catch (failure) {
+        missed.push(`a step failed: ${failure instanceof Error ? failure.stack : failure}`);
+    }
+    const findings = await findOutcomes(scenario, run);
+    missed.push(...breachesOf(run));
+    missed.push(...findings.filter(({ reached }) => !reached).map(({ observed }) => `outcome missed: ${observed}`));
+    findings.forEach(({ observed }) => run.trace.note(observed));
+    return {
+        seed,
+        milliseconds: performance.now() - startedAt,
+        missed,
+        observed: findings.map(({ observed }) => observed),
+        trace: run.trace.text(),
+        warnings: run.cell.entries.map(entry => `${entry.id}:\n${entry.log.slice(-20).join("\n")}`).join("\n"),
+    };
+}
--- /dev/null
+++ b/packages/scenarios/src/scenarioRun.ts
@@ -0,0 +1,330 @@
+/** One run of a scenario with one seed: starts the cell, takes the steps, and compares the outcomes. */
+import { Callers, pause } from "./callers.ts";
+import { Cell } from "./cell.ts";
+import { CellConfiguration } from "./cellConfiguration.ts";
+import { readyShards } from "./cellStatus.ts";
+import type { EntryProcess } from "./entryProcess.ts";
+import { Facts } from "./facts.ts";
+import { jobs, type ProcessesStep, type Scenario, type Step, type TargetStep } from "./language.ts";
+import { Operators } from "./operators.ts";
+import { RandomChoices } from "./random.ts";
+import { PathState } from "./relay.ts";
+import { setExecutorFault, setWorkerFault } from "./targetFaults.ts";
+import { Trace } from "./trace.ts";
+import { WorkLog } from "./work.ts";
+
+/** Longest wait for shards and configuration at the start, in milliseconds. */
+const READY_MILLISECONDS = 60_000;
+
+/** Time after SIGTERM in which the balancer still sends calls to a process, in milliseconds. */
+const BALANCER_MILLISECONDS = 500;
+
+/** Settings with short leases, so that takeovers take seconds. */
+const SHORT_SETTINGS: Readonly<Record<string, string>> = {
+    "shard-lease-milliseconds": "1500",
+    "shard-renewal-milliseconds": "500",
+    "confirmation-window-milliseconds": "1000",
+    "worker-heartbeat-milliseconds": "300",
+    "peer-heartbeat-milliseconds": "100",
+    "peer-silence-milliseconds": "600",
+    "platform-timeout-milliseconds": "700",
+    "vm-list-poll-milliseconds": "200",
+    "drain-timeout-seconds": "10",
+};
+
+/** A running scenario. */
+export class ScenarioRun implements AsyncDisposable {
+    readonly scenario: Scenario;
+    readonly seed: number;
+    readonly trace = new Trace();
+    readonly facts = new Facts();
+    readonly log = new WorkLog();
+    readonly cell: Cell;
+    private readonly random: RandomChoices;
+    private readonly callers: Callers;
+    private readonly operators: Operators;
+    private readonly background = new Set<Promise<void>>();
+    private readonly gone = new Set<string>();
+    private readonly failures: unknown[] = [];
+
+    private constructor(scenario: Scenario, seed: number, cell: Cell, folder: CellConfiguration) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.cell = cell;
+        this.random = new RandomChoices(seed);
+        const entries = (failureDomain: string | undefined): EntryProcess[] => this.entries(failureDomain);
+        this.callers = new Callers({
+            random: this.random,
+            log: this.log,
+            secrets: folder.secrets,
+            note: text => this.trace.note(text),
+            entries,
+            url: entry => cell.relays.callerUrl(entry),
+        });
+        const { trace, facts, random } = this;
+        this.operators = new Operators({ cell, random, trace, facts, entries }, folder);
+        const at = performance.now();
+        Object.entries(scenario.teams).forEach(([team, units]) => this.facts.limits.push({ team, units, at }));
+    }
+
+    /** Starts the cell and waits until all shards are owned. */
+    static async start(scenario: Scenario, seed: number, command: readonly string[]): Promise<ScenarioRun> {
+        const { cell: shape } = scenario;
+        const settings = Object.entries(scenario.settings).map(([flag, value]) => [flag, String(value)]);
+        const folder = await CellConfiguration.create(scenario);
+        const cell = await Cell.start({
+            command,
+            failureDomains: shape.domains,
+            entryProcessesPerDomain: shape.entries,
+            workersPerDomain: shape.workers,
+            workerCapacity: { processorMillis: shape.cores * 1_000, memoryMebibytes: 65_536, accelerators: 0 },
+            executorsPerDomain: shape.executors,
+            service: "records",
+            settings: { ...SHORT_SETTINGS, ...Object.fromEntries(settings) },
+            vmListLagMilliseconds: shape["vm-list-lag"],
+            relays: true,
+            callerRelays: shape["caller-relay"],
+        });
+        const run = new ScenarioRun(scenario, seed, cell, folder);
+        try {
+            await run.operators.apply({});
+            await cell.eventually("all shards are owned", () => run.isReady(), READY_MILLISECONDS);
+        }
+        catch (failure) {
+            await run[Symbol.asyncDispose]();
+            throw failure;
+        }
+        run.trace.note("the cell is ready");
+        return run;
+    }
+
+    /** Takes all steps of the scenario. */
+    async takeSteps(): Promise<void> {
+        for (const step of this.scenario.steps) {
+            await this.take(step);
+        }
+        await this.settle(1_000);
+        if (this.failures.length > 0) {
+            throw this.failures[0];
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.cell[Symbol.asyncDispose]();
+        await Promise.all(this.background);
+    }
+
+    private async take(step: Step): Promise<void> {
+        if ("shuffle" in step) {
+            for (const each of this.random.some(step.shuffle, step.shuffle.length)) {
+                await this.take(each);
+            }
+            return;
+        }
+        if ("repeat" in step) {
+            for (let time = 0; time < step.repeat.times; time++) {
+                for (const each of step.repeat.steps) {
+                    await this.take(each);
+                }
+            }
+            return;
+        }
+        const [name = "", value] = Object.entries(step)[0] ?? [];
+        this.trace.note(`${name} ${JSON.stringify(value)}`);
+        if ("jobs" in step) {
+            this.inBackground(this.callers.jobs(step.jobs));
+        }
+        else if ("requests" in step) {
+            this.inBackground(this.callers.requests(step.requests));
+        }
+        else if ("probe" in step) {
+            await this.callers.probe(this.entries(undefined), jobs.parse(step.probe));
+        }
+        else if ("wait" in step) {
+            await pause(this.random.within(step.wait));
+        }
+        else if ("settle" in step) {
+            await this.settle(step.settle);
+        }
+        else {
+            await this.disturb(step);
+        }
+    }
+
+    /** Faults and actions of operators. */
+    private async disturb(step: Step): Promise<void> {
+        if ("kill" in step) {
+            await Promise.all(this.choose(step.kill).map(entry => this.kill(entry)));
+        }
+        else if ("pause" in step) {
+            this.choose(step.pause).forEach(entry =>
+                this.pauseProcess(entry, this.random.within(step.pause.for ?? 3_000))
+            );
+        }
+        else if ("terminate" in step) {
+            this.choose(step.terminate).forEach(entry => this.inBackground(this.terminate(entry)));
+        }
+        else if ("replace" in step) {
+            const { in: failureDomain, count } = step.replace;
+            await Promise.all(Array.from({ length: count }, () => this.cell.startEntry(failureDomain)));
+        }
+        else if ("operator" in step) {
+            await this.operators.apply(step.operator);
+        }
+        else if ("race" in step) {
+            await this.operators.race(step.race);
+        }
+        else if ("half-written" in step) {
+            await this.operators.halfWritten(step["half-written"].via);
+        }
+        else {
+            this.disturbSurroundings(step);
+        }
+    }
+
+    /** Faults of the platform, the network and the targets. */
+    private disturbSurroundings(step: Step): void {
+        const { faults } = this.cell.platform;
+        if ("store" in step) {
+            const { store } = step;
+            if (typeof store === "string") {
+                faults.setDown(store === "down");
+                faults.setSilent(store === "silent");
+                faults.setDelay(0);
+            }
+            else if ("slow" in store) {
+                faults.setDelay(store.slow);
+            }
+            else {
+                faults.loseAnswers(store["lose-answers"]);
+            }
+        }
+        else if ("platform" in step) {
+            const { cut, heal } = step.platform;
+            [cut].filter(name => name !== undefined).forEach(name => faults.setPartitioned(name, true));
+            [heal].filter(name => name !== undefined).forEach(name => faults.setPartitioned(name, false));
+        }
+        else if ("links" in step) {
+            const { cut, heal } = step.links;
+            [cut].filter(pair => pair !== undefined).forEach(pair => this.cell.relays.setLinks(...pair, PathState.Cut));
+            [heal].filter(pair => pair !== undefined).forEach(pair =>
+                this.cell.relays.setLinks(...pair, PathState.Open)
+            );
+        }
+        else if ("silence" in step) {
+            this.trace.note(`${this.cell.relays.silence(step.silence)} connections go silent`);
+        }
+        else if ("workers" in step) {
+            this.disturbTargets(step.workers, this.cell.workers.workers.keys(), (id, fault) => {
+                setWorkerFault(this.cell.workers.worker(id), fault);
+            });
+        }
+        else if ("executors" in step) {
+            this.disturbTargets(step.executors, this.cell.executors.keys(), (id, fault) => {
+                setExecutorFault(this.cell.executors.get(id), this.cell.relays.target(id), fault);
+            });
+        }
+        else if ("leaving" in step) {
+            this.leave(step.leaving);
+        }
+    }
+
+    private disturbTargets(
+        step: TargetStep,
+        ids: Iterable<string>,
+        set: (id: string, fault: TargetStep["fault"]) => void,
+    ): void {
+        const members = [...ids].filter(id => step.in === undefined || id.startsWith(`${step.in}-`));
+        const chosen = this.random.some(members, step.count === "all" ? members.length : step.count);
+        for (const id of chosen) {
+            this.trace.note(`${id}: ${step.fault}`);
+            set(id, step.fault);
+            if (step.for !== undefined) {
+                this.inBackground(
+                    pause(this.random.within(step.for)).then(() => {
+                        this.trace.note(`${id}: ${step.fault} ends`);
+                        set(id, "none");
+                    }),
+                );
+            }
+        }
+    }
+
+    private leave(
+        step: { readonly role: "worker" | "executor"; readonly count: number; readonly in?: string | undefined; },
+    ): void {
+        const ids = step.role === "worker" ? this.cell.workers.workers.keys() : this.cell.executors.keys();
+        const members = [...ids].filter(id => step.in === undefined || id.startsWith(`${step.in}-`));
+        for (const id of this.random.some(members, step.count)) {
+            this.trace.note(`${id} is leaving`);
+            const target = step.role === "worker" ? this.cell.workers.worker(id) : this.cell.executors.get(id);
+            if (target !== undefined) {
+                target.leaving = true;
+            }
+            this.cell.changeTarget(id, { state: "leaving" });
+            this.facts.leavings.push({ target: id, at: performance.now() });
+        }
+    }
+
+    private async kill(entry: EntryProcess): Promise<void> {
+        this.trace.note(`${entry.id} is killed`);
+        this.gone.add(entry.id);
+        await entry.kill();
+        this.cell.removeEntry(entry);
+    }
+
+    private pauseProcess(entry: EntryProcess, milliseconds: number): void {
+        this.trace.note(`${entry.id} pauses for ${milliseconds} ms`);
+        entry.pause();
+        this.inBackground(
+            pause(milliseconds).then(() => {
+                entry.resume();
+                this.trace.note(`${entry.id} goes on`);
+            }),
+        );
+    }
+
+    private async terminate(entry: EntryProcess): Promise<void> {
+        this.trace.note(`${entry.id} gets SIGTERM`);
+        const sentAt = performance.now();
+        const exited = entry.terminate();
+        await pause(BALANCER_MILLISECONDS);
+        this.gone.add(entry.id);
+        const code = await exited;
+        const milliseconds = performance.now() - sentAt;
+        this.facts.stops.push({ entry: entry.id, code, milliseconds });
+        this.trace.note(`${entry.id} ended with code ${code} after ${Math.round(milliseconds)} ms`);
+        this.cell.removeEntry(entry);
+    }
+
+    private entries(failureDomain: string | undefined): EntryProcess[] {
+        return this.cell.entries.filter(entry =>
+            !this.gone.has(entry.id) && (failureDomain === undefined || entry.failureDomain === failureDomain)
+        );
+    }
+
+    private choose(step: ProcessesStep): EntryProcess[] {
+        const entries = this.entries(step.in);
+        return this.random.some(entries, step.entries === "all" ? entries.length : step.entries);
+    }
+
+    private async isReady(): Promise<boolean> {
+        const ready = await Promise.all(this.cell.entries.map(entry => readyShards(entry)));
+        const wanted = this.scenario.cell.domains.length * 2;
+        return ready.every(shards => shards >= wanted);
+    }
+
+    private inBackground(work: Promise<void>): void {
+        const tracked = work.catch((failure: unknown) => void this.failures.push(failure))
+            .finally(() => this.background.delete(tracked));
+        this.background.add(tracked);
+    }
+
+    /** Waits until callers and timed faults have ended, at most for the given time. */
+    private async settle(milliseconds: number): Promise<void> {
+        const until = performance.now() + milliseconds;
+        while (this.background.size > 0 && performance.now() < until) {
+            await Promise.race([Promise.all(this.background), pause(100)]);
+        }
+    }
+}
--- a/packages/stand-ins/src/executorRecord.ts
+++ b/packages/stand-ins/src/executorRecord.ts
@@ -7,6 +7,8 @@
     readonly requestId: string;
     readonly team: string;
     readonly epoch: number;
+    /** Header `x-reference` of the caller; empty without one. */
+    readonly reference: string;
     readonly startedAt: number;
     endedAt: number | undefined;
 }
--- a/packages/stand-ins/src/executorStandIn.ts
+++ b/packages/stand-ins/src/executorStandIn.ts
@@ -198,7 +198,15 @@
             return known;
         }
         const team = context.req.header("x-team") ?? "";
-        const run: RequestRun = { requestId, team, epoch, startedAt: this.timers.now(), endedAt: undefined };
+        const reference = context.req.header("x-reference") ?? "";
+        const run: RequestRun = {
+            requestId,
+            team,
+            epoch,
+            reference,
+            startedAt: this.timers.now(),
+            endedAt: undefined,
+        };
         const milliseconds = Number(context.req.header("x-run-milliseconds") ?? this.runMilliseconds);
         const answer = this.run(run, milliseconds, body);
         this.answers.set(requestId, answer);
--- a/packages/stand-ins/src/platformRoutes.ts
+++ b/packages/stand-ins/src/platformRoutes.ts
@@ -25,7 +25,7 @@
     addObjectRoutes(routes, parts);
     routes.get(PlatformPath.VirtualMachines, context => {
         parts.counts.vmListReads++;
-        return context.json({ vms: parts.vms.visible() });
+        return context.json({ vms: parts.vms.visibleFrom(callerOf(context.req.path)) });
     });
     const application = new Hono<Environment>();
     application.use((context, next) => injectFaults(parts, context, next));
@@ -82,9 +82,8 @@
 }
 
 async function injectFaults(parts: PlatformParts, context: Context<Environment>, next: Next): Promise<Response | void> {
-    const failureDomain = /^\/from\/([^/]+)\//.exec(context.req.path)?.[1];
     const writes = context.req.path.endsWith(PlatformPath.TableTransact) || context.req.method === "PUT";
-    const fate = await parts.faults.meet(failureDomain && decodeURIComponent(failureDomain), writes);
+    const fate = await parts.faults.meet(callerOf(context.req.path), writes);
     if (fate === "silence") {
         return new Promise(() => {});
     }
@@ -101,6 +100,12 @@
     return undefined;
 }
 
+/** Failure domain of a caller that uses `baseUrlFor`. */
+function callerOf(path: string): string | undefined {
+    const failureDomain = /^\/from\/([^/]+)\//.exec(path)?.[1];
+    return failureDomain === undefined ? undefined : decodeURIComponent(failureDomain);
+}
+
 async function parseBody<Schema extends z.ZodType>(
     context: Context<Environment>,
     schema: Schema,
--- a/packages/stand-ins/src/platformVmList.ts
+++ b/packages/stand-ins/src/platformVmList.ts
@@ -12,6 +12,8 @@
 /** The VM list of the stand-in platform. */
 export class LaggingVmList {
     lagMilliseconds: number;
+    /** Changes what callers of one failure domain see, for example addresses of relays in place of the VMs' own. */
+    viewFrom: (failureDomain: string, record: VmRecord) => VmRecord = (_failureDomain, record) => record;
     private readonly timers: Timers;
     private states: ListState[] = [];
 
@@ -44,6 +46,14 @@
         return this.forgetOutdated()?.records ?? [];
     }
 
+    /** The VMs as callers of one failure domain see them. */
+    visibleFrom(failureDomain: string | undefined): readonly VmRecord[] {
+        const records = this.visible();
+        return failureDomain === undefined
+            ? records
+            : records.map(record => this.viewFrom(failureDomain, record));
+    }
+
     private forgetOutdated(): ListState | undefined {
         const horizon = this.timers.now() - this.lagMilliseconds;
         const visible = this.states.findLastIndex(state => state.since <= horizon);
--- a/packages/stand-ins/src/workerRecord.ts
+++ b/packages/stand-ins/src/workerRecord.ts
@@ -21,6 +21,7 @@
     readonly attempt: number;
     readonly team: string;
     readonly size: Resources;
+    readonly payload: string;
     readonly startedAt: number;
     endedAt: number | undefined;
     /** How the run ended; `lost` when the worker restarted under it. */
@@ -55,7 +56,7 @@
 
     /** Notes the start of a run. */
     begin(worker: string, bootId: string, capacity: Resources, start: TaskStart, now: number): AttemptRecord {
-        const { epoch, job, task, attempt, team, size } = start;
+        const { epoch, job, task, attempt, team, size, payload } = start;
         const record: AttemptRecord = {
             worker,
             bootId,
@@ -65,6 +66,7 @@
             attempt,
             team,
             size,
+            payload,
             startedAt: now,
             endedAt: undefined,
             end: undefined,
