--- a/packages/scenarios/src/invariants.ts
+++ b/packages/scenarios/src/invariants.ts
@@ -29,6 +29,7 @@
         ...listed('7: "not run" was false', falseNotRun(run.log, runs)),
         ...listed("8: non-idempotent work ran more than once", repeatedRuns(run.log, runs)),
         ...listed("9: work for a leaving target", startsWhileLeaving(run.facts, runs, time)),
+        ...listed('"every refusal is honest"', falseNeverRunnable(run.log)),
         ...listed("11: a half-written folder was not refused", halfWritten(run.facts)),
     ];
 }
@@ -148,6 +149,14 @@
     });
 }
 
+/** All jobs of scenarios fit a worker of their cell, so that none of them can never run. */
+function falseNeverRunnable(log: WorkLog): string[] {
+    return log.items.flatMap(item =>
+        item.tries.filter(each => each.error === "never_runnable")
+            .map(each => `${item.reference} was refused as never runnable through ${each.entry}, and fits every worker`)
+    );
+}
+
 function halfWritten(facts: Facts): string[] {
     return facts.halfWritten
         .filter(({ status, versionBefore, versionAfter }) =>
--- a/packages/scenarios/src/scenarioRun.ts
+++ b/packages/scenarios/src/scenarioRun.ts
@@ -215,13 +215,14 @@
             this.trace.note(`${this.cell.relays.silence(step.silence)} connections go silent`);
         }
         else if ("workers" in step) {
-            this.disturbTargets(step.workers, this.cell.workers.workers.keys(), (id, fault) => {
-                setWorkerFault(this.cell.workers.worker(id), fault);
+            this.disturbTargets(step.workers, this.cell.workers.workers.keys(), (id, on) => {
+                setWorkerFault(this.cell.workers.worker(id), step.workers.fault, on);
             });
         }
         else if ("executors" in step) {
-            this.disturbTargets(step.executors, this.cell.executors.keys(), (id, fault) => {
-                setExecutorFault(this.cell.executors.get(id), this.cell.relays.target(id), fault);
+            this.disturbTargets(step.executors, this.cell.executors.keys(), (id, on) => {
+                const { executors, relays } = this.cell;
+                setExecutorFault(executors.get(id), relays.target(id), step.executors.fault, on);
             });
         }
         else if ("leaving" in step) {
@@ -232,18 +233,18 @@
     private disturbTargets(
         step: TargetStep,
         ids: Iterable<string>,
-        set: (id: string, fault: TargetStep["fault"]) => void,
+        set: (id: string, on: boolean) => void,
     ): void {
         const members = [...ids].filter(id => step.in === undefined || id.startsWith(`${step.in}-`));
         const chosen = this.random.some(members, step.count === "all" ? members.length : step.count);
         for (const id of chosen) {
             this.trace.note(`${id}: ${step.fault}`);
-            set(id, step.fault);
+            set(id, true);
             if (step.for !== undefined) {
                 this.inBackground(
                     pause(this.random.within(step.for)).then(() => {
                         this.trace.note(`${id}: ${step.fault} ends`);
-                        set(id, "none");
+                        set(id, false);
                     }),
                 );
             }
--- a/packages/scenarios/src/targetFaults.ts
+++ b/packages/scenarios/src/targetFaults.ts
@@ -12,36 +12,55 @@
 
 type Fault = TargetStep["fault"];
 
-/** Sets one fault of a worker and ends all others. */
-export function setWorkerFault(worker: SimulatedWorker, fault: Fault): void {
+/** Switches one fault of a worker on or off; "none" with `on` ends all of them. */
+export function setWorkerFault(worker: SimulatedWorker, fault: Fault, on: boolean): void {
     const { faults } = worker;
-    faults.unreachable = fault === "unreachable";
-    faults.silent = fault === "silent";
-    faults.failEverything = fault === "fail";
-    faults.slowMilliseconds = fault === "slow" ? SLOW_MILLISECONDS : 0;
-    faults.loseAnswers = fault === "lose-answers" ? LOST_ANSWERS : 0;
-    if (fault === "restart") {
+    const switches: Partial<Record<Fault, () => void>> = {
+        "unreachable": () => void (faults.unreachable = on),
+        "silent": () => void (faults.silent = on),
+        "fail": () => void (faults.failEverything = on),
+        "slow": () => void (faults.slowMilliseconds = on ? SLOW_MILLISECONDS : 0),
+        "lose-answers": () => void (faults.loseAnswers = on ? LOST_ANSWERS : 0),
+    };
+    if (fault === "restart" && on) {
         worker.restart();
     }
+    else if (fault === "none" && on) {
+        (Object.keys(switches) as Fault[]).forEach(each => setWorkerFault(worker, each, false));
+    }
+    else {
+        switches[fault]?.();
+    }
 }
 
-/** Sets one fault of an executor and ends all others. */
-export function setExecutorFault(executor: ExecutorStandIn | undefined, relay: Relay | undefined, fault: Fault): void {
-    if (executor === undefined) {
+/** Switches one fault of an executor on or off; "none" with `on` ends all of them. */
+export function setExecutorFault(
+    executor: ExecutorStandIn | undefined,
+    relay: Relay | undefined,
+    fault: Fault,
+    on: boolean,
+): void {
+    if (executor === undefined || relay === undefined) {
         return;
     }
     const { faults } = executor;
-    faults.silent = fault === "silent";
-    faults.failEverything = fault === "fail";
-    faults.slowMilliseconds = fault === "slow" ? SLOW_MILLISECONDS : 0;
-    faults.answerLateMilliseconds = fault === "late" ? LATE_MILLISECONDS : 0;
-    faults.breakOff = fault === "break-off";
-    faults.closeBeforeAnswer = fault === "close";
-    faults.refuse = fault === "refuse";
-    if (relay !== undefined) {
-        relay.inPieces = fault === "pieces";
-    }
-    if (fault === "restart") {
+    const switches: Partial<Record<Fault, () => void>> = {
+        "silent": () => void (faults.silent = on),
+        "fail": () => void (faults.failEverything = on),
+        "slow": () => void (faults.slowMilliseconds = on ? SLOW_MILLISECONDS : 0),
+        "late": () => void (faults.answerLateMilliseconds = on ? LATE_MILLISECONDS : 0),
+        "break-off": () => void (faults.breakOff = on),
+        "close": () => void (faults.closeBeforeAnswer = on),
+        "refuse": () => void (faults.refuse = on),
+        "pieces": () => void (relay.inPieces = on),
+    };
+    if (fault === "restart" && on) {
         executor.restart();
     }
+    else if (fault === "none" && on) {
+        (Object.keys(switches) as Fault[]).forEach(each => setExecutorFault(executor, relay, each, false));
+    }
+    else {
+        switches[fault]?.();
+    }
 }
