--- a/scripts/bundle.d.mts
+++ b/scripts/bundle.d.mts
@@ -1,2 +1,2 @@
-/** Bundles the command line to one CommonJS file at `outfile`. */
+/** Writes the bundle of the command line to `outfile`. */
 export function bundle(outfile: string): Promise<void>;
