perf(model): shorten the lease of services to two minutes; bound deadlines of services

Cause: a task of a lost VM starts elsewhere only after its lease has ended, so a lost service was down for 10 minutes; and a deadline above 60 s was cut to 60 s by routing without a word. Change: services have leases of 120 s; the folder's check refuses deadlines above 60,000 ms. Conclusion: an outage of store and owner together now ends services after two minutes instead of ten.

--- a/packages/configuration/src/entrySchemas.ts
+++ b/packages/configuration/src/entrySchemas.ts
@@ -60,10 +60,13 @@
     "shards": z.int().min(1).max(MAXIMUM_SHARDS).default(DEFAULT_SHARDS),
 });
 
+/** No request runs longer: a new owner of an executor's slots waits this long for requests that it cannot see. */
+const LONGEST_REQUEST_MILLISECONDS = 60_000;
+
 /** @internal */
 export const serviceFieldsSchema = z.strictObject({
     "queue": nameText,
-    "deadline-milliseconds": z.int().min(1).max(3_600_000),
+    "deadline-milliseconds": z.int().min(1).max(LONGEST_REQUEST_MILLISECONDS),
 });
 
 /** @internal */
--- a/packages/model/src/workClass.ts
+++ b/packages/model/src/workClass.ts
@@ -7,9 +7,13 @@
 
 export type WorkClass = (typeof WorkClass)[keyof typeof WorkClass];
 
-/** Length of a task lease in milliseconds. Services outlive an outage of the store and of their owner together. */
+/**
+ * Length of a task lease in milliseconds. It bounds how long a task of a lost VM waits before it starts elsewhere, and
+ * how long it goes on when its owner and the store are lost together. Services get more, since they are to survive the
+ * takeover of their shard; 10 minutes kept a lost service down for as long.
+ */
 export const taskLeaseMilliseconds: Readonly<Record<WorkClass, number>> = {
     [WorkClass.Urgent]: 30_000,
-    [WorkClass.Service]: 600_000,
+    [WorkClass.Service]: 120_000,
     [WorkClass.Batch]: 30_000,
 };
