perf(scheduler): ask a worker for its report soon after an expected end

Cause: an end was noticed only with the next heartbeat, up to 2 s later, and the room stood idle meanwhile.

Change: exchangePlan.ts shortens the pause before the next heartbeat when a task of the worker is about to end by its last observed or declared run time, or when the effect of a start or stop is awaited; 250 ms at least. After an end that did not come the pause grows again.

The new test fails with the regular period.

--- a/packages/scheduler/__tests__/starts.spec.ts
+++ b/packages/scheduler/__tests__/starts.spec.ts
@@ -119,6 +119,19 @@
         expect(cell.attempts(job).every(attempt => attempt.worker === "worker1")).to.equal(true);
     });
 
+    it("uses room again soon after an expected end, with few more messages", async () => {
+        const cell = new SchedulerCell();
+        const owner = await cell.begin(1, size(1_000));
+        const first = await cell.submitAndStart(owner, { runSeconds: 5, runMilliseconds: 5_000 });
+        const begin = cell.timers.now();
+        const second = await cell.submit(owner, { name: "late", runSeconds: 5, runMilliseconds: 60_000 });
+        await cell.timers.advance(60_000);
+        const gap = cell.attempts(second)[0]!.startedAt - cell.attempts(first)[0]!.endedAt!;
+        expect(gap, "room is idle").to.be.below(300);
+        const messages = owner.links.calls.filter(({ at, call }) => at >= begin && call === "heartbeat").length;
+        expect(messages, "heartbeats in 60 s; 30 at the regular period").to.be.below(40);
+    });
+
     it("does not repeat starts in a tight loop while a worker refuses them", async () => {
         const cell = new SchedulerCell();
         const owner = await cell.begin(1);
--- a/packages/scheduler/src/shardContext.ts
+++ b/packages/scheduler/src/shardContext.ts
@@ -1,6 +1,7 @@
 /** What the parts of one shard's scheduler share: identity, dependencies and the book of jobs. */
 import type { ConfigurationSnapshot, Decision, JobRecord, Reason } from "@tanagerlink/model";
 import type { SchedulingPolicy } from "@tanagerlink/policy";
+import type { RunTimes } from "./exchangePlan.ts";
 import type { JobBook } from "./jobBook.ts";
 import { type JobEntry, recordDecision } from "./jobEntry.ts";
 import type { PendingWrites } from "./pendingWrites.ts";
@@ -14,6 +15,7 @@
     readonly dependencies: ShardDependencies;
     readonly policy: SchedulingPolicy;
     readonly book: JobBook;
+    readonly runTimes: RunTimes;
     /** Writes of job records that a planned handover waits for. */
     readonly writes: PendingWrites;
     /** Asks for a scheduling round as soon as the current work is done. */
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -16,6 +16,7 @@
 import type { DispatchGate, ExecutorPool } from "@tanagerlink/routing";
 import { sleep, type Subscription } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
+import { RunTimes } from "./exchangePlan.ts";
 import { JobAdmission } from "./jobAdmission.ts";
 import { JobBook } from "./jobBook.ts";
 import { activeTasks, createJobEntry, mayHaveActiveTasks } from "./jobEntry.ts";
@@ -78,6 +79,7 @@
             dependencies,
             policy: dependencies.createPolicy(),
             book: new JobBook(),
+            runTimes: new RunTimes(),
             writes: new PendingWrites(),
             requestRound: () => this.rounds.request(),
         };
--- a/packages/scheduler/src/taskLifecycle.ts
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -137,6 +137,7 @@
         const ranSeconds = (this.context.dependencies.timers.now() - task.startedAt) / SECOND;
         if (isActive(task)) {
             this.free(entry, task, ranSeconds);
+            this.context.runTimes.record(entry.record.specification, ranSeconds * SECOND);
         }
         task.state = TaskState.Succeeded;
         task.recovering = false;
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -5,6 +5,7 @@
 import type { ServiceError } from "@tanagerlink/errors";
 import { FailureDomainState, Reason, taskLeaseMilliseconds, type VmRecord, VmState } from "@tanagerlink/model";
 import type { TaskAttempt, WorkerReport } from "@tanagerlink/targets";
+import { exchangeDelay } from "./exchangePlan.ts";
 import { attemptOf, isActive, type JobEntry, leaseEnd, type TaskEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
@@ -121,6 +122,10 @@
             });
     }
 
+    exchangeDelay(worker: string): number {
+        return exchangeDelay(this.context, worker);
+    }
+
     workerAttached(session: WorkerSession, report: WorkerReport): void {
         this.read.add(session.client.id);
         this.context.policy.removeWorker(session.client.id);
--- a/packages/scheduler/src/workerSession.ts
+++ b/packages/scheduler/src/workerSession.ts
@@ -17,6 +17,8 @@
     /** The worker was restarted: nothing that ran under `bootId` runs any more. */
     workerRestarted(session: WorkerSession, bootId: string): void;
     workerUnreachable(session: WorkerSession, error: ServiceError): void;
+    /** Time until the next exchange with a worker that answers, in milliseconds; at most the heartbeat period. */
+    exchangeDelay(worker: string): number;
     /** The worker accepted the epoch in a request sent at `sentAt`. */
     epochAccepted(worker: string, sentAt: number): void;
     epochRefused(worker: string, error: ServiceError): void;
@@ -200,6 +202,9 @@
             return;
         }
         const periods = Math.min(MAXIMUM_BACKOFF_PERIODS, Math.max(1, this.failures));
-        await sleep(this.timers, this.periodMilliseconds * periods, this.wake.signal);
+        const delay = periods > 1 || !this.attached
+            ? this.periodMilliseconds * periods
+            : this.host.exchangeDelay(this.client.id);
+        await sleep(this.timers, delay, this.wake.signal);
     }
 }
