test(scheduler): all faults together in random schedules

Two processes under call faults, cut links, pauses, deaths, worker restarts, table outages and lost answers, failure domain changes, cancellations and a lagging VM list; checked against the record of the workers. 15 schedules in a run, more with CHAOS_RUNS.

--- /dev/null
+++ b/packages/scheduler/__tests__/chaos.spec.ts
@@ -0,0 +1,116 @@
+/** All faults together: two processes, workers and the table, in schedules chosen at random. */
+import { FailureDomainState, isFinished, JobState } from "@tanagerlink/model";
+import { expect } from "chai";
+import fc from "fast-check";
+import { type CellProcess, SchedulerCell } from "./support/schedulerCell.ts";
+import type { CallFate } from "./support/workerLinks.ts";
+
+const fate = fc.constantFrom<CallFate>("unreachable", "request_lost", "answer_lost", "delivered_late");
+const event = fc.oneof(
+    fc.record({ kind: fc.constant("call" as const), process: fc.nat(1), fate, count: fc.integer({ min: 1, max: 6 }) }),
+    fc.record({ kind: fc.constant("cut" as const), process: fc.nat(1), worker: fc.nat(2) }),
+    fc.record({ kind: fc.constant("heal" as const), process: fc.nat(1) }),
+    fc.record({ kind: fc.constant("pause" as const), process: fc.nat(1) }),
+    fc.record({ kind: fc.constant("resume" as const), process: fc.nat(1) }),
+    fc.record({ kind: fc.constant("kill" as const), process: fc.nat(1) }),
+    fc.record({ kind: fc.constant("restart" as const), worker: fc.nat(2) }),
+    fc.record({ kind: fc.constant("table" as const), down: fc.boolean(), lost: fc.nat(2) }),
+    fc.record({ kind: fc.constant("domain" as const), out: fc.boolean() }),
+    fc.record({ kind: fc.constant("cancel" as const) }),
+    fc.record({ kind: fc.constant("list" as const), worker: fc.nat(2) }),
+);
+type Event = typeof event extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Carries out one event. */
+function apply(cell: SchedulerCell, happening: Event, cancelled: string): void {
+    const process = "process" in happening ? cell.processes[happening.process] : undefined;
+    switch (happening.kind) {
+        case "call": {
+            let left = happening.count;
+            process!.links.plan = () => left-- > 0 ? happening.fate : "normal";
+            break;
+        }
+        case "cut":
+            process!.links.plan = worker => worker === `worker${happening.worker}` ? "request_lost" : "normal";
+            break;
+        case "heal":
+            process!.links.plan = () => "normal";
+            break;
+        case "pause":
+            process!.process.pause();
+            break;
+        case "resume":
+            process!.process.resume();
+            break;
+        case "kill":
+            process!.process.kill();
+            break;
+        case "restart":
+            cell.worker(`worker${happening.worker}`).restart();
+            break;
+        case "table":
+            cell.table.faults.down = happening.down;
+            cell.table.faults.loseAnswers = happening.lost;
+            break;
+        case "domain":
+            setFailureDomain(cell, happening.out);
+            break;
+        case "cancel":
+            cell.processes.forEach(({ service }) => void service.cancel(cancelled));
+            break;
+        case "list":
+            cell.hidden = `worker${happening.worker}`;
+            cell.processes.forEach(({ service }) => service.targetsChanged());
+            break;
+    }
+}
+
+function setFailureDomain(cell: SchedulerCell, out: boolean): void {
+    const { north } = cell.configuration.failureDomains;
+    const state = out ? FailureDomainState.Out : FailureDomainState.Active;
+    cell.configure({ failureDomains: { north: { ...north!, state } } });
+}
+
+/** Ends all faults; returns a process that lives. */
+async function heal(cell: SchedulerCell): Promise<CellProcess> {
+    cell.table.faults.down = false;
+    cell.table.faults.loseAnswers = 0;
+    cell.hidden = undefined;
+    setFailureDomain(cell, false);
+    for (const { process, links, service } of cell.processes) {
+        links.plan = () => "normal";
+        process.resume();
+        service.targetsChanged();
+    }
+    const last = cell.addProcess();
+    await cell.timers.advance(150_000);
+    return cell.processes.find(({ process, ownership }) => !process.isKilled && ownership.owned().length > 0) ?? last;
+}
+
+describe("all faults together", () => {
+    it("keeps every promise and settles every job", async () => {
+        const schedule = fc.array(fc.record({ event, pause: fc.integer({ min: 1, max: 12_000 }) }), { maxLength: 14 });
+        await fc.assert(
+            fc.asyncProperty(schedule, async happenings => {
+                const cell = new SchedulerCell({ limit: 9 });
+                const first = await cell.begin(3);
+                cell.addProcess();
+                const repeated = await cell.submit(first, { tasks: 8, runMilliseconds: 9_000 });
+                const gang = await cell.submit(first, { tasks: 3, allAtOnce: true, runMilliseconds: 8_000 });
+                const once = await cell.submit(first, { tasks: 5, idempotent: false, runMilliseconds: 11_000 });
+                const cancelled = await cell.submit(first, { tasks: 2, runMilliseconds: 10_000 });
+                for (const { event: happening, pause } of happenings) {
+                    apply(cell, happening, cancelled);
+                    await cell.timers.advance(pause);
+                }
+                const owner = await heal(cell);
+                cell.check([once]);
+                expect(await cell.state(owner, repeated)).to.equal(JobState.Succeeded);
+                expect(await cell.state(owner, gang)).to.equal(JobState.Succeeded);
+                expect(await cell.state(owner, once)).to.be.oneOf([JobState.Succeeded, JobState.OutcomeUnknown]);
+                expect(isFinished(await cell.state(owner, cancelled))).to.equal(true);
+            }),
+            { numRuns: Number(process.env["CHAOS_RUNS"] ?? 15) },
+        );
+    });
+});
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -61,6 +61,8 @@
     readonly processes: CellProcess[] = [];
     readonly limit: number;
     vms: VmRecord[] = [];
+    /** A worker that the VM list lacks at the moment. */
+    hidden: string | undefined;
     configuration: ConfigurationSnapshot;
     private readonly progress = new Map<string, number>();
     private transactions = 0;
@@ -122,7 +124,10 @@
             node: id,
             failureDomain: "north",
             peers: { handle: () => undefined } as unknown as PeerNetwork,
-            targets: { workers: () => this.vms, executors: () => [] },
+            targets: {
+                workers: () => this.vms.filter(({ id: worker }) => worker !== this.hidden),
+                executors: () => [],
+            },
             shardOfTarget: () => SHARD,
             dependencies: {
                 timers: process,
