feat(scheduler): move waiting jobs that never started to shards that can run them

Cause: a job waited in its shard while another one had room, or for as long as its failure domain was out.

Change: JobStore.move turns the row of a job into a pointer and creates its row and an arrival row in the other shard, in one transaction under the giver's epoch. The receiver confirms the arrival under its own epoch before it may start the job, so neither a lost message nor a stale owner can lose or double it; no call between processes is needed. Status, cancellation and repeated submissions follow the pointer.

Outside of the scheduler, all additive: JobRecord.movedTo, JobStore.move, arrivals and confirmArrival.

--- a/packages/jobs/src/jobRow.ts
+++ b/packages/jobs/src/jobRow.ts
@@ -35,6 +35,7 @@
     succeededTasks: z.array(z.int()),
     intents: z.array(intentSchema),
     decisions: z.array(decisionSchema),
+    movedTo: z.string().exactOptional(),
 });
 
 const jobRowSchema = z.object({ record: recordSchema, idempotencyKey: z.string().exactOptional() });
@@ -58,6 +59,11 @@
     return `${jobPrefix(shard)}${job}`;
 }
 
+/** Rows that tell the owner of a shard which jobs were moved to it. */
+export function arrivalPrefix(shard: string): string {
+    return `arrival/${shard}/`;
+}
+
 /** Idempotency keys are free text; encoding keeps them from forming the key of another row. */
 export function submissionKey(team: string, idempotencyKey: string): string {
     return `submission/${team}/${encodeURIComponent(idempotencyKey)}`;
--- a/packages/jobs/src/jobStore.ts
+++ b/packages/jobs/src/jobStore.ts
@@ -30,6 +30,16 @@
      * out; the only errors are `stale_epoch` and `not_owner`.
      */
     update(record: JobRecord): Promise<Result<void, ServiceError>>;
+    /**
+     * Moves a job that never started to another shard, in one transaction: the record appears there, an arrival tells
+     * that shard's owner, and the record here becomes a pointer. Nothing may be written for the job here afterwards.
+     * Outages are waited out as with `update`.
+     */
+    move(record: JobRecord, shard: ShardId): Promise<Result<void, ServiceError>>;
+    /** Jobs that were moved to the shard and whose arrival was not confirmed yet. */
+    arrivals(shard: ShardId): Promise<Result<readonly JobRecord[], ServiceError>>;
+    /** Confirms an arrival under the shard's epoch; only then may the job be started. */
+    confirmArrival(shard: ShardId, job: string): Promise<Result<void, ServiceError>>;
     /** Deletes the record of a finished job and its idempotency key. */
     remove(shard: ShardId, job: string): void;
 }
--- a/packages/jobs/src/shardWriter.ts
+++ b/packages/jobs/src/shardWriter.ts
@@ -9,15 +9,15 @@
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import {
+    arrivalPrefix,
     jobKey,
     type JobRowValue,
     parseJobRow,
     parseSubmissionRow,
-    specificationDigest,
-    submissionKey,
     type SubmissionRowValue,
 } from "./jobRow.ts";
 import type { AcceptedJob } from "./jobStore.ts";
+import { isDone, moveChange, type PendingChange, refuse, submissionOf } from "./pendingChange.ts";
 
 /** Time for which changes are collected, in milliseconds. */
 const COMMIT_DELAY_MILLISECONDS = 25;
@@ -29,18 +29,6 @@
 const FIRST_RETRY_MILLISECONDS = 100;
 const LONGEST_RETRY_MILLISECONDS = 2_000;
 
-/** What is to be written for one job. */
-interface PendingChange {
-    readonly key: string;
-    /** `undefined` deletes the job's rows. */
-    value: JobRowValue | undefined;
-    /** Set for a new job, whose acceptance may be answered with an earlier one. */
-    acceptance: ((result: Result<AcceptedJob, ServiceError>) => void) | undefined;
-    readonly waiters: ((result: Result<void, ServiceError>) => void)[];
-    /** An earlier attempt may have taken effect. */
-    uncertain: boolean;
-}
-
 /** What the writer uses. */
 export interface ShardWriterOptions {
     readonly shard: string;
@@ -103,6 +91,33 @@
         });
     }
 
+    /** Turns the row of a job into a pointer and creates its rows in the other shard. */
+    move(record: JobRecord, shard: string): Promise<Result<void, ServiceError>> {
+        return new Promise(resolve => {
+            const key = jobKey(record.shard, record.id);
+            if (this.pending.has(key)) {
+                resolve(err(serviceError(ErrorKind.Internal, `job ${record.id} has unwritten changes and can't move`)));
+                return;
+            }
+            this.add(moveChange(record, shard, this.keys.get(key), resolve));
+        });
+    }
+
+    /** Takes over the versions of the rows of a job that was moved to this shard. */
+    arrived(arrival: TableRow, row: TableRow, value: JobRowValue): void {
+        this.versions.set(arrival.key, arrival.version);
+        if (!this.versions.has(row.key)) {
+            this.known(row, value);
+        }
+    }
+
+    confirmArrival(job: string): Promise<Result<void, ServiceError>> {
+        return new Promise(resolve => {
+            const key = `${arrivalPrefix(this.options.shard)}${job}`;
+            this.add({ key, value: undefined, acceptance: undefined, waiters: [resolve], uncertain: false });
+        });
+    }
+
     remove(job: string): void {
         const key = jobKey(this.options.shard, job);
         if (this.versions.has(key)) {
@@ -176,7 +191,10 @@
 
     private writesOf(change: PendingChange): ConditionalWrite[] {
         const expectedVersion = this.versions.get(change.key) ?? 0;
-        const writes: ConditionalWrite[] = [{ key: change.key, expectedVersion, value: change.value }];
+        const writes: ConditionalWrite[] = [
+            { key: change.key, expectedVersion, value: change.value },
+            ...change.created ?? [],
+        ];
         const submission = change.acceptance === undefined ? undefined : submissionOf(change.value);
         if (submission !== undefined) {
             writes.push({ key: submission.key, expectedVersion: 0, value: submission.value });
@@ -189,6 +207,7 @@
             if (change.value === undefined) {
                 this.versions.delete(change.key);
                 this.keys.delete(change.key);
+                change.waiters.forEach(resolve => resolve(ok(undefined)));
                 continue;
             }
             this.versions.set(change.key, versions[change.key] ?? (this.versions.get(change.key) ?? 0) + 1);
@@ -256,6 +275,10 @@
             else if (submission !== undefined && conflicts.has(submission.key)) {
                 await this.settleRepeated(change, submission.value, rows.get(submission.key));
             }
+            else if (isDone(change, conflicts, rows)) {
+                this.versions.set(change.key, rows.get(change.key)?.version ?? this.versions.get(change.key) ?? 0);
+                change.waiters.forEach(resolve => resolve(ok(undefined)));
+            }
             else {
                 if (conflicts.has(change.key)) {
                     this.versions.set(change.key, rows.get(change.key)?.version ?? 0);
@@ -298,8 +321,7 @@
             )));
             return;
         }
-        const job = await this.options.table.read(jobKey(earlier.shard, earlier.job));
-        const value = job.isOk() && job.value !== undefined ? parseJobRow(job.value) : undefined;
+        const value = await this.readJob(earlier.shard, earlier.job);
         settle?.(
             value === undefined
                 ? err(serviceError(ErrorKind.StoreUnavailable, `the record of job ${earlier.job} could not be read`))
@@ -307,6 +329,14 @@
         );
     }
 
+    /** Reads a job, in the shard to which it was moved if it was. */
+    private async readJob(shard: string, job: string): Promise<JobRowValue | undefined> {
+        const row = await this.options.table.read(jobKey(shard, job));
+        const value = row.isOk() && row.value !== undefined ? parseJobRow(row.value) : undefined;
+        const movedTo = value?.record.movedTo;
+        return movedTo === undefined ? value : await this.readJob(movedTo, job);
+    }
+
     private supersede(error: ServiceError): void {
         this.superseded ??= error;
         const pending = [...this.pending.values()];
@@ -314,21 +344,3 @@
         pending.forEach(change => refuse(change, error));
     }
 }
-
-function submissionOf(
-    value: JobRowValue | undefined,
-): { readonly key: string; readonly value: SubmissionRowValue; } | undefined {
-    if (value?.idempotencyKey === undefined) {
-        return undefined;
-    }
-    const { id, shard, specification } = value.record;
-    return {
-        key: submissionKey(specification.team, value.idempotencyKey),
-        value: { shard, job: id, digest: specificationDigest(specification) },
-    };
-}
-
-function refuse(change: PendingChange, error: ServiceError): void {
-    change.acceptance?.(err(error));
-    change.waiters.forEach(resolve => resolve(err(error)));
-}
--- a/packages/jobs/src/tableJobStore.ts
+++ b/packages/jobs/src/tableJobStore.ts
@@ -5,13 +5,16 @@
 import type { Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { jobKey, jobPrefix, parseJobRow } from "./jobRow.ts";
+import { arrivalPrefix, jobKey, jobPrefix, parseJobRow } from "./jobRow.ts";
 import type { AcceptedJob, JobStore } from "./jobStore.ts";
 import { ShardWriter } from "./shardWriter.ts";
 
 /** Rows in one page when the jobs of a shard are read. */
 const PAGE_ROWS = 500;
 
+/** Arrivals that are read at once; the others follow once these are confirmed. */
+const ARRIVALS_AT_ONCE = 50;
+
 const epochRowSchema = z.object({ epoch: z.int().min(0) });
 
 export interface TableJobStoreOptions {
@@ -114,6 +117,37 @@
         return writer === undefined ? Promise.resolve(err(notOpen(record.shard))) : writer.update(record);
     }
 
+    move(record: JobRecord, shard: string): Promise<Result<void, ServiceError>> {
+        const writer = this.writers.get(record.shard);
+        return writer === undefined ? Promise.resolve(err(notOpen(record.shard))) : writer.move(record, shard);
+    }
+
+    async arrivals(shard: string): Promise<Result<readonly JobRecord[], ServiceError>> {
+        const prefix = arrivalPrefix(shard);
+        const rows = await this.table.readRange({ prefix, limit: ARRIVALS_AT_ONCE });
+        if (rows.isErr()) {
+            return err(rows.error);
+        }
+        const records: JobRecord[] = [];
+        for (const arrival of rows.value) {
+            const job = await this.table.read(jobKey(shard, arrival.key.slice(prefix.length)));
+            if (job.isErr()) {
+                return err(job.error);
+            }
+            const value = job.value === undefined ? undefined : parseJobRow(job.value);
+            if (job.value !== undefined && value !== undefined) {
+                this.writers.get(shard)?.arrived(arrival, job.value, value);
+                records.push(value.record);
+            }
+        }
+        return ok(records);
+    }
+
+    confirmArrival(shard: string, job: string): Promise<Result<void, ServiceError>> {
+        const writer = this.writers.get(shard);
+        return writer === undefined ? Promise.resolve(err(notOpen(shard))) : writer.confirmArrival(job);
+    }
+
     remove(shard: string, job: string): void {
         this.writers.get(shard)?.remove(job);
     }
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -74,6 +74,8 @@
     /** Starts of non-idempotent tasks, written before the start is sent. */
     readonly intents: readonly StartIntent[];
     readonly decisions: readonly Decision[];
+    /** Set when the job was moved to another shard before it ever started; the record there is the valid one. */
+    readonly movedTo?: string;
 }
 
 /** The one start that a non-idempotent task gets. */
--- /dev/null
+++ b/packages/scheduler/__tests__/jobMoves.spec.ts
@@ -0,0 +1,86 @@
+/** Moves of waiting jobs between shards. */
+import { FailureDomainState, JobState } from "@tanagerlink/model";
+import { expect } from "chai";
+import fc from "fast-check";
+import { type CellProcess, SchedulerCell, size } from "./support/schedulerCell.ts";
+
+/** Two shards with one place each; the first is busy for ten minutes. */
+async function busyCell(): Promise<{ readonly cell: SchedulerCell; readonly owner: CellProcess; }> {
+    const cell = new SchedulerCell({ shards: 2 });
+    const owner = await cell.begin(2, size(1_000));
+    const busy = await cell.submitTo("north/0", { runMilliseconds: 600_000, idempotent: false });
+    await cell.timers.advance(2_000);
+    expect(cell.attempts(busy).map(({ worker }) => worker)).to.deep.equal(["worker0"]);
+    return { cell, owner };
+}
+
+describe("moves of waiting jobs", () => {
+    it("moves a job to a shard with room, where its identifier still finds and cancels it", async () => {
+        const { cell, owner } = await busyCell();
+        const moved = await cell.submitTo("north/0", { runMilliseconds: 20_000 });
+        await cell.timers.advance(14_000);
+        expect(cell.attempts(moved).map(({ worker }) => worker)).to.deep.equal(["worker1"]);
+        expect(await cell.status(owner, moved)).to.include({ state: JobState.Running, shard: "north/1" });
+        const cancelled = await cell.settle(owner.service.cancel(moved));
+        expect(cancelled._unsafeUnwrap().state).to.equal(JobState.Cancelled);
+        cell.check();
+    });
+
+    it("answers a repeated submission with the moved job", async () => {
+        const { cell, owner } = await busyCell();
+        const choice = { runMilliseconds: 20_000, key: "once" };
+        const moved = await cell.submitTo("north/0", choice);
+        await cell.timers.advance(14_000);
+        const repeated = (await cell.settle(cell.submission(owner, choice)))._unsafeUnwrap();
+        expect(repeated).to.include({ id: moved, shard: "north/1", repeated: true });
+    });
+
+    it("keeps jobs where no shard of an active failure domain has room", async () => {
+        const { cell, owner } = await busyCell();
+        await cell.submitTo("north/1", { runMilliseconds: 600_000 });
+        await cell.timers.advance(2_000);
+        const waiting = await cell.submitTo("north/0", { runMilliseconds: 1_000 });
+        const { north } = cell.configuration.failureDomains;
+        cell.configure({ failureDomains: { north: { ...north!, state: FailureDomainState.Out } } });
+        await cell.timers.advance(14_000);
+        expect(await cell.status(owner, waiting)).to.include({ state: JobState.Queued, shard: "north/0" });
+    });
+
+    it("loses and doubles no job when owners die and answers of the table are lost at any step", async () => {
+        const schedule = fc.record({
+            killed: fc.constantFrom("north/0", "north/1"),
+            at: fc.integer({ min: 4_000, max: 11_000 }),
+            lost: fc.nat(6),
+            lostAt: fc.integer({ min: 4_000, max: 11_000 }),
+            delay: fc.constantFrom(0, 40, 400),
+        });
+        await fc.assert(
+            fc.asyncProperty(schedule, async ({ killed, at, lost, lostAt, delay }) => {
+                const { cell } = await busyCell();
+                cell.addProcess();
+                cell.addProcess();
+                await cell.timers.advance(70_000);
+                const jobs: string[] = [];
+                for (let index = 0; index < 5; index++) {
+                    jobs.push(await cell.submitTo("north/0", { runMilliseconds: 3_000, idempotent: index > 1 }));
+                }
+                cell.table.faults.delayMilliseconds = delay;
+                await cell.timers.advance(Math.min(at, lostAt));
+                cell.table.faults.loseAnswers = at < lostAt ? 0 : lost;
+                cell.ownerOf(killed).process.kill();
+                await cell.timers.advance(Math.abs(at - lostAt));
+                cell.table.faults.loseAnswers = lost;
+                await cell.timers.advance(60_000);
+                cell.table.faults.delayMilliseconds = 0;
+                await cell.timers.advance(90_000);
+                const owner = cell.ownerOf("north/0");
+                for (const job of jobs) {
+                    expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+                    expect(cell.attempts(job), "runs").to.have.lengthOf(1);
+                }
+                cell.check(jobs);
+            }),
+            { numRuns: 10 },
+        );
+    });
+});
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -2,6 +2,7 @@
  * Several processes of one failure domain with their schedulers, on one table and one set of simulated workers, in
  * virtual time. The checks use the workers' own record, not the account of the schedulers.
  */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import { TableJobStore } from "@tanagerlink/jobs";
 import { defaultGrantDurations, TableGrantLedger } from "@tanagerlink/limits";
 import {
@@ -22,7 +23,14 @@
 import { Metrics, silentLogger } from "@tanagerlink/telemetry";
 import { ManualTimers } from "@tanagerlink/timers";
 import { expect } from "chai";
-import { createSchedulerMetrics, type JobStatus, SchedulerService, type ShardSettings } from "../../src/index.ts";
+import { err, type Result } from "neverthrow";
+import {
+    createSchedulerMetrics,
+    type JobStatus,
+    SchedulerService,
+    type ShardSettings,
+    type Submission,
+} from "../../src/index.ts";
 import { SimulatedProcess } from "./simulatedProcess.ts";
 import { WorkerLinks } from "./workerLinks.ts";
 
@@ -30,6 +38,9 @@
 
 export const SHARD = "north/0";
 
+/** Period of heartbeats between processes. */
+const HEARTBEAT_MILLISECONDS = 500;
+
 export function size(processorMillis: number): Resources {
     return { processorMillis, memoryMebibytes: processorMillis, accelerators: 0 };
 }
@@ -42,6 +53,34 @@
     readonly ownership: TableShardOwnership;
     readonly service: SchedulerService;
     readonly ledger: TableGrantLedger;
+    readonly peers: CellPeers;
+}
+
+/** Calls between the processes of a cell, without links. */
+class CellPeers {
+    readonly handlers = new Map<string, (request: unknown) => Promise<Result<unknown, ServiceError>>>();
+    private readonly find: (process: string) => CellProcess | undefined;
+
+    constructor(find: (process: string) => CellProcess | undefined) {
+        this.find = find;
+    }
+
+    handle(
+        method: { readonly name: string; },
+        handler: (request: unknown) => Promise<Result<unknown, ServiceError>>,
+    ): void {
+        this.handlers.set(method.name, handler);
+    }
+
+    async call(
+        owner: string,
+        method: { readonly name: string; },
+        request: unknown,
+    ): Promise<Result<unknown, ServiceError>> {
+        const target = this.find(owner);
+        const handler = target?.process.isRunning === true ? target.peers.handlers.get(method.name) : undefined;
+        return handler?.(request) ?? err(serviceError(ErrorKind.PeerUnreachable, `${owner} does not answer`));
+    }
 }
 
 /** What a test sets about a job; the rest has defaults. */
@@ -60,6 +99,7 @@
     readonly workers = new Map<string, SimulatedWorker>();
     readonly processes: CellProcess[] = [];
     readonly limit: number;
+    readonly shards: readonly string[];
     vms: VmRecord[] = [];
     /** A worker that the VM list lacks at the moment. */
     hidden: string | undefined;
@@ -67,9 +107,11 @@
     private readonly progress = new Map<string, number>();
     private transactions = 0;
 
-    constructor(options: { readonly limit?: number; readonly jobFailureLimit?: number; } = {}) {
+    /** With several shards, worker N belongs to shard N modulo their number. */
+    constructor(options: { readonly limit?: number; readonly shards?: number; } = {}) {
         this.limit = options.limit ?? 1_000;
-        this.configuration = configurationOf(this.limit, options.jobFailureLimit ?? 3);
+        this.shards = Array.from({ length: options.shards ?? 1 }, (_, index) => `north/${index}`);
+        this.configuration = configurationOf(this.limit, this.shards.length);
     }
 
     addWorkers(count: number, capacity = size(4_000), capabilities: WorkerOptions["capabilities"] = {}): void {
@@ -107,10 +149,11 @@
         const table = process.connect(this.table);
         const nextTransactionId = (): string => `${id}-${++this.transactions}`;
         const links = new WorkerLinks(this.timers, process, this.workers);
+        const peers = new CellPeers(owner => this.processes.find(other => other.id === owner));
         const ownership = new TableShardOwnership({
             nodeId: id,
             failureDomain: "north",
-            shards: [SHARD],
+            shards: this.shards,
             timers: process,
             table,
             rendezvous,
@@ -123,12 +166,12 @@
         const service = new SchedulerService({
             node: id,
             failureDomain: "north",
-            peers: { handle: () => undefined } as unknown as PeerNetwork,
+            peers: peers as unknown as PeerNetwork,
             targets: {
                 workers: () => this.vms.filter(({ id: worker }) => worker !== this.hidden),
                 executors: () => [],
             },
-            shardOfTarget: () => SHARD,
+            shardOfTarget: target => this.shards[Number(target.slice("worker".length)) % this.shards.length],
             dependencies: {
                 timers: process,
                 logger: silentLogger,
@@ -144,8 +187,12 @@
                 createExecutorPool: () => noExecutors,
             },
         });
-        const cellProcess = { id, process, links, ownership, service, ledger };
+        const cellProcess = { id, process, links, ownership, service, ledger, peers };
         this.processes.push(cellProcess);
+        process.every(HEARTBEAT_MILLISECONDS, () => {
+            const payload = service.heartbeat();
+            this.processes.filter(other => other.process.isRunning).forEach(other => other.service.learn(payload));
+        });
         ownership.start(service);
         return cellProcess;
     }
@@ -168,12 +215,32 @@
         return (await this.settle(this.submission(process, choice)))._unsafeUnwrap().id;
     }
 
+    /** Submits a job to one shard through its owner, past the choice of a shard. */
+    async submitTo(shard: string, choice: JobChoice = {}): Promise<string> {
+        const owner = this.ownerOf(shard);
+        const id = `${shard.replace("/", ".")}.job${++this.transactions}`;
+        const submission = { ...this.draft(choice), id, shard };
+        const answer = await this.settle(owner.peers.call(owner.id, { name: "scheduler/submit" }, submission));
+        expect(answer.isOk(), "submitted").to.equal(true);
+        return id;
+    }
+
+    ownerOf(shard: string): CellProcess {
+        return this.processes.find(({ process, ownership }) =>
+            process.isRunning && ownership.owned().some(owned => owned.shard === shard)
+        )!;
+    }
+
     /** Submits a job without moving time. */
     submission(process: CellProcess, choice: JobChoice = {}): ReturnType<SchedulerService["submit"]> {
-        const { workClass = WorkClass.Batch, runMilliseconds, exitCode, usage, key, ...rest } = choice;
         process.service.heartbeat();
+        return process.service.submit(this.draft(choice));
+    }
+
+    private draft(choice: JobChoice): Omit<Submission, "id" | "shard"> {
+        const { workClass = WorkClass.Batch, runMilliseconds, exitCode, usage, key, ...rest } = choice;
         const behaviour = { runMilliseconds, exitCode, usage };
-        return process.service.submit({
+        return {
             specification: jobSpecificationSchema.parse({
                 name: "job",
                 team: "alder",
@@ -185,7 +252,7 @@
             workClass,
             submittedAt: this.timers.wallClock(),
             ...(key === undefined ? {} : { idempotencyKey: key }),
-        });
+        };
     }
 
     /** Submits a job and waits until all its tasks have been started once. */
@@ -265,7 +332,7 @@
     [Symbol.asyncDispose]: () => Promise.resolve(),
 };
 
-function configurationOf(limit: number, jobFailureLimit: number): ConfigurationSnapshot {
+function configurationOf(limit: number, shards: number): ConfigurationSnapshot {
     const origin = "cell.yaml:1";
     const queues = Object.values(WorkClass).map(name =>
         [name, { name, workClass: name, open: false, origin }] as const
@@ -275,8 +342,8 @@
         teams: { alder: { name: "alder", share: 1, upperLimit: limit, origin } },
         keys: {},
         queues: Object.fromEntries(queues),
-        failureDomains: { north: { name: "north", region: "west", state: "active", shards: 1, origin } },
+        failureDomains: { north: { name: "north", region: "west", state: "active", shards, origin } },
         services: {},
-        policy: { urgentReserve: 0, agingSeconds: 600, workerFailureLimit: 5, jobFailureLimit },
+        policy: { urgentReserve: 0, agingSeconds: 600, workerFailureLimit: 5, jobFailureLimit: 3 },
     };
 }
--- a/packages/scheduler/__tests__/support/simulatedProcess.ts
+++ b/packages/scheduler/__tests__/support/simulatedProcess.ts
@@ -13,6 +13,10 @@
         this.base = base;
     }
 
+    get isRunning(): boolean {
+        return !this.paused;
+    }
+
     get isKilled(): boolean {
         return this.killed;
     }
--- a/packages/scheduler/src/jobBook.ts
+++ b/packages/scheduler/src/jobBook.ts
@@ -25,6 +25,8 @@
  * and each round took most of the processor time of a shard.
  */
 export class JobBook {
+    /** Jobs that were moved to another shard, with that shard. */
+    readonly moved = new Map<string, string>();
     private readonly jobs = new Map<string, JobEntry>();
     private readonly changed = new Set<JobEntry>();
     private readonly counted = new Map<JobEntry, JobCount>();
--- a/packages/scheduler/src/jobEntry.ts
+++ b/packages/scheduler/src/jobEntry.ts
@@ -19,6 +19,8 @@
     /** The task was accepted under an earlier epoch and has not been found on a worker yet. */
     recovering: boolean;
     attempt: number;
+    /** Whether the task was placed, or may have been under an earlier owner. */
+    everPlaced: boolean;
     worker: string | undefined;
     bootId: string | undefined;
     /** Monotonic time of the last message that may have started the task or renewed its lease. */
@@ -62,6 +64,7 @@
         state: succeeded.has(index) ? TaskState.Succeeded : TaskState.Waiting,
         recovering: recovering && !succeeded.has(index),
         attempt: 0,
+        everPlaced: recovering,
         worker: undefined,
         bootId: undefined,
         renewedAt: 0,
--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -5,6 +5,7 @@
     failureDomainOfShard,
     FailureDomainState,
     fitsInto,
+    type JobRecord,
     type JobSpecification,
     multiplyResources,
     type Resources,
@@ -14,6 +15,11 @@
 import type { JobStatus, Submission } from "./submission.ts";
 import type { ShardHeadline } from "./summaryPayload.ts";
 
+/** Weights of what speaks against a shard; each is larger than all lesser ones together. */
+const NEVER_FITS = 16;
+const FULL = 8;
+const WITHOUT_GRANT = 4;
+
 /** Shards that are tried for one submission. */
 const MAXIMUM_ATTEMPTS = 4;
 
@@ -63,6 +69,14 @@
         return err(refusal);
     }
 
+    /** Another shard that has room and units for a waiting job; with `leave`, the best other one in any case. */
+    moveTarget(record: JobRecord, leave: boolean): string | undefined {
+        const best = this.candidates(record.specification).find(headline => headline.shard !== record.shard);
+        const suits = best !== undefined &&
+            this.cost(best, record.specification) < (leave ? NEVER_FITS : WITHOUT_GRANT);
+        return suits ? best.shard : undefined;
+    }
+
     /** Shards that may run the job, best first. */
     candidates(specification: JobSpecification): ShardHeadline[] {
         const configuration = this.dependencies.configuration();
@@ -101,7 +115,7 @@
         const full = fitsInto(multiplyResources(size, tasks), free) ? 0 : 1;
         const foreign = failureDomainOfShard(headline.shard) === this.dependencies.failureDomain ? 0 : 1;
         const queue = headline.queuedTasks / (headline.queuedTasks + 1);
-        return neverFits * 16 + full * 8 + withoutGrant * 4 + foreign * 2 + queue;
+        return neverFits * NEVER_FITS + full * FULL + withoutGrant * WITHOUT_GRANT + foreign * 2 + queue;
     }
 }
 
--- a/packages/scheduler/src/pendingWrites.ts
+++ b/packages/scheduler/src/pendingWrites.ts
@@ -2,6 +2,11 @@
 export class PendingWrites {
     private readonly writes = new Set<Promise<unknown>>();
 
+    /** Whether any write has not ended. */
+    get pending(): boolean {
+        return this.writes.size > 0;
+    }
+
     /** Follows a write, which must not reject, and passes its result on. */
     track<Value>(write: Promise<Value>): Promise<Value> {
         const followed: Promise<Value> = write.finally(() => this.writes.delete(followed));
--- a/packages/scheduler/src/recovery.ts
+++ b/packages/scheduler/src/recovery.ts
@@ -99,6 +99,7 @@
         task.state = TaskState.Waiting;
         const intent = entry.record.intents.find(candidate => candidate.task === task.index);
         if (entry.record.specification.idempotent || intent === undefined) {
+            task.everPlaced = false;
             decide(this.context, entry, Reason.WaitingForCapacity, { task: task.index, detail: "found on no worker" });
             return;
         }
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -5,6 +5,7 @@
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import {
     type ConfigurationSnapshot,
+    type JobRecord,
     type ServiceAnswer,
     type ServiceRequest,
     shardsOfFailureDomain,
@@ -92,7 +93,10 @@
     acquired(owned: OwnedShard): void {
         const { logger } = this.options.dependencies;
         logger.info({ shard: owned.shard, epoch: owned.epoch }, "shard acquired");
-        const scheduler = new ShardScheduler(owned.shard, owned.epoch, this.options.dependencies);
+        const scheduler = new ShardScheduler(owned.shard, owned.epoch, {
+            ...this.options.dependencies,
+            moveTarget: (record, leave) => this.jobRouter.moveTarget(record, leave),
+        });
         this.shards.set(owned.shard, scheduler);
         const begin = (): void => scheduler.start(...this.targetsOf(owned.shard), owned.roster);
         // The former scheduler of the shard closes its grants and job records by the name of the shard.
@@ -173,20 +177,39 @@
         if (answer.isOk()) {
             return answer;
         }
-        const record = await this.options.dependencies.jobs.read(shard, job);
-        if (record.isErr()) {
-            return err(record.error);
+        const { jobs } = this.options.dependencies;
+        const record = await jobs.read(shard, job);
+        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
+        if (movedTo === undefined) {
+            return statusOfRow(job, record);
         }
-        return record.value === undefined
-            ? err(serviceError(ErrorKind.JobNotFound, `there is no job ${job}`))
-            : ok(statusOfRecord(record.value));
+        const moved = await this.access.status(movedTo, job);
+        return moved.isOk() ? moved : statusOfRow(job, await jobs.read(movedTo, job));
     }
 
     async cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
         const shard = shardOfJob(job);
-        return shard === undefined
-            ? err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`))
-            : this.access.cancel(shard, job);
+        if (shard === undefined) {
+            return err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`));
+        }
+        const answer = await this.access.cancel(shard, job);
+        if (answer.isOk()) {
+            return answer;
+        }
+        const record = await this.options.dependencies.jobs.read(shard, job);
+        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
+        if (movedTo === undefined) {
+            return answer;
+        }
+        const moved = await this.access.cancel(movedTo, job);
+        return moved.mapErr(error =>
+            error.kind === ErrorKind.JobNotFound
+                ? serviceError(
+                    ErrorKind.ShardNotReady,
+                    `job ${job} is being moved to shard ${movedTo}; repeat the call`,
+                )
+                : error
+        );
     }
 
     dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
@@ -262,3 +285,14 @@
             : action(scheduler);
     }
 }
+
+function statusOfRow(
+    job: string,
+    record: Result<JobRecord | undefined, ServiceError>,
+): Result<JobStatus, ServiceError> {
+    return record.andThen(value =>
+        value === undefined
+            ? err(serviceError(ErrorKind.JobNotFound, `there is no job ${job}`))
+            : ok(statusOfRecord(value))
+    );
+}
--- a/packages/scheduler/src/shardDependencies.ts
+++ b/packages/scheduler/src/shardDependencies.ts
@@ -3,7 +3,7 @@
  */
 import type { JobStore } from "@tanagerlink/jobs";
 import type { GrantLedger } from "@tanagerlink/limits";
-import type { ConfigurationSnapshot } from "@tanagerlink/model";
+import type { ConfigurationSnapshot, JobRecord } from "@tanagerlink/model";
 import type { ShardOwnership } from "@tanagerlink/ownership";
 import type { SchedulingPolicy } from "@tanagerlink/policy";
 import type { DispatchGate, ExecutorPool } from "@tanagerlink/routing";
@@ -40,6 +40,8 @@
     readonly workerClients: WorkerClientFactory;
     readonly configuration: () => ConfigurationSnapshot | undefined;
     readonly configurationAgeMilliseconds: () => number;
+    /** Shard that could run a waiting job now; with `leave`, any other shard of an active failure domain. */
+    readonly moveTarget?: (record: JobRecord, leave: boolean) => string | undefined;
     readonly createPolicy: () => SchedulingPolicy;
     readonly createExecutorPool: (shard: string, epoch: number, gate: DispatchGate) => ExecutorPool;
 }
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -14,12 +14,13 @@
     type VmRecord,
 } from "@tanagerlink/model";
 import type { DispatchGate, ExecutorPool } from "@tanagerlink/routing";
-import { sleep, type Subscription } from "@tanagerlink/timers";
+import { sleep } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import { RunTimes } from "./exchangePlan.ts";
 import { JobAdmission } from "./jobAdmission.ts";
 import { JobBook } from "./jobBook.ts";
 import { activeTasks, createJobEntry, mayHaveActiveTasks } from "./jobEntry.ts";
+import { JobMoves } from "./jobMoves.ts";
 import { PendingWrites } from "./pendingWrites.ts";
 import { Recovery } from "./recovery.ts";
 import { WorkerReports } from "./reportHandler.ts";
@@ -63,7 +64,7 @@
     private readonly admission: JobAdmission;
     private readonly unitWait: UnitWait;
     private readonly closing = new AbortController();
-    private readonly subscriptions: Subscription[] = [];
+    private readonly subscriptions: Disposable[] = [];
     private loaded = false;
     private handingOver = false;
     private loading: Promise<void> = Promise.resolve();
@@ -221,7 +222,12 @@
         }
         const { timers } = this.dependencies;
         for (const record of records) {
-            this.addLoaded(record);
+            if (record.movedTo === undefined) {
+                this.addLoaded(record);
+            }
+            else {
+                this.context.book.moved.set(record.id, record.movedTo);
+            }
         }
         this.loaded = true;
         const configuration = this.dependencies.configuration();
@@ -230,6 +236,7 @@
         }
         this.setTargets(this.pendingTargets.workers, this.pendingTargets.executors);
         this.subscriptions.push(
+            new JobMoves(this.context, this.lifecycle),
             timers.every(SWEEP_MILLISECONDS, () => this.sweep()),
             timers.every(FORGET_MILLISECONDS, () => this.forgetFinishedJobs()),
             timers.every(this.dependencies.settings.roundPeriodMilliseconds, () => this.rounds.request()),
--- a/packages/scheduler/src/taskLifecycle.ts
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -40,6 +40,7 @@
         task.state = TaskState.Starting;
         task.worker = worker;
         task.attempt = attempt;
+        task.everPlaced = true;
         task.startInFlight = false;
         this.context.book.occupy(entry, task, worker);
     }
