--- a/packages/jobs/src/shardCommits.ts
+++ b/packages/jobs/src/shardCommits.ts
@@ -10,10 +10,20 @@
 import { sleep, type Timers, withDeadline } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import { type Batch, buildBatch, chooseJobs, submissionKeyOf } from "./commitBatch.ts";
-import { jobKey, parseJobRow, parseSubmissionRow, specificationDigest } from "./jobRow.ts";
+import { commitMove, type MoveContext, moveWrites } from "./jobMove.ts";
+import {
+    arrivalPrefix,
+    jobKey,
+    type JobRowValue,
+    parseJobRow,
+    parseSubmissionRow,
+    specificationDigest,
+    submissionKeyOfRow,
+} from "./jobRow.ts";
 import type { AcceptedJob } from "./jobStore.ts";
 import type { KnownJobs } from "./knownJobs.ts";
 import { PendingJob } from "./pendingJob.ts";
+import { ResentTransactions } from "./resentTransactions.ts";
 
 /** Greatest factor by which the pause between retries grows. */
 const MAXIMUM_RETRY_FACTOR = 8;
@@ -24,7 +34,7 @@
     readonly commitMilliseconds: number;
     /** Jobs in one transaction at most. */
     readonly commitRecords: number;
-    /** Jobs that may wait for the table; new jobs beyond that are refused. Updates add at most one for each known job. */
+    /** New jobs that may wait for the table; further ones are refused. Updates add at most one for each known job. */
     readonly maximumPendingJobs: number;
     /** Pause after a failed transaction in milliseconds, doubled up to eight times this value. */
     readonly retryMilliseconds: number;
@@ -58,15 +68,27 @@
     private readonly options: ShardCommitsOptions;
     /** In the order in which jobs got their first unwritten record. */
     private readonly pending = new Map<string, PendingJob>();
+    /** Identifiers of new jobs whose acceptance is not settled, in the order of their arrival. */
+    private readonly newJobs = new Set<string>();
     private full = new AbortController();
     private running: Promise<void> | undefined;
     /** The batch that was sent and isn't decided. */
     private inFlight: Batch | undefined;
     private storeDown = false;
     private closedBy: ServiceError | undefined;
+    private readonly arrivalVersions = new Map<string, number>();
+    private readonly moveContext: MoveContext;
 
     constructor(options: ShardCommitsOptions) {
         this.options = options;
+        const { condition, timers, table, nextTransactionId } = options;
+        this.moveContext = {
+            condition,
+            timers,
+            nextTransactionId,
+            transactions: new ResentTransactions(table, timers),
+            closedBy: () => this.closedBy,
+        };
     }
 
     get known(): KnownJobs {
@@ -75,10 +97,16 @@
 
     /** While the table is known to be down, a new job is refused at once instead of waiting for the outage to end. */
     async accept(record: JobRecord, idempotencyKey: string | undefined): Promise<Result<AcceptedJob, ServiceError>> {
-        if (this.storeDown || this.pending.size >= this.options.bounds.maximumPendingJobs) {
+        if (this.storeDown || this.newJobs.size >= this.options.bounds.maximumPendingJobs) {
             return err(notAccepted);
         }
-        return await this.add(new PendingJob(record, idempotencyKey));
+        this.newJobs.add(record.id);
+        try {
+            return await this.add(new PendingJob(record, idempotencyKey));
+        }
+        finally {
+            this.newJobs.delete(record.id);
+        }
     }
 
     /** Resolves when this record, or a later one of the job, is durable. */
@@ -100,6 +128,38 @@
         }
     }
 
+    /** Moves a job without unwritten changes to another shard; nothing may be written for it here afterwards. */
+    async move(record: JobRecord, shard: string): Promise<Result<void, ServiceError>> {
+        const known = this.known.get(record.id);
+        if (known === undefined || this.pending.has(record.id)) {
+            return err(serviceError(ErrorKind.Internal, `Job ${record.id} has unwritten changes and cannot move.`));
+        }
+        const moved = await commitMove(this.moveContext, moveWrites(record, known, shard));
+        if (moved.isOk()) {
+            this.known.set(record.id, known.version + 1, known.submission);
+        }
+        return moved;
+    }
+
+    /** Takes over the versions of the rows of a job that was moved to this shard. */
+    arrived(arrival: TableRow, row: TableRow, value: JobRowValue): void {
+        this.arrivalVersions.set(value.record.id, arrival.version);
+        if (this.known.get(value.record.id) === undefined) {
+            this.known.set(value.record.id, row.version, submissionKeyOfRow(value));
+        }
+    }
+
+    /** Deletes the arrival row of a job that was moved to this shard. */
+    async confirmArrival(id: string): Promise<Result<void, ServiceError>> {
+        const key = `${arrivalPrefix(this.options.shard)}${id}`;
+        const expectedVersion = this.arrivalVersions.get(id) ?? 0;
+        const confirmed = await commitMove(this.moveContext, [{ key, expectedVersion, value: undefined }]);
+        if (confirmed.isOk()) {
+            this.arrivalVersions.delete(id);
+        }
+        return confirmed;
+    }
+
     /** Resolves when nothing is pending any more. */
     async flush(): Promise<void> {
         while (this.running !== undefined) {
@@ -138,12 +198,27 @@
             if (this.pending.size < bounds.commitRecords) {
                 await sleep(timers, bounds.commitMilliseconds, this.full.signal);
             }
-            const jobs = chooseJobs(this.pending.values(), bounds.commitRecords);
+            const jobs = chooseJobs(this.inOrder(), bounds.commitRecords);
             await this.commit(buildBatch(shard, nextTransactionId(), condition, jobs, known));
         }
         this.running = undefined;
     }
 
+    /** New jobs first: their callers wait, and a burst of updates must not hold them up. */
+    private *inOrder(): Iterable<PendingJob> {
+        for (const id of this.newJobs) {
+            const job = this.pending.get(id);
+            if (job !== undefined) {
+                yield job;
+            }
+        }
+        for (const [id, job] of this.pending) {
+            if (!this.newJobs.has(id)) {
+                yield job;
+            }
+        }
+    }
+
     /** Sends the batch until it is decided, or until it certainly had no effect. */
     private async commit(batch: Batch): Promise<void> {
         const { timers, table, bounds } = this.options;
@@ -263,8 +338,7 @@
             job.fail(serviceError(ErrorKind.IdempotencyKeyConflict, message));
             return;
         }
-        const read = await this.options.table.read(jobKey(first.shard, first.job));
-        const record = read.isOk() && read.value !== undefined ? parseJobRow(read.value)?.record : undefined;
+        const record = await this.readJob(first.shard, first.job);
         if (record === undefined) {
             job.fail(serviceError(ErrorKind.StoreUnavailable, `Job ${first.job} of this key could not be read now.`));
         }
@@ -273,6 +347,13 @@
         }
     }
 
+    /** Reads a job, in the shard to which it was moved if it was. */
+    private async readJob(shard: string, job: string): Promise<JobRecord | undefined> {
+        const read = await this.options.table.read(jobKey(shard, job));
+        const record = read.isOk() && read.value !== undefined ? parseJobRow(read.value)?.record : undefined;
+        return record?.movedTo === undefined ? record : await this.readJob(record.movedTo, job);
+    }
+
     /** The table certainly holds nothing of the batch. Updates stay pending; new jobs are refused, which is true. */
     private refuseNewJobs(batch: Batch): void {
         for (const { job } of batch.items) {
--- a/packages/jobs/src/tableJobStore.ts
+++ b/packages/jobs/src/tableJobStore.ts
@@ -5,13 +5,15 @@
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { jobKey, jobPrefix, parseJobRow, submissionKey } from "./jobRow.ts";
+import { arrivalPrefix, jobKey, jobPrefix, parseJobRow, submissionKeyOfRow } from "./jobRow.ts";
 import type { AcceptedJob, JobStore } from "./jobStore.ts";
 import { KnownJobs } from "./knownJobs.ts";
 import { type CommitBounds, defaultCommitBounds, ShardCommits } from "./shardCommits.ts";
 
 /** Rows in one page when the jobs of a shard are read. */
 const PAGE_ROWS = 500;
+/** Arrivals that are read at once; the others follow once these are confirmed. */
+const ARRIVALS_AT_ONCE = 50;
 
 const epochRowSchema = z.object({ epoch: z.int().min(0) });
 
@@ -89,11 +91,8 @@
                 if (value === undefined) {
                     return err(damaged(row));
                 }
-                const { record, idempotencyKey } = value;
-                const { team } = record.specification;
-                const submission = idempotencyKey === undefined ? undefined : submissionKey(team, idempotencyKey);
-                commits?.known.set(record.id, row.version, submission);
-                records.push(record);
+                commits?.known.set(value.record.id, row.version, submissionKeyOfRow(value));
+                records.push(value.record);
             }
             after = page.value.length < PAGE_ROWS ? undefined : page.value.at(-1)?.key;
         }
@@ -117,6 +116,35 @@
         return await this.shards.get(record.shard)?.update(record) ?? err(notOpen(record.shard));
     }
 
+    async move(record: JobRecord, shard: ShardId): Promise<Result<void, ServiceError>> {
+        return await this.shards.get(record.shard)?.move(record, shard) ?? err(notOpen(record.shard));
+    }
+
+    async arrivals(shard: ShardId): Promise<Result<readonly JobRecord[], ServiceError>> {
+        const prefix = arrivalPrefix(shard);
+        const rows = await this.options.table.readRange({ prefix, limit: ARRIVALS_AT_ONCE });
+        if (rows.isErr()) {
+            return err(rows.error);
+        }
+        const records: JobRecord[] = [];
+        for (const arrival of rows.value) {
+            const row = await this.options.table.read(jobKey(shard, arrival.key.slice(prefix.length)));
+            if (row.isErr()) {
+                return err(row.error);
+            }
+            const value = row.value === undefined ? undefined : parseJobRow(row.value);
+            if (row.value !== undefined && value !== undefined) {
+                this.shards.get(shard)?.arrived(arrival, row.value, value);
+                records.push(value.record);
+            }
+        }
+        return ok(records);
+    }
+
+    async confirmArrival(shard: ShardId, job: string): Promise<Result<void, ServiceError>> {
+        return await this.shards.get(shard)?.confirmArrival(job) ?? err(notOpen(shard));
+    }
+
     remove(shard: ShardId, job: string): void {
         this.shards.get(shard)?.remove(job);
     }
--- a/packages/ownership/src/shardOwnership.ts
+++ b/packages/ownership/src/shardOwnership.ts
@@ -22,7 +22,7 @@
     lost(shard: ShardId, epoch: number): void;
     /**
      * Called before a planned handover, while the lease still holds but nothing may be started any more, to make
-     * pending records durable. The handover waits for it up to a renewal period, then `lost` follows.
+     * pending records durable. The handover waits for it up to a lease, which goes on being renewed; then `lost` follows.
      */
     releasing?(shard: ShardId, epoch: number): Promise<void>;
 }
--- a/packages/ownership/src/tableShardOwnership.ts
+++ b/packages/ownership/src/tableShardOwnership.ts
@@ -225,7 +225,7 @@
         held.releasing = true;
         const prepared = this.listener?.releasing?.(held.shard, held.epoch);
         if (prepared !== undefined) {
-            const longest = Math.min(durations.renewal, deadline - timers.now());
+            const longest = Math.min(durations.lease, deadline - timers.now());
             await withDeadline(timers, longest, prepared);
         }
         if (this.lose(held)) {
--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -5,6 +5,7 @@
     failureDomainOfShard,
     FailureDomainState,
     fitsInto,
+    type JobRecord,
     type JobSpecification,
     multiplyResources,
     type Resources,
@@ -20,6 +21,11 @@
 /** Cost of another failure domain for work that has to wait; small, so that queues even out. */
 const FOREIGN_QUEUE_COST = 0.05;
 
+/** Weights of what speaks against a shard; each is larger than all lesser ones together. */
+const NEVER_FITS = 16;
+const FULL = 8;
+const WITHOUT_GRANT = 4;
+
 /** Shards that are tried for one submission. */
 const MAXIMUM_ATTEMPTS = 4;
 
@@ -74,6 +80,18 @@
         return err(refusal);
     }
 
+    /** Another shard that has room and units for a waiting job; with `leave`, the best other one in any case. */
+    moveTarget(record: JobRecord, leave: boolean): string | undefined {
+        const best = this.candidates(record.specification).find(headline => headline.shard !== record.shard);
+        const suits = best !== undefined &&
+            this.cost(best, record.specification) < (leave ? NEVER_FITS : WITHOUT_GRANT);
+        if (!suits) {
+            return undefined;
+        }
+        this.dependencies.fleet.noteSubmission(best.shard, record.specification.size, record.specification.tasks);
+        return best.shard;
+    }
+
     /** Shards that may run the job, best first. */
     candidates(specification: JobSpecification): ShardHeadline[] {
         const configuration = this.dependencies.configuration();
@@ -113,7 +131,8 @@
         const full = fitsInto(multiplyResources(size, tasks), free) ? 0 : 1;
         const foreign = failureDomainOfShard(headline.shard) === this.dependencies.failureDomain ? 0 : 1;
         const distance = foreign * (full === 1 ? FOREIGN_QUEUE_COST : FOREIGN_COST);
-        return neverFits * 16 + full * 8 + withoutGrant * 4 + distance + loadCost(headline, size);
+        return neverFits * NEVER_FITS + full * FULL + withoutGrant * WITHOUT_GRANT + distance
+            + loadCost(headline, size);
     }
 }
 
--- a/packages/scheduler/src/taskLifecycle.ts
+++ b/packages/scheduler/src/taskLifecycle.ts
@@ -40,6 +40,7 @@
         task.state = TaskState.Starting;
         task.worker = worker;
         task.attempt = attempt;
+        task.everPlaced = true;
         task.startInFlight = false;
         this.context.book.occupy(entry, task, worker);
     }
@@ -137,6 +138,7 @@
         const ranSeconds = (this.context.dependencies.timers.now() - task.startedAt) / SECOND;
         if (isActive(task)) {
             this.free(entry, task, ranSeconds);
+            this.context.runTimes.record(entry.record.specification, ranSeconds * SECOND);
         }
         task.state = TaskState.Succeeded;
         task.recovering = false;
