fix(scheduler): let requests wait for the next owner of a shard

Cause: while shards are handed over their old owners answer not_owner or draining; a request tried the known owners once and was refused. Ruled out: the drain itself; every process ended with code 0 and answered what it had accepted. Change: refusals that end with the handover are tried again with jittered pauses for 60 % of the caller's time; draining is one of them; a shard that is still being read is told apart from a service without executors. Before: the new test of a handover fails (not_owner). Conclusion: only answers that say 'not run' are tried again, so non-idempotent requests are safe.

--- /dev/null
+++ b/packages/scheduler/__tests__/requestRouter.spec.ts
@@ -0,0 +1,100 @@
+import { ErrorKind, serviceError } from "@tanagerlink/errors";
+import type { ConfigurationSnapshot, ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
+import { ManualTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import { err, ok } from "neverthrow";
+import { FleetView, RequestRouter, type ShardHeadline } from "../src/index.ts";
+
+const none = { processorMillis: 0, memoryMebibytes: 0, accelerators: 0 };
+
+function headline(shard: string, changes: Partial<ShardHeadline> = {}): ShardHeadline {
+    return {
+        shard,
+        owner: `owner of ${shard}`,
+        epoch: 1,
+        ready: true,
+        freeProcessorMillis: 0,
+        freeMemoryMebibytes: 0,
+        freeAccelerators: 0,
+        largestProcessorMillis: 0,
+        largestMemoryMebibytes: 0,
+        largestAccelerators: 0,
+        capacity: none,
+        queuedTasks: 0,
+        waiting: none,
+        services: [{ service: "records", slots: 8, freeSlots: 8, latencyMilliseconds: 1 }],
+        ageMilliseconds: 0,
+        ...changes,
+    };
+}
+
+const request: ServiceRequest = {
+    id: "r1",
+    service: "records",
+    team: "team",
+    workClass: "urgent",
+    idempotent: false,
+    method: "POST",
+    path: "/",
+    headers: {},
+    body: new Uint8Array(),
+    remainingMilliseconds: 10_000,
+};
+
+type Reply = ErrorKind | "answer";
+
+/** Router whose owners reply by the time at which they are asked. */
+function createRouter(headlines: readonly ShardHeadline[], reply: (shard: string, now: number) => Reply) {
+    const timers = new ManualTimers();
+    const fleet = new FleetView(timers);
+    fleet.learn({ shards: [...headlines], teams: [] });
+    const asked: string[] = [];
+    const domain = (name: string) => ({ name, region: "", state: "active" as const, shards: 2, origin: "" });
+    const configuration = { failureDomains: { a: domain("a"), b: domain("b") } } as unknown as ConfigurationSnapshot;
+    const router = new RequestRouter({
+        node: "owner of a/0",
+        failureDomain: "a",
+        timers,
+        fleet,
+        configuration: () => configuration,
+        random: () => 0,
+        dispatchTo: async ({ shard }) => {
+            asked.push(shard);
+            const kind = reply(shard, timers.now());
+            return kind === "answer" ? ok({ shard } as ServiceAnswer) : err(serviceError(kind, "refused"));
+        },
+    });
+    return { timers, asked, router };
+}
+
+describe("RequestRouter", () => {
+    it("waits for the next owner during a handover, so that a planned stop refuses no request", async () => {
+        const { timers, router } = createRouter(
+            [headline("a/0"), headline("a/1", { ready: false, services: [] })],
+            (_shard, now) => now < 2_000 ? ErrorKind.NotOwner : "answer",
+        );
+        const answer = router.dispatch(request);
+        await timers.advance(3_000);
+        expect((await answer).isOk()).to.equal(true);
+    });
+
+    it("never asks another owner after an answer that leaves the outcome open", async () => {
+        const { asked, router } = createRouter([headline("a/0"), headline("b/0")], () => ErrorKind.OutcomeUnknown);
+        expect((await router.dispatch(request))._unsafeUnwrapErr().kind).to.equal(ErrorKind.OutcomeUnknown);
+        expect(asked).to.deep.equal(["a/0"]);
+    });
+
+    it("gives up within the caller's time, with bounded attempts, when no owner appears", async () => {
+        const { timers, asked, router } = createRouter([headline("a/0")], () => ErrorKind.Draining);
+        const answer = router.dispatch(request);
+        await timers.advance(10_000);
+        expect((await answer)._unsafeUnwrapErr().kind).to.equal(ErrorKind.Draining);
+        expect(asked.length).to.be.below(25);
+    });
+
+    it("refuses at once what no shard can serve", async () => {
+        const { router, asked } = createRouter([headline("a/0", { services: [] })], () => "answer");
+        expect((await router.dispatch(request))._unsafeUnwrapErr().kind).to.equal(ErrorKind.NoCapacity);
+        expect(asked).to.deep.equal([]);
+    });
+});
--- a/packages/scheduler/src/requestRouter.ts
+++ b/packages/scheduler/src/requestRouter.ts
@@ -7,7 +7,7 @@
     type ServiceAnswer,
     type ServiceRequest,
 } from "@tanagerlink/model";
-import type { Timers } from "@tanagerlink/timers";
+import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import type { FleetView } from "./fleetView.ts";
 import type { ShardHeadline } from "./summaryPayload.ts";
@@ -26,8 +26,27 @@
     ErrorKind.TeamLimitReached,
     ErrorKind.FailureDomainOut,
     ErrorKind.ServiceNotFound,
+    ErrorKind.Draining,
 ]);
 
+/**
+ * Refusals that end by themselves when a shard has passed to its next owner. While nothing but these is met, the request
+ * waits for the new owner instead of being refused, since a planned stop must cut no request short.
+ */
+const PASSING: ReadonlySet<ErrorKind> = new Set([
+    ErrorKind.NotOwner,
+    ErrorKind.ShardNotReady,
+    ErrorKind.PeerUnreachable,
+    ErrorKind.Draining,
+]);
+
+/** Pauses between rounds over the known owners, in milliseconds; the actual ones are shortened at random. */
+const FIRST_PAUSE_MILLISECONDS = 50;
+const LONGEST_PAUSE_MILLISECONDS = 400;
+
+/** Part of the caller's time that is spent on waiting for an owner. */
+const WAITING_PART = 0.6;
+
 /** Extra cost of a hop to another process of the own failure domain, in milliseconds. */
 const HOP_COST_MILLISECONDS = 0.5;
 
@@ -44,6 +63,8 @@
     readonly timers: Timers;
     readonly fleet: FleetView;
     readonly configuration: () => ConfigurationSnapshot | undefined;
+    /** Uniform numbers from 0 to below 1, for jitter. */
+    readonly random: () => number;
     readonly dispatchTo: (
         headline: ShardHeadline,
         request: ServiceRequest,
@@ -62,10 +83,22 @@
     async dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
         const { timers } = this.dependencies;
         const deadline = timers.now() + request.remainingMilliseconds;
-        let refusal = serviceError(
-            ErrorKind.NoCapacity,
-            `no executor of service ${request.service} is known in an active failure domain`,
-        );
+        const waitUntil = timers.now() + request.remainingMilliseconds * WAITING_PART;
+        let pause = FIRST_PAUSE_MILLISECONDS;
+        for (;;) {
+            const result = await this.tryOwners(request, deadline);
+            if (result.isOk() || !PASSING.has(result.error.kind) || timers.now() + pause > waitUntil) {
+                return result;
+            }
+            // Full jitter keeps the requests that wait for one owner from arriving there together.
+            await sleep(timers, pause * (1 - this.dependencies.random()));
+            pause = Math.min(pause * 2, LONGEST_PAUSE_MILLISECONDS);
+        }
+    }
+
+    private async tryOwners(request: ServiceRequest, deadline: number): Promise<Result<ServiceAnswer, ServiceError>> {
+        const { timers } = this.dependencies;
+        let refusal = this.withoutOwner(request.service);
         for (const headline of this.candidates(request.service).slice(0, MAXIMUM_ATTEMPTS)) {
             const remainingMilliseconds = deadline - timers.now();
             if (remainingMilliseconds <= 0) {
@@ -81,15 +114,27 @@
         return err(refusal);
     }
 
+    /** A shard that its new owner is still reading may have executors of the service. */
+    private withoutOwner(service: string): ServiceError {
+        return this.activeHeadlines().some(headline => !headline.ready)
+            ? serviceError(ErrorKind.ShardNotReady, `the owners of executors of service ${service} are changing`)
+            : serviceError(
+                ErrorKind.NoCapacity,
+                `no executor of service ${service} is known in an active failure domain`,
+            );
+    }
+
+    private activeHeadlines(): ShardHeadline[] {
+        const configuration = this.dependencies.configuration();
+        return this.dependencies.fleet.headlines().filter(headline =>
+            configuration?.failureDomains[failureDomainOfShard(headline.shard)]?.state === FailureDomainState.Active
+        );
+    }
+
     /** Shards with executors of the service, cheapest first. */
     candidates(service: string): ShardHeadline[] {
-        const configuration = this.dependencies.configuration();
-        return this.dependencies.fleet.headlines()
-            .filter(headline => {
-                const state = configuration?.failureDomains[failureDomainOfShard(headline.shard)]?.state;
-                return headline.ready && state === FailureDomainState.Active
-                    && headline.services.some(summary => summary.service === service);
-            })
+        return this.activeHeadlines()
+            .filter(headline => headline.ready && headline.services.some(summary => summary.service === service))
             .map(headline => ({ headline, cost: this.cost(headline, service) }))
             .sort((left, right) => left.cost - right.cost)
             .map(({ headline }) => headline);
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -15,7 +15,9 @@
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { Subscription } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetView } from "./fleetView.ts";
 import { JobRouter } from "./jobRouter.ts";
 import { cancelMethod, requestMethod, statusMethod, submitMethod } from "./peerMethods.ts";
@@ -26,6 +28,9 @@
 import { jobIdentifier, type JobStatus, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
 import { headlineOf, SummaryFeed, type SummaryPayload } from "./summaryPayload.ts";
 
+/** Bound of the seed of jitter. */
+const SEED_BOUND = 2 ** 31;
+
 /** Period of taking over the fleet's usage into the policies, in milliseconds. */
 const FLEET_USAGE_MILLISECONDS = 1_000;
 
@@ -78,12 +83,14 @@
             submitTo: submission => this.access.submit(submission),
             identify: shard => jobIdentifier(shard, randomUUID().replaceAll("-", "")),
         });
+        const generator = xoroshiro128plus(randomInt(SEED_BOUND));
         this.requestRouter = new RequestRouter({
             node,
             failureDomain,
             timers: dependencies.timers,
             fleet: this.fleet,
             configuration: dependencies.configuration,
+            random: () => uniformFloat64(generator),
             dispatchTo: (headline, request) => this.access.dispatch(headline.shard, request),
         });
         this.answerPeers();
