--- a/packages/cli/src/commands/configurationCommands.ts
+++ b/packages/cli/src/commands/configurationCommands.ts
@@ -32,6 +32,12 @@
 
 type SpreadAnswer = z.infer<typeof spreadAnswerSchema>;
 
+/** Name of a team, as the configuration accepts it. */
+const TEAM_NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+/** Characters of the team's name in the identifier of a key, which has 63 characters at most. */
+const MAXIMUM_PREFIX_CHARACTERS = 54;
+
 /** Random bytes of an operator token. */
 const OPERATOR_TOKEN_BYTES = 32;
 
@@ -77,10 +83,15 @@
     const loaded = await loadConfigurationFolder(folder);
     if (loaded.isErr()) {
         printFaults(context, loaded.error, flags.json === true);
-        return err(faultyFolder(folder, loaded.error));
     }
-    if (client.isErr() || waitSeconds.isErr() || expected.isErr()) {
-        return err([client, waitSeconds, expected].flatMap(part => part.isErr() ? [part.error] : [])[0]!);
+    if (client.isErr() || waitSeconds.isErr() || expected.isErr() || loaded.isErr()) {
+        const faults = [client, waitSeconds, expected].flatMap(part => part.isErr() ? [part.error.message] : []);
+        const folderFault = loaded.isErr() ? faultyFolder(folder, loaded.error) : undefined;
+        return err(
+            faults.length === 0 && folderFault !== undefined
+                ? folderFault
+                : serviceError(ErrorKind.InvalidSettings, [...faults, folderFault?.message ?? []].flat().join("; ")),
+        );
     }
     const expectedVersion = expected.value === undefined ? await currentVersion(client.value) : ok(expected.value);
     const files = await readFiles(folder);
@@ -101,7 +112,12 @@
         return err(applied.error);
     }
     const spread = await followSpread(client.value, applied.value.version, waitSeconds.value);
-    return spread.map(answer => printApplied(context, applied.value, answer, flags.json === true));
+    if (spread.isErr()) {
+        // The version is applied, so the command must not end with an error that says otherwise.
+        context.writeError(`how far it has come is not known: ${spread.error.message}\n`);
+    }
+    printApplied(context, applied.value, spread.unwrapOr({ version: 0, failureDomains: [] }), flags.json === true);
+    return ok(undefined);
 }
 
 /** Creates a key and prints the entry for the configuration folder. The secret is shown this once. */
@@ -110,7 +126,12 @@
     team: string,
     flags: { readonly json?: boolean; },
 ): Promise<CommandResult> {
-    const key = await generateKey(`${team.replace(/[^A-Za-z0-9_-]/g, "-")}-${randomBytes(4).toString("hex")}`);
+    if (!TEAM_NAME.test(team)) {
+        const message = "<team> must be 1 to 63 letters, digits, '.', '_' or '-', beginning with a letter or digit";
+        return err(serviceError(ErrorKind.InvalidSettings, message));
+    }
+    const prefix = team.replaceAll(".", "-").slice(0, MAXIMUM_PREFIX_CHARACTERS);
+    const key = await generateKey(`${prefix}-${randomBytes(4).toString("hex")}`);
     if (key.isErr()) {
         return err(key.error);
     }
@@ -135,9 +156,8 @@
 }
 
 function wholeNumber(flag: string, value: string | number): Result<number, ServiceError> {
-    const number = Number(value);
-    return Number.isInteger(number) && number >= 0
-        ? ok(number)
+    return /^\d{1,9}$/.test(String(value))
+        ? ok(Number(value))
         : err(serviceError(ErrorKind.InvalidSettings, `${flag} must be a whole number from 0`));
 }
 
--- a/packages/cli/src/commands/operatorCommands.ts
+++ b/packages/cli/src/commands/operatorCommands.ts
@@ -36,8 +36,13 @@
 export interface OperatorFlags {
     readonly server?: string;
     readonly json?: boolean;
+    /** List every team. */
+    readonly all?: boolean;
 }
 
+/** Teams listed without `--all`. */
+const TEAMS_SHOWN = 20;
+
 /** Prints failure domains, teams and queues as one entry process sees them. */
 export async function fleetStatusCommand(context: CommandContext, flags: OperatorFlags): Promise<CommandResult> {
     const client = createClient(context, flags.server, OPERATOR_VARIABLE);
@@ -45,7 +50,9 @@
         return err(client.error);
     }
     const answer = await client.value.call({ method: "GET", path: "/operator/status", answer: statusSchema });
-    return answer.map(status => context.write(flags.json === true ? renderJson(status) : renderStatus(status)));
+    return answer.map(status =>
+        context.write(flags.json === true ? renderJson(status) : renderStatus(status, flags.all === true))
+    );
 }
 
 /** Prints the whole state of one process as JSON. */
@@ -58,7 +65,7 @@
     return answer.map(state => context.write(renderJson(state)));
 }
 
-function renderStatus(status: FleetStatus): string {
+function renderStatus(status: FleetStatus, all: boolean): string {
     const { version, ageMilliseconds } = status.configuration;
     const heading = `seen by ${status.node}, configuration ${version} (${Math.round(ageMilliseconds)} ms old)\n\n`;
     const failureDomains = renderTable(
@@ -72,9 +79,11 @@
             `${cores(domain.freeProcessorMillis)} of ${cores(domain.processorMillis)}`,
         ]),
     );
+    const sorted = status.teams.toSorted((left, right) => attention(right) - attention(left));
+    const shown = all ? sorted : sorted.slice(0, TEAMS_SHOWN);
     const teams = renderTable(
         ["TEAM", "SHARE", "USE", "RUNNING", "LIMIT", "WAITING"],
-        status.teams.map(team => [
+        shown.map(team => [
             team.name,
             percent(team.share),
             percent(team.usedShare),
@@ -83,11 +92,19 @@
             String(team.waiting),
         ]),
     );
+    const more = sorted.length - shown.length;
+    const rest = more === 0 ? "" : `and ${more} more teams with less waiting; see --all\n`;
     const queues = renderTable(
         ["QUEUE", "CLASS", "ACCESS"],
         status.queues.map(queue => [queue.name, queue.workClass, queue.open ? "open" : "key"]),
     );
-    return heading + [failureDomains, teams, queues].join("\n");
+    return heading + [failureDomains, teams + rest, queues].join("\n");
+}
+
+/** Teams at their limit come first, then those with more waiting, then those further above their share. */
+function attention(team: FleetStatus["teams"][number]): number {
+    const atLimit = team.running >= team.upperLimit && team.waiting > 0 ? 1e12 : 0;
+    return atLimit + team.waiting * 10 + Math.max(-1, team.usedShare - team.share);
 }
 
 function cores(processorMillis: number): string {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,5 +8,6 @@
 };
 
 void runProgram(context, process.argv.slice(2)).then(exitCode => {
-    process.exitCode = exitCode;
+    // What a drain that reached its bound left open must not keep the process alive.
+    process.stdout.write("", () => process.exit(exitCode));
 });
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -7,6 +7,7 @@
 import { cancelCommand, explainCommand, jobStatusCommand, submitCommand } from "./commands/jobCommands.ts";
 import { dumpCommand, fleetStatusCommand } from "./commands/operatorCommands.ts";
 import { serveCommand } from "./commands/serveCommand.ts";
+import { flagTexts } from "./flagTexts.ts";
 import { KEY_VARIABLE, OPERATOR_VARIABLE, SERVER_VARIABLE } from "./serverClient.ts";
 import { VERSION } from "./version.ts";
 
@@ -27,6 +28,12 @@
         if (program.matchedCommand === undefined) {
             return report(context, unknownCommand(program));
         }
+        const flags = flagTexts(program.options, arguments_);
+        // `serve` reports repeated flags together with all other faults of its settings.
+        if (flags.isErr() && program.matchedCommandName !== "serve") {
+            return report(context, flags.error);
+        }
+        program.options = flags.unwrapOr(program.options);
         await program.runMatchedCommand();
     }
     catch (failure) {
@@ -68,6 +75,7 @@
         .action(action((job: string, flags: object) => cancelCommand(context, job, flags)));
     program.command("status [job]", `State of a job (${KEY_VARIABLE}), or of the fleet (${OPERATOR_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
+        .option("--all", "List every team, not only those that need attention first")
         .option("--json", JSON_HELP)
         .action(
             action((job: string | undefined, flags: object) =>
--- a/packages/cli/src/serverClient.ts
+++ b/packages/cli/src/serverClient.ts
@@ -51,7 +51,7 @@
                 headersTimeout: TIMEOUT_MILLISECONDS,
                 bodyTimeout: TIMEOUT_MILLISECONDS,
             });
-            const content: unknown = await response.body.json();
+            const content = parseJson(await response.body.text());
             return response.statusCode < 300 ? readAnswer(call.answer, content) : err(readError(content));
         }
         catch (failure) {
@@ -75,14 +75,39 @@
     credentialVariable: string,
 ): Result<ServerClient, ServiceError> {
     const address = server ?? context.environment[SERVER_VARIABLE];
-    if (address === undefined || !URL.canParse(address)) {
-        const problem = address === undefined ? "is missing" : "is not a URL";
-        const message =
-            `--server (${SERVER_VARIABLE}) ${problem}; give the address of an entry process or the balancer, `
-            + "for example http://10.0.0.1:8080";
-        return err(serviceError(ErrorKind.InvalidSettings, message));
+    const credential = context.environment[credentialVariable];
+    const faults = [...addressFaults(address), ...credentialFaults(credentialVariable, credential)];
+    return address === undefined || faults.length > 0
+        ? err(serviceError(ErrorKind.InvalidSettings, faults.join("; ")))
+        : ok(new ServerClient(address, credential));
+}
+
+/** A balancer in between may answer with something else than JSON. */
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function addressFaults(address: string | undefined): string[] {
+    const url = address !== undefined && URL.canParse(address) ? new URL(address) : undefined;
+    const usable = url !== undefined && /^https?:$/.test(url.protocol) && url.username === "" && url.password === "";
+    const problem = address === undefined ? "is missing" : "is not an http or https URL without a user";
+    return usable ? [] : [
+        `--server (${SERVER_VARIABLE}) ${problem}; give the address of an entry process or the balancer, `
+        + "for example http://10.0.0.1:8080",
+    ];
+}
+
+/** Operators always need their token; a key is not needed for open queues. */
+function credentialFaults(variable: string, credential: string | undefined): string[] {
+    if (credential === undefined || credential === "") {
+        return variable === OPERATOR_VARIABLE ? [`${variable} is missing; set it to the operator token`] : [];
     }
-    return ok(new ServerClient(address, context.environment[credentialVariable]));
+    return /^[\x21-\x7e]+$/.test(credential) ? [] : [`${variable} must be printable characters without spaces`];
 }
 
 function readAnswer<Answer>(schema: z.ZodType<Answer>, content: unknown): Result<Answer, ServiceError> {
