--- a/packages/entry/__tests__/badInput.spec.ts
+++ b/packages/entry/__tests__/badInput.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { Backend, errorKindOf, KEY, OPERATOR_TOKEN, sendRaw } from "./fixture.ts";
+import { Backend, errorKindOf, KEY, OPERATOR_TOKEN, sendRaw, snapshot } from "./fixture.ts";
 
 const job = {
     name: "tally",
@@ -139,12 +139,7 @@
 
     it("refuses broken UTF-8, which would change a payload silently", async () => {
         const backend = new Backend();
-        const body = Buffer.from(
-            JSON.stringify({ ...job, payload: "\u00e9" }).replace("\u00e9", "\x00")
-                .replace("\\u0000", "\x00"),
-            "latin1",
-        );
-        body[body.indexOf(0)] = 0xff;
+        const body = Buffer.from(JSON.stringify({ ...job, payload: "\u00e9" }), "latin1");
         const answer = await backend.application().request("/jobs", {
             method: "POST",
             headers: { authorization: `Bearer ${KEY}` },
@@ -176,12 +171,8 @@
         await call("/operator/dump", { headers: { authorization: `Bearer ${OPERATOR_TOKEN}x` } });
         await call("/metrics");
         const text = [...outputs, ...backend.logged].join("\n");
-        for (const secret of [KEY.split(".")[1]!, OPERATOR_TOKEN, "scrypt", snapshotHash()]) {
+        for (const secret of [KEY.split(".")[1]!, OPERATOR_TOKEN, "scrypt", snapshot.keys["crew-1"]!.hash]) {
             expect(text).to.not.contain(secret);
         }
     });
 });
-
-function snapshotHash(): string {
-    return new Backend().dependencies.configuration()!.keys["crew-1"]!.hash;
-}
--- a/packages/settings/src/settingsTable.ts
+++ b/packages/settings/src/settingsTable.ts
@@ -146,7 +146,7 @@
         "maximum-jobs-per-shard",
         "jobs",
         [100, 50_000, 1_000_000],
-        "Jobs that one shard holds; further ones are refused as overloaded.",
+        "Unfinished jobs that one shard holds; further ones are refused as overloaded.",
     ),
     requestRetentionHours: number(
         "request-retention-hours",
