--- a/packages/entry/__tests__/badInput.spec.ts
+++ b/packages/entry/__tests__/badInput.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { Backend, errorKindOf, KEY, OPERATOR_TOKEN, sendRaw } from "./fixture.ts";
+import { Backend, errorKindOf, KEY, OPERATOR_TOKEN, sendRaw, snapshot } from "./fixture.ts";
 
 const job = {
     name: "tally",
@@ -102,18 +102,19 @@
             ["GET with a body", `${start.replace("POST", "GET")}content-length: 4\r\n\r\nbody`],
         ];
         for (const [name, text] of broken) {
-            const answer = await sendRaw(server.address, text);
+            const endsEarly = name.includes("end");
+            const answer = await sendRaw(server.address, [text], endsEarly);
             if (answer !== "") {
                 const [head = "", body = ""] = answer.split("\r\n\r\n");
-                const kind = errorKindOf(Number(head.split(" ")[1]), body.replace(/^[0-9a-f]+\r\n|\r\n0\r\n$/g, ""));
+                const kind = errorKindOf(Number(head.split(" ")[1]), body);
                 expect(kind, name).to.be.oneOf(["invalid_request", "body_too_large"]);
             }
             else {
-                expect(name, "a caller that closed gets no answer").to.match(/end/);
+                expect(endsEarly, `${name}: only a caller that has left gets no answer`).to.equal(true);
             }
         }
         expect(backend.dispatched, "no broken body may reach an executor").to.deep.equal([]);
-        expect(await sendRaw(server.address, "GET /live HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")).to.contain(
+        expect(await sendRaw(server.address, ["GET /live HTTP/1.1\r\nhost: a\r\n\r\n"])).to.contain(
             "200 OK",
         );
     });
@@ -131,19 +132,14 @@
         };
         await using server = await backend.listen();
         const call = `POST /services/girth/x HTTP/1.1\r\nhost: a\r\nx-team: crew\r\nauthorization: Bearer ${KEY}\r\n`;
-        const answer = await sendRaw(server.address, `${call}content-length: 1\r\n\r\na`, "no HTTP\r\n\r\n");
+        const answer = await sendRaw(server.address, [`${call}content-length: 1\r\n\r\na`, "no HTTP\r\n\r\n"]);
         finish();
         expect(answer).to.equal("");
     });
 
     it("refuses broken UTF-8, which would change a payload silently", async () => {
         const backend = new Backend();
-        const body = Buffer.from(
-            JSON.stringify({ ...job, payload: "\u00e9" }).replace("\u00e9", "\x00")
-                .replace("\\u0000", "\x00"),
-            "latin1",
-        );
-        body[body.indexOf(0)] = 0xff;
+        const body = Buffer.from(JSON.stringify({ ...job, payload: "\u00e9" }), "latin1");
         const answer = await backend.application().request("/jobs", {
             method: "POST",
             headers: { authorization: `Bearer ${KEY}` },
@@ -175,12 +171,8 @@
         await call("/operator/dump", { headers: { authorization: `Bearer ${OPERATOR_TOKEN}x` } });
         await call("/metrics");
         const text = [...outputs, ...backend.logged].join("\n");
-        for (const secret of [KEY.split(".")[1]!, OPERATOR_TOKEN, "scrypt", snapshotHash()]) {
+        for (const secret of [KEY.split(".")[1]!, OPERATOR_TOKEN, "scrypt", snapshot.keys["crew-1"]!.hash]) {
             expect(text).to.not.contain(secret);
         }
     });
 });
-
-function snapshotHash(): string {
-    return new Backend().dependencies.configuration()!.keys["crew-1"]!.hash;
-}
