--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -162,6 +162,8 @@
 
 const scenario = z.strictObject({
     title: z.string(),
+    /** Seeds with which continuous integration runs the scenario; 1 for those that wait for task leases. */
+    "ci-seeds": count.default(2),
     promises: z.array(z.int().min(1).max(11)).min(1),
     cell: z.strictObject({
         domains: z.array(name).min(1),
