--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -164,6 +164,8 @@
     title: z.string(),
     /** Seeds with which continuous integration runs the scenario; 1 for those that wait for task leases. */
     "ci-seeds": count.default(2),
+    /** Longest wait for stated outcomes. The default is longer than the task lease, after which lost tasks run again. */
+    "outcome-wait": milliseconds.default(75_000),
     promises: z.array(z.int().min(1).max(11)).min(1),
     cell: z.strictObject({
         domains: z.array(name).min(1),
--- a/packages/scenarios/src/outcomes.ts
+++ b/packages/scenarios/src/outcomes.ts
@@ -5,8 +5,6 @@
 import { recordedRuns, runningOfTeam } from "./runRecords.ts";
 import { isAnswered, TryEnd } from "./work.ts";
 
-/** Longest wait for outcomes that take time. Longer than the task lease of 30 s, after which lost tasks run again. */
-const OUTCOME_MILLISECONDS = 75_000;
 const LOOK_MILLISECONDS = 200;
 /** Drain timeout of all processes of scenarios, in milliseconds. */
 const DRAIN_MILLISECONDS = 10_000;
@@ -19,7 +17,7 @@
 
 /** Waits for each outcome of the scenario; returns one line for each, and whether it was reached. */
 export async function findOutcomes(scenario: Scenario, run: CheckedRun): Promise<Finding[]> {
-    const until = performance.now() + OUTCOME_MILLISECONDS;
+    const until = performance.now() + scenario["outcome-wait"];
     const findings: Finding[] = [];
     for (const outcome of scenario.outcomes) {
         let finding = find(outcome, run);
