fix(scheduler): let submissions wait for the next owner of a shard

Cause: as for requests, a submission during a handover was refused after one attempt at each known shard. Change: refusals that end with the handover are tried again for up to 3 s with jittered pauses. Before: the new test fails with shard_not_ready. After: it passes.

--- a/packages/replay/src/replayTrace.ts
+++ b/packages/replay/src/replayTrace.ts
@@ -150,6 +150,8 @@
         return new JobRouter({
             failureDomain,
             fleet: this.fleet,
+            timers: this.timers,
+            random: () => 0,
             configuration: () => this.configuration(),
             identify: shard => shard,
             submitTo: async () => errAsync(serviceError(ErrorKind.Internal, "a replay submits by itself")),
--- a/packages/scheduler/__tests__/jobRouter.spec.ts
+++ b/packages/scheduler/__tests__/jobRouter.spec.ts
@@ -50,6 +50,8 @@
     const router = new JobRouter({
         failureDomain: "a",
         fleet,
+        timers,
+        random: () => 0,
         configuration: () => configuration,
         identify: shard => `${shard} job`,
         submitTo: async (submission: Submission) => {
@@ -110,6 +112,21 @@
         expect(submitted).to.deep.equal(["b/0", "a/0"]);
     });
 
+    it("waits a bounded time for the next owner during a handover, so that a planned stop refuses no submission", async () => {
+        const refuse = new Set(["a/0"]);
+        const { timers, submitted, submit } = createRouter([headline("a/0")], refuse);
+        const accepted = submit();
+        await timers.advance(1_000);
+        refuse.clear();
+        await timers.advance(1_000);
+        expect((await accepted).isOk()).to.equal(true);
+        refuse.add("a/0");
+        const refused = submit();
+        await timers.advance(10_000);
+        expect((await refused)._unsafeUnwrapErr().kind).to.equal(ErrorKind.ShardNotReady);
+        expect(submitted.length).to.be.below(60);
+    });
+
     it("tries the next shard only after an answer that says that the job was not accepted", async () => {
         const { submitted, submit } = createRouter([headline("a/0"), headline("a/1")], new Set(["a/0"]));
         expect((await submit()).isOk()).to.equal(true);
--- a/packages/scheduler/__tests__/moveTarget.spec.ts
+++ b/packages/scheduler/__tests__/moveTarget.spec.ts
@@ -35,6 +35,8 @@
     return new JobRouter({
         failureDomain: "north",
         fleet,
+        timers: new ManualTimers(),
+        random: () => 0,
         configuration: () => ({ ...configuration, failureDomains: Object.fromEntries(domains) }),
         submitTo: () => Promise.reject(new Error("nothing is submitted")),
         identify: shard => shard,
--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -10,6 +10,7 @@
     multiplyResources,
     type Resources,
 } from "@tanagerlink/model";
+import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import type { FleetView } from "./fleetView.ts";
 import type { JobStatus, Submission } from "./submission.ts";
@@ -40,10 +41,26 @@
     ErrorKind.Draining,
 ]);
 
+/** Refusals that end by themselves when a shard has passed to its next owner. */
+const PASSING: ReadonlySet<ErrorKind> = new Set([
+    ErrorKind.NotOwner,
+    ErrorKind.ShardNotReady,
+    ErrorKind.PeerUnreachable,
+    ErrorKind.Draining,
+    ErrorKind.NoCapacity,
+]);
+
+/** Longest wait for an owner, in milliseconds, and the shortest pause between attempts. */
+const OWNER_WAIT_MILLISECONDS = 3_000;
+const OWNER_RETRY_MILLISECONDS = 100;
+
 /** What the router needs besides the view of the fleet. */
 export interface JobRouterDependencies {
     readonly failureDomain: string;
     readonly fleet: FleetView;
+    readonly timers: Timers;
+    /** Uniform numbers from 0 to below 1, for jitter. */
+    readonly random: () => number;
     readonly configuration: () => ConfigurationSnapshot | undefined;
     readonly submitTo: (submission: Submission) => Promise<Result<JobStatus, ServiceError>>;
     readonly identify: (shard: string) => string;
@@ -57,20 +74,31 @@
         this.dependencies = dependencies;
     }
 
-    /** Submits to the best shard, and to the next ones while the answer says that the job was not accepted. */
+    /**
+     * Submits to the best shard, and to the next ones while the answer says that the job was not accepted. While shards
+     * are being handed over the submission waits for their next owners, up to a bound.
+     */
     async submit(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
-        const candidates = this.candidates(draft.specification);
+        const { timers, random } = this.dependencies;
+        const waitUntil = timers.now() + OWNER_WAIT_MILLISECONDS;
+        for (;;) {
+            const result = await this.tryShards(draft);
+            if (result.isOk() || !PASSING.has(result.error.kind) || timers.now() >= waitUntil) {
+                return result;
+            }
+            await sleep(timers, OWNER_RETRY_MILLISECONDS * (1 + random()));
+        }
+    }
+
+    private async tryShards(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
+        const { specification } = draft;
         let refusal: ServiceError = serviceError(
             ErrorKind.NoCapacity,
             "no shard of an active failure domain can be reached; check the entry processes of the failure domains",
         );
-        for (const headline of candidates.slice(0, MAXIMUM_ATTEMPTS)) {
+        for (const headline of this.candidates(specification).slice(0, MAXIMUM_ATTEMPTS)) {
             const id = this.dependencies.identify(headline.shard);
-            this.dependencies.fleet.noteSubmission(
-                headline.shard,
-                draft.specification.size,
-                draft.specification.tasks,
-            );
+            this.dependencies.fleet.noteSubmission(headline.shard, specification.size, specification.tasks);
             const result = await this.dependencies.submitTo({ ...draft, id, shard: headline.shard });
             if (result.isOk() || !TRY_ANOTHER_SHARD.has(result.error.kind)) {
                 return result;
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -76,21 +76,24 @@
             fleet: this.fleet,
             local: shard => this.shards.get(shard),
         });
+        const generator = xoroshiro128plus(randomInt(SEED_BOUND));
+        const random = (): number => uniformFloat64(generator);
         this.jobRouter = new JobRouter({
+            timers: dependencies.timers,
+            random,
             failureDomain,
             fleet: this.fleet,
             configuration: dependencies.configuration,
             submitTo: submission => this.access.submit(submission),
             identify: shard => jobIdentifier(shard, randomUUID().replaceAll("-", "")),
         });
-        const generator = xoroshiro128plus(randomInt(SEED_BOUND));
         this.requestRouter = new RequestRouter({
             node,
             failureDomain,
             timers: dependencies.timers,
             fleet: this.fleet,
             configuration: dependencies.configuration,
-            random: () => uniformFloat64(generator),
+            random,
             dispatchTo: (headline, request) => this.access.dispatch(headline.shard, request),
         });
         this.answerPeers();
