--- a/packages/scheduler/src/jobMoves.ts
+++ b/packages/scheduler/src/jobMoves.ts
@@ -5,7 +5,7 @@
 import { ErrorKind } from "@tanagerlink/errors";
 import { FailureDomainState, isFinished, type JobRecord, TaskState } from "@tanagerlink/model";
 import type { Subscription } from "@tanagerlink/timers";
-import { createJobEntry, type JobEntry } from "./jobEntry.ts";
+import { createJobEntry, type JobEntry, type TaskEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
 import { shardOfJob } from "./submission.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
@@ -68,7 +68,7 @@
                 return;
             }
             const entry = next.value;
-            if (!neverStarted(entry) || (!out && entry.waitingSince > waitingBefore)) {
+            if (!isMovable(entry) || (!out && entry.waitingSince > waitingBefore)) {
                 continue;
             }
             asked++;
@@ -157,10 +157,19 @@
     }
 }
 
-/** A job moves at most once, so that no cycle of pointers arises. */
-function neverStarted(entry: JobEntry): boolean {
+/**
+ * Jobs of which nothing runs or may run. Of a non-idempotent job nothing may ever have been started. A job moves at most
+ * once, so that no cycle of pointers arises.
+ */
+function isMovable(entry: JobEntry): boolean {
     const { record } = entry;
-    return entry.pendingWrites === 0 && !isFinished(record.state) && record.intents.length === 0
-        && shardOfJob(record.id) === record.shard
-        && entry.tasks.every(task => task.state === TaskState.Waiting && !task.recovering && !task.everPlaced);
+    const settled = entry.pendingWrites === 0 && !isFinished(record.state) && record.intents.length === 0
+        && shardOfJob(record.id) === record.shard;
+    if (!settled) {
+        return false;
+    }
+    const waits = (task: TaskEntry): boolean => task.state === TaskState.Waiting && !task.recovering;
+    return record.specification.idempotent && !record.specification.allAtOnce
+        ? entry.tasks.every(task => waits(task) || task.state === TaskState.Succeeded) && entry.tasks.some(waits)
+        : entry.tasks.every(task => waits(task) && !task.everPlaced);
 }
