--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -110,7 +110,8 @@
             await sleep(timers, request.bytes[0] ?? 0);
             return ok(request);
         });
-        const seed = Date.now() % 1_000_000;
+        // A fixed seed, so that the verdict is the same in each run; this one has missed once on a busy machine.
+        const seed = 20_595;
         const delays = fc.sample(fc.integer({ min: 0, max: 60 }), { numRuns: 400, seed });
         const calls = delays.map(async (delay, index) => {
             await sleep(timers, index * 4);
@@ -122,7 +123,7 @@
             relay.silence(round % 2 === 0 ? "both" : "towardsTarget");
         }
         for (const { request, result } of await Promise.all(calls)) {
-            expect(result.isOk(), `seed ${seed}, ${request.text}`).to.equal(true);
+            expect(result.match(() => "ok", error => error.kind), `seed ${seed}, ${request.text}`).to.equal("ok");
             expect(result._unsafeUnwrap().text).to.equal(request.text);
             expect(executed.get(request.text), `seed ${seed}, ${request.text}`).to.equal(1);
         }
