--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -11,9 +11,10 @@
     type Resources,
     shardsOfFailureDomain,
 } from "@tanagerlink/model";
-import { sleep, type Timers } from "@tanagerlink/timers";
+import type { Timers } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import type { FleetView } from "./fleetView.ts";
+import { throughHandovers } from "./handoverWait.ts";
 import type { JobStatus, Submission } from "./submission.ts";
 import type { ShardHeadline } from "./summaryPayload.ts";
 
@@ -42,18 +43,8 @@
     ErrorKind.Draining,
 ]);
 
-/** Refusals that end by themselves when a shard has passed to its next owner. */
-const PASSING: ReadonlySet<ErrorKind> = new Set([
-    ErrorKind.NotOwner,
-    ErrorKind.ShardNotReady,
-    ErrorKind.PeerUnreachable,
-    ErrorKind.Draining,
-    ErrorKind.NoCapacity,
-]);
-
-/** Longest wait for an owner, in milliseconds, and the shortest pause between attempts. */
+/** Longest wait for the next owner of a shard, in milliseconds. */
 const OWNER_WAIT_MILLISECONDS = 3_000;
-const OWNER_RETRY_MILLISECONDS = 100;
 
 /** What the router needs besides the view of the fleet. */
 export interface JobRouterDependencies {
@@ -79,22 +70,16 @@
      * Submits to the best shard, and to the next ones while the answer says that the job was not accepted. While shards
      * are being handed over the submission waits for their next owners, up to a bound.
      */
-    async submit(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
+    submit(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
         const { timers, random } = this.dependencies;
-        const waitUntil = timers.now() + OWNER_WAIT_MILLISECONDS;
-        for (;;) {
-            const result = await this.tryShards(draft);
-            if (result.isOk() || !PASSING.has(result.error.kind) || timers.now() >= waitUntil) {
-                return result;
-            }
-            await sleep(timers, OWNER_RETRY_MILLISECONDS * (1 + random()));
-        }
+        const wait = { timers, random, waitMilliseconds: OWNER_WAIT_MILLISECONDS };
+        return throughHandovers(wait, () => this.tryShards(draft));
     }
 
     private async tryShards(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
         const { specification } = draft;
         let refusal: ServiceError = serviceError(
-            ErrorKind.NoCapacity,
+            ErrorKind.ShardNotReady,
             "no shard of an active failure domain can be reached; check the entry processes of the failure domains",
         );
         for (const headline of this.candidates(specification).slice(0, MAXIMUM_ATTEMPTS)) {
--- a/packages/scheduler/src/requestRouter.ts
+++ b/packages/scheduler/src/requestRouter.ts
@@ -7,9 +7,10 @@
     type ServiceAnswer,
     type ServiceRequest,
 } from "@tanagerlink/model";
-import { sleep, type Timers } from "@tanagerlink/timers";
+import type { Timers } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import type { FleetView } from "./fleetView.ts";
+import { throughHandovers } from "./handoverWait.ts";
 import type { ShardHeadline } from "./summaryPayload.ts";
 
 /** Owners that are tried for one request; each refusal before was "not run". */
@@ -29,21 +30,6 @@
     ErrorKind.Draining,
 ]);
 
-/**
- * Refusals that end by themselves when a shard has passed to its next owner. While nothing but these is met, the request
- * waits for the new owner instead of being refused, since a planned stop must cut no request short.
- */
-const PASSING: ReadonlySet<ErrorKind> = new Set([
-    ErrorKind.NotOwner,
-    ErrorKind.ShardNotReady,
-    ErrorKind.PeerUnreachable,
-    ErrorKind.Draining,
-]);
-
-/** Pauses between rounds over the known owners, in milliseconds; the actual ones are shortened at random. */
-const FIRST_PAUSE_MILLISECONDS = 50;
-const LONGEST_PAUSE_MILLISECONDS = 400;
-
 /** Part of the caller's time that is spent on waiting for an owner. */
 const WAITING_PART = 0.6;
 
@@ -81,19 +67,10 @@
 
     /** Runs a request. Another owner is tried only after an answer that says "not run". */
     async dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
-        const { timers } = this.dependencies;
+        const { timers, random } = this.dependencies;
         const deadline = timers.now() + request.remainingMilliseconds;
-        const waitUntil = timers.now() + request.remainingMilliseconds * WAITING_PART;
-        let pause = FIRST_PAUSE_MILLISECONDS;
-        for (;;) {
-            const result = await this.tryOwners(request, deadline);
-            if (result.isOk() || !PASSING.has(result.error.kind) || timers.now() + pause > waitUntil) {
-                return result;
-            }
-            // Full jitter keeps the requests that wait for one owner from arriving there together.
-            await sleep(timers, pause * (1 - this.dependencies.random()));
-            pause = Math.min(pause * 2, LONGEST_PAUSE_MILLISECONDS);
-        }
+        const waitMilliseconds = request.remainingMilliseconds * WAITING_PART;
+        return throughHandovers({ timers, random, waitMilliseconds }, () => this.tryOwners(request, deadline));
     }
 
     private async tryOwners(request: ServiceRequest, deadline: number): Promise<Result<ServiceAnswer, ServiceError>> {
