refactor: call the shared line fit and remove what nothing needs

Cause: read-through of the whole change. Change: storeUseBenchmark fits its lines by lineFit.ts instead of a copy; hasAttempt, which nothing called, and a method of ShardStatistics that only passed its argument on are gone.

--- a/packages/benchmarks/src/storeUseBenchmark.ts
+++ b/packages/benchmarks/src/storeUseBenchmark.ts
@@ -8,6 +8,7 @@
  */
 import { pathToFileURL } from "node:url";
 import type { TableUse } from "./countingTable.ts";
+import { fitLine } from "./lineFit.ts";
 import { StoreUseCell, type StoreUseSize } from "./storeUseCell.ts";
 
 /** Use of the table by a cell of one size, per second. */
@@ -37,7 +38,8 @@
 function slopeOf(of: keyof StoreUseSize, measurements: readonly StoreUseMeasurement[]): StoreUseSlope {
     const lines = FIGURES.map(figure => {
         const points = measurements.map(({ size, perSecond }) => [size[of], perSecond[figure]] as const);
-        return [figure, fitLine(points)] as const;
+        const { slope, largestDeviation } = fitLine(points);
+        return [figure, { slope: rounded(slope), deviation: rounded(largestDeviation) }] as const;
     });
     return {
         measurement: "slope",
@@ -49,15 +51,6 @@
     };
 }
 
-function fitLine(points: readonly (readonly [number, number])[]): { slope: number; deviation: number; } {
-    const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
-    const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
-    const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
-    const slope = covariance / points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
-    const deviations = points.map(([x, y]) => Math.abs(y - meanY - slope * (x - meanX)));
-    return { slope: rounded(slope), deviation: rounded(Math.max(...deviations)) };
-}
-
 function rounded(value: number): number {
     return Math.round(value * 1_000) / 1_000;
 }
--- a/packages/ownership/src/heldShard.ts
+++ b/packages/ownership/src/heldShard.ts
@@ -111,10 +111,6 @@
         this.attempts.delete(transactionId);
     }
 
-    hasAttempt(transactionId: string): boolean {
-        return this.attempts.has(transactionId);
-    }
-
     /** The attempt took effect as this version of the row, so no other process holds the shard. */
     settleAttempt(transactionId: string, version: number, rosterVersion: number | undefined): boolean {
         const attempt = this.attempts.get(transactionId);
--- a/packages/scheduler/src/jobAdmission.ts
+++ b/packages/scheduler/src/jobAdmission.ts
@@ -6,7 +6,7 @@
 import { createJobEntry, describeSize, type JobEntry } from "./jobEntry.ts";
 import { decide, type ShardContext } from "./shardContext.ts";
 import type { ShardStatistics } from "./shardStatistics.ts";
-import type { JobStatus, Submission } from "./submission.ts";
+import { type JobStatus, statusOfRecord, type Submission } from "./submission.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
 import type { WorkerRegistry } from "./workerRegistry.ts";
 
@@ -140,7 +140,7 @@
     private repeatedStatus(record: JobRecord): JobStatus {
         const entry = this.context.book.get(record.id);
         const status = entry === undefined
-            ? this.parts.statistics.statusOfRecord(record)
+            ? statusOfRecord(record)
             : this.parts.statistics.status(entry);
         return { ...status, repeated: true };
     }
--- a/packages/scheduler/src/shardStatistics.ts
+++ b/packages/scheduler/src/shardStatistics.ts
@@ -1,7 +1,6 @@
 /** Status of jobs, summaries for peers and gauges of one shard. */
 import {
     addResources,
-    type JobRecord,
     noResources,
     type Resources,
     type ShardSummary,
@@ -31,10 +30,6 @@
         return { ...statusOfRecord(entry.record), tasks };
     }
 
-    statusOfRecord(record: JobRecord): JobStatus {
-        return statusOfRecord(record);
-    }
-
     /** Updates the gauges. */
     sweep(): void {
         const { metrics, timers } = this.context.dependencies;
