fix(peer): end calls to stopped processes and repeat idempotent requests at another owner

Cause: a call that was on its way when its peer closed its links waited for the call's own deadline, since a peer that has gone for good looked like a broken link. Change: the session settles calls to a process that announced its stop once no link to it has been open for the silence limit; the request router repeats idempotent requests with an unknown outcome at another owner, within the retry budget, and never says 'not run' after an owner may have run the request.

--- a/packages/peer/__tests__/peerCalls.spec.ts
+++ b/packages/peer/__tests__/peerCalls.spec.ts
@@ -72,6 +72,22 @@
         expect(executed.size).to.be.within(1, 119);
     });
 
+    it("ends calls to a process that has stopped without an answer, instead of waiting for their deadlines", async () => {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        let isRunning = false;
+        second.handle(append, () => {
+            isRunning = true;
+            return new Promise(() => undefined);
+        });
+        link(first, "b", second.address);
+        await until(() => isLinked(first, "b"));
+        const call = first.call("b", append, message, 3_600_000);
+        await until(() => isRunning);
+        await second.drain(100);
+        await second[Symbol.asyncDispose]();
+        expect((await call)._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+    });
+
     it("refuses calls at once when the send queue is full, so that memory is bounded", async () => {
         const first = await fixture.start("a", { maximumPendingCalls: 2 });
         const second = await fixture.start("b");
--- a/packages/peer/src/peerSession.ts
+++ b/packages/peer/src/peerSession.ts
@@ -133,13 +133,19 @@
         return true;
     }
 
-    /** Ends calls that found no link, and sends those again whose links have ended. To be called with each heartbeat. */
+    /**
+     * Ends calls that found no link or whose process has stopped, and sends those again whose links have ended. To be
+     * called with each heartbeat.
+     */
     tick(): void {
         const waitLimit = this.timers.now() - this.limits.silenceMilliseconds;
         for (const call of this.pending.values()) {
             if (call.firstSentAt === undefined && call.startedAt <= waitLimit && this.link === undefined) {
                 this.settle(call, err(this.unreachable()));
             }
+            else if (this.hasStopped(call.link, waitLimit)) {
+                this.settle(call, err(this.unknownOutcome(call, "stopped")));
+            }
         }
         this.resend();
     }
@@ -151,6 +157,16 @@
         }
     }
 
+    /**
+     * Whether the process behind the link announced its stop and has had no link since the time given. It opens no new
+     * one, so that its calls would otherwise wait for their own deadlines.
+     */
+    private hasStopped(link: Link | undefined, since: number): boolean {
+        const boot = link?.remote.boot;
+        return boot !== undefined && boot === this.retiredBoot && (this.heardAt ?? since) <= since
+            && !this.links.some(other => other.open && other.remote.boot === boot);
+    }
+
     private refuse(order: CallOrder): ServiceError | undefined {
         if (!this.wanted && this.link === undefined) {
             return this.unreachable();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,4 +9,5 @@
     type RoutingCounters,
     type RoutingLimits,
 } from "./executorPoolOptions.ts";
+export { RetryBudget } from "./retryBudget.ts";
 export { ServiceExecutorPool } from "./serviceExecutorPool.ts";
--- a/packages/scheduler/__tests__/requestRouter.spec.ts
+++ b/packages/scheduler/__tests__/requestRouter.spec.ts
@@ -1,5 +1,6 @@
 import { ErrorKind, serviceError } from "@tanagerlink/errors";
 import type { ConfigurationSnapshot, ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
+import { defaultRoutingLimits } from "@tanagerlink/routing";
 import { ManualTimers } from "@tanagerlink/timers";
 import { expect } from "chai";
 import { err, ok } from "neverthrow";
@@ -84,6 +85,33 @@
         expect(asked).to.deep.equal(["a/0"]);
     });
 
+    it("repeats an idempotent request at another owner when the first one stopped before it answered", async () => {
+        const { asked, router } = createRouter(
+            [headline("a/0"), headline("b/0")],
+            shard => shard === "a/0" ? ErrorKind.OutcomeUnknown : "answer",
+        );
+        expect((await router.dispatch({ ...request, idempotent: true })).isOk()).to.equal(true);
+        expect(asked).to.deep.equal(["a/0", "b/0"]);
+    });
+
+    it("never says that a request did not run after an owner may have run it", async () => {
+        const { router } = createRouter(
+            [headline("a/0"), headline("b/0")],
+            shard => shard === "a/0" ? ErrorKind.OutcomeUnknown : ErrorKind.TeamLimitReached,
+        );
+        const refusal = (await router.dispatch({ ...request, idempotent: true }))._unsafeUnwrapErr();
+        expect(refusal.kind).to.equal(ErrorKind.OutcomeUnknown);
+    });
+
+    it("bounds the repeats of idempotent requests, so that an outage does not multiply the load", async () => {
+        const { asked, router } = createRouter([headline("a/0"), headline("b/0")], () => ErrorKind.OutcomeUnknown);
+        const requests = 1_000;
+        for (let index = 0; index < requests; index++) {
+            await router.dispatch({ ...request, idempotent: true });
+        }
+        expect(asked.length).to.be.at.most(requests * 1.1 + defaultRoutingLimits.retryReserve);
+    });
+
     it("gives up within the caller's time, with bounded attempts, when no owner appears", async () => {
         const { timers, asked, router } = createRouter([headline("a/0")], () => ErrorKind.Draining);
         const answer = router.dispatch(request);
--- a/packages/scheduler/src/requestRouter.ts
+++ b/packages/scheduler/src/requestRouter.ts
@@ -7,6 +7,7 @@
     type ServiceAnswer,
     type ServiceRequest,
 } from "@tanagerlink/model";
+import { defaultRoutingLimits, RetryBudget } from "@tanagerlink/routing";
 import type { Timers } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import type { FleetView } from "./fleetView.ts";
@@ -57,33 +58,50 @@
     ) => Promise<Result<ServiceAnswer, ServiceError>>;
 }
 
+/** A request on its way. */
+interface RoutedRequest {
+    readonly request: ServiceRequest;
+    /** Monotonic time at which the caller stops waiting, in milliseconds. */
+    readonly deadline: number;
+    /** Set once an owner may have run the request; no later refusal may then say "not run". */
+    unknownOutcome: ServiceError | undefined;
+}
+
 /** Routes requests. */
 export class RequestRouter {
     private readonly dependencies: RequestRouterDependencies;
+    private readonly retryBudget: RetryBudget;
 
     constructor(dependencies: RequestRouterDependencies) {
         this.dependencies = dependencies;
+        this.retryBudget = new RetryBudget(dependencies.timers, defaultRoutingLimits);
     }
 
-    /** Runs a request. Another owner is tried only after an answer that says "not run". */
+    /**
+     * Runs a request. Another owner is tried after an answer that says "not run" and, within the retry budget, after an
+     * unknown outcome of an idempotent request.
+     */
     async dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
         const { timers, random } = this.dependencies;
         const deadline = timers.now() + request.remainingMilliseconds;
+        const routed: RoutedRequest = { request, deadline, unknownOutcome: undefined };
+        this.retryBudget.earn();
         const waitMilliseconds = request.remainingMilliseconds * WAITING_PART;
-        return throughHandovers({ timers, random, waitMilliseconds }, () => this.tryOwners(request, deadline));
+        const result = await throughHandovers({ timers, random, waitMilliseconds }, () => this.tryOwners(routed));
+        return result.mapErr(error => routed.unknownOutcome ?? error);
     }
 
-    private async tryOwners(request: ServiceRequest, deadline: number): Promise<Result<ServiceAnswer, ServiceError>> {
-        const { timers } = this.dependencies;
+    private async tryOwners(routed: RoutedRequest): Promise<Result<ServiceAnswer, ServiceError>> {
+        const { request, deadline } = routed;
         let refusal = this.withoutOwner(request.service);
         for (const headline of this.candidates(request.service).slice(0, MAXIMUM_ATTEMPTS)) {
-            const remainingMilliseconds = deadline - timers.now();
+            const remainingMilliseconds = deadline - this.dependencies.timers.now();
             if (remainingMilliseconds <= 0) {
                 return err(serviceError(ErrorKind.DeadlineExceeded, "the deadline passed before the request was sent"));
             }
             this.dependencies.fleet.noteRequest(headline.shard, request.service);
             const result = await this.dependencies.dispatchTo(headline, { ...request, remainingMilliseconds });
-            if (result.isOk() || !TRY_ANOTHER_OWNER.has(result.error.kind)) {
+            if (result.isOk() || !this.mayTryAnother(routed, result.error)) {
                 return result;
             }
             refusal = result.error;
@@ -91,6 +109,14 @@
         return err(refusal);
     }
 
+    private mayTryAnother(routed: RoutedRequest, error: ServiceError): boolean {
+        if (error.kind !== ErrorKind.OutcomeUnknown) {
+            return TRY_ANOTHER_OWNER.has(error.kind);
+        }
+        routed.unknownOutcome = error;
+        return routed.request.idempotent && this.retryBudget.take();
+    }
+
     /** A shard that its new owner is still reading may have executors of the service. */
     private withoutOwner(service: string): ServiceError {
         return this.activeHeadlines().some(headline => !headline.ready)
