test(scenarios): full cell, cancellations and wrong declarations with real processes

Cause: preemption, gangs, cancellations in bulk, workers that fail everything and usage above the declared size were proved in virtual time only.

--- a/packages/scenarios/src/callers.ts
+++ b/packages/scenarios/src/callers.ts
@@ -1,5 +1,6 @@
 /** Callers of a test cell: they submit jobs and send requests, and note each answer. */
 import { errorAnswers, ErrorKind } from "@tanagerlink/errors";
+import type { Resources } from "@tanagerlink/model";
 import { request } from "undici";
 import { z } from "zod";
 import type { EntryProcess } from "./entryProcess.ts";
@@ -64,6 +65,46 @@
         await Promise.all(entries.map(entry => this.job({ ...step, repeat: false }, 50, entry)));
     }
 
+    /** Cancels all accepted jobs of a name; a cancellation that is not answered with success is repeated. */
+    async cancel(as: string): Promise<void> {
+        const accepted = this.surroundings.log.named(as).filter(item => item.job !== undefined);
+        await Promise.all(accepted.map(item => this.cancelItem(item)));
+    }
+
+    private async cancelItem(item: WorkItem): Promise<void> {
+        const until = performance.now() + SUBMISSION_MILLISECONDS;
+        let last: string | undefined;
+        while (item.cancelledAt === undefined && performance.now() < until) {
+            const entry = this.choose(undefined, last);
+            last = entry?.id;
+            const status = entry === undefined ? undefined : await this.cancelThrough(entry, item);
+            this.surroundings.note(`cancellation of ${item.reference} through ${last}: ${status ?? "no answer"}`);
+            if (status === 200) {
+                item.cancelledAt = performance.now();
+            }
+            else {
+                await pause(REPEAT_MILLISECONDS);
+            }
+        }
+    }
+
+    /** Status of the answer, or `undefined` without an answer. */
+    private async cancelThrough(entry: EntryProcess, item: WorkItem): Promise<number | undefined> {
+        try {
+            const response = await request(`${this.surroundings.url(entry)}/jobs/${item.job}`, {
+                method: "DELETE",
+                headers: { authorization: `Bearer ${this.secretOf(item.key)}` },
+                reset: true,
+                signal: AbortSignal.timeout(JOB_ANSWER_MILLISECONDS),
+            });
+            await response.body.dump();
+            return response.statusCode;
+        }
+        catch {
+            return undefined;
+        }
+    }
+
     private async spread(step: JobsStep | RequestsStep, send: (run: number) => Promise<void>): Promise<void> {
         const { random } = this.surroundings;
         const over = random.within(step.over);
@@ -91,7 +132,7 @@
             allAtOnce: step.together,
             idempotent,
             failureDomains: step.domains,
-            payload: JSON.stringify({ runMilliseconds: run, reference: item.reference }),
+            payload: JSON.stringify({ runMilliseconds: run, reference: item.reference, usage: usageOf(step) }),
         });
         const until = performance.now() + SUBMISSION_MILLISECONDS;
         do {
@@ -221,6 +262,12 @@
     }
 }
 
+function usageOf({ usage }: JobsStep): Resources | undefined {
+    return usage === undefined
+        ? undefined
+        : { processorMillis: usage * 1_000, memoryMebibytes: 100, accelerators: 0 };
+}
+
 /** Answers of executors have no error kind; their status is passed on as it is. */
 function readError(answer: CallAnswer): { error: string; outcome: string; } {
     try {
--- /dev/null
+++ b/packages/scenarios/src/jobOutcomes.ts
@@ -0,0 +1,66 @@
+/** Checks of outcomes that concern the tasks of jobs: cancellation, gangs, order of starts. */
+import { SECONDS_BOUND } from "./facts.ts";
+import type { Finding } from "./finding.ts";
+import type { CheckedRun } from "./invariants.ts";
+import { type RecordedRun, recordedRuns } from "./runRecords.ts";
+import { isAnswered } from "./work.ts";
+
+/** Names that one line lists. */
+const LISTED_NAMES = 5;
+
+/** Runs of all jobs of the name. */
+export function runsNamed({ cell, log }: CheckedRun, as: string): RecordedRun[] {
+    const references = new Set(log.named(as).map(item => item.reference));
+    return recordedRuns(cell).filter(run => references.has(run.reference));
+}
+
+/** Whether the cancellation of all accepted jobs was confirmed and has ended them. */
+export function cancelled(run: CheckedRun, as: string): Finding {
+    const runs = runsNamed(run, as);
+    const items = run.log.named(as).filter(isAnswered);
+    const wrong = items.flatMap(({ reference, cancelledAt }) => {
+        const own = runs.filter(each => each.reference === reference);
+        if (cancelledAt === undefined) {
+            return [`${reference}: not confirmed`];
+        }
+        const late = own.filter(each => each.startedAt > cancelledAt + SECONDS_BOUND).length;
+        const open = own.filter(each => each.endedAt === Infinity).length;
+        return late + open === 0 ? [] : [`${reference}: ${late} late starts, ${open} tasks still run`];
+    });
+    return {
+        reached: items.length > 0 && wrong.length === 0,
+        observed: `${items.length - wrong.length} of ${items.length} cancelled${list(wrong)}`,
+    };
+}
+
+/** Whether the successful runs of the tasks of each finished job overlapped at one moment. */
+export function ranTogether(run: CheckedRun, as: string): Finding {
+    const runs = runsNamed(run, as).filter(({ succeeded }) => succeeded);
+    const finished = run.log.named(as).filter(item =>
+        new Set(runs.filter(each => each.reference === item.reference).map(each => each.task)).size === item.tasks
+    );
+    const apart = finished.filter(({ reference }) => {
+        const own = runs.filter(each => each.reference === reference);
+        return Math.max(...own.map(each => each.startedAt)) >= Math.min(...own.map(each => each.endedAt));
+    });
+    return {
+        reached: finished.length > 0 && apart.length === 0,
+        observed: `${finished.length - apart.length} of ${finished.length} finished jobs${
+            list(apart.map(({ reference }) => reference))
+        }`,
+    };
+}
+
+/** Whether every task of the first jobs had started when the first task of the others succeeded. */
+export function startedBefore(run: CheckedRun, as: string, others: string): Finding {
+    const firstEnd = Math.min(...runsNamed(run, others).filter(each => each.succeeded).map(each => each.endedAt));
+    const started = new Set(
+        runsNamed(run, as).filter(each => each.startedAt < firstEnd).map(each => `${each.reference}.${each.task}`),
+    );
+    const wanted = run.log.named(as).reduce((sum, item) => sum + item.tasks, 0);
+    return { reached: wanted > 0 && started.size === wanted, observed: `${started.size} of ${wanted} tasks` };
+}
+
+function list(names: readonly string[]): string {
+    return names.length === 0 ? "" : `; ${names.slice(0, LISTED_NAMES).join(", ")}`;
+}
--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -42,6 +42,8 @@
     cores: z.number().positive().default(1),
     idempotent: z.boolean().default(true),
     together: z.boolean().default(false),
+    /** Cores that each task really uses; by default not reported. */
+    usage: z.number().positive().optional(),
     /** Failure domains in which the jobs may run. */
     domains: z.array(name).default([]),
     /** Whether refused and unanswered submissions are repeated under their idempotency key. */
@@ -92,6 +94,8 @@
 const plainStep = z.union([
     z.strictObject({ jobs }),
     z.strictObject({ requests }),
+    /** Cancels all accepted jobs of this name at once, each through some entry process. */
+    z.strictObject({ cancel: name }),
     z.strictObject({ kill: processes }),
     z.strictObject({ pause: processes }),
     z.strictObject({ terminate: processes }),
@@ -141,6 +145,16 @@
     z.strictObject({
         served: z.strictObject({ as: name, "at-least": z.number().min(0).max(1) }),
     }),
+    /** Every cancellation was answered, nothing of the jobs started later than the bound, and nothing runs any more. */
+    z.strictObject({ cancelled: name }),
+    /** All tasks of each finished job ran at the same time. */
+    z.strictObject({ "ran-together": name }),
+    /** All tasks of `as` had started before the first job of `before-any-of` was finished. */
+    z.strictObject({ started: z.strictObject({ as: name, "before-any-of": name }) }),
+    /** Runs of the jobs that the product stopped before their end, for example by preemption. */
+    z.strictObject({ stopped: z.strictObject({ as: name, "at-least": count }) }),
+    /** Tasks of the jobs that were throttled, because they used more than they declared. */
+    z.strictObject({ throttled: z.strictObject({ as: name, "at-least": count }) }),
     /** None of the work ran. */
     z.strictObject({ "never-ran": name }),
     /** Every answer to the work was this error. */
--- a/packages/scenarios/src/outcomes.ts
+++ b/packages/scenarios/src/outcomes.ts
@@ -1,6 +1,8 @@
 /** The outcomes that a scenario states. Each check returns what was observed, and whether that is what was stated. */
 import { pause } from "./callers.ts";
+import type { Finding } from "./finding.ts";
 import { type CheckedRun } from "./invariants.ts";
+import { cancelled, ranTogether, runsNamed, startedBefore } from "./jobOutcomes.ts";
 import type { Outcome, Scenario } from "./language.ts";
 import { recordedRuns, runningOfTeam } from "./runRecords.ts";
 import { isAnswered, TryEnd } from "./work.ts";
@@ -9,12 +11,6 @@
 /** Drain timeout of all processes of scenarios, in milliseconds. */
 const DRAIN_MILLISECONDS = 10_000;
 
-/** What was found for one outcome. */
-export interface Finding {
-    readonly reached: boolean;
-    readonly observed: string;
-}
-
 /** Waits for each outcome of the scenario; returns one line for each, and whether it was reached. */
 export async function findOutcomes(scenario: Scenario, run: CheckedRun): Promise<Finding[]> {
     const until = performance.now() + scenario["outcome-wait"];
@@ -37,6 +33,23 @@
     if ("served" in outcome) {
         return served(run, outcome.served.as, outcome.served["at-least"]);
     }
+    if ("cancelled" in outcome) {
+        return cancelled(run, outcome.cancelled);
+    }
+    if ("ran-together" in outcome) {
+        return ranTogether(run, outcome["ran-together"]);
+    }
+    if ("started" in outcome) {
+        return startedBefore(run, outcome.started.as, outcome.started["before-any-of"]);
+    }
+    if ("stopped" in outcome) {
+        const { as, "at-least": wanted } = outcome.stopped;
+        return atLeast(runsNamed(run, as).filter(({ stopped }) => stopped).length, wanted);
+    }
+    if ("throttled" in outcome) {
+        const { as, "at-least": wanted } = outcome.throttled;
+        return atLeast(runsNamed(run, as).filter(({ throttled }) => throttled).length, wanted);
+    }
     if ("never-ran" in outcome) {
         return neverRan(run, outcome["never-ran"]);
     }
--- a/packages/scenarios/src/runRecords.ts
+++ b/packages/scenarios/src/runRecords.ts
@@ -15,6 +15,9 @@
     readonly startedAt: number;
     readonly endedAt: number;
     readonly succeeded: boolean;
+    /** Whether the product ended the run before its time. */
+    readonly stopped: boolean;
+    readonly throttled: boolean;
 }
 
 /** All runs on all workers and executors of the cell. */
@@ -29,6 +32,8 @@
         startedAt: attempt.startedAt,
         endedAt: attempt.endedAt ?? Infinity,
         succeeded: attempt.end === "succeeded",
+        stopped: attempt.end === "stopped",
+        throttled: attempt.throttled,
     }));
     const requests = [...cell.executors].flatMap(([target, executor]) =>
         executor.record.runs.map((run): RecordedRun => ({
@@ -41,6 +46,8 @@
             startedAt: run.startedAt,
             endedAt: run.endedAt ?? Infinity,
             succeeded: run.endedAt !== undefined,
+            stopped: false,
+            throttled: false,
         }))
     );
     return [...tasks, ...requests];
--- a/packages/scenarios/src/scenarioRun.ts
+++ b/packages/scenarios/src/scenarioRun.ts
@@ -137,6 +137,9 @@
         else if ("requests" in step) {
             this.inBackground(this.callers.requests(step.requests));
         }
+        else if ("cancel" in step) {
+            this.inBackground(this.callers.cancel(step.cancel));
+        }
         else if ("probe" in step) {
             await this.callers.probe(this.entries(undefined), jobs.parse(step.probe));
         }
--- a/packages/stand-ins/src/workerRecord.ts
+++ b/packages/stand-ins/src/workerRecord.ts
@@ -26,6 +26,8 @@
     endedAt: number | undefined;
     /** How the run ended; `lost` when the worker restarted under it. */
     end: WorkerTaskState | "lost" | undefined;
+    /** Whether the worker was told to throttle the run. */
+    throttled: boolean;
 }
 
 /** A moment at which the running tasks of a worker exceeded its capacity. */
@@ -70,6 +72,7 @@
             startedAt: now,
             endedAt: undefined,
             end: undefined,
+            throttled: false,
         };
         this.attempts.push(record);
         const load = this.loads.get(worker) ?? { running: noResources, highest: noResources };
--- a/packages/stand-ins/src/workerSimulation.ts
+++ b/packages/stand-ins/src/workerSimulation.ts
@@ -179,6 +179,7 @@
         const run = this.runs.get(attemptKey(attempt));
         if (refusal === undefined && run !== undefined) {
             run.throttled = true;
+            run.record.throttled = true;
         }
         return refusal;
     }
