fix(peer): keep links until the calls on them have ended, in both directions

It closed the former link although calls of the peer were running on it; the peer had no link of its own, so the answer was lost, and the call waited for its deadline. Change: a link to a peer that is no longer chosen stays until no call runs in either direction; a process whose pending calls have no link left opens one; calls to a peer without any link for the silence limit end. At the end of the process links are closed by a closing handshake, since a reset can discard answers on their way. A new owner of a shard answers requests with shard_not_ready until it knows its executors; it said no_capacity before. Ruled out: the pool of executors (the record shows the request ran 495 ms) and the drain of the stopping processes (no stop was near).

--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -52,6 +52,44 @@
         expect((await first.call("b", append, message, 5_000)).isOk()).to.equal(true);
     });
 
+    it("answers a call whose link both ends stopped choosing while the call was running", async () => {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        const releases: (() => void)[] = [];
+        second.handle(append, async request => {
+            await new Promise<void>(resolve => void releases.push(resolve));
+            return ok(request);
+        });
+        // The calls go over the link that the second process opened.
+        link(second, "a", first.address);
+        await until(() => isLinked(first, "b"));
+        const calls = [first.call("b", append, message, 60_000), first.call("b", append, message, 60_000)];
+        await until(() => releases.length === 2);
+        second.setPeers([]);
+        releases.forEach(release => release());
+        for (const result of await Promise.all(calls)) {
+            expect(result.match(() => "ok", error => error.kind)).to.equal("ok");
+        }
+    });
+
+    it("opens a link for calls in flight when the peer has closed the only one", async () => {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        const relay = fixture.add(await TcpRelay.to(first.address));
+        const releases: (() => void)[] = [];
+        second.handle(append, async request => {
+            await new Promise<void>(resolve => void releases.push(resolve));
+            return ok(request);
+        });
+        link(second, "a", relay.address);
+        await until(() => isLinked(first, "b"));
+        const call = first.call("b", append, message, 60_000);
+        await until(() => releases.length === 1);
+        relay.retarget("127.0.0.1:1");
+        relay.breakOff();
+        await until(() => !isLinked(second, "a"));
+        releases.forEach(release => release());
+        expect((await call).match(() => "ok", error => error.kind)).to.equal("ok");
+    });
+
     it("does not replace a slow link that is still transferring a large message", async () => {
         const { first, second, relay } = await relayed();
         second.handle(append, request => Promise.resolve(ok({ ...request, bytes: request.bytes.slice(0, 1) })));
--- a/packages/peer/__tests__/tcpRelay.ts
+++ b/packages/peer/__tests__/tcpRelay.ts
@@ -55,8 +55,13 @@
         }
     }
 
-    async [Symbol.asyncDispose](): Promise<void> {
+    /** Closes the open connections. */
+    breakOff(): void {
         this.pairs.forEach(pair => pair.forEach(socket => socket.destroy()));
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.breakOff();
         this.server.close();
         await once(this.server, "close");
     }
--- a/packages/peer/src/callMemory.ts
+++ b/packages/peer/src/callMemory.ts
@@ -47,6 +47,8 @@
     private readonly answered = new Set<AnsweredCall>();
     private bytes = 0;
     private runningCalls = 0;
+    /** Calls that are not answered yet, by the node that sent them. */
+    private readonly runningByNode = new Map<string, number>();
     private bytesOfRunning = 0;
 
     constructor(timers: Timers, limits: CallMemoryLimits) {
@@ -59,6 +61,11 @@
         return this.runningCalls;
     }
 
+    /** Calls of one node that are not answered yet. */
+    runningOf(node: string): number {
+        return this.runningByNode.get(node) ?? 0;
+    }
+
     /** Request bytes of these calls. */
     get runningBytes(): number {
         return this.bytesOfRunning;
@@ -82,7 +89,7 @@
         const call: RememberedCall = { link, answer: undefined, answeredAt: 0, requestBytes: body.byteLength };
         caller.calls.set(id, call);
         caller.lastCallAt = this.timers.now();
-        this.runningCalls++;
+        this.countRunning(link.remote.node, 1);
         this.bytesOfRunning += body.byteLength;
         return call;
     }
@@ -93,7 +100,7 @@
         call.answer = answer;
         call.answeredAt = this.timers.now();
         caller.lastCallAt = call.answeredAt;
-        this.runningCalls--;
+        this.countRunning(call.link.remote.node, -1);
         this.bytesOfRunning -= call.requestBytes;
         this.bytes += answer.byteLength;
         this.answered.add({ caller, id, call });
@@ -126,6 +133,17 @@
         }
     }
 
+    private countRunning(node: string, change: number): void {
+        this.runningCalls += change;
+        const ofNode = this.runningOf(node) + change;
+        if (ofNode === 0) {
+            this.runningByNode.delete(node);
+        }
+        else {
+            this.runningByNode.set(node, ofNode);
+        }
+    }
+
     private caller(link: Link): Caller {
         const key = `${link.remote.node} ${link.remote.boot}`;
         let caller = this.callers.get(key);
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -1,13 +1,16 @@
 /**
  * One WebSocket with an inbox that its task reads from. Events of the socket only fill the inbox or end the link.
  */
-import type { Timers } from "@tanagerlink/timers";
+import { type Timers, withDeadline } from "@tanagerlink/timers";
 import type { Socket } from "node:net";
 import { type RawData, WebSocket } from "ws";
 import { FrameKind, type HelloFrame } from "./frames.ts";
 import type { CloseReason, PeerMetrics } from "./peerMetrics.ts";
 import { Pulse, type PulseLimits } from "./pulse.ts";
 
+/** Status of a closing frame when the endpoint goes away, from RFC 6455. */
+const GOING_AWAY = 1001;
+
 /** Who opened the link. */
 export type LinkDirection = "outgoing" | "incoming";
 
@@ -101,6 +104,19 @@
         this.reader = undefined;
     }
 
+    /**
+     * Ends the link after everything sent on it has arrived, which the peer confirms by its closing frame. A connection
+     * that is closed with unread data is reset, and a reset discards data that is still on its way to the peer.
+     */
+    async end(reason: CloseReason, timers: Timers, withinMilliseconds: number): Promise<void> {
+        if (this.open) {
+            const closed = new Promise<void>(resolve => this.socket.once("close", () => resolve()));
+            this.socket.close(GOING_AWAY);
+            await withDeadline(timers, withinMilliseconds, closed);
+        }
+        this.close(reason);
+    }
+
     private receiveMessage(data: RawData, isBinary: boolean): void {
         if (this.ended) {
             return;
--- a/packages/peer/src/peerSession.ts
+++ b/packages/peer/src/peerSession.ts
@@ -150,6 +150,13 @@
         this.resend();
     }
 
+    /** Whether no link has been open for the silence limit, or ever. */
+    isLost(): boolean {
+        const heardAt = this.heardAt;
+        return this.link === undefined
+            && (heardAt === undefined || this.timers.now() - heardAt > this.limits.silenceMilliseconds);
+    }
+
     /** Ends all calls, because the peer was removed or the network stops. */
     failAll(): void {
         for (const call of [...this.pending.values()]) {
--- a/packages/peer/src/webSocketPeerNetwork.ts
+++ b/packages/peer/src/webSocketPeerNetwork.ts
@@ -38,6 +38,9 @@
 const QUIET_MILLISECONDS = 100;
 const DRAIN_POLL_MILLISECONDS = 20;
 
+/** Longest wait for the closing frame of a peer when the network stops. */
+const CLOSING_MILLISECONDS = 250;
+
 /** Notice that the process with this boot identifier takes no further calls. */
 const leavingMethod: PeerMethod<{ boot: string; }, Record<string, never>> = {
     name: "peer/leaving",
@@ -117,8 +120,12 @@
     }
 
     private unsentBytes(): number {
-        const links = [...this.incoming, ...[...this.sessions.values()].flatMap(session => session.openLinks)];
-        return links.reduce((sum, link) => sum + link.bufferedBytes, 0);
+        return this.allLinks().reduce((sum, link) => sum + link.bufferedBytes, 0);
+    }
+
+    private allLinks(): Link[] {
+        const ofSessions = [...this.sessions.values()].flatMap(session => session.openLinks);
+        return [...new Set([...this.incoming, ...ofSessions])];
     }
 
     /** Starts a network. Errors: `invalid_settings` when the address cannot be listened on. */
@@ -197,7 +204,7 @@
     async [Symbol.asyncDispose](): Promise<void> {
         this.stopped = true;
         this.ticker?.[Symbol.dispose]();
-        this.incoming.forEach(link => link.close("stopped"));
+        await Promise.all(this.allLinks().map(link => link.end("stopped", this.timers, CLOSING_MILLISECONDS)));
         await Promise.all([...this.outgoing.values()].map(link => link[Symbol.asyncDispose]()));
         await this.server?.[Symbol.asyncDispose]();
         await Promise.all(this.tasks);
@@ -231,10 +238,16 @@
         session.wanted = true;
         session.peer = peer;
         const existing = this.outgoing.get(peer.id);
-        if (this.stopped || existing?.peer.address === peer.address) {
+        if (existing?.peer.address !== peer.address) {
+            this.retire(existing);
+            this.openLink(peer);
+        }
+    }
+
+    private openLink(peer: PeerAddress): void {
+        if (this.stopped) {
             return;
         }
-        this.retire(existing);
         this.outgoing.set(
             peer.id,
             new OutgoingLink(peer, {
@@ -247,13 +260,24 @@
         );
     }
 
-    /** Closes links to removed peers, once these have answered or their calls have ended. */
+    /**
+     * Closes links to peers that are no longer wanted, once the calls in both directions have ended. The choice of links
+     * also changes while peers live, so that a call may still need its link; where the peer has closed it, a link is
+     * opened for the rest of the call.
+     */
     private retireUnwanted(): void {
-        for (const [id, link] of this.outgoing) {
-            const session = this.sessions.get(id);
-            const mayAnswer = session !== undefined && session.pendingCalls > 0 && session.link !== undefined;
-            if (session?.wanted !== true && !mayAnswer) {
-                session?.failAll();
+        for (const [id, session] of this.sessions) {
+            if (session.wanted) {
+                continue;
+            }
+            if (session.isLost()) {
+                session.failAll();
+            }
+            const link = this.outgoing.get(id);
+            if (link === undefined && session.pendingCalls > 0 && session.link === undefined) {
+                this.openLink(session.peer);
+            }
+            else if (link !== undefined && session.pendingCalls === 0 && this.memory.runningOf(id) === 0) {
                 this.outgoing.delete(id);
                 this.retire(link);
             }
--- a/packages/scenarios/src/cell.ts
+++ b/packages/scenarios/src/cell.ts
@@ -45,6 +45,8 @@
 export class Cell implements AsyncDisposable {
     readonly platform: PlatformStandIn;
     readonly entries: EntryProcess[] = [];
+    /** All processes that were ever started, with their logs. */
+    readonly startedEntries: EntryProcess[] = [];
     readonly executors = new Map<string, ExecutorStandIn>();
     readonly relays = new CellRelays();
     workers!: WorkerStandIn;
@@ -98,6 +100,7 @@
             await this.relays.addCallerPath(entry);
         }
         this.entries.push(entry);
+        this.startedEntries.push(entry);
         this.publish();
         return entry;
     }
--- a/packages/scenarios/src/runScenario.ts
+++ b/packages/scenarios/src/runScenario.ts
@@ -2,6 +2,7 @@
 import { breachesOf } from "./invariants.ts";
 import type { Scenario } from "./language.ts";
 import { findOutcomes } from "./outcomes.ts";
+import { recordedRuns } from "./runRecords.ts";
 import { ScenarioRun } from "./scenarioRun.ts";
 
 /** Result of one run. */
@@ -13,8 +14,10 @@
     /** What was observed for each stated outcome. */
     readonly observed: readonly string[];
     readonly trace: string;
-    /** Last warnings of each process. */
-    readonly warnings: string;
+    /** Last log lines of each process that was started, by its identifier. */
+    readonly logs: ReadonlyMap<string, readonly string[]>;
+    /** What workers and executors recorded, one line for each run. */
+    readonly runs: readonly string[];
 }
 
 /** Runs the scenario. `command` starts the program. */
@@ -42,6 +45,7 @@
         missed,
         observed: findings.map(({ observed }) => observed),
         trace: run.trace.text(),
-        warnings: run.cell.entries.map(entry => `${entry.id}:\n${entry.log.slice(-20).join("\n")}`).join("\n"),
+        logs: new Map(run.cell.startedEntries.map(entry => [entry.id, entry.log])),
+        runs: recordedRuns(run.cell).map(each => JSON.stringify(each)),
     };
 }
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -323,7 +323,7 @@
 
 const noExecutors: ExecutorPool = {
     setExecutors: () => undefined,
-    dispatch: () => Promise.reject(new Error("no executors in this cell")),
+    dispatch: () => Promise.resolve(err(serviceError(ErrorKind.NoCapacity, "no executors in this cell"))),
     summaries: () => [],
     unknownUnits: () => 0,
     inheritedUnits: () => new Map(),
--- a/packages/scheduler/__tests__/takeover.spec.ts
+++ b/packages/scheduler/__tests__/takeover.spec.ts
@@ -1,7 +1,9 @@
 /** Owners that pause, die or hand over while their jobs run. */
+import { ErrorKind } from "@tanagerlink/errors";
 import { FailureDomainState, JobState } from "@tanagerlink/model";
 import { expect } from "chai";
 import fc from "fast-check";
+import { requestMethod } from "../src/peerMethods.ts";
 import { SchedulerCell, SHARD, size } from "./support/schedulerCell.ts";
 
 /** Lease, margin, polls and the confirmation window together. */
@@ -40,6 +42,24 @@
         );
     });
 
+    it("refuses no request for want of executors before a new owner knows them", async () => {
+        const cell = new SchedulerCell();
+        cell.table.faults.delayMilliseconds = 1_000;
+        const owner = cell.addProcess();
+        while (owner.ownership.owned().length === 0) {
+            await cell.timers.advance(100);
+        }
+        const request = { id: "r1", service: "records", team: "team", remainingMilliseconds: 10_000 };
+        const ask = async (): Promise<string> =>
+            (await owner.peers.call(owner.id, requestMethod, { shard: SHARD, request })).match(
+                () => "answered",
+                error => error.kind,
+            );
+        expect(await ask()).to.equal(ErrorKind.ShardNotReady);
+        await cell.timers.advance(10_000);
+        expect(await ask()).not.to.equal(ErrorKind.ShardNotReady);
+    });
+
     it("settles every job when an owner dies at any moment of the starts", async () => {
         await fc.assert(
             fc.asyncProperty(fc.integer({ min: 0, max: 150 }), fc.boolean(), async (moment, storeSlow) => {
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -170,6 +170,11 @@
             const message = `shard ${this.shard} is being handed over`;
             return Promise.resolve(err(serviceError(ErrorKind.NotOwner, message)));
         }
+        if (!this.loaded) {
+            // The pool learns its executors with the jobs; until then it would claim that there are none.
+            const message = `the new owner of shard ${this.shard} has not read its records yet`;
+            return Promise.resolve(err(serviceError(ErrorKind.ShardNotReady, message)));
+        }
         const deadline = this.dependencies.timers.now() + request.remainingMilliseconds;
         return this.unitWait.run(request.team, request.remainingMilliseconds, () => {
             const remainingMilliseconds = deadline - this.dependencies.timers.now();
--- a/scripts/proofs.ts
+++ b/scripts/proofs.ts
@@ -1,10 +1,11 @@
 /**
  * Runs the scenarios over many seeds: `npm run proofs -- --seeds 20`. Options: `--first` is the first seed, `--only`
- * a part of a scenario's name, `--trace` prints the trace of runs that held as well. Exits with 1 when a run missed an
- * outcome, also a known one.
+ * a part of a scenario's name, `--trace` prints the trace of runs that held as well, `--logs DIRECTORY` writes the logs of
+ * all processes and the records of all targets of runs that missed an outcome. Exits with 1 when a run missed an outcome,
+ * also a known one.
  */
-import { describeMiss, readScenarios, runScenarios } from "@tanagerlink/scenarios";
-import { mkdtemp, rm } from "node:fs/promises";
+import { describeMiss, readScenarios, runScenarios, type ScenarioResult } from "@tanagerlink/scenarios";
+import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { parseArgs } from "node:util";
@@ -16,6 +17,7 @@
         first: { type: "string", default: "1" },
         only: { type: "string", default: "" },
         trace: { type: "boolean", default: false },
+        logs: { type: "string" },
     },
 });
 
@@ -39,6 +41,9 @@
             if (!held || values.trace) {
                 console.log(describeMiss(run, result));
             }
+            if (!held && values.logs !== undefined) {
+                await writeLogs(join(values.logs, `${run.name}-${run.seed}`), result);
+            }
         }
     }
     finally {
@@ -49,4 +54,13 @@
     process.exitCode = missed === 0 ? 0 : 1;
 }
 
+async function writeLogs(directory: string, { logs, runs, trace }: ScenarioResult): Promise<void> {
+    await mkdir(directory, { recursive: true });
+    await writeFile(join(directory, "trace.txt"), trace);
+    await writeFile(join(directory, "runs.jsonl"), runs.join("\n"));
+    for (const [entry, lines] of logs) {
+        await writeFile(join(directory, `${entry}.jsonl`), lines.join("\n"));
+    }
+}
+
 await main();
