fix(jobs): withdraw records of requests that were never sent; delete stored answers with their rows

Cause: when the record of a non-idempotent request had an unknown outcome, the caller was told 'not run', which is true, but the row could stay, and repeats under the same key got outcome_unknown for ever. Pruning deleted rows and left their answers of more than 64 KiB in the object store. Change: the row is removed in the background while it still names that request; object stores can delete, and pruning deletes the body first. Before: both new tests fail (no withdrawal, 1 object left); after: they pass. Conclusion: repeats run, and the object store is bounded by the retention.

--- a/packages/jobs/__tests__/requestLedger.spec.ts
+++ b/packages/jobs/__tests__/requestLedger.spec.ts
@@ -41,6 +41,7 @@
             table: table.connect(timers, call => call.kind === "transact" ? faults.shift() : undefined),
             objects: {
                 put: (name, content) => Promise.resolve(ok(void objects.set(name, content))),
+                delete: name => Promise.resolve(ok(void objects.delete(name))),
                 get: name => Promise.resolve(ok(objects.get(name))),
             },
             nextTransactionId: () => `t${++transactions}`,
@@ -76,6 +77,24 @@
         expect(repeated.begin === "answered" && repeated.answer.body.byteLength).to.equal(100_000);
     });
 
+    it("deletes the body of an old answer with its row, so that the object store does not grow for ever", async () => {
+        const { table, objects, settle, first } = ledgers();
+        const begun = (await settle(first.begin(request("r1"), "key")))._unsafeUnwrap();
+        await settle(first.complete(begun as Fresh, request("r1"), answer("r1", 100_000)));
+        expect((await settle(first.prune(Number.MAX_SAFE_INTEGER)))._unsafeUnwrap()).to.equal(1);
+        expect([objects.size, table.rows.size]).to.deep.equal([0, 0]);
+    });
+
+    it("lets a repetition run after a request that was not sent, since its record had an unknown outcome", async () => {
+        const { faults, settle, first, other } = ledgers();
+        faults.push(...Array.from({ length: 40 }, () => ({ kind: "answerLost" }) as const));
+        const refused = await settle(first.begin(request("r1"), "key"));
+        expect(refused._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreUnavailable);
+        faults.length = 0;
+        await settle(Promise.resolve());
+        expect((await settle(other.begin(request("r2"), "key")))._unsafeUnwrap().begin).to.equal("fresh");
+    });
+
     it("refuses another request under the same key, and a request whose record can't be written", async () => {
         const { faults, settle, first } = ledgers();
         await settle(first.begin(request("r1"), "key"));
--- a/packages/jobs/src/requestLedger.ts
+++ b/packages/jobs/src/requestLedger.ts
@@ -5,7 +5,7 @@
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { ServiceAnswer, ServiceRequest } from "@tanagerlink/model";
 import type { ObjectStore, TableRow, TableService } from "@tanagerlink/platform";
-import type { Timers } from "@tanagerlink/timers";
+import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { createHash, randomUUID } from "node:crypto";
 import { RequestBegin, requestRowSchema, type RequestRowValue, type StoredAnswer, storedAnswer } from "./requestRow.ts";
@@ -24,6 +24,10 @@
     readonly nextTransactionId: () => string;
 }
 
+/** Period and number of tries to remove a row whose request was not sent, in milliseconds; they outlast a slow table. */
+const WITHDRAWAL_PERIOD_MILLISECONDS = 2_000;
+const WITHDRAWAL_TRIES = 30;
+
 /** A begun request. */
 export type RequestTicket =
     | { readonly begin: typeof RequestBegin.Fresh; readonly key: string; readonly version: number; }
@@ -72,6 +76,9 @@
         });
         if (answer.isErr()) {
             // The request itself was not sent, so the refusal is a true "not run" even when the row was written.
+            if (answer.error.kind === ErrorKind.StoreOutcomeUnknown) {
+                void this.withdraw(key, request.id);
+            }
             return err(serviceError(ErrorKind.StoreUnavailable, answer.error.message));
         }
         if (answer.value.committed) {
@@ -121,7 +128,10 @@
         return this.write(ticket, undefined);
     }
 
-    /** Deletes rows whose request was sent before `oldest` (wall clock). Returns how many were deleted. */
+    /**
+     * Deletes rows whose request was sent before `oldest` (wall clock), with the bodies of their answers. Returns how
+     * many were deleted.
+     */
     async prune(oldest: number): Promise<Result<number, ServiceError>> {
         let deleted = 0;
         let after: string | undefined;
@@ -138,12 +148,7 @@
                 (requestRowSchema.safeParse(row.value).data?.sentAt ?? oldest) < oldest
             );
             for (const row of old) {
-                const answer = await this.transactions.commit({
-                    id: this.nextTransactionId(),
-                    conditions: [],
-                    writes: [{ key: row.key, expectedVersion: row.version, value: undefined }],
-                });
-                deleted += answer.isOk() && answer.value.committed ? 1 : 0;
+                deleted += await this.remove(row) ? 1 : 0;
             }
             if (page.value.length < PRUNE_PAGE_ROWS) {
                 return ok(deleted);
@@ -152,8 +157,39 @@
         }
     }
 
+    /**
+     * Removes the row of a request that was not sent, should its write have taken effect or still do so. With the row left
+     * in place, repeats would be told that the outcome is unknown.
+     */
+    private async withdraw(key: string, requestId: string): Promise<void> {
+        for (let tries = 0; tries < WITHDRAWAL_TRIES; tries++) {
+            await sleep(this.timers, WITHDRAWAL_PERIOD_MILLISECONDS);
+            const row = await this.table.read(key);
+            const found = row.isOk() ? row.value : undefined;
+            const value = requestRowSchema.safeParse(found?.value).data;
+            if (found === undefined || value === undefined) {
+                continue;
+            }
+            if (value.requestId !== requestId || value.answer !== undefined) {
+                return;
+            }
+            if ((await this.write({ key, version: found.version }, undefined)).isOk()) {
+                return;
+            }
+        }
+    }
+
+    /** The object goes first: a row that stays is found by the next run, an object without its row is not. */
+    private async remove(row: TableRow): Promise<boolean> {
+        const object = requestRowSchema.safeParse(row.value).data?.answer?.object;
+        if (object !== undefined && (await this.objects.delete(object)).isErr()) {
+            return false;
+        }
+        return (await this.write({ key: row.key, version: row.version }, undefined)).isOk();
+    }
+
     private async write(
-        ticket: Extract<RequestTicket, { begin: "fresh"; }>,
+        ticket: Pick<Extract<RequestTicket, { begin: "fresh"; }>, "key" | "version">,
         value: RequestRowValue | undefined,
     ): Promise<Result<void, ServiceError>> {
         const answer = await this.transactions.commit({
--- a/packages/platform/src/httpObjectStore.ts
+++ b/packages/platform/src/httpObjectStore.ts
@@ -33,6 +33,13 @@
             : err(storeUnavailable(`read object ${name}`, describeExchange(exchange)));
     }
 
+    async delete(name: string): Promise<Result<void, ServiceError>> {
+        const exchange = await this.client.exchange("DELETE", objectPath(name));
+        return exchange.answered && (exchange.status === 200 || exchange.status === 404)
+            ? ok(undefined)
+            : err(storeUnavailable(`delete object ${name}`, describeExchange(exchange)));
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         await this.client[Symbol.asyncDispose]();
     }
--- a/packages/platform/src/httpPlatformClient.ts
+++ b/packages/platform/src/httpPlatformClient.ts
@@ -68,7 +68,7 @@
     }
 
     /** Sends one request and reads the whole answer. Never throws. */
-    async exchange(method: "GET" | "POST" | "PUT", path: string, body?: Uint8Array): Promise<HttpExchange> {
+    async exchange(method: "GET" | "POST" | "PUT" | "DELETE", path: string, body?: Uint8Array): Promise<HttpExchange> {
         if (this.pending >= MAXIMUM_PENDING_CALLS) {
             return { answered: false, sent: false, reason: "too many calls to the platform are pending" };
         }
--- a/packages/platform/src/memoryObjectStore.ts
+++ b/packages/platform/src/memoryObjectStore.ts
@@ -25,6 +25,10 @@
         return this.available().map(() => this.objects.get(name));
     }
 
+    async delete(name: string): Promise<Result<void, ServiceError>> {
+        return this.available().map(() => void this.objects.delete(name));
+    }
+
     private available(): Result<void, ServiceError> {
         return this.down
             ? err(serviceError(ErrorKind.StoreUnavailable, "The object store is down."))
--- a/packages/platform/src/objectStore.ts
+++ b/packages/platform/src/objectStore.ts
@@ -4,5 +4,7 @@
 /** The platform's object store. Objects are immutable under a name that is used once. */
 export interface ObjectStore {
     put(name: string, content: Uint8Array): Promise<Result<void, ServiceError>>;
+    /** Deletes an object; success when there is none. */
+    delete(name: string): Promise<Result<void, ServiceError>>;
     get(name: string): Promise<Result<Uint8Array | undefined, ServiceError>>;
 }
--- a/packages/stand-ins/src/platformRoutes.ts
+++ b/packages/stand-ins/src/platformRoutes.ts
@@ -72,6 +72,13 @@
             failure => failed(context, failure),
         );
     });
+    routes.delete(path, async context => {
+        counts.objectWrites++;
+        return (await objects.delete(context.req.param("name"))).match(
+            () => context.json({}),
+            failure => failed(context, failure),
+        );
+    });
     routes.get(path, async context => {
         counts.objectReads++;
         return (await objects.get(context.req.param("name"))).match(
@@ -82,7 +89,8 @@
 }
 
 async function injectFaults(parts: PlatformParts, context: Context<Environment>, next: Next): Promise<Response | void> {
-    const writes = context.req.path.endsWith(PlatformPath.TableTransact) || context.req.method === "PUT";
+    const writes = context.req.path.endsWith(PlatformPath.TableTransact) ||
+        ["PUT", "DELETE"].includes(context.req.method);
     const fate = await parts.faults.meet(callerOf(context.req.path), writes);
     if (fate === "silence") {
         return new Promise(() => {});
