feat(routing): metrics of tries, retries, shedding, unknown outcomes and ejections

Cause: routing counted these in the dump only, so an operator could not alert on them. Change: one counter by event for the process, shared by the pools of its shards; the dump uses the same names. Conclusion: complete for routing.

--- a/packages/benchmarks/src/requestPathBenchmark.ts
+++ b/packages/benchmarks/src/requestPathBenchmark.ts
@@ -7,7 +7,7 @@
  * Run with `node --import=tsx packages/benchmarks/src/requestPathBenchmark.ts`.
  */
 import type { ServiceRequest, VmRecord } from "@tanagerlink/model";
-import { type DispatchGate, type RoutingLimits, ServiceExecutorPool } from "@tanagerlink/routing";
+import { type DispatchGate, type RoutingCounters, type RoutingLimits, ServiceExecutorPool } from "@tanagerlink/routing";
 import { type ExecutorStandIn, startExecutorStandIn } from "@tanagerlink/stand-ins";
 import { HttpExecutorClientFactory } from "@tanagerlink/targets";
 import { sleep, SystemTimers } from "@tanagerlink/timers";
@@ -200,7 +200,7 @@
 }
 
 function countTries(pool: ServiceExecutorPool): number {
-    return (pool.describe() as { counters: { tries: number; }; }).counters.tries;
+    return (pool.describe() as { counters: RoutingCounters; }).counters.try;
 }
 
 async function offer(pool: ServiceExecutorPool, prefix: string): Promise<{ offered: number; good: number; }> {
--- a/packages/node/src/shardParts.ts
+++ b/packages/node/src/shardParts.ts
@@ -5,7 +5,7 @@
 import type { PolicySettings } from "@tanagerlink/model";
 import type { ShardOwnership } from "@tanagerlink/ownership";
 import { ShardPolicy } from "@tanagerlink/policy";
-import { ServiceExecutorPool } from "@tanagerlink/routing";
+import { type RoutingMetrics, ServiceExecutorPool } from "@tanagerlink/routing";
 import type { SchedulerMetrics, ShardDependencies } from "@tanagerlink/scheduler";
 import type { Settings } from "@tanagerlink/settings";
 import type { ExecutorClientFactory, WorkerClientFactory } from "@tanagerlink/targets";
@@ -39,6 +39,7 @@
     readonly timers: Timers;
     readonly logger: Logger;
     readonly metrics: SchedulerMetrics;
+    readonly routingMetrics: RoutingMetrics;
     readonly ownership: ShardOwnership;
     readonly ledger: GrantLedger;
     readonly jobs: JobStore;
@@ -69,6 +70,7 @@
                 timers,
                 clients: executorClients,
                 seed: randomInt(SEED_BOUND),
+                metrics: parts.routingMetrics,
             }),
         settings: {
             workerHeartbeatMilliseconds: settings.workerHeartbeatMilliseconds,
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -8,6 +8,7 @@
 import { Membership } from "@tanagerlink/membership";
 import { Rendezvous, TableShardOwnership } from "@tanagerlink/ownership";
 import { WebSocketPeerNetwork } from "@tanagerlink/peer";
+import { createRoutingMetrics } from "@tanagerlink/routing";
 import { createSchedulerMetrics, SchedulerService } from "@tanagerlink/scheduler";
 import type { Settings } from "@tanagerlink/settings";
 import { HttpExecutorClientFactory, HttpWorkerClientFactory } from "@tanagerlink/targets";
@@ -174,6 +175,7 @@
             timers,
             logger,
             metrics: createSchedulerMetrics(metrics),
+            routingMetrics: createRoutingMetrics(metrics),
             ownership,
             ledger,
             jobs,
--- a/packages/routing/__tests__/serviceExecutorPool.spec.ts
+++ b/packages/routing/__tests__/serviceExecutorPool.spec.ts
@@ -143,10 +143,10 @@
         }
         await bench.timers.advance(2_000);
         const { counters } = pool.describe() as Described;
-        const first = counters["tries"]! - counters["retries"]!;
+        const first = counters["try"]! - counters["retry"]!;
         expect(first).to.be.greaterThan(500);
         // 5 in reserve and 0.2 a second over the 8 s.
-        expect(counters["retries"]).to.be.within(first * 0.08, first * 0.1 + 5 + 2);
+        expect(counters["retry"]).to.be.within(first * 0.08, first * 0.1 + 5 + 2);
     });
 
     it("ejects slow and failing executors, at most 30 %, for growing periods", async () => {
--- a/packages/routing/src/executorPoolOptions.ts
+++ b/packages/routing/src/executorPoolOptions.ts
@@ -7,6 +7,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { DispatchGate } from "./executorPool.ts";
+import { PoolCounters, type RoutingMetrics } from "./routingMetrics.ts";
 
 /** Bounds and periods of routing. Durations are in milliseconds. */
 export interface RoutingLimits {
@@ -60,16 +61,7 @@
     /** Seed of all random choices. */
     readonly seed: number;
     readonly limits?: Partial<RoutingLimits>;
-}
-
-/** Counts of what the pool did, for the dump and for metrics. */
-export interface RoutingCounters {
-    tries: number;
-    retries: number;
-    retriesOverBudget: number;
-    shed: number;
-    unknownOutcomes: number;
-    ejections: number;
+    readonly metrics?: RoutingMetrics;
 }
 
 /** What the parts of one pool share. @internal */
@@ -83,7 +75,7 @@
     /** Uniform numbers from 0 (included) to 1 (excluded). */
     readonly random: () => number;
     readonly startedAt: number;
-    readonly counters: RoutingCounters;
+    readonly counters: PoolCounters;
     /** An executor has seen a higher epoch: another process owns the shard. */
     superseded: boolean;
     disposed: boolean;
@@ -101,7 +93,7 @@
         limits: { ...defaultRoutingLimits, ...options.limits },
         random: () => uniformFloat64(generator),
         startedAt: options.timers.now(),
-        counters: { tries: 0, retries: 0, retriesOverBudget: 0, shed: 0, unknownOutcomes: 0, ejections: 0 },
+        counters: new PoolCounters(options.metrics),
         superseded: false,
         disposed: false,
     };
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,11 +3,7 @@
  * shedding, retries within a budget and outlier ejection.
  */
 export * from "./executorPool.ts";
-export {
-    defaultRoutingLimits,
-    type ExecutorPoolOptions,
-    type RoutingCounters,
-    type RoutingLimits,
-} from "./executorPoolOptions.ts";
+export { defaultRoutingLimits, type ExecutorPoolOptions, type RoutingLimits } from "./executorPoolOptions.ts";
 export { RetryBudget } from "./retryBudget.ts";
+export { createRoutingMetrics, type RoutingCounters, RoutingEvent, type RoutingMetrics } from "./routingMetrics.ts";
 export { ServiceExecutorPool } from "./serviceExecutorPool.ts";
--- a/packages/routing/src/outlierEjection.ts
+++ b/packages/routing/src/outlierEjection.ts
@@ -4,6 +4,7 @@
  */
 import type { PoolContext } from "./executorPoolOptions.ts";
 import type { PooledExecutor } from "./pooledExecutor.ts";
+import { RoutingEvent } from "./routingMetrics.ts";
 
 /** A median of fewer executors than this says nothing about what is normal. */
 const MINIMUM_EXECUTORS = 3;
@@ -69,7 +70,7 @@
     executor.ejectedUntil = context.timers.now() + period;
     executor.health.reset();
     executor.latency.reset();
-    context.counters.ejections++;
+    context.counters.count(RoutingEvent.Ejection);
 }
 
 /** The period starts small again once an executor has stayed in use for the longest period. */
--- a/packages/routing/src/pooledService.ts
+++ b/packages/routing/src/pooledService.ts
@@ -11,6 +11,7 @@
 import type { PooledExecutor, SlotHold } from "./pooledExecutor.ts";
 import { RequestQueue, type Waiting } from "./requestQueue.ts";
 import { RetryBudget } from "./retryBudget.ts";
+import { RoutingEvent } from "./routingMetrics.ts";
 
 /** Factor on the mean request time when the time needed by a waiting request is estimated. */
 const LATENCY_ALLOWANCE = 1.25;
@@ -122,7 +123,7 @@
         if (waiter === undefined) {
             return;
         }
-        this.context.counters.shed++;
+        this.context.counters.count(RoutingEvent.Shed);
         const message = `The queue of service ${this.name} is full; requests of class ${waiter.workClass} are shed.`;
         waiter.settle(err(serviceError(ErrorKind.Overloaded, message, { service: this.name })));
     }
--- a/packages/routing/src/requestDispatch.ts
+++ b/packages/routing/src/requestDispatch.ts
@@ -13,6 +13,7 @@
 import type { PooledExecutor, SlotHold } from "./pooledExecutor.ts";
 import type { Dispatch, PooledService } from "./pooledService.ts";
 import { backoff } from "./retryBudget.ts";
+import { RoutingEvent } from "./routingMetrics.ts";
 
 const SERVER_ERROR_STATUS = 500;
 
@@ -136,7 +137,7 @@
     /** The caller gives up. The call goes on, since its late answer proves that the slot is free again. */
     private passedDeadline(hold: SlotHold, elapsed: number): ServiceError {
         this.mayHaveRun = true;
-        this.context.counters.unknownOutcomes++;
+        this.context.counters.count(RoutingEvent.UnknownOutcome);
         hold.executor.latency.add(elapsed, this.context.timers.now());
         this.keep(hold);
         const message = `Executor ${hold.executor.id} did not answer before the deadline; the request may have run.`;
@@ -145,12 +146,12 @@
 
     private count(): void {
         this.attempts++;
-        this.context.counters.tries++;
+        this.context.counters.count(RoutingEvent.Try);
         if (this.attempts === 1) {
             this.service.budget.earn();
         }
         else {
-            this.context.counters.retries++;
+            this.context.counters.count(RoutingEvent.Retry);
         }
     }
 
@@ -182,7 +183,9 @@
         dispatch.avoid.add(executor);
         if (error.kind === ErrorKind.OutcomeUnknown || error.kind === ErrorKind.Internal) {
             this.mayHaveRun = true;
-            context.counters.unknownOutcomes += hold.unknownSince === undefined ? 1 : 0;
+            if (hold.unknownSince === undefined) {
+                context.counters.count(RoutingEvent.UnknownOutcome);
+            }
             this.noteFailure(executor, elapsed);
             this.keep(hold);
             return error;
@@ -237,7 +240,7 @@
             return false;
         }
         if (!this.service.budget.take()) {
-            context.counters.retriesOverBudget++;
+            context.counters.count(RoutingEvent.RetryOverBudget);
             return false;
         }
         await sleep(context.timers, delay);
--- a/packages/routing/src/serviceExecutorPool.ts
+++ b/packages/routing/src/serviceExecutorPool.ts
@@ -121,7 +121,7 @@
             inFlight: this.inFlight(),
             unknownUnits: this.unknownUnits(),
             inheritedUnits: Object.fromEntries(this.inheritedUnits()),
-            counters: { ...counters },
+            counters: counters.describe(),
             services: [...this.services.values()].map(service => service.describe()),
         };
     }
