test(scenarios): let the hook after a filtered run wait for the runs that have begun only

Cause: mocha -g with one scenario failed in the after hook, which had 60 s for all runs. Change: the hook stops the pool and has the time of a test. Conclusion: single scenarios can be run by mocha.

--- a/packages/scenarios/__tests__/proofs.spec.ts
+++ b/packages/scenarios/__tests__/proofs.spec.ts
@@ -25,16 +25,21 @@
     const knownRed = existsSync(KNOWN_RED_FILE) ? readFileSync(KNOWN_RED_FILE, "utf8") : "";
     let folder = "";
     let runs: PlannedRun[] = [];
+    const stop = new AbortController();
 
     before(async () => {
         folder = await mkdtemp(join(tmpdir(), "tanagerlink-scenarios-"));
         const file = join(folder, "tanagerlink.cjs");
         const { bundle } = await import("../../../scripts/bundle.mjs");
         await bundle(file);
-        runs = runScenarios(scenarios, scenario => seedsOf(scenario), Promise.resolve([process.execPath, file]));
+        const command = Promise.resolve([process.execPath, file]);
+        runs = runScenarios(scenarios, scenario => seedsOf(scenario), command, stop.signal);
     });
 
-    after(async () => {
+    after(async function() {
+        // With --grep most runs were not waited for; the ones that have begun need their time to end.
+        this.timeout(TEST_MILLISECONDS);
+        stop.abort();
         await Promise.allSettled(runs.map(run => run.result));
         await rm(folder, { recursive: true, force: true });
     });
--- a/packages/scenarios/src/scenarioPool.ts
+++ b/packages/scenarios/src/scenarioPool.ts
@@ -34,11 +34,15 @@
     });
 }
 
-/** Plans every scenario with each of its seeds and starts the runs. `command` starts the program. */
+/**
+ * Plans every scenario with each of its seeds and starts the runs. `command` starts the program. After `stop` no further
+ * run begins; those that have not begun fail.
+ */
 export function runScenarios(
     scenarios: readonly NamedScenario[],
     seedsOf: (scenario: Scenario) => readonly number[],
     command: Promise<readonly string[]>,
+    stop?: AbortSignal,
 ): PlannedRun[] {
     const waiting: (() => void)[] = [];
     let running = 0;
@@ -48,6 +52,7 @@
         }
         running++;
         try {
+            stop?.throwIfAborted();
             return await runScenario(scenario, seed, await command);
         }
         finally {
