feat(ownership): adopt the shards of a lost failure domain

When all entry processes of a failure domain are lost, nobody could own its shards. After adoption-delay without a known live process the processes of other failure domains are candidates; the shard goes back by planned handover. Moves wait until the takeover is settled, and roster workers that the VM list lacks count as gone.

--- a/packages/cli/src/commands/operatorCommands.ts
+++ b/packages/cli/src/commands/operatorCommands.ts
@@ -14,6 +14,8 @@
         processes: z.int(),
         shardsReady: z.int(),
         shards: z.int(),
+        /** Shards that processes of other failure domains own, because all of this one's are lost. */
+        adopted: z.array(z.looseObject({ shard: z.string(), owner: z.string(), failureDomain: z.string() })).optional(),
         workers: z.int().optional(),
         queuedTasks: z.int(),
         freeProcessorMillis: z.number(),
@@ -79,6 +81,13 @@
             `${cores(domain.freeProcessorMillis)} of ${cores(domain.processorMillis)}`,
         ]),
     );
+    const adopted = status.failureDomains.flatMap(domain => domain.adopted ?? []);
+    const adoptions = adopted.length === 0 ? "" : `\n${
+        renderTable(
+            ["ADOPTED SHARD", "OWNER", "OF FAILURE DOMAIN"],
+            adopted.map(({ shard, owner, failureDomain }) => [shard, owner, failureDomain]),
+        )
+    }`;
     const sorted = status.teams.toSorted((left, right) => attention(right) - attention(left));
     const shown = all ? sorted : sorted.slice(0, TEAMS_SHOWN);
     const teams = renderTable(
@@ -98,7 +107,7 @@
         ["QUEUE", "CLASS", "ACCESS"],
         status.queues.map(queue => [queue.name, queue.workClass, queue.open ? "open" : "key"]),
     );
-    return heading + [failureDomains, teams + rest, queues].join("\n");
+    return heading + [failureDomains + adoptions, teams + rest, queues].join("\n");
 }
 
 /** Teams at their limit come first, then those with more waiting, then those further above their share. */
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -32,6 +32,8 @@
      * broken link is no reason for suspicion.
      */
     readonly suspectAfterMilliseconds?: number;
+    /** Processes of other failure domains to link to in any case, such as the owners of adopted shards. */
+    readonly wantedLinks?: () => ReadonlySet<string>;
 }
 
 const SUSPECT_AFTER_MILLISECONDS = 3_000;
@@ -90,7 +92,28 @@
             .filter(entry => !entry.leaving && entry.reachability !== Reachability.Unreachable);
     }
 
-    /** Processes to keep links to: all of the own failure domain, at most two in each other one. */
+    /**
+     * Whether the list names a live entry process of the failure domain or a link to one answers. A process that cannot
+     * be reached from here may still serve, so its silence alone is no loss. True while the list is older than the
+     * bound, since nothing is known then.
+     */
+    mayHaveLiveEntryProcess(failureDomain: string, maximumListAgeMilliseconds: number): boolean {
+        const age = this.listAgeMilliseconds();
+        if (age === undefined || age > maximumListAgeMilliseconds || this.list.size === 0) {
+            return true;
+        }
+        const links = new Map(this.options.network.links().map(link => [link.peer.id, link]));
+        return this.entryProcesses(failureDomain).some(({ id }) =>
+            this.list.get(id)?.state === VmState.Live || this.reachability.isHeard(links.get(id))
+        );
+    }
+
+    /** Whether the list has been read, so that a target that it lacks is gone. */
+    targetsKnown(): boolean {
+        return this.listReadAt !== undefined && this.list.size > 0;
+    }
+
+    /** Processes to keep links to: all of the own failure domain, at most two in each other one, and the wanted ones. */
     peersToLink(): readonly PeerAddress[] {
         return this.view.links.map(({ id, address, failureDomain }) => ({ id, address, failureDomain }));
     }
@@ -194,7 +217,14 @@
                 this.avoidUntil.set(entry.id, now + AVOID_MILLISECONDS);
             }
         }
-        const links = chooseLinks(this.options, entryProcesses, id => this.isAvoided(id, now), this.score);
+        const chosen = chooseLinks(this.options, entryProcesses, id => this.isAvoided(id, now), this.score);
+        const wanted = this.options.wantedLinks?.() ?? new Set<string>();
+        const links = [
+            ...chosen,
+            ...entryProcesses.filter(entry =>
+                wanted.has(entry.id) && entry.id !== this.options.id && !chosen.includes(entry)
+            ),
+        ];
         this.reachability.setWanted(new Set(links.map(link => link.id)), now);
         const previous = this.view;
         this.view = { entryProcesses, links };
--- a/packages/model/src/shard.ts
+++ b/packages/model/src/shard.ts
@@ -17,6 +17,8 @@
 export interface ShardSummary {
     readonly shard: ShardId;
     readonly owner: string;
+    /** Failure domain of the owner, when it is not the shard's own. */
+    readonly adoptedBy?: string | undefined;
     readonly epoch: number;
     readonly ready: boolean;
     readonly freeProcessorMillis: number;
--- a/packages/node/src/fleetStatus.ts
+++ b/packages/node/src/fleetStatus.ts
@@ -45,6 +45,9 @@
             processes: parts.membership.usableEntryProcesses(failureDomain.name).length,
             shards: shardsOfFailureDomain(failureDomain).length,
             shardsReady: known.filter(headline => headline.ready).length,
+            adopted: known.flatMap(({ shard, owner, adoptedBy }) =>
+                adoptedBy === undefined ? [] : [{ shard, owner, failureDomain: adoptedBy }]
+            ),
             queuedTasks: known.reduce((sum, headline) => sum + headline.queuedTasks, 0),
             freeProcessorMillis: known.reduce((sum, headline) => sum + headline.freeProcessorMillis, 0),
             processorMillis: known.reduce((sum, headline) => sum + headline.capacity.processorMillis, 0),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -90,10 +90,9 @@
     }
 
     private configurationChanged(snapshot: Parameters<SchedulerService["configurationChanged"]>[0]): void {
-        const { ownership, ledger, scheduler, settings, logger } = this.parts;
+        const { ownership, ledger, scheduler, logger } = this.parts;
         logger.info({ version: snapshot.version }, "configuration in force");
-        const failureDomain = snapshot.failureDomains[settings.failureDomain];
-        ownership.setShards(failureDomain === undefined ? [] : shardsOfFailureDomain(failureDomain));
+        ownership.setShards(Object.values(snapshot.failureDomains).flatMap(shardsOfFailureDomain));
         const limits = Object.values(snapshot.teams).map(team => [team.name, team.upperLimit] as const);
         ledger.setTeamLimits(Object.fromEntries(limits), snapshot.version);
         scheduler.configurationChanged(snapshot);
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -8,7 +8,7 @@
 import { Membership } from "@tanagerlink/membership";
 import { Rendezvous, TableShardOwnership } from "@tanagerlink/ownership";
 import { WebSocketPeerNetwork } from "@tanagerlink/peer";
-import { createSchedulerMetrics, SchedulerService } from "@tanagerlink/scheduler";
+import { createSchedulerMetrics, type FleetView, SchedulerService } from "@tanagerlink/scheduler";
 import type { Settings } from "@tanagerlink/settings";
 import { HttpExecutorClientFactory, HttpWorkerClientFactory } from "@tanagerlink/targets";
 import { createLogger, type Logger, Metrics } from "@tanagerlink/telemetry";
@@ -105,6 +105,12 @@
     readonly platform: PlatformAccess;
 }
 
+/** Their callers and the shards' own failure domain need a link to them. */
+function ownersOfAdoptedShards(fleet: FleetView): ReadonlySet<string> {
+    const adopted = fleet.headlines().filter(({ adoptedBy }) => adoptedBy !== undefined);
+    return new Set(adopted.map(({ owner }) => owner));
+}
+
 /** Connects the parts in the order of their dependencies. */
 async function buildParts(foundations: Foundations) {
     const { settings, timers, logger, metrics, peers, platform } = foundations;
@@ -128,6 +134,7 @@
         network: peers,
         timers,
         pollMilliseconds: settings.vmListPollMilliseconds,
+        wantedLinks: () => ownersOfAdoptedShards(scheduler.fleet),
     });
     const ownership = new TableShardOwnership({
         nodeId: settings.nodeId,
@@ -142,7 +149,12 @@
             margin: settings.shardLeaseMilliseconds / 6,
             confirmation: settings.confirmationWindowMilliseconds,
         },
-        liveMembers: () => membership.usableEntryProcesses(settings.failureDomain).map(entry => entry.id),
+        liveMembers: failureDomain => membership.usableEntryProcesses(failureDomain).map(entry => entry.id),
+        adoption: {
+            delayMilliseconds: settings.adoptionDelayMilliseconds,
+            mayHaveLiveProcess: failureDomain =>
+                membership.mayHaveLiveEntryProcess(failureDomain, settings.adoptionDelayMilliseconds),
+        },
         nextTransactionId,
     });
     const ledger = new TableGrantLedger({ timers, table, nextTransactionId, ...defaultGrantDurations });
@@ -160,14 +172,15 @@
         timers,
         maximumBodyBytes: settings.maximumBodyBytes,
     });
-    const scheduler = new SchedulerService({
+    const scheduler: SchedulerService = new SchedulerService({
         node: settings.nodeId,
         failureDomain: settings.failureDomain,
         peers,
         shardOfTarget: (target, shards) => rendezvous.shardOfTarget(target, shards),
         targets: {
-            workers: () => membership.workers(settings.failureDomain),
-            executors: () => membership.executors(settings.failureDomain),
+            known: () => membership.targetsKnown(),
+            workers: failureDomain => membership.workers(failureDomain),
+            executors: failureDomain => membership.executors(failureDomain),
         },
         dependencies: createShardDependencies({
             settings,
--- a/packages/ownership/src/ownershipOptions.ts
+++ b/packages/ownership/src/ownershipOptions.ts
@@ -1,6 +1,7 @@
 import type { ShardId } from "@tanagerlink/model";
 import type { TableService } from "@tanagerlink/platform";
 import type { Timers } from "@tanagerlink/timers";
+import type { AdoptionOptions } from "./adoptionRule.ts";
 import type { Rendezvous } from "./rendezvous.ts";
 
 /** Durations of the lease protocol in milliseconds. */
@@ -30,13 +31,16 @@
     /** Identifier of this process, unique over its restarts. */
     readonly nodeId: string;
     readonly failureDomain: string;
+    /** Shards of all failure domains, as configured. */
     readonly shards: readonly ShardId[];
     readonly timers: Timers;
     readonly table: TableService;
     readonly rendezvous: Rendezvous;
     readonly durations: OwnershipDurations;
-    /** Identifiers of the live entry processes of this failure domain; this process is always counted. */
-    readonly liveMembers: () => readonly string[];
+    /** Identifiers of the usable entry processes of a failure domain; this process is always counted in its own one. */
+    readonly liveMembers: (failureDomain: string) => readonly string[];
+    /** By default no shard of another failure domain is taken over. */
+    readonly adoption?: AdoptionOptions;
     /** A new identifier with each call, unique over the fleet. */
     readonly nextTransactionId: () => string;
 }
--- /dev/null
+++ b/packages/ownership/src/shardMembers.ts
@@ -0,0 +1,52 @@
+/** Which processes may own a shard, and which of them is preferred. */
+import { failureDomainOfShard, type ShardId } from "@tanagerlink/model";
+import type { OwnershipOptions } from "./ownershipOptions.ts";
+
+/** @internal */
+export class ShardMembers {
+    private readonly options: OwnershipOptions;
+    private readonly failureDomains: () => readonly string[];
+
+    /** `failureDomains` names those that have shards. */
+    constructor(options: OwnershipOptions, failureDomains: () => readonly string[]) {
+        this.options = options;
+        this.failureDomains = failureDomains;
+    }
+
+    isForeign(shard: ShardId): boolean {
+        return failureDomainOfShard(shard) !== this.options.failureDomain;
+    }
+
+    /** Processes that may own the shard: those of its failure domain, or without any of them those of all others. */
+    of(shard: ShardId): readonly string[] {
+        const { liveMembers, nodeId } = this.options;
+        const home = failureDomainOfShard(shard);
+        const members = liveMembers(home);
+        if (!this.isForeign(shard)) {
+            return [...new Set([...members, nodeId])];
+        }
+        if (members.length > 0) {
+            return members;
+        }
+        const others = this.failureDomains().filter(name => name !== home).flatMap(name => liveMembers(name));
+        return [...new Set([...others, nodeId])];
+    }
+
+    /** Position of this process in the rendezvous order of the shard. */
+    ownRank(shard: ShardId): number {
+        return this.options.rendezvous.rank(shard, this.of(shard)).indexOf(this.options.nodeId);
+    }
+
+    /** An adopted shard stays where it is until a process of its failure domain can take it. */
+    preferredOwner(shard: ShardId): string {
+        const { nodeId, rendezvous, liveMembers } = this.options;
+        const adopted = this.isForeign(shard) && liveMembers(failureDomainOfShard(shard)).length === 0;
+        return adopted ? nodeId : rendezvous.preferred(shard, this.of(shard)) ?? nodeId;
+    }
+
+    /** Process to which a shard goes when this one stops. */
+    successor(shard: ShardId): string | undefined {
+        const { nodeId, rendezvous } = this.options;
+        return rendezvous.preferred(shard, this.of(shard).filter(member => member !== nodeId));
+    }
+}
--- a/packages/ownership/src/tableShardOwnership.ts
+++ b/packages/ownership/src/tableShardOwnership.ts
@@ -1,16 +1,18 @@
 /**
- * Ownership of the shards of one failure domain by leases in the platform's table. Two periodic tasks run: a poll that
- * reads all shard rows of the domain, acquires and hands over, and a renewal of all held leases. Between them the state
- * is in memory, so that `mayStart` costs no call.
+ * Ownership of the shards of one failure domain by leases in the platform's table, and of shards of other failure
+ * domains while all of their processes are lost. Two periodic tasks run: a poll that reads the shard rows, acquires and
+ * hands over, and a renewal of all held leases. Between them the state is in memory, so that `mayStart` costs no call.
  */
-import type { ShardId } from "@tanagerlink/model";
+import { failureDomainOfShard, type ShardId } from "@tanagerlink/model";
 import { type Subscription, withDeadline } from "@tanagerlink/timers";
 import { acquisitionDelay, pollPeriod } from "./acquisitionRule.ts";
+import { AdoptionRule } from "./adoptionRule.ts";
 import { HandoverRule } from "./handoverRule.ts";
 import type { HeldShard } from "./heldShard.ts";
 import { LeaseWriter } from "./leaseWriter.ts";
 import type { OwnershipOptions } from "./ownershipOptions.ts";
 import { type RowObservation, ShardDirectory } from "./shardDirectory.ts";
+import { ShardMembers } from "./shardMembers.ts";
 import type { OwnedShard, OwnershipListener, ShardOwner, ShardOwnership } from "./shardOwnership.ts";
 import { shardOfKey, shardPrefix } from "./shardRow.ts";
 
@@ -22,6 +24,8 @@
     private readonly directory = new ShardDirectory();
     private readonly writer: LeaseWriter;
     private readonly handovers: HandoverRule;
+    private readonly adoption: AdoptionRule;
+    private readonly members: ShardMembers;
     private readonly held = new Map<ShardId, HeldShard>();
     private readonly subscriptions: Subscription[] = [];
     private shards: readonly ShardId[];
@@ -35,9 +39,11 @@
         this.shards = options.shards;
         this.writer = new LeaseWriter(options, this.directory);
         this.handovers = new HandoverRule(options.nodeId, options.durations);
+        this.adoption = new AdoptionRule(options.adoption);
+        this.members = new ShardMembers(options, () => [...new Set(this.shards.map(failureDomainOfShard))]);
     }
 
-    /** Shards to compete for, after a configuration change. Shards held already are kept. */
+    /** Shards of all failure domains, after a configuration change. Shards held already are kept. */
     setShards(shards: readonly ShardId[]): void {
         this.shards = shards;
     }
@@ -112,10 +118,9 @@
     async releaseAll(withinMilliseconds: number): Promise<void> {
         this.acquiring = false;
         const deadline = this.options.timers.now() + withinMilliseconds;
-        await Promise.all([...this.held.values()].map(held => {
-            const others = this.members().filter(member => member !== this.options.nodeId);
-            return this.handOver(held, this.options.rendezvous.preferred(held.shard, others), deadline);
-        }));
+        await Promise.all(
+            [...this.held.values()].map(held => this.handOver(held, this.members.successor(held.shard), deadline)),
+        );
     }
 
     /** Stops all periodic work and makes one attempt to release what is still held. */
@@ -153,20 +158,32 @@
         }
     }
 
-    /** Returns whether the rows were read. */
+    /** Returns whether the rows of the own failure domain were read. */
     private async readRows(): Promise<boolean> {
-        const { table, failureDomain, timers, durations } = this.options;
+        const { failureDomain, timers } = this.options;
+        const others = new Set(this.shards.map(failureDomainOfShard).filter(name => name !== failureDomain));
+        this.adoption.update(others, timers.now());
+        const held = new Set([...this.held.keys()].map(failureDomainOfShard));
+        const watched = [...others].filter(name => held.has(name) || this.adoption.isSuspected(name));
+        const [own] = await Promise.all([failureDomain, ...watched].map(name => this.readRowsOf(name)));
+        return own === true;
+    }
+
+    private async readRowsOf(failureDomain: string): Promise<boolean> {
+        const { table, timers, durations } = this.options;
         const request = { prefix: shardPrefix(failureDomain), limit: MAXIMUM_SHARDS };
         const answer = await withDeadline(timers, durations.lease, table.readRange(request));
         if (answer === undefined || answer.isErr()) {
             return false;
         }
         const rows = new Map(answer.value.map(row => [shardOfKey(row.key), row]));
-        for (const shard of new Set([...this.shards, ...rows.keys()])) {
+        const known = this.shards.filter(shard => failureDomainOfShard(shard) === failureDomain);
+        for (const shard of new Set([...known, ...rows.keys()])) {
             this.directory.observe(shard, rows.get(shard), timers.now());
         }
         for (const held of this.held.values()) {
-            if (!this.writer.reconcile(held, rows.get(held.shard))) {
+            const concerned = failureDomainOfShard(held.shard) === failureDomain;
+            if (concerned && !this.writer.reconcile(held, rows.get(held.shard))) {
                 this.lose(held);
             }
         }
@@ -198,17 +215,23 @@
     }
 
     private isDue(shard: ShardId, observation: RowObservation): boolean {
-        const { timers, durations, nodeId, rendezvous } = this.options;
-        const rank = rendezvous.rank(shard, this.members()).indexOf(nodeId);
-        const delay = acquisitionDelay(observation, { nodeId, rank }, durations);
+        const { timers, durations, nodeId } = this.options;
+        if (this.members.isForeign(shard) && !this.mayAdopt(shard, observation)) {
+            return false;
+        }
+        const delay = acquisitionDelay(observation, { nodeId, rank: this.members.ownRank(shard) }, durations);
         return delay !== undefined && timers.now() >= observation.since + delay;
     }
 
+    /** A shard without a row never had an owner and has no jobs; it waits for the processes of its failure domain. */
+    private mayAdopt(shard: ShardId, observation: RowObservation): boolean {
+        return observation.version > 0 && this.adoption.isLost(failureDomainOfShard(shard), this.options.timers.now());
+    }
+
     private async handOverOne(): Promise<void> {
-        const { timers, rendezvous, nodeId, durations } = this.options;
-        const members = this.members();
+        const { timers, durations } = this.options;
         const owned = [...this.held.values()].filter(held => !held.releasing).map(held => held.shard);
-        const preferred = (shard: ShardId): string => rendezvous.preferred(shard, members) ?? nodeId;
+        const preferred = (shard: ShardId): string => this.members.preferredOwner(shard);
         const handover = this.acquiring ? this.handovers.choose(owned, preferred, timers.now()) : undefined;
         const held = handover === undefined ? undefined : this.held.get(handover.shard);
         if (held !== undefined) {
@@ -253,10 +276,6 @@
         const held = this.held.get(shard);
         return held?.epoch === epoch ? held : undefined;
     }
-
-    private members(): readonly string[] {
-        return [...new Set([...this.options.liveMembers(), this.options.nodeId])];
-    }
 }
 
 function describe(held: HeldShard): OwnedShard {
--- a/packages/scenarios/src/cellStatus.ts
+++ b/packages/scenarios/src/cellStatus.ts
@@ -4,19 +4,41 @@
 import { OPERATOR_TOKEN } from "./cell.ts";
 import type { EntryProcess } from "./entryProcess.ts";
 
-const statusSchema = z.looseObject({ failureDomains: z.array(z.looseObject({ shardsReady: z.int() })) });
+const statusSchema = z.looseObject({
+    failureDomains: z.array(z.looseObject({
+        name: z.string(),
+        shardsReady: z.int(),
+        adopted: z.array(z.looseObject({ shard: z.string() })).default([]),
+    })),
+});
+type Status = z.infer<typeof statusSchema>;
 
 /** Number of shards that the process knows to be ready; 0 when it does not answer. */
 export async function readyShards(entry: EntryProcess): Promise<number> {
+    const status = await readStatus(entry);
+    return status?.failureDomains.reduce((sum, { shardsReady }) => sum + shardsReady, 0) ?? 0;
+}
+
+/** Ready shards of a failure domain that the process knows as adopted, and all ready ones. */
+export async function adoptedShards(
+    entry: EntryProcess,
+    failureDomain: string,
+): Promise<{ readonly adopted: number; readonly ready: number; } | undefined> {
+    const status = await readStatus(entry);
+    const found = status?.failureDomains.find(({ name }) => name === failureDomain);
+    return found === undefined ? undefined : { adopted: found.adopted.length, ready: found.shardsReady };
+}
+
+/** Status as the process sees it; `undefined` when it does not answer. */
+async function readStatus(entry: EntryProcess): Promise<Status | undefined> {
     try {
         const response = await request(`${entry.url}/operator/status`, {
             headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
             reset: true,
         });
-        const status = statusSchema.parse(await response.body.json());
-        return status.failureDomains.reduce((sum, { shardsReady }) => sum + shardsReady, 0);
+        return statusSchema.parse(await response.body.json());
     }
     catch {
-        return 0;
+        return undefined;
     }
 }
--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -117,6 +117,10 @@
     z.strictObject({
         leaving: z.strictObject({ role: z.enum(["worker", "executor"]), count: count.default(1), in: name.optional() }),
     }),
+    /** VMs fail for good: they answer nothing any more, and the platform's list no longer names them. */
+    z.strictObject({ lose: z.strictObject({ workers: z.union([count, z.literal("all")]), in: name }) }),
+    /** Waits until each entry process knows this number of shards of the failure domain as adopted. */
+    z.strictObject({ adopted: z.strictObject({ in: name, shards: z.int().min(0), within: milliseconds }) }),
     z.strictObject({ operator }),
     z.strictObject({ race: z.array(operator).min(2) }),
     z.strictObject({ "half-written": z.strictObject({ via: name.optional() }) }),
--- a/packages/scenarios/src/outcomes.ts
+++ b/packages/scenarios/src/outcomes.ts
@@ -23,6 +23,7 @@
         }
         findings.push({ ...finding, observed: `${JSON.stringify(outcome)}: ${finding.observed}` });
     }
+    findings.push(...run.facts.unreached.map(observed => ({ reached: false, observed: `not reached: ${observed}` })));
     return findings;
 }
 
--- a/packages/scenarios/src/scenarioRun.ts
+++ b/packages/scenarios/src/scenarioRun.ts
@@ -2,7 +2,7 @@
 import { Callers, pause } from "./callers.ts";
 import { Cell } from "./cell.ts";
 import { CellConfiguration } from "./cellConfiguration.ts";
-import { readyShards } from "./cellStatus.ts";
+import { adoptedShards, readyShards } from "./cellStatus.ts";
 import type { EntryProcess } from "./entryProcess.ts";
 import { Facts } from "./facts.ts";
 import { jobs, type ProcessesStep, type Scenario, type Step, type TargetStep } from "./language.ts";
@@ -19,6 +19,12 @@
 /** Time after SIGTERM in which the balancer still sends calls to a process, in milliseconds. */
 const BALANCER_MILLISECONDS = 500;
 
+/** Shards of each failure domain of a cell, the default of the configuration. */
+const SHARDS_PER_DOMAIN = 2;
+
+/** Period of asking for adopted shards, in milliseconds. */
+const ADOPTION_LOOK_MILLISECONDS = 100;
+
 /** Settings with short leases, so that takeovers take seconds. */
 const SHORT_SETTINGS: Readonly<Record<string, string>> = {
     "shard-lease-milliseconds": "1500",
@@ -149,6 +155,9 @@
         else if ("settle" in step) {
             await this.settle(step.settle);
         }
+        else if ("adopted" in step) {
+            await this.waitForAdoption(step.adopted);
+        }
         else {
             await this.disturb(step);
         }
@@ -231,6 +240,9 @@
         else if ("leaving" in step) {
             this.leave(step.leaving);
         }
+        else if ("lose" in step) {
+            this.lose(step.lose);
+        }
     }
 
     private disturbTargets(
@@ -270,6 +282,39 @@
         }
     }
 
+    private lose(step: { readonly workers: number | "all"; readonly in: string; }): void {
+        const members = this.cell.workersOf(step.in);
+        for (const id of this.random.some(members, step.workers === "all" ? members.length : step.workers)) {
+            this.trace.note(`${id} is lost`);
+            setWorkerFault(this.cell.workers.worker(id), "unreachable", true);
+            this.cell.changeTarget(id, undefined);
+        }
+    }
+
+    private async waitForAdoption(
+        step: { readonly in: string; readonly shards: number; readonly within: number; },
+    ): Promise<void> {
+        const began = performance.now();
+        for (;;) {
+            const known = await Promise.all(this.entries(undefined).map(entry => adoptedShards(entry, step.in)));
+            const milliseconds = Math.round(performance.now() - began);
+            // All shards have to be ready as well, which tells an adoption that ended from a shard without an owner.
+            if (known.every(each => each?.adopted === step.shards && each.ready === SHARDS_PER_DOMAIN)) {
+                this.trace.note(`${step.shards} shards of ${step.in} are adopted, ${milliseconds} ms later`);
+                return;
+            }
+            if (milliseconds > step.within) {
+                this.facts.unreached.push(
+                    `${step.shards} adopted shards of ${step.in} within ${step.within} ms; last seen: ${
+                        JSON.stringify(known)
+                    }`,
+                );
+                return;
+            }
+            await pause(ADOPTION_LOOK_MILLISECONDS);
+        }
+    }
+
     private async kill(entry: EntryProcess): Promise<void> {
         this.trace.note(`${entry.id} is killed`);
         this.gone.add(entry.id);
@@ -314,7 +359,7 @@
 
     private async isReady(): Promise<boolean> {
         const ready = await Promise.all(this.cell.entries.map(entry => readyShards(entry)));
-        const wanted = this.scenario.cell.domains.length * 2;
+        const wanted = this.scenario.cell.domains.length * SHARDS_PER_DOMAIN;
         return ready.every(shards => shards >= wanted);
     }
 
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -168,6 +168,7 @@
             failureDomain: "north",
             peers: peers as unknown as PeerNetwork,
             targets: {
+                known: () => this.vms.length > 0,
                 workers: () => this.vms.filter(({ id: worker }) => worker !== this.hidden),
                 executors: () => [],
             },
--- a/packages/scheduler/src/jobMoves.ts
+++ b/packages/scheduler/src/jobMoves.ts
@@ -53,8 +53,10 @@
     }
 
     private moveWaiting(): void {
-        const { moveTarget, timers } = this.context.dependencies;
-        if (moveTarget === undefined || this.context.policy.waitingTaskCount() === 0) {
+        const { moveTarget, timers, ownership } = this.context.dependencies;
+        // Until the takeover is settled a former owner may still start the jobs.
+        const settled = ownership.mayStart(this.context.shard, this.context.epoch);
+        if (moveTarget === undefined || !settled || this.context.policy.waitingTaskCount() === 0) {
             return;
         }
         const out = this.failureDomainOut() || this.hasNoWorker();
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -5,6 +5,7 @@
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import {
     type ConfigurationSnapshot,
+    failureDomainOfShard,
     type JobRecord,
     type ServiceAnswer,
     type ServiceRequest,
@@ -24,7 +25,7 @@
 import { RequestRouter } from "./requestRouter.ts";
 import { ShardAccess } from "./shardAccess.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
-import { ShardScheduler } from "./shardScheduler.ts";
+import { ShardScheduler, type ShardTargets } from "./shardScheduler.ts";
 import { jobIdentifier, type JobStatus, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
 import { headlineOf, SummaryFeed, type SummaryPayload } from "./summaryPayload.ts";
 
@@ -34,10 +35,12 @@
 /** Period of taking over the fleet's usage into the policies, in milliseconds. */
 const FLEET_USAGE_MILLISECONDS = 1_000;
 
-/** Targets of this failure domain as membership knows them. */
+/** Targets of a failure domain as membership knows them. */
 export interface TargetView {
-    workers(): readonly VmRecord[];
-    executors(): readonly VmRecord[];
+    /** Whether the VM list has been read, so that a target that it lacks is gone. */
+    known(): boolean;
+    workers(failureDomain: string): readonly VmRecord[];
+    executors(failureDomain: string): readonly VmRecord[];
 }
 
 /** What the service is built from. */
@@ -102,13 +105,19 @@
 
     acquired(owned: OwnedShard): void {
         const { logger } = this.options.dependencies;
-        logger.info({ shard: owned.shard, epoch: owned.epoch }, "shard acquired");
+        const { node, failureDomain } = this.options;
+        const adopted = failureDomainOfShard(owned.shard) !== failureDomain;
+        logger.info(
+            { shard: owned.shard, epoch: owned.epoch, workers: owned.roster.length },
+            adopted ? "shard of a lost failure domain adopted" : "shard acquired",
+        );
         const scheduler = new ShardScheduler(owned.shard, owned.epoch, {
             ...this.options.dependencies,
             moveTarget: (record, leave) => this.jobRouter.moveTarget(record, leave),
+            ...(adopted ? { adopter: { node, failureDomain } } : {}),
         });
         this.shards.set(owned.shard, scheduler);
-        const begin = (): void => scheduler.start(...this.targetsOf(owned.shard), owned.roster);
+        const begin = (): void => scheduler.start(this.targetsOf(owned.shard), owned.roster);
         // The former scheduler of the shard closes its grants and job records by the name of the shard.
         const closing = this.closingShards.get(owned.shard);
         if (closing === undefined) {
@@ -147,7 +156,10 @@
     /** Takes over a new list of workers and executors. */
     targetsChanged(): void {
         for (const scheduler of this.shards.values()) {
-            scheduler.setTargets(...this.targetsOf(scheduler.shard));
+            const targets = this.targetsOf(scheduler.shard);
+            if (targets !== undefined) {
+                scheduler.setTargets(targets);
+            }
         }
     }
 
@@ -249,15 +261,20 @@
         await Promise.all([...closing, ...this.closingShards.values()]);
     }
 
-    private targetsOf(shard: string): [workers: VmRecord[], executors: VmRecord[]] {
-        const { targets, dependencies, failureDomain, shardOfTarget } = this.options;
+    /** `undefined` while it isn't known which targets there are. */
+    private targetsOf(shard: string): ShardTargets | undefined {
+        const { targets, dependencies, shardOfTarget } = this.options;
+        const failureDomain = failureDomainOfShard(shard);
         const configuration = dependencies.configuration()?.failureDomains[failureDomain];
-        if (configuration === undefined) {
-            return [[], []];
+        if (configuration === undefined || !targets.known()) {
+            return undefined;
         }
         const shards = shardsOfFailureDomain(configuration);
         const belongs = (vm: VmRecord): boolean => shardOfTarget(vm.id, shards) === shard;
-        return [targets.workers().filter(belongs), targets.executors().filter(belongs)];
+        return {
+            workers: targets.workers(failureDomain).filter(belongs),
+            executors: targets.executors(failureDomain).filter(belongs),
+        };
     }
 
     private spreadFleetUsage(): void {
--- a/packages/scheduler/src/shardDependencies.ts
+++ b/packages/scheduler/src/shardDependencies.ts
@@ -28,6 +28,12 @@
     readonly maximumConfigurationAgeMilliseconds: number;
 }
 
+/** The process that owns a shard of a lost failure domain. */
+export interface ShardAdopter {
+    readonly node: string;
+    readonly failureDomain: string;
+}
+
 /** Parts that all shards of a process share, and those made for one shard. */
 export interface ShardDependencies {
     readonly timers: Timers;
@@ -42,6 +48,8 @@
     readonly configurationAgeMilliseconds: () => number;
     /** Shard that could run a waiting job now; with `leave`, any other shard of an active failure domain. */
     readonly moveTarget?: (record: JobRecord, leave: boolean) => string | undefined;
+    /** Set for a shard of another failure domain. */
+    readonly adopter?: ShardAdopter;
     readonly createPolicy: () => SchedulingPolicy;
     readonly createExecutorPool: (shard: string, epoch: number, gate: DispatchGate) => ExecutorPool;
 }
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -48,6 +48,12 @@
 /** Pause between attempts to read the jobs of a shard, in milliseconds. */
 const LOAD_RETRY_MILLISECONDS = 500;
 
+/** Targets of one shard in the VM list. */
+export interface ShardTargets {
+    readonly workers: readonly VmRecord[];
+    readonly executors: readonly VmRecord[];
+}
+
 /** One owned shard. */
 export class ShardScheduler implements AsyncDisposable {
     readonly shard: string;
@@ -67,6 +73,7 @@
     private readonly subscriptions: Disposable[] = [];
     private loaded = false;
     private handingOver = false;
+    private pendingTargets: ShardTargets | undefined;
     private loading: Promise<void> = Promise.resolve();
 
     constructor(shard: string, epoch: number, dependencies: ShardDependencies) {
@@ -109,12 +116,13 @@
     }
 
     /**
-     * Reads the jobs, begins to talk to the workers, opens the grants and schedules. `storedRoster` are the
-     * workers on which the former owner may have started tasks.
+     * Reads the jobs, begins to talk to the workers, opens the grants and schedules. `targets` is `undefined` while the
+     * VM list is unknown. `storedRoster` are the workers on which the former owner may have started tasks.
      */
-    start(workers: readonly VmRecord[], executors: readonly VmRecord[], storedRoster: readonly string[] = []): void {
+    start(targets: ShardTargets | undefined, storedRoster: readonly string[] = []): void {
         this.workers.setStoredRoster(storedRoster);
-        this.loading = this.run(workers, executors);
+        this.pendingTargets ??= targets;
+        this.loading = this.run();
     }
 
     /** Whether the shard takes jobs. */
@@ -122,14 +130,13 @@
         return this.loaded && !this.handingOver && !this.closing.signal.aborted;
     }
 
-    setTargets(workers: readonly VmRecord[], executors: readonly VmRecord[]): void {
-        this.pendingTargets = { workers, executors };
+    setTargets(targets: ShardTargets): void {
+        this.pendingTargets = targets;
         if (this.loaded) {
-            this.workers.setWorkers(workers);
-            this.executors.setExecutors(executors);
+            this.workers.setWorkers(targets.workers);
+            this.executors.setExecutors(targets.executors);
         }
     }
-    private pendingTargets: { workers: readonly VmRecord[]; executors: readonly VmRecord[]; } | undefined;
 
     configurationChanged(configuration: ConfigurationSnapshot): void {
         this.context.policy.setSettings(configuration.policy);
@@ -214,8 +221,7 @@
         await this.dependencies.jobs.close(this.shard, CLOSE_JOBS_MILLISECONDS);
     }
 
-    private async run(workers: readonly VmRecord[], executors: readonly VmRecord[]): Promise<void> {
-        this.pendingTargets ??= { workers, executors };
+    private async run(): Promise<void> {
         const records = await this.load();
         if (records === undefined) {
             return;
@@ -234,7 +240,9 @@
         if (configuration !== undefined) {
             this.configurationChanged(configuration);
         }
-        this.setTargets(this.pendingTargets.workers, this.pendingTargets.executors);
+        if (this.pendingTargets !== undefined) {
+            this.setTargets(this.pendingTargets);
+        }
         this.subscriptions.push(
             new JobMoves(this.context, this.lifecycle),
             timers.every(SWEEP_MILLISECONDS, () => this.sweep()),
--- a/packages/scheduler/src/shardStatistics.ts
+++ b/packages/scheduler/src/shardStatistics.ts
@@ -46,9 +46,11 @@
     summary(owner: string, ready: boolean): ShardSummary {
         const free = this.context.policy.freeResources();
         const largest = this.context.policy.largestWorker();
+        const { adopter } = this.context.dependencies;
         return {
             shard: this.context.shard,
             owner,
+            ...(adopter === undefined ? {} : { adoptedBy: adopter.failureDomain }),
             epoch: this.context.epoch,
             ready,
             freeProcessorMillis: free.processorMillis,
--- a/packages/scheduler/src/summaryPayload.ts
+++ b/packages/scheduler/src/summaryPayload.ts
@@ -1,6 +1,7 @@
 /**
  * Summaries of shards in heartbeats. Each heartbeat carries the headlines of the sender's own shards, and in rotation
- * a few headlines and team entries of its failure domain, so that its size does not grow with the fleet.
+ * a few headlines of shards that its failure domain has or has adopted, and team entries, so that its size does not grow
+ * with the fleet.
  */
 import { failureDomainOfShard, resourcesSchema, type ShardSummary, type TeamSummary } from "@tanagerlink/model";
 import { z } from "zod";
@@ -21,6 +22,8 @@
 const headlineSchema = z.strictObject({
     shard: z.string(),
     owner: z.string(),
+    /** Failure domain of the owner, when it is not the shard's own. */
+    adoptedBy: z.string().optional(),
     epoch: z.number(),
     ready: z.boolean(),
     freeProcessorMillis: z.number(),
@@ -90,7 +93,8 @@
     payload(own: readonly ShardSummary[], known: readonly ShardHeadline[]): SummaryPayload {
         const ownShards = new Set(own.map(summary => summary.shard));
         const relayable = known.filter(headline =>
-            !ownShards.has(headline.shard) && failureDomainOfShard(headline.shard) === this.failureDomain
+            !ownShards.has(headline.shard)
+            && (headline.adoptedBy ?? failureDomainOfShard(headline.shard)) === this.failureDomain
         );
         return {
             shards: [...own.map(headlineOf), ...this.relayed(relayable)],
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -9,6 +9,7 @@
 import { attemptOf, isActive, type JobEntry, leaseEnd, type TaskEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
+import { UnlistedWorkers } from "./unlistedWorkers.ts";
 import { WorkerSession, type WorkerSessionHost, type WorkerSessionState } from "./workerSession.ts";
 
 /** Periods without an answer after which a worker gets no new work. */
@@ -30,6 +31,7 @@
     /** Workers that may run tasks of earlier epochs: the stored roster and every worker listed since. */
     private readonly witnesses = new Set<string>();
     private readonly read = new Set<string>();
+    private readonly unlisted: UnlistedWorkers;
     /** Monotonic time since when this owner has been allowed to start work. */
     readySince: number | undefined;
 
@@ -37,6 +39,7 @@
         this.context = context;
         this.lifecycle = lifecycle;
         this.reports = reports;
+        this.unlisted = new UnlistedWorkers(context.dependencies.settings.workerHeartbeatMilliseconds);
     }
 
     session(worker: string): WorkerSession | undefined {
@@ -77,6 +80,8 @@
             }
         }
         this.context.dependencies.ownership.setRoster(this.context.shard, Array.from(this.sessions.keys()));
+        const now = this.context.dependencies.timers.now();
+        this.unlisted.update(this.witnesses, worker => this.sessions.has(worker), now);
     }
 
     /** Whether every worker of the stored roster and of the VM list was read under this epoch. */
@@ -100,6 +105,9 @@
             this.updateAvailability(session);
             this.sweepSilentWorker(session);
         }
+        for (const worker of this.unlisted.gone(timers.now())) {
+            ownership.witnessGone(this.context.shard, this.context.epoch, worker);
+        }
     }
 
     attemptsToRenew(worker: string): readonly TaskAttempt[] {
--- a/packages/settings/src/settingsTable.ts
+++ b/packages/settings/src/settingsTable.ts
@@ -178,6 +178,12 @@
         [50, 2_000, 20_000],
         "Period of lease renewals; at most half of the lease, so that one renewal may fail.",
     ),
+    adoptionDelayMilliseconds: number(
+        "adoption-delay-milliseconds",
+        "milliseconds",
+        [1_000, 15_000, 3_600_000],
+        "Time without a known live entry process after which other failure domains adopt the shards of a failure domain.",
+    ),
     confirmationWindowMilliseconds: number(
         "confirmation-window-milliseconds",
         "milliseconds",
