feat(jobs): move jobs from shards that can run nothing in groups, and more than once

Up to 25 jobs a second leave such a shard, several in one transaction, and arrivals are confirmed in one transaction. It now moves on to shards in which it never was, at most 4 times; lookups follow the pointers.

--- a/packages/jobs/src/jobMove.ts
+++ b/packages/jobs/src/jobMove.ts
@@ -1,10 +1,10 @@
 /**
- * Moves of jobs between shards. One transaction under the giver's epoch turns the row of a job into a pointer and creates
- * its row and an arrival row in the other shard. The receiver deletes the arrival row under its own epoch before it may
+ * Moves of jobs between shards. One transaction under the giver's epoch turns the rows of the jobs into pointers and
+ * creates a row and an arrival row of each in the other shard. The receiver deletes the arrival row under its own epoch before it may
  * start the job, so that neither a lost message nor a former owner can lose or double it.
  */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
-import type { JobRecord } from "@tanagerlink/model";
+import type { JobRecord, ShardId } from "@tanagerlink/model";
 import type { ConditionalWrite, RowCondition, TableTransaction } from "@tanagerlink/platform";
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
@@ -15,6 +15,12 @@
 /** Pause after an attempt that found the table down, in milliseconds. */
 const RETRY_MILLISECONDS = 500;
 
+/** A job and the shard to which it goes. */
+export interface JobMove {
+    readonly record: JobRecord;
+    readonly target: ShardId;
+}
+
 /** What transactions of one shard's owner are sent with. */
 export interface MoveContext {
     readonly condition: RowCondition;
@@ -26,25 +32,52 @@
 }
 
 /** Writes that move a job. Its row must be known and have no change under way. */
-export function moveWrites(record: JobRecord, known: KnownJob, shard: string): ConditionalWrite[] {
+export function moveWrites({ record, target }: JobMove, known: KnownJob): ConditionalWrite[] {
     const idempotencyKey = known.submission === undefined
         ? {}
         : { idempotencyKey: decodeURIComponent(known.submission.slice(known.submission.lastIndexOf("/") + 1)) };
+    const movedFrom = [...record.movedFrom ?? [], record.shard];
     // Epoch 0 makes a later owner of the other shard look for running tasks of the job first.
-    const moved = { record: { ...record, shard, acceptedEpoch: 0 }, ...idempotencyKey };
-    const pointer = { record: { ...record, movedTo: shard }, ...idempotencyKey };
+    const moved = { record: { ...record, shard: target, acceptedEpoch: 0, movedFrom }, ...idempotencyKey };
+    const pointer = { record: { ...record, movedTo: target }, ...idempotencyKey };
     return [
         { key: jobKey(record.shard, record.id), expectedVersion: known.version, value: pointer },
-        { key: jobKey(shard, record.id), expectedVersion: 0, value: moved },
-        { key: `${arrivalPrefix(shard)}${record.id}`, expectedVersion: 0, value: {} },
+        { key: jobKey(target, record.id), expectedVersion: 0, value: moved },
+        { key: `${arrivalPrefix(target)}${record.id}`, expectedVersion: 0, value: {} },
     ];
 }
 
-/** Commits the writes under the shard's epoch, through outages of the table, until the shard is given up. */
-export async function commitMove(
+/**
+ * Commits the writes of several jobs under the shard's epoch in one transaction, through outages of the table, until the
+ * shard is given up. Jobs of which a row was changed outside the shard are left out. Returns the jobs that were written.
+ */
+export async function commitMoves(
+    context: MoveContext,
+    writesOfJobs: ReadonlyMap<string, readonly ConditionalWrite[]>,
+): Promise<Result<readonly string[], ServiceError>> {
+    const remaining = new Map(writesOfJobs);
+    while (remaining.size > 0) {
+        const conflicts = await commitOnce(context, [...remaining.values()].flat());
+        if (conflicts.isErr()) {
+            return err(conflicts.error);
+        }
+        if (conflicts.value.length === 0) {
+            break;
+        }
+        for (const [job, writes] of remaining) {
+            if (writes.some(write => conflicts.value.includes(write.key))) {
+                remaining.delete(job);
+            }
+        }
+    }
+    return ok([...remaining.keys()]);
+}
+
+/** Sends one transaction until it is decided. Returns the keys that kept it from being committed. */
+async function commitOnce(
     context: MoveContext,
     writes: readonly ConditionalWrite[],
-): Promise<Result<void, ServiceError>> {
+): Promise<Result<readonly string[], ServiceError>> {
     const transaction: TableTransaction = { id: context.nextTransactionId(), conditions: [context.condition], writes };
     for (;;) {
         const closedBy = context.closedBy();
@@ -57,12 +90,10 @@
             continue;
         }
         if (answer.value.committed) {
-            return ok(undefined);
+            return ok([]);
         }
-        return err(
-            answer.value.conflicts.includes(context.condition.key)
-                ? serviceError(ErrorKind.StaleEpoch, "The shard has a newer owner.")
-                : serviceError(ErrorKind.Internal, "A row of the job was changed outside its shard."),
-        );
+        return answer.value.conflicts.includes(context.condition.key)
+            ? err(serviceError(ErrorKind.StaleEpoch, "The shard has a newer owner."))
+            : ok(answer.value.conflicts);
     }
 }
--- a/packages/jobs/src/jobRow.ts
+++ b/packages/jobs/src/jobRow.ts
@@ -36,6 +36,7 @@
     intents: z.array(intentSchema),
     decisions: z.array(decisionSchema),
     movedTo: z.string().exactOptional(),
+    movedFrom: z.array(z.string()).exactOptional(),
 });
 
 const jobRowSchema = z.object({ record: recordSchema, idempotencyKey: z.string().exactOptional() });
--- a/packages/jobs/src/jobStore.ts
+++ b/packages/jobs/src/jobStore.ts
@@ -2,6 +2,7 @@
 import type { JobRecord } from "@tanagerlink/model";
 import type { ShardId } from "@tanagerlink/model";
 import type { Result } from "neverthrow";
+import type { JobMove } from "./jobMove.ts";
 
 /** Result of a submission. */
 export interface AcceptedJob {
@@ -31,15 +32,16 @@
      */
     update(record: JobRecord): Promise<Result<void, ServiceError>>;
     /**
-     * Moves a job that never started to another shard, in one transaction: the record appears there, an arrival tells
-     * that shard's owner, and the record here becomes a pointer. Nothing may be written for the job here afterwards.
-     * Outages are waited out as with `update`.
+     * Moves jobs of which nothing runs to other shards, in one transaction: each record appears there, an arrival tells
+     * that shard's owner, and the record here becomes a pointer. Nothing may be written for the jobs here afterwards.
+     * Outages are waited out as with `update`. Answers with the jobs that were moved; of the others a row was changed
+     * outside the shard.
      */
-    move(record: JobRecord, shard: ShardId): Promise<Result<void, ServiceError>>;
+    move(shard: ShardId, moves: readonly JobMove[]): Promise<Result<readonly string[], ServiceError>>;
     /** Jobs that were moved to the shard and whose arrival was not confirmed yet. */
     arrivals(shard: ShardId): Promise<Result<readonly JobRecord[], ServiceError>>;
-    /** Confirms an arrival under the shard's epoch; only then may the job be started. */
-    confirmArrival(shard: ShardId, job: string): Promise<Result<void, ServiceError>>;
+    /** Confirms arrivals under the shard's epoch; only the jobs in the answer may be started. */
+    confirmArrivals(shard: ShardId, jobs: readonly string[]): Promise<Result<readonly string[], ServiceError>>;
     /** Deletes the record of a finished job and its idempotency key. */
     remove(shard: ShardId, job: string): void;
 }
--- a/packages/jobs/src/shardCommits.ts
+++ b/packages/jobs/src/shardCommits.ts
@@ -6,11 +6,11 @@
  */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { JobRecord } from "@tanagerlink/model";
-import type { RowCondition, TableRow, TableService } from "@tanagerlink/platform";
+import type { ConditionalWrite, RowCondition, TableRow, TableService } from "@tanagerlink/platform";
 import { sleep, type Timers, withDeadline } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import { type Batch, buildBatch, chooseJobs, submissionKeyOf } from "./commitBatch.ts";
-import { commitMove, type MoveContext, moveWrites } from "./jobMove.ts";
+import { commitMoves, type JobMove, type MoveContext, moveWrites } from "./jobMove.ts";
 import {
     arrivalPrefix,
     jobKey,
@@ -128,15 +128,20 @@
         }
     }
 
-    /** Moves a job without unwritten changes to another shard; nothing may be written for it here afterwards. */
-    async move(record: JobRecord, shard: string): Promise<Result<void, ServiceError>> {
-        const known = this.known.get(record.id);
-        if (known === undefined || this.pending.has(record.id)) {
-            return err(serviceError(ErrorKind.Internal, `Job ${record.id} has unwritten changes and cannot move.`));
+    /** Moves jobs without unwritten changes to other shards; nothing may be written for them here afterwards. */
+    async move(moves: readonly JobMove[]): Promise<Result<readonly string[], ServiceError>> {
+        const writes = new Map<string, readonly ConditionalWrite[]>();
+        for (const move of moves) {
+            const { id } = move.record;
+            const known = this.known.get(id);
+            if (known !== undefined && !this.pending.has(id)) {
+                writes.set(id, moveWrites(move, known));
+            }
         }
-        const moved = await commitMove(this.moveContext, moveWrites(record, known, shard));
-        if (moved.isOk()) {
-            this.known.set(record.id, known.version + 1, known.submission);
+        const moved = await commitMoves(this.moveContext, writes);
+        for (const id of moved.isOk() ? moved.value : []) {
+            const known = this.known.get(id);
+            this.known.set(id, (known?.version ?? 0) + 1, known?.submission);
         }
         return moved;
     }
@@ -149,12 +154,15 @@
         }
     }
 
-    /** Deletes the arrival row of a job that was moved to this shard. */
-    async confirmArrival(id: string): Promise<Result<void, ServiceError>> {
-        const key = `${arrivalPrefix(this.options.shard)}${id}`;
-        const expectedVersion = this.arrivalVersions.get(id) ?? 0;
-        const confirmed = await commitMove(this.moveContext, [{ key, expectedVersion, value: undefined }]);
-        if (confirmed.isOk()) {
+    /** Deletes the arrival rows of jobs that were moved to this shard. */
+    async confirmArrivals(ids: readonly string[]): Promise<Result<readonly string[], ServiceError>> {
+        const prefix = arrivalPrefix(this.options.shard);
+        const writes = new Map(ids.map(id => {
+            const expectedVersion = this.arrivalVersions.get(id) ?? 0;
+            return [id, [{ key: `${prefix}${id}`, expectedVersion, value: undefined }]] as const;
+        }));
+        const confirmed = await commitMoves(this.moveContext, writes);
+        for (const id of confirmed.isOk() ? confirmed.value : []) {
             this.arrivalVersions.delete(id);
         }
         return confirmed;
--- a/packages/jobs/src/tableJobStore.ts
+++ b/packages/jobs/src/tableJobStore.ts
@@ -3,8 +3,9 @@
 import type { JobRecord, ShardId } from "@tanagerlink/model";
 import type { TableRow, TableService } from "@tanagerlink/platform";
 import { sleep, type Timers } from "@tanagerlink/timers";
-import { err, ok, type Result } from "neverthrow";
+import { err, ok, Result } from "neverthrow";
 import { z } from "zod";
+import type { JobMove } from "./jobMove.ts";
 import { arrivalPrefix, jobKey, jobPrefix, parseJobRow, submissionKeyOfRow } from "./jobRow.ts";
 import type { AcceptedJob, JobStore } from "./jobStore.ts";
 import { KnownJobs } from "./knownJobs.ts";
@@ -116,8 +117,8 @@
         return await this.shards.get(record.shard)?.update(record) ?? err(notOpen(record.shard));
     }
 
-    async move(record: JobRecord, shard: ShardId): Promise<Result<void, ServiceError>> {
-        return await this.shards.get(record.shard)?.move(record, shard) ?? err(notOpen(record.shard));
+    async move(shard: ShardId, moves: readonly JobMove[]): Promise<Result<readonly string[], ServiceError>> {
+        return await this.shards.get(shard)?.move(moves) ?? err(notOpen(shard));
     }
 
     async arrivals(shard: ShardId): Promise<Result<readonly JobRecord[], ServiceError>> {
@@ -126,23 +127,24 @@
         if (rows.isErr()) {
             return err(rows.error);
         }
-        const records: JobRecord[] = [];
-        for (const arrival of rows.value) {
-            const row = await this.options.table.read(jobKey(shard, arrival.key.slice(prefix.length)));
-            if (row.isErr()) {
-                return err(row.error);
-            }
-            const value = row.value === undefined ? undefined : parseJobRow(row.value);
-            if (row.value !== undefined && value !== undefined) {
-                this.shards.get(shard)?.arrived(arrival, row.value, value);
-                records.push(value.record);
-            }
-        }
-        return ok(records);
+        const jobRows = await Promise.all(
+            rows.value.map(({ key }) => this.options.table.read(jobKey(shard, key.slice(prefix.length)))),
+        );
+        return Result.combine(jobRows).map(found =>
+            found.flatMap((row, index) => {
+                const arrival = rows.value[index];
+                const value = row === undefined ? undefined : parseJobRow(row);
+                if (arrival === undefined || row === undefined || value === undefined) {
+                    return [];
+                }
+                this.shards.get(shard)?.arrived(arrival, row, value);
+                return [value.record];
+            })
+        );
     }
 
-    async confirmArrival(shard: ShardId, job: string): Promise<Result<void, ServiceError>> {
-        return await this.shards.get(shard)?.confirmArrival(job) ?? err(notOpen(shard));
+    async confirmArrivals(shard: ShardId, jobs: readonly string[]): Promise<Result<readonly string[], ServiceError>> {
+        return await this.shards.get(shard)?.confirmArrivals(jobs) ?? err(notOpen(shard));
     }
 
     remove(shard: ShardId, job: string): void {
--- a/packages/model/src/decision.ts
+++ b/packages/model/src/decision.ts
@@ -32,6 +32,9 @@
     JobFailsEverywhere: "job_fails_everywhere",
     CancelledByCaller: "cancelled_by_caller",
     HandedOver: "handed_over",
+    /** A process of another failure domain owns the shard, because all processes of the shard's own one are lost. */
+    ShardAdopted: "shard_adopted",
+    Moved: "moved",
 } as const;
 export type Reason = (typeof Reason)[keyof typeof Reason];
 
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -76,6 +76,8 @@
     readonly decisions: readonly Decision[];
     /** Set when the job was moved to another shard before it ever started; the record there is the valid one. */
     readonly movedTo?: string;
+    /** Shards that the job was moved away from and that may still hold a pointer to it, in order. */
+    readonly movedFrom?: readonly string[];
 }
 
 /** The one start that a non-idempotent task gets. */
--- a/packages/scheduler/__tests__/moveTarget.spec.ts
+++ b/packages/scheduler/__tests__/moveTarget.spec.ts
@@ -51,7 +51,7 @@
         size: size(1_000),
         failureDomains,
     });
-    return { specification, shard: "north/0" } as JobRecord;
+    return { id: "north.0.job", specification, shard: "north/0" } as JobRecord;
 }
 
 describe("JobRouter.moveTarget", () => {
--- a/packages/scheduler/src/jobMoves.ts
+++ b/packages/scheduler/src/jobMoves.ts
@@ -1,20 +1,28 @@
 /**
- * Moves jobs that wait here, and never started, to shards that can run them now: when this shard has no room while
- * another one has, or when this shard's failure domain was taken out. Takes in the jobs that others moved here.
+ * Moves jobs that wait here, and of which nothing runs, to shards that can run them now: when this shard has no room
+ * while another one has, or in larger groups when this shard's failure domain was taken out or no worker can take tasks.
  */
-import { ErrorKind } from "@tanagerlink/errors";
-import { FailureDomainState, isFinished, type JobRecord, TaskState } from "@tanagerlink/model";
+import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
+import type { JobMove } from "@tanagerlink/jobs";
+import { FailureDomainState, isFinished, Reason, TaskState } from "@tanagerlink/model";
 import type { Subscription } from "@tanagerlink/timers";
-import { createJobEntry, type JobEntry, type TaskEntry } from "./jobEntry.ts";
-import type { ShardContext } from "./shardContext.ts";
-import { shardOfJob } from "./submission.ts";
+import type { Result } from "neverthrow";
+import { JobArrivals } from "./jobArrivals.ts";
+import type { JobEntry, TaskEntry } from "./jobEntry.ts";
+import { decide, type ShardContext } from "./shardContext.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
 
-/** Period of moves and of looking for arrivals, in milliseconds. */
-const PERIOD_MILLISECONDS = 2_000;
+/** Period of moves, in milliseconds. */
+const PERIOD_MILLISECONDS = 1_000;
 
-/** Most jobs moved in a period, which bounds the writes and the error when many move to one shard. */
-const MOVES_AT_ONCE = 10;
+/** Most jobs moved in a period to room elsewhere, which bounds the error when many shards move to one. */
+const MOVES_AT_ONCE = 5;
+
+/**
+ * Most jobs moved in a period from a shard that can run nothing. Each makes 4 writes of rows, so that the two shards of
+ * a failure domain stay within the several hundred writes a second of the platform's table.
+ */
+const LEAVING_AT_ONCE = 25;
 
 /** Most jobs for which a target is looked for in a period, and most jobs looked at; the next period goes on from there. */
 const ASKED_AT_ONCE = 50;
@@ -26,102 +34,108 @@
 /** Time without any worker after which a shard gives its waiting jobs away; a new owner needs some to read them. */
 const WITHOUT_WORKER_MILLISECONDS = 3_000;
 
+/** Most moves of one job, which bounds the pointers that a lookup follows. */
+const MAXIMUM_MOVES = 4;
+
 /** Moves of one shard. */
 export class JobMoves implements Disposable {
     private readonly context: ShardContext;
-    private readonly lifecycle: TaskLifecycle;
+    private readonly arrivals: JobArrivals;
     private readonly subscription: Subscription;
     private cursor: Iterator<JobEntry>;
-    private arriving = false;
+    private writing = false;
     private withoutWorkerSince: number | undefined;
-    private disposed = false;
 
     constructor(context: ShardContext, lifecycle: TaskLifecycle) {
         this.context = context;
-        this.lifecycle = lifecycle;
+        this.arrivals = new JobArrivals(context, lifecycle);
         this.cursor = context.book.entries();
         this.subscription = context.dependencies.timers.every(PERIOD_MILLISECONDS, async () => {
             this.moveWaiting();
-            await this.takeInArrivals();
+            await this.arrivals.takeIn();
             await this.forgetOnePointer();
         });
     }
 
     [Symbol.dispose](): void {
-        this.disposed = true;
+        this.arrivals[Symbol.dispose]();
         this.subscription[Symbol.dispose]();
     }
 
+    /** A group that the table has not answered yet is waited for, so that a slow table gets fewer of them. */
     private moveWaiting(): void {
-        const { moveTarget, timers, ownership } = this.context.dependencies;
+        const { moveTarget, ownership, metrics } = this.context.dependencies;
         // Until the takeover is settled a former owner may still start the jobs.
         const settled = ownership.mayStart(this.context.shard, this.context.epoch);
-        if (moveTarget === undefined || !settled || this.context.policy.waitingTaskCount() === 0) {
+        const nothingWaits = this.context.policy.waitingTaskCount() === 0;
+        if (moveTarget === undefined || this.writing || !settled || nothingWaits) {
             return;
         }
-        const out = this.failureDomainOut() || this.hasNoWorker();
+        const leave = this.failureDomainOut() || this.hasNoWorker();
+        const moves = this.chooseMoves(leave, entry => moveTarget(entry.record, leave));
+        if (moves.length > 0) {
+            this.writing = true;
+            void this.move(moves).then(moved => {
+                this.writing = false;
+                metrics.movedJobs.increment({ cause: leave ? "leave" : "room" }, moved);
+            });
+        }
+    }
+
+    private chooseMoves(leave: boolean, findTarget: (entry: JobEntry) => string | undefined): JobMove[] {
+        const { timers } = this.context.dependencies;
         const waitingBefore = timers.now() - LEAST_WAIT_MILLISECONDS;
-        let moves = 0;
+        const bound = leave ? LEAVING_AT_ONCE : MOVES_AT_ONCE;
+        const moves: JobMove[] = [];
         let asked = 0;
-        for (let looked = 0; looked < LOOKED_AT_ONCE && asked < ASKED_AT_ONCE && moves < MOVES_AT_ONCE; looked++) {
+        for (let looked = 0; looked < LOOKED_AT_ONCE && asked < ASKED_AT_ONCE && moves.length < bound; looked++) {
             const next = this.cursor.next();
             if (next.done === true) {
                 this.cursor = this.context.book.entries();
-                return;
+                break;
             }
             const entry = next.value;
-            if (!isMovable(entry) || (!out && entry.waitingSince > waitingBefore)) {
+            if (!isMovable(entry, leave) || (!leave && entry.waitingSince > waitingBefore)) {
                 continue;
             }
             asked++;
-            const target = moveTarget(entry.record, out);
+            const target = findTarget(entry);
             if (target !== undefined) {
-                moves++;
-                this.move(entry, target);
+                moves.push(this.release(entry, target));
             }
         }
+        return moves;
     }
 
     /** From here on this shard never starts the job, whatever becomes of the write. */
-    private move(entry: JobEntry, target: string): void {
+    private release(entry: JobEntry, target: string): JobMove {
         const { id } = entry.record;
-        const { jobs, logger } = this.context.dependencies;
+        decide(this.context, entry, Reason.Moved, { detail: `from shard ${this.context.shard} to shard ${target}` });
         this.context.policy.removeJob(id);
         this.context.book.delete(id);
         this.context.book.moved.set(id, target);
-        void this.context.writes.track(jobs.move(entry.record, target)).then(result => {
-            if (result.isErr() && result.error.kind !== ErrorKind.StaleEpoch) {
-                logger.warn({ job: id, target, error: result.error }, "job was not moved; the next owner reads it");
-            }
-        });
+        return { record: entry.record, target };
     }
 
-    private async takeInArrivals(): Promise<void> {
-        if (this.arriving) {
-            return;
-        }
-        this.arriving = true;
-        const { jobs } = this.context.dependencies;
-        const { shard } = this.context;
-        const records = await jobs.arrivals(shard);
-        for (const record of records.isOk() ? records.value : []) {
-            // Confirmed first: a former owner that does not know of its successor must not start the job.
-            const confirmed = this.disposed ? undefined : await jobs.confirmArrival(shard, record.id);
-            if (confirmed?.isOk() === true) {
-                this.takeIn(record);
+    private async move(moves: readonly JobMove[]): Promise<number> {
+        const { jobs, logger } = this.context.dependencies;
+        const result: Result<readonly string[], ServiceError> = await this.context.writes.track(
+            jobs.move(this.context.shard, moves),
+        );
+        if (result.isErr()) {
+            if (result.error.kind !== ErrorKind.StaleEpoch) {
+                logger.warn(
+                    { jobs: moves.length, error: result.error },
+                    "jobs were not moved; the next owner reads them",
+                );
             }
+            return 0;
         }
-        this.arriving = false;
-    }
-
-    private takeIn(record: JobRecord): void {
-        if (this.disposed || this.context.book.get(record.id) !== undefined || isFinished(record.state)) {
-            return;
+        if (result.value.length < moves.length) {
+            const left = moves.filter(({ record }) => !result.value.includes(record.id)).map(({ record }) => record.id);
+            logger.warn({ jobs: left }, "rows of jobs were changed outside their shard; the next owner reads them");
         }
-        const { timers } = this.context.dependencies;
-        const entry = createJobEntry(record, timers.now(), timers.wallClock(), false);
-        this.context.book.add(entry);
-        this.lifecycle.enqueue(entry);
+        return result.value.length;
     }
 
     /** A pointer is kept as long as the record to which it points; one is looked up in each period. */
@@ -132,8 +146,8 @@
             return;
         }
         const [job, target] = oldest;
-        moved.delete(job);
         const record = await this.context.dependencies.jobs.read(target, job);
+        moved.delete(job);
         if (record.isOk() && record.value === undefined && !this.context.writes.pending) {
             this.context.dependencies.jobs.remove(this.context.shard, job);
         }
@@ -160,14 +174,14 @@
 }
 
 /**
- * Jobs of which nothing runs or may run. Of a non-idempotent job nothing may ever have been started. A job moves at most
- * once, so that no cycle of pointers arises.
+ * Jobs of which nothing runs or may run. Of a non-idempotent job nothing may ever have been started. A job moves once to
+ * room elsewhere; from shards that can run nothing it moves again, since it would wait there for the failure domain.
  */
-function isMovable(entry: JobEntry): boolean {
+function isMovable(entry: JobEntry, leave: boolean): boolean {
     const { record } = entry;
-    const settled = entry.pendingWrites === 0 && !isFinished(record.state) && record.intents.length === 0
-        && shardOfJob(record.id) === record.shard;
-    if (!settled) {
+    const movable = entry.pendingWrites === 0 && !isFinished(record.state) && record.intents.length === 0
+        && (record.movedFrom?.length ?? 0) < (leave ? MAXIMUM_MOVES : 1);
+    if (!movable) {
         return false;
     }
     const waits = (task: TaskEntry): boolean => task.state === TaskState.Waiting && !task.recovering;
--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -15,7 +15,7 @@
 import { err, type Result } from "neverthrow";
 import type { FleetView } from "./fleetView.ts";
 import { throughHandovers } from "./handoverWait.ts";
-import type { JobStatus, Submission } from "./submission.ts";
+import { type JobStatus, shardOfJob, type Submission } from "./submission.ts";
 import type { ShardHeadline } from "./summaryPayload.ts";
 
 /** Cost of another failure domain while the shard has room. Above any load, so that work stays near its caller. */
@@ -115,7 +115,9 @@
 
     /** Another shard that has room and units for a waiting job; with `leave`, the best other one in any case. */
     moveTarget(record: JobRecord, leave: boolean): string | undefined {
-        const best = this.candidates(record.specification).find(headline => headline.shard !== record.shard);
+        // Where the job was before, a pointer to it may still be stored.
+        const excluded = new Set([record.shard, shardOfJob(record.id), ...record.movedFrom ?? []]);
+        const best = this.candidates(record.specification).find(headline => !excluded.has(headline.shard));
         const suits = best !== undefined &&
             this.cost(best, record.specification) < (leave ? NEVER_FITS : WITHOUT_GRANT);
         if (!suits) {
--- a/packages/scheduler/src/schedulerMetrics.ts
+++ b/packages/scheduler/src/schedulerMetrics.ts
@@ -11,6 +11,9 @@
     readonly waitingTasks: Gauge;
     readonly runningTasks: Gauge;
     readonly quarantinedWorkers: Gauge;
+    readonly adoptions: Counter;
+    readonly adoptedShards: Gauge;
+    readonly movedJobs: Counter;
 }
 
 /** Registers the metrics of the scheduler. */
@@ -54,5 +57,18 @@
             help: "Workers of a shard that get no work because everything they start fails.",
             labels: ["shard"],
         }),
+        adoptions: metrics.counter({
+            name: "tanagerlink_shard_adoptions_total",
+            help: "Shards of lost failure domains that this process has taken over.",
+        }),
+        adoptedShards: metrics.gauge({
+            name: "tanagerlink_adopted_shards",
+            help: "Shards of lost failure domains that this process owns now.",
+        }),
+        movedJobs: metrics.counter({
+            name: "tanagerlink_moved_jobs_total",
+            help: "Waiting jobs moved to another shard, by cause: room there, or a shard that can run nothing.",
+            labels: ["cause"],
+        }),
     };
 }
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -117,6 +117,10 @@
             ...(adopted ? { adopter: { node, failureDomain } } : {}),
         });
         this.shards.set(owned.shard, scheduler);
+        if (adopted) {
+            this.options.dependencies.metrics.adoptions.increment();
+        }
+        this.countAdopted();
         const begin = (): void => scheduler.start(this.targetsOf(owned.shard), owned.roster);
         // The former scheduler of the shard closes its grants and job records by the name of the shard.
         const closing = this.closingShards.get(owned.shard);
@@ -143,6 +147,7 @@
         }
         this.options.dependencies.logger.info({ shard, epoch }, "shard given up");
         this.shards.delete(shard);
+        this.countAdopted();
         const former = this.closingShards.get(shard);
         const closing = Promise.all([former, scheduler[Symbol.asyncDispose]()]).then(() => undefined);
         this.closingShards.set(shard, closing);
@@ -199,14 +204,22 @@
         if (answer.isOk()) {
             return answer;
         }
+        const found = await this.find(shard, job);
+        const last = found.isOk() ? found.value : undefined;
+        if (last === undefined || last.shard === shard) {
+            return statusOfRow(job, found);
+        }
+        const moved = await this.access.status(last.shard, job);
+        return moved.isOk() ? moved : statusOfRow(job, found);
+    }
+
+    /** Reads the record of a job in the table, in the shard to which it was moved last. */
+    private async find(shard: string, job: string): Promise<Result<JobRecord | undefined, ServiceError>> {
         const { jobs } = this.options.dependencies;
         const record = await jobs.read(shard, job);
         const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        if (movedTo === undefined) {
-            return statusOfRow(job, record);
-        }
-        const moved = await this.access.status(movedTo, job);
-        return moved.isOk() ? moved : statusOfRow(job, await jobs.read(movedTo, job));
+        // A job never moves to a shard in which it was before, so the pointers end.
+        return movedTo === undefined ? record : this.find(movedTo, job);
     }
 
     async cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
@@ -218,9 +231,9 @@
         if (answer.isOk()) {
             return answer;
         }
-        const record = await this.options.dependencies.jobs.read(shard, job);
-        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        if (movedTo === undefined) {
+        const found = await this.find(shard, job);
+        const movedTo = found.isOk() ? found.value?.shard : undefined;
+        if (movedTo === undefined || movedTo === shard) {
             return answer;
         }
         const moved = await this.access.cancel(movedTo, job);
@@ -284,6 +297,12 @@
         }
     }
 
+    private countAdopted(): void {
+        const { failureDomain, dependencies } = this.options;
+        const adopted = [...this.shards.keys()].filter(shard => failureDomainOfShard(shard) !== failureDomain);
+        dependencies.metrics.adoptedShards.set(adopted.length);
+    }
+
     private answerPeers(): void {
         const { peers } = this.options;
         peers.handle(
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -6,7 +6,9 @@
 import {
     type ConfigurationSnapshot,
     failureDomainOfShard,
+    isFinished,
     type JobRecord,
+    Reason,
     type Resources,
     type ServiceAnswer,
     type ServiceRequest,
@@ -25,7 +27,7 @@
 import { Recovery } from "./recovery.ts";
 import { WorkerReports } from "./reportHandler.ts";
 import { SchedulingRounds } from "./schedulingRounds.ts";
-import type { ShardContext } from "./shardContext.ts";
+import { decide, type ShardContext } from "./shardContext.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
 import { ShardStatistics } from "./shardStatistics.ts";
 import { startRefusal } from "./startGate.ts";
@@ -281,6 +283,11 @@
         const recovering = record.acceptedEpoch < this.epoch && mayHaveActiveTasks(record);
         const entry = createJobEntry(record, timers.now(), timers.wallClock(), recovering);
         this.context.book.add(entry);
+        const { adopter } = this.dependencies;
+        if (adopter !== undefined && !isFinished(record.state)) {
+            const detail = `${adopter.node} of failure domain ${adopter.failureDomain} owns shard ${this.shard}`;
+            decide(this.context, entry, Reason.ShardAdopted, { detail });
+        }
         this.lifecycle.enqueue(entry);
     }
 
