--- a/packages/scenarios/src/facts.ts
+++ b/packages/scenarios/src/facts.ts
@@ -13,6 +13,8 @@
     readonly stops: { readonly entry: string; readonly code: number | undefined; readonly milliseconds: number; }[] =
         [];
     readonly races: { readonly statuses: readonly number[]; readonly answers: readonly string[]; }[] = [];
+    /** Failure domains of which the last entry process was killed. */
+    readonly losses: { readonly domain: string; readonly at: number; }[] = [];
     /** Conditions that steps waited for in vain. */
     readonly unreached: string[] = [];
     readonly halfWritten: {
--- a/packages/scenarios/src/runScenario.ts
+++ b/packages/scenarios/src/runScenario.ts
@@ -3,6 +3,7 @@
 import type { Scenario } from "./language.ts";
 import { findOutcomes } from "./outcomes.ts";
 import { ScenarioRun } from "./scenarioRun.ts";
+import { startTimes } from "./startTimes.ts";
 
 /** Result of one run. */
 export interface ScenarioResult {
@@ -36,6 +37,7 @@
     missed.push(...breachesOf(run));
     missed.push(...findings.filter(({ reached }) => !reached).map(({ observed }) => `outcome missed: ${observed}`));
     findings.forEach(({ observed }) => run.trace.note(observed));
+    startTimes(run.cell, run.facts).forEach(line => run.trace.note(line));
     return {
         seed,
         milliseconds: performance.now() - startedAt,
--- a/packages/scenarios/src/scenarioRun.ts
+++ b/packages/scenarios/src/scenarioRun.ts
@@ -320,6 +320,11 @@
         this.gone.add(entry.id);
         await entry.kill();
         this.cell.removeEntry(entry);
+        const domain = entry.failureDomain;
+        const left = this.cell.entries.some(each => each.failureDomain === domain);
+        if (!left) {
+            this.facts.losses.push({ domain, at: performance.now() });
+        }
     }
 
     private pauseProcess(entry: EntryProcess, milliseconds: number): void {
--- a/scripts/proofs.ts
+++ b/scripts/proofs.ts
@@ -1,6 +1,6 @@
 /**
  * Runs the scenarios over many seeds: `npm run proofs -- --seeds 20`. Options: `--first` is the first seed, `--only`
- * a part of a scenario's name, `--trace` prints the trace of runs that held as well. Exits with 1 when a run missed an
+ * a part of a scenario's name, `--trace` prints the trace of runs that held as well, `--folder` names another folder. Exits with 1 when a run missed an
  * outcome, also a known one.
  */
 import { describeMiss, readScenarios, runScenarios } from "@tanagerlink/scenarios";
@@ -15,6 +15,7 @@
         seeds: { type: "string", default: "3" },
         first: { type: "string", default: "1" },
         only: { type: "string", default: "" },
+        folder: { type: "string", default: "packages/scenarios/scenarios" },
         trace: { type: "boolean", default: false },
     },
 });
@@ -23,7 +24,7 @@
     const folder = await mkdtemp(join(tmpdir(), "tanagerlink-proofs-"));
     const file = join(folder, "tanagerlink.cjs");
     const seeds = Array.from({ length: Number(values.seeds) }, (_, index) => Number(values.first) + index);
-    const scenarios = readScenarios("packages/scenarios/scenarios").filter(({ name }) => name.includes(values.only));
+    const scenarios = readScenarios(values.folder).filter(({ name }) => name.includes(values.only));
     const startedAt = performance.now();
     let missed = 0;
     try {
