test(ownership): adoption, handover back and moves in groups

Candidates of other failure domains now also wait their turn by rendezvous order: the row is observed during the adoption delay, so the preference had no effect (found by the test of several candidates).

--- a/packages/jobs/__tests__/tableJobStore.spec.ts
+++ b/packages/jobs/__tests__/tableJobStore.spec.ts
@@ -71,6 +71,42 @@
 }
 
 describe("TableJobStore", () => {
+    it("moves and confirms several jobs in one transaction, and leaves out one whose row was changed outside", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        const ids = ["a", "b", "c"];
+        await cell.settle(Promise.all(ids.map(id => store.accept(record(id), undefined))));
+        const changed = cell.table.rows.get(`job/${SHARD}/b`)!;
+        const write = { key: changed.key, expectedVersion: changed.version, value: changed.value };
+        cell.table.apply({ id: "operator", conditions: [], writes: [write] });
+        cell.batches.length = 0;
+        cell.faults = [{ kind: "answerLost" }, { kind: "slow", milliseconds: 1 }, { kind: "answerLost" }];
+        const moved = await cell.settle(store.move(SHARD, ids.map(id => ({ record: record(id), target: "south/0" }))));
+        expect(moved._unsafeUnwrap()).to.deep.equal(["a", "c"]);
+        expect(cell.stored("a")?.movedTo).to.equal("south/0");
+        expect(cell.stored("b")?.movedTo).to.equal(undefined);
+        const there = cell.table.value<{ record: JobRecord; }>("job/south/0/a")?.record;
+        expect(there).to.deep.include({ shard: "south/0", acceptedEpoch: 0, movedFrom: [SHARD] });
+        expect(cell.batches.map(batch => batch.length), "rows of each transaction").to.deep.equal([9, 9, 6, 6]);
+    });
+
+    it("confirms arrivals in one transaction, also when its answer is lost", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        const writes = ["a", "b"].flatMap(id => [
+            { key: `job/${SHARD}/${id}`, expectedVersion: 0, value: { record: record(id) } },
+            { key: `arrival/${SHARD}/${id}`, expectedVersion: 0, value: {} },
+        ]);
+        cell.table.apply({ id: "move", conditions: [], writes });
+        const arrived = (await store.arrivals(SHARD))._unsafeUnwrap().map(({ id }) => id);
+        cell.faults = [{ kind: "answerLost" }];
+        cell.batches.length = 0;
+        const confirmed = await cell.settle(store.confirmArrivals(SHARD, arrived));
+        expect(confirmed._unsafeUnwrap()).to.deep.equal(["a", "b"]);
+        expect(cell.batches.map(batch => batch.length)).to.deep.equal([2, 2]);
+        expect((await store.arrivals(SHARD))._unsafeUnwrap()).to.deep.equal([]);
+    });
+
     it("writes the records of 25 ms in one transaction, coalesced per job and in order", async () => {
         const cell = new Cell();
         const store = await cell.takeOver();
--- /dev/null
+++ b/packages/ownership/__tests__/adoption.spec.ts
@@ -0,0 +1,111 @@
+/** Takeover of shards by processes of other failure domains, and the handover back. */
+import { expect } from "chai";
+import { ADOPTION_DELAY_MILLISECONDS, type CellNode, OwnershipCell, rendezvous } from "./support/ownershipCell.ts";
+
+const SHARD = "north/0";
+const ROSTER = ["w1", "w2", "w3"];
+
+/** Two failure domains; `a` owns the shard of its own one. */
+async function cellOfTwo(): Promise<{ cell: OwnershipCell; owner: CellNode; foreign: CellNode; }> {
+    const cell = new OwnershipCell([SHARD, "south/0", "east/0"]);
+    const owner = cell.add("a");
+    const foreign = cell.add("s", 1, undefined, "south");
+    await cell.advance(100);
+    owner.ownership.setRoster(SHARD, ROSTER);
+    await cell.advance(20_000);
+    expect(owner.events).to.deep.equal([`acquired ${SHARD} 1`]);
+    expect(foreign.events).to.deep.equal(["acquired south/0 1"]);
+    return { cell, owner, foreign };
+}
+
+/** The process ends: it renews nothing, and membership no longer knows it. */
+function lose(cell: OwnershipCell, ...nodes: CellNode[]): void {
+    nodes.forEach(node => node.timers.pause());
+    cell.live = cell.live.filter(id => nodes.every(node => node.id !== id));
+}
+
+describe("adoption", () => {
+    it("begins after the delay, and permits starts only after a majority and the confirmation window", async () => {
+        const { cell, owner, foreign } = await cellOfTwo();
+        lose(cell, owner);
+        await cell.advance(ADOPTION_DELAY_MILLISECONDS - 1_000);
+        expect(foreign.ownership.owned()).to.have.length(1);
+        await cell.advance(4_000);
+        expect(foreign.events.at(-1)).to.equal(`acquired ${SHARD} 2`);
+        foreign.ownership.confirm(SHARD, 2, "w1", foreign.timers.now());
+        await cell.advance(20_000);
+        expect(foreign.ownership.mayStart(SHARD, 2)).to.equal(false);
+        foreign.ownership.witnessGone(SHARD, 2, "w3");
+        await cell.advance(4_000);
+        expect(foreign.ownership.mayStart(SHARD, 2)).to.equal(false);
+        await cell.advance(1_000);
+        expect(foreign.ownership.mayStart(SHARD, 2)).to.equal(true);
+    });
+
+    it("never takes a shard whose row is renewed, although membership knows no process of its failure domain", async () => {
+        const { cell, owner, foreign } = await cellOfTwo();
+        cell.live = [];
+        await cell.advance(120_000);
+        expect(owner.events).to.deep.equal([`acquired ${SHARD} 1`]);
+        expect(foreign.ownership.owned()).to.have.length(1);
+    });
+
+    it("takes nothing while the VM list names a process, and counts the delay again after it was named", async () => {
+        const { cell, owner, foreign } = await cellOfTwo();
+        lose(cell, owner);
+        cell.listed.add("north");
+        await cell.advance(60_000);
+        expect(foreign.ownership.owned()).to.have.length(1);
+        cell.listed.delete("north");
+        await cell.advance(ADOPTION_DELAY_MILLISECONDS - 1_000);
+        cell.listed.add("north");
+        await cell.advance(2_000);
+        cell.listed.delete("north");
+        await cell.advance(ADOPTION_DELAY_MILLISECONDS - 1_000);
+        expect(foreign.ownership.owned()).to.have.length(1);
+        await cell.advance(3_000);
+        expect(foreign.ownership.owned()).to.have.length(2);
+    });
+
+    it("leaves a shard alone that never had an owner", async () => {
+        const cell = new OwnershipCell([SHARD, "south/0"]);
+        const foreign = cell.add("s", 1, undefined, "south");
+        await cell.advance(60_000);
+        expect(foreign.events).to.deep.equal(["acquired south/0 1"]);
+    });
+
+    it("hands the shard back, unsettled as it is, and reads no rows of the other failure domain afterwards", async () => {
+        const { cell, owner, foreign } = await cellOfTwo();
+        lose(cell, owner);
+        await cell.advance(20_000);
+        expect(foreign.ownership.owned()).to.have.length(2);
+        const back = cell.add("b");
+        await cell.advance(12_000);
+        expect(foreign.events.at(-1)).to.equal(`lost ${SHARD} 2`);
+        expect(back.events).to.deep.equal([`acquired ${SHARD} 3`]);
+        expect(back.ownership.mayStart(SHARD, 3), "the takeover was never settled").to.equal(false);
+        const prefixes = new Set<string>();
+        cell.foreign.set("east", ["e"]);
+        await cell.advance(1_000);
+        foreign.faults = call => {
+            if (call.kind === "readRange") {
+                prefixes.add(call.prefix);
+            }
+            return undefined;
+        };
+        await cell.advance(10_000);
+        expect([...prefixes]).to.deep.equal(["shard/south/"]);
+    });
+
+    it("chooses one of several candidates by rendezvous order, and another one when it ends", async () => {
+        const { cell, owner, foreign } = await cellOfTwo();
+        const east = cell.add("e", 1, undefined, "east");
+        const ranked = rendezvous.rank(SHARD, ["s", "e"]).map(id => id === "s" ? foreign : east);
+        lose(cell, owner);
+        await cell.advance(20_000);
+        expect(ranked[0]?.ownership.ownerOf(SHARD)?.owner).to.equal(ranked[0]?.id);
+        ranked[0]?.timers.pause();
+        await cell.advance(20_000);
+        expect(ranked[1]?.events.at(-1)).to.equal(`acquired ${SHARD} 3`);
+    });
+});
--- a/packages/ownership/__tests__/support/ownershipCell.ts
+++ b/packages/ownership/__tests__/support/ownershipCell.ts
@@ -7,6 +7,9 @@
 
 export const rendezvous = await Rendezvous.load();
 
+/** Adoption delay of all processes, in milliseconds. */
+export const ADOPTION_DELAY_MILLISECONDS = 15_000;
+
 export interface CellNode {
     readonly id: string;
     readonly timers: NodeTimers;
@@ -22,13 +25,17 @@
     readonly nodes: CellNode[] = [];
     readonly shards: readonly ShardId[];
     live: string[] = [];
+    /** Processes of other failure domains. */
+    readonly foreign = new Map<string, string[]>();
+    /** Failure domains of which membership knows a live process that is not in the lists above. */
+    readonly listed = new Set<string>();
     private transactions = 0;
 
     constructor(shards: readonly ShardId[] = ["north/0"]) {
         this.shards = shards;
     }
 
-    add(id: string, rate = 1, prepare?: OwnershipListener["releasing"]): CellNode {
+    add(id: string, rate = 1, prepare?: OwnershipListener["releasing"], failureDomain = "north"): CellNode {
         const timers = new NodeTimers(this.timers, rate);
         const events: string[] = [];
         const node: CellNode = {
@@ -38,13 +45,17 @@
             faults: () => undefined,
             ownership: new TableShardOwnership({
                 nodeId: id,
-                failureDomain: "north",
+                failureDomain,
                 shards: this.shards,
                 timers,
                 table: this.table.connect(this.timers, call => node.faults(call)),
                 rendezvous,
                 durations: defaultOwnershipDurations,
-                liveMembers: () => this.live,
+                liveMembers: name => this.membersOf(name),
+                adoption: {
+                    delayMilliseconds: ADOPTION_DELAY_MILLISECONDS,
+                    mayHaveLiveProcess: name => this.listed.has(name) || this.membersOf(name).length > 0,
+                },
                 nextTransactionId: () => `${id}-${++this.transactions}`,
             }),
         };
@@ -54,10 +65,19 @@
             ...(prepare === undefined ? {} : { releasing: prepare }),
         });
         this.nodes.push(node);
-        this.live.push(id);
+        if (failureDomain === "north") {
+            this.live.push(id);
+        }
+        else {
+            this.foreign.set(failureDomain, [...this.membersOf(failureDomain), id]);
+        }
         return node;
     }
 
+    private membersOf(failureDomain: string): readonly string[] {
+        return failureDomain === "north" ? this.live : this.foreign.get(failureDomain) ?? [];
+    }
+
     /** Processes that may start work on the shard at this moment. */
     startersOf(shard: ShardId): string[] {
         return this.nodes
--- a/packages/ownership/src/acquisitionRule.ts
+++ b/packages/ownership/src/acquisitionRule.ts
@@ -20,7 +20,7 @@
     candidate: Candidate,
     durations: OwnershipDurations,
 ): number | undefined {
-    const preference = Math.min(candidate.rank, MAXIMUM_RANK_STEPS) * pollPeriod(durations);
+    const preference = preferenceDelay(candidate, durations);
     const { value } = observation;
     if (value === undefined) {
         return observation.version === 0 ? preference : undefined;
@@ -34,6 +34,11 @@
     return value.successor === undefined ? preference : 2 * durations.renewal + preference;
 }
 
+/** Milliseconds that a candidate leaves to more preferred ones. */
+export function preferenceDelay({ rank }: Candidate, durations: OwnershipDurations): number {
+    return Math.min(rank, MAXIMUM_RANK_STEPS) * pollPeriod(durations);
+}
+
 /** Polls run at twice the rate of renewals, so that a released or abandoned shard is noticed soon. */
 export function pollPeriod(durations: OwnershipDurations): number {
     return durations.renewal / 2;
--- a/packages/ownership/src/tableShardOwnership.ts
+++ b/packages/ownership/src/tableShardOwnership.ts
@@ -5,7 +5,7 @@
  */
 import { failureDomainOfShard, type ShardId } from "@tanagerlink/model";
 import { type Subscription, withDeadline } from "@tanagerlink/timers";
-import { acquisitionDelay, pollPeriod } from "./acquisitionRule.ts";
+import { acquisitionDelay, type Candidate, pollPeriod, preferenceDelay } from "./acquisitionRule.ts";
 import { AdoptionRule } from "./adoptionRule.ts";
 import { HandoverRule } from "./handoverRule.ts";
 import type { HeldShard } from "./heldShard.ts";
@@ -216,16 +216,19 @@
 
     private isDue(shard: ShardId, observation: RowObservation): boolean {
         const { timers, durations, nodeId } = this.options;
-        if (this.members.isForeign(shard) && !this.mayAdopt(shard, observation)) {
+        const candidate = { nodeId, rank: this.members.ownRank(shard) };
+        if (this.members.isForeign(shard) && !this.mayAdopt(shard, observation, candidate)) {
             return false;
         }
-        const delay = acquisitionDelay(observation, { nodeId, rank: this.members.ownRank(shard) }, durations);
+        const delay = acquisitionDelay(observation, candidate, durations);
         return delay !== undefined && timers.now() >= observation.since + delay;
     }
 
     /** A shard without a row never had an owner and has no jobs; it waits for the processes of its failure domain. */
-    private mayAdopt(shard: ShardId, observation: RowObservation): boolean {
-        return observation.version > 0 && this.adoption.isLost(failureDomainOfShard(shard), this.options.timers.now());
+    private mayAdopt(shard: ShardId, observation: RowObservation, candidate: Candidate): boolean {
+        // The row is observed during the adoption delay already, so the preference has to be added to both.
+        const at = this.options.timers.now() - preferenceDelay(candidate, this.options.durations);
+        return observation.version > 0 && this.adoption.isLost(failureDomainOfShard(shard), at);
     }
 
     private async handOverOne(): Promise<void> {
--- a/packages/scenarios/src/jobOutcomes.ts
+++ b/packages/scenarios/src/jobOutcomes.ts
@@ -64,3 +64,13 @@
 function list(names: readonly string[]): string {
     return names.length === 0 ? "" : `; ${names.slice(0, LISTED_NAMES).join(", ")}`;
 }
+
+/** No task of the jobs was started more than once. */
+export function ranOnce(run: CheckedRun, as: string): Finding {
+    const runs = runsNamed(run, as);
+    const tasks = new Set(runs.map(({ reference, task }) => `${reference} ${task}`));
+    return {
+        reached: runs.length > 0 && runs.length === tasks.size,
+        observed: `${runs.length} runs of ${tasks.size} tasks`,
+    };
+}
--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -157,6 +157,8 @@
     z.strictObject({ started: z.strictObject({ as: name, "before-any-of": name }) }),
     /** Runs of the jobs that the product stopped before their end, for example by preemption. */
     z.strictObject({ stopped: z.strictObject({ as: name, "at-least": count }) }),
+    /** No task of the jobs was started more than once. */
+    z.strictObject({ "ran-once": name }),
     /** Tasks of the jobs that were throttled, because they used more than they declared. */
     z.strictObject({ throttled: z.strictObject({ as: name, "at-least": count }) }),
     /** None of the work ran. */
--- a/packages/scenarios/src/outcomes.ts
+++ b/packages/scenarios/src/outcomes.ts
@@ -2,7 +2,7 @@
 import { pause } from "./callers.ts";
 import type { Finding } from "./finding.ts";
 import { type CheckedRun } from "./invariants.ts";
-import { cancelled, ranTogether, runsNamed, startedBefore } from "./jobOutcomes.ts";
+import { cancelled, ranOnce, ranTogether, runsNamed, startedBefore } from "./jobOutcomes.ts";
 import type { Outcome, Scenario } from "./language.ts";
 import { recordedRuns, runningOfTeam } from "./runRecords.ts";
 import { isAnswered, TryEnd } from "./work.ts";
@@ -47,6 +47,9 @@
         const { as, "at-least": wanted } = outcome.stopped;
         return atLeast(runsNamed(run, as).filter(({ stopped }) => stopped).length, wanted);
     }
+    if ("ran-once" in outcome) {
+        return ranOnce(run, outcome["ran-once"]);
+    }
     if ("throttled" in outcome) {
         const { as, "at-least": wanted } = outcome.throttled;
         return atLeast(runsNamed(run, as).filter(({ throttled }) => throttled).length, wanted);
--- /dev/null
+++ b/packages/scheduler/__tests__/adoption.spec.ts
@@ -0,0 +1,136 @@
+/** Shards of a failure domain without entry processes, owned by processes of another one meanwhile. */
+import { FailureDomainState, JobState, Reason } from "@tanagerlink/model";
+import { expect } from "chai";
+import fc from "fast-check";
+import { type CellProcess, SchedulerCell, SHARD, size } from "./support/schedulerCell.ts";
+
+/** Adoption delay, polls, attachment of the workers and the confirmation window together. */
+const ADOPTION_MILLISECONDS = 26_000;
+
+/** A failure domain with three workers and one process, and another one with one process and as many workers as given. */
+async function cellOfTwo(southWorkers = 0): Promise<{ cell: SchedulerCell; north: CellProcess; south: CellProcess; }> {
+    const cell = new SchedulerCell({ south: true });
+    cell.addWorkers(3, size(2_000));
+    cell.addWorkers(southWorkers, size(64_000), {}, "south");
+    const north = cell.addProcess();
+    const south = cell.addProcess({}, "south");
+    await cell.timers.advance(8_000);
+    return { cell, north, south };
+}
+
+function shardsOf({ ownership }: CellProcess): string[] {
+    return ownership.owned().map(({ shard }) => shard).sort();
+}
+
+describe("adoption of the shards of a lost failure domain", () => {
+    it("keeps non-idempotent tasks on their workers and starts what waits, until the domain takes the shard back", async () => {
+        const { cell, north, south } = await cellOfTwo();
+        const going = await cell.submitAndStart(north, { tasks: 4, idempotent: false, runMilliseconds: 120_000 });
+        const waiting = await cell.submit(north, { tasks: 8, runMilliseconds: 3_000 });
+        north.process.kill();
+        await cell.timers.advance(ADOPTION_MILLISECONDS);
+        expect(shardsOf(south)).to.deep.equal([SHARD, "south/0"]);
+        const { decisions } = await cell.status(south, waiting);
+        expect(decisions.map(({ reason }) => reason)).to.include(Reason.ShardAdopted);
+        expect(south.service.fleet.headline(SHARD)).to.include({ owner: south.id, adoptedBy: "south" });
+        await cell.timers.advance(30_000);
+        expect(await cell.state(south, waiting)).to.equal(JobState.Succeeded);
+        const back = cell.addProcess();
+        await cell.timers.advance(20_000);
+        expect(shardsOf(south)).to.deep.equal(["south/0"]);
+        expect(shardsOf(back)).to.deep.equal([SHARD]);
+        expect(back.service.fleet.headline(SHARD)?.adoptedBy).to.equal(undefined);
+        await cell.timers.advance(70_000);
+        expect(await cell.state(back, going)).to.equal(JobState.Succeeded);
+        cell.check([going]);
+    });
+
+    it("starts and moves nothing while the adopter reaches no majority of workers that are listed", async () => {
+        const { cell, north, south } = await cellOfTwo(2);
+        const job = await cell.submitAndStart(north, { tasks: 6, runMilliseconds: 600_000 });
+        const waiting = await cell.submitTo(SHARD, { runMilliseconds: 1_000 });
+        south.links.plan = worker => ["worker0", "worker1"].includes(worker) ? "unreachable" : "normal";
+        north.process.kill();
+        await cell.timers.advance(120_000);
+        expect(shardsOf(south)).to.include(SHARD);
+        expect(await cell.status(south, waiting)).to.include({ shard: SHARD, state: JobState.Queued });
+        expect(cell.attempts(job)).to.have.lengthOf(6);
+        south.links.plan = () => "normal";
+        await cell.timers.advance(60_000);
+        expect(await cell.state(south, waiting)).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
+    it("moves jobs away when the workers are gone from the VM list, after the leases of their tasks", async () => {
+        const { cell, north, south } = await cellOfTwo(1);
+        const running = await cell.submitAndStart(north, { tasks: 6, runMilliseconds: 40_000 });
+        const waiting = await cell.submitTo(SHARD, { runMilliseconds: 1_000 });
+        const links = ["worker0", "worker1", "worker2"];
+        south.links.plan = worker => links.includes(worker) ? "unreachable" : "normal";
+        north.process.kill();
+        cell.vms = cell.vms.filter(({ id }) => !links.includes(id));
+        south.service.targetsChanged();
+        await cell.timers.advance(200_000);
+        for (const job of [running, waiting]) {
+            expect(await cell.status(south, job)).to.include({ state: JobState.Succeeded, shard: "south/0" });
+        }
+        const reasons = (await cell.status(south, waiting)).decisions.map(({ reason }) => reason);
+        expect(reasons).to.include.members([Reason.ShardAdopted, Reason.Moved]);
+        cell.check();
+    });
+
+    it("moves 25 jobs a second from a shard that can run nothing", async () => {
+        const { cell, south } = await cellOfTwo(4);
+        const { north, ...others } = cell.configuration.failureDomains;
+        cell.configure({ failureDomains: { ...others, north: { ...north!, state: FailureDomainState.Out } } });
+        const jobs = await Promise.all(
+            Array.from({ length: 200 }, () => cell.submitTo(SHARD, { runMilliseconds: 100 })),
+        );
+        await cell.timers.advance(10_000);
+        const shards = await Promise.all(jobs.map(async job => (await cell.status(south, job)).shard));
+        expect(shards.filter(shard => shard === "south/0")).to.have.lengthOf(200);
+        await cell.timers.advance(10_000);
+        for (const job of jobs) {
+            expect(await cell.state(south, job)).to.equal(JobState.Succeeded);
+            expect(cell.attempts(job), "runs").to.have.lengthOf(1);
+        }
+        cell.check();
+    });
+
+    it("loses and doubles nothing when adopters die and processes of the domain return at any moment", async () => {
+        const schedule = fc.record({
+            returnAt: fc.integer({ min: 0, max: 60_000 }),
+            killAt: fc.integer({ min: 15_000, max: 50_000 }),
+            paused: fc.boolean(),
+            unreachable: fc.nat(3),
+        });
+        await fc.assert(
+            fc.asyncProperty(schedule, async ({ returnAt, killAt, paused, unreachable }) => {
+                const { cell, north, south } = await cellOfTwo(1);
+                const other = cell.addProcess({}, "south");
+                other.links.plan = worker => worker === `worker${unreachable}` ? "unreachable" : "normal";
+                const once = await cell.submit(north, { tasks: 5, idempotent: false, runMilliseconds: 25_000 });
+                const repeated = await cell.submit(north, { tasks: 9, runMilliseconds: 4_000 });
+                await cell.timers.advance(2_000);
+                north.process.kill();
+                const events = [
+                    { at: returnAt, act: () => void cell.addProcess() },
+                    { at: killAt, act: () => paused ? south.process.pause() : south.process.kill() },
+                ].sort((left, right) => left.at - right.at);
+                for (const [index, { at, act }] of events.entries()) {
+                    await cell.timers.advance(at - (events[index - 1]?.at ?? 0));
+                    act();
+                }
+                await cell.timers.advance(30_000);
+                south.process.resume();
+                other.links.plan = () => "normal";
+                await cell.timers.advance(200_000);
+                const states = await Promise.all([once, repeated].map(job => cell.state(other, job)));
+                expect(states[0]).to.be.oneOf([JobState.Succeeded, JobState.OutcomeUnknown]);
+                expect(states[1]).to.equal(JobState.Succeeded);
+                cell.check([once]);
+            }),
+            { numRuns: 12 },
+        );
+    });
+});
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -11,6 +11,7 @@
     jobSpecificationSchema,
     type JobState,
     type Resources,
+    shardsOfFailureDomain,
     type VmRecord,
     WorkClass,
 } from "@tanagerlink/model";
@@ -48,6 +49,7 @@
 /** One process of the cell. */
 export interface CellProcess {
     readonly id: string;
+    readonly failureDomain: string;
     readonly process: SimulatedProcess;
     readonly links: WorkerLinks;
     readonly ownership: TableShardOwnership;
@@ -107,14 +109,31 @@
     private readonly progress = new Map<string, number>();
     private transactions = 0;
 
-    /** With several shards, worker N belongs to shard N modulo their number. */
-    constructor(options: { readonly limit?: number; readonly shards?: number; } = {}) {
+    /** With several shards, worker N belongs to shard N modulo their number. `south` adds a second failure domain. */
+    constructor(options: { readonly limit?: number; readonly shards?: number; readonly south?: boolean; } = {}) {
         this.limit = options.limit ?? 1_000;
         this.shards = Array.from({ length: options.shards ?? 1 }, (_, index) => `north/${index}`);
         this.configuration = configurationOf(this.limit, this.shards.length);
+        if (options.south === true) {
+            const { north } = this.configuration.failureDomains;
+            const south = { ...north!, name: "south", shards: 1 };
+            this.configuration = { ...this.configuration, failureDomains: { north: north!, south } };
+        }
+    }
+
+    /** Processes that membership knows as live. */
+    private members(failureDomain: string): string[] {
+        return this.processes
+            .filter(other => other.failureDomain === failureDomain && !other.process.isKilled)
+            .map(other => other.id);
     }
 
-    addWorkers(count: number, capacity = size(4_000), capabilities: WorkerOptions["capabilities"] = {}): void {
+    addWorkers(
+        count: number,
+        capacity = size(4_000),
+        capabilities: WorkerOptions["capabilities"] = {},
+        failureDomain = "north",
+    ): void {
         for (let index = 0; index < count; index++) {
             const id = `worker${this.workers.size}`;
             const surroundings = {
@@ -131,7 +150,7 @@
                 id,
                 role: "worker",
                 address: "127.0.0.1:1",
-                failureDomain: "north",
+                failureDomain,
                 rack: `rack${index % 2}`,
                 state: "live",
             });
@@ -143,7 +162,7 @@
         return this.workers.get(id)!;
     }
 
-    addProcess(settings: Partial<ShardSettings> = {}): CellProcess {
+    addProcess(settings: Partial<ShardSettings> = {}, failureDomain = "north"): CellProcess {
         const id = `process${this.processes.length}`;
         const process = new SimulatedProcess(this.timers);
         const table = process.connect(this.table);
@@ -152,27 +171,28 @@
         const peers = new CellPeers(owner => this.processes.find(other => other.id === owner));
         const ownership = new TableShardOwnership({
             nodeId: id,
-            failureDomain: "north",
-            shards: this.shards,
+            failureDomain,
+            shards: Object.values(this.configuration.failureDomains).flatMap(shardsOfFailureDomain),
             timers: process,
             table,
             rendezvous,
             durations: defaultOwnershipDurations,
-            liveMembers: () => this.processes.filter(other => !other.process.isKilled).map(other => other.id),
+            liveMembers: name => this.members(name),
+            adoption: { delayMilliseconds: 15_000, mayHaveLiveProcess: name => this.members(name).length > 0 },
             nextTransactionId,
         });
         const ledger = new TableGrantLedger({ timers: process, table, nextTransactionId, ...defaultGrantDurations });
         ledger.setTeamLimits({ alder: this.limit }, 1);
         const service = new SchedulerService({
             node: id,
-            failureDomain: "north",
+            failureDomain,
             peers: peers as unknown as PeerNetwork,
             targets: {
                 known: () => this.vms.length > 0,
-                workers: () => this.vms.filter(({ id: worker }) => worker !== this.hidden),
+                workers: name => this.vms.filter(vm => vm.id !== this.hidden && vm.failureDomain === name),
                 executors: () => [],
             },
-            shardOfTarget: target => this.shards[Number(target.slice("worker".length)) % this.shards.length],
+            shardOfTarget: (target, shards) => shards[Number(target.slice("worker".length)) % shards.length],
             dependencies: {
                 timers: process,
                 logger: silentLogger,
@@ -188,7 +208,7 @@
                 createExecutorPool: () => noExecutors,
             },
         });
-        const cellProcess = { id, process, links, ownership, service, ledger, peers };
+        const cellProcess = { id, failureDomain, process, links, ownership, service, ledger, peers };
         this.processes.push(cellProcess);
         process.every(HEARTBEAT_MILLISECONDS, () => {
             const payload = service.heartbeat();
