--- a/packages/membership/__tests__/membership.spec.ts
+++ b/packages/membership/__tests__/membership.spec.ts
@@ -90,6 +90,48 @@
         expect(stateOf("new")).to.equal(undefined);
     });
 
+    it("rules a live process out only when the list was read lately and names none, and no link answers", async () => {
+        const mayBeLive = () => membership.mayHaveLiveEntryProcess("south", 5_000);
+        expect(mayBeLive()).to.equal(false);
+        list = ok([vm("a"), vm("s", "entry", "south")]);
+        await timers.advance(10_000);
+        expect(stateOf("s"), "of another failure domain").to.equal(undefined);
+        expect(mayBeLive(), "listed, although silent").to.equal(true);
+        list = ok([vm("a"), { ...vm("s", "entry", "south"), state: "leaving" }]);
+        await timers.advance(1_000);
+        expect(mayBeLive(), "leaving and silent").to.equal(false);
+        links = [heard("s", 0, "south")];
+        await timers.advance(250);
+        expect(mayBeLive(), "leaving, but heard").to.equal(true);
+        list = ok([vm("a")]);
+        await timers.advance(1_000);
+        expect(mayBeLive(), "heard, but not listed").to.equal(true);
+        links = [];
+        await timers.advance(1_000);
+        expect(mayBeLive()).to.equal(false);
+        list = err(serviceError(ErrorKind.StoreUnavailable, "down"));
+        await timers.advance(7_000);
+        expect(mayBeLive(), "unknown since the list is old").to.equal(true);
+    });
+
+    it("links to wanted processes of other failure domains beyond the two chosen ones", async () => {
+        const south = ["s1", "s2", "s3", "s4"].map(id => vm(id, "entry", "south"));
+        list = ok([vm("a"), ...south]);
+        const chosen = (await start()).peersToLink().map(({ id }) => id);
+        const [other] = south.map(({ id }) => id).filter(id => !chosen.includes(id));
+        const created = new Membership({
+            ...vm("a"),
+            vmList: { read: () => Promise.resolve(list) },
+            network: { links: () => links },
+            timers,
+            pollMilliseconds: 1_000,
+            wantedLinks: () => new Set([other ?? "", "unknown", "a"]),
+        });
+        await created.start(0);
+        await timers.settle();
+        expect(created.peersToLink().map(({ id }) => id)).to.have.members([...chosen, other]);
+    });
+
     it("remembers a leaving mark until the VM is gone, so that a lagging list does not make it usable again", async () => {
         const state = () => membership.executors("north")[0]?.state;
         membership.markLeaving("x");
--- a/packages/scheduler/__tests__/adoption.spec.ts
+++ b/packages/scheduler/__tests__/adoption.spec.ts
@@ -61,6 +61,22 @@
         cell.check();
     });
 
+    it("moves nothing before the confirmation window has passed, although all workers are attached", async () => {
+        const { cell, north, south } = await cellOfTwo(1);
+        const busy = await cell.submitAndStart(north, { tasks: 6, idempotent: false, runMilliseconds: 600_000 });
+        const waiting = await cell.submitTo(SHARD, { runMilliseconds: 1_000 });
+        north.process.kill();
+        const { north: lost, ...others } = cell.configuration.failureDomains;
+        cell.configure({ failureDomains: { ...others, north: { ...lost!, state: FailureDomainState.Out } } });
+        const isThere = async (): Promise<boolean> => (await cell.status(south, waiting)).shard === SHARD;
+        for (let step = 0; step < 600 && await isThere(); step++) {
+            await cell.timers.advance(100);
+        }
+        expect(await isThere()).to.equal(false);
+        expect(south.ownership.mayStart(SHARD, 2)).to.equal(true);
+        cell.check([busy]);
+    });
+
     it("moves jobs away when the workers are gone from the VM list, after the leases of their tasks", async () => {
         const { cell, north, south } = await cellOfTwo(1);
         const running = await cell.submitAndStart(north, { tasks: 6, runMilliseconds: 40_000 });
