fix(jobs): let a job return to a shard that it was moved away from

Change: the row of the job replaces the pointer to it. Moves and arrivals of a shard no longer overlap, so that an arrival is not taken for an older one.

--- a/packages/jobs/src/jobMove.ts
+++ b/packages/jobs/src/jobMove.ts
@@ -5,10 +5,10 @@
  */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { JobRecord, ShardId } from "@tanagerlink/model";
-import type { ConditionalWrite, RowCondition, TableTransaction } from "@tanagerlink/platform";
+import type { ConditionalWrite, RowCondition, TableService, TableTransaction } from "@tanagerlink/platform";
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
-import { arrivalPrefix, jobKey } from "./jobRow.ts";
+import { arrivalPrefix, jobKey, parseJobRow } from "./jobRow.ts";
 import type { KnownJob } from "./knownJobs.ts";
 import type { ResentTransactions } from "./resentTransactions.ts";
 
@@ -31,8 +31,11 @@
     readonly closedBy: () => ServiceError | undefined;
 }
 
-/** Writes that move a job. Its row must be known and have no change under way. */
-export function moveWrites({ record, target }: JobMove, known: KnownJob): ConditionalWrite[] {
+/**
+ * Writes that move a job. Its row must be known and have no change under way. `targetVersion` is that of the job's row
+ * in the other shard: a pointer when the job was there before, else 0 for none.
+ */
+export function moveWrites({ record, target }: JobMove, known: KnownJob, targetVersion: number): ConditionalWrite[] {
     const idempotencyKey = known.submission === undefined
         ? {}
         : { idempotencyKey: decodeURIComponent(known.submission.slice(known.submission.lastIndexOf("/") + 1)) };
@@ -42,11 +45,37 @@
     const pointer = { record: { ...record, movedTo: target }, ...idempotencyKey };
     return [
         { key: jobKey(record.shard, record.id), expectedVersion: known.version, value: pointer },
-        { key: jobKey(target, record.id), expectedVersion: 0, value: moved },
+        { key: jobKey(target, record.id), expectedVersion: targetVersion, value: moved },
         { key: `${arrivalPrefix(target)}${record.id}`, expectedVersion: 0, value: {} },
     ];
 }
 
+/**
+ * Version of the pointer that the target holds to the job, 0 for none; `undefined` when the target holds the job itself
+ * or the shard was given up. Only a job that was in the target before can have a row there.
+ */
+export async function targetVersion(
+    context: MoveContext,
+    table: Pick<TableService, "read">,
+    { record, target }: JobMove,
+): Promise<number | undefined> {
+    if (record.movedFrom?.includes(target) !== true) {
+        return 0;
+    }
+    while (context.closedBy() === undefined) {
+        const row = await table.read(jobKey(target, record.id));
+        if (row.isErr()) {
+            await sleep(context.timers, RETRY_MILLISECONDS);
+            continue;
+        }
+        if (row.value === undefined) {
+            return 0;
+        }
+        return parseJobRow(row.value)?.record.movedTo === undefined ? undefined : row.value.version;
+    }
+    return undefined;
+}
+
 /**
  * Commits the writes of several jobs under the shard's epoch in one transaction, through outages of the table, until the
  * shard is given up. Jobs of which a row was changed outside the shard are left out. Returns the jobs that were written.
--- a/packages/jobs/src/shardCommits.ts
+++ b/packages/jobs/src/shardCommits.ts
@@ -10,7 +10,7 @@
 import { sleep, type Timers, withDeadline } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import { type Batch, buildBatch, chooseJobs, submissionKeyOf } from "./commitBatch.ts";
-import { commitMoves, type JobMove, type MoveContext, moveWrites } from "./jobMove.ts";
+import { commitMoves, type JobMove, type MoveContext, moveWrites, targetVersion } from "./jobMove.ts";
 import {
     arrivalPrefix,
     jobKey,
@@ -131,13 +131,14 @@
     /** Moves jobs without unwritten changes to other shards; nothing may be written for them here afterwards. */
     async move(moves: readonly JobMove[]): Promise<Result<readonly string[], ServiceError>> {
         const writes = new Map<string, readonly ConditionalWrite[]>();
-        for (const move of moves) {
+        await Promise.all(moves.map(async move => {
             const { id } = move.record;
+            const version = await targetVersion(this.moveContext, this.options.table, move);
             const known = this.known.get(id);
-            if (known !== undefined && !this.pending.has(id)) {
-                writes.set(id, moveWrites(move, known));
+            if (known !== undefined && version !== undefined && !this.pending.has(id)) {
+                writes.set(id, moveWrites(move, known, version));
             }
-        }
+        }));
         const moved = await commitMoves(this.moveContext, writes);
         for (const id of moved.isOk() ? moved.value : []) {
             const known = this.known.get(id);
@@ -149,7 +150,7 @@
     /** Takes over the versions of the rows of a job that was moved to this shard. */
     arrived(arrival: TableRow, row: TableRow, value: JobRowValue): void {
         this.arrivalVersions.set(value.record.id, arrival.version);
-        if (this.known.get(value.record.id) === undefined) {
+        if ((this.known.get(value.record.id)?.version ?? 0) < row.version) {
             this.known.set(value.record.id, row.version, submissionKeyOfRow(value));
         }
     }
--- a/packages/scheduler/__tests__/adoption.spec.ts
+++ b/packages/scheduler/__tests__/adoption.spec.ts
@@ -95,6 +95,26 @@
         cell.check();
     });
 
+    it("moves a job back to its first shard when the one that it went to is lost", async () => {
+        const { cell, north, south } = await cellOfTwo(1);
+        const filling = await cell.submitAndStart(south, { size: size(64_000), runMilliseconds: 20_000 });
+        const moved = await cell.submitTo("south/0", { size: size(2_000), runMilliseconds: 30_000 });
+        await cell.timers.advance(9_000);
+        expect(await cell.status(south, moved)).to.include({ shard: SHARD, state: JobState.Running });
+        north.process.kill();
+        const gone = cell.vms.filter(({ failureDomain }) => failureDomain === "north").map(({ id }) => id);
+        south.links.plan = worker => gone.includes(worker) ? "unreachable" : "normal";
+        cell.vms = cell.vms.filter(({ id }) => !gone.includes(id));
+        south.service.targetsChanged();
+        await cell.timers.advance(150_000);
+        for (const job of [filling, moved]) {
+            expect(await cell.status(south, job)).to.include({ shard: "south/0", state: JobState.Succeeded });
+        }
+        const cancelled = await cell.settle(south.service.cancel(moved));
+        expect(cancelled._unsafeUnwrap().state).to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
     it("moves 25 jobs a second from a shard that can run nothing", async () => {
         const { cell, south } = await cellOfTwo(4);
         const { north, ...others } = cell.configuration.failureDomains;
--- a/packages/scheduler/src/jobArrivals.ts
+++ b/packages/scheduler/src/jobArrivals.ts
@@ -24,7 +24,7 @@
         this.disposed = true;
     }
 
-    /** Called in each period. */
+    /** Called in each period, while no move is being written. */
     async takeIn(): Promise<void> {
         this.idlePeriods++;
         if (this.arriving || this.idlePeriods < IDLE_PERIODS) {
@@ -46,10 +46,12 @@
     /** The arrival of a job may be confirmed after the job was read by a new owner, and even after it moved on. */
     private enqueue(record: JobRecord | undefined): void {
         const { book, dependencies } = this.context;
-        const known = record === undefined || book.get(record.id) !== undefined || book.moved.has(record.id);
-        if (known || this.disposed || isFinished(record.state) || record.movedTo !== undefined) {
+        const known = record === undefined || book.get(record.id) !== undefined || record.movedTo !== undefined;
+        if (known || this.disposed || isFinished(record.state)) {
             return;
         }
+        // The job has come back. No move of it is under way, so the record that was read is not an older one.
+        book.moved.delete(record.id);
         const { timers } = dependencies;
         const entry = createJobEntry(record, timers.now(), timers.wallClock(), false);
         book.add(entry);
--- a/packages/scheduler/src/jobMoves.ts
+++ b/packages/scheduler/src/jobMoves.ts
@@ -43,7 +43,8 @@
     private readonly arrivals: JobArrivals;
     private readonly subscription: Subscription;
     private cursor: Iterator<JobEntry>;
-    private writing = false;
+    /** One period's work at a time: a slow table gets fewer groups, and no arrival is read while moves are written. */
+    private busy = false;
     private withoutWorkerSince: number | undefined;
 
     constructor(context: ShardContext, lifecycle: TaskLifecycle) {
@@ -51,9 +52,13 @@
         this.arrivals = new JobArrivals(context, lifecycle);
         this.cursor = context.book.entries();
         this.subscription = context.dependencies.timers.every(PERIOD_MILLISECONDS, async () => {
-            this.moveWaiting();
-            await this.arrivals.takeIn();
-            await this.forgetOnePointer();
+            if (!this.busy) {
+                this.busy = true;
+                await this.moveWaiting();
+                await this.arrivals.takeIn();
+                await this.forgetOnePointer();
+                this.busy = false;
+            }
         });
     }
 
@@ -62,23 +67,18 @@
         this.subscription[Symbol.dispose]();
     }
 
-    /** A group that the table has not answered yet is waited for, so that a slow table gets fewer of them. */
-    private moveWaiting(): void {
+    private async moveWaiting(): Promise<void> {
         const { moveTarget, ownership, metrics } = this.context.dependencies;
         // Until the takeover is settled a former owner may still start the jobs.
         const settled = ownership.mayStart(this.context.shard, this.context.epoch);
         const nothingWaits = this.context.policy.waitingTaskCount() === 0;
-        if (moveTarget === undefined || this.writing || !settled || nothingWaits) {
+        if (moveTarget === undefined || !settled || nothingWaits) {
             return;
         }
         const leave = this.failureDomainOut() || this.hasNoWorker();
         const moves = this.chooseMoves(leave, entry => moveTarget(entry.record, leave));
         if (moves.length > 0) {
-            this.writing = true;
-            void this.move(moves).then(moved => {
-                this.writing = false;
-                metrics.movedJobs.increment({ cause: leave ? "leave" : "room" }, moved);
-            });
+            metrics.movedJobs.increment({ cause: leave ? "leave" : "room" }, await this.move(moves));
         }
     }
 
--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -115,8 +115,8 @@
 
     /** Another shard that has room and units for a waiting job; with `leave`, the best other one in any case. */
     moveTarget(record: JobRecord, leave: boolean): string | undefined {
-        // Where the job was before, a pointer to it may still be stored.
-        const excluded = new Set([record.shard, shardOfJob(record.id), ...record.movedFrom ?? []]);
+        // A record of an earlier version does not tell that a pointer to it is stored in its first shard.
+        const excluded = new Set([record.shard, ...record.movedFrom === undefined ? [shardOfJob(record.id)] : []]);
         const best = this.candidates(record.specification).find(headline => !excluded.has(headline.shard));
         const suits = best !== undefined &&
             this.cost(best, record.specification) < (leave ? NEVER_FITS : WITHOUT_GRANT);
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -218,7 +218,7 @@
         const { jobs } = this.options.dependencies;
         const record = await jobs.read(shard, job);
         const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        // A job never moves to a shard in which it was before, so the pointers end.
+        // Each pointer names where the job went when it left the shard last, so following them ends at the job.
         return movedTo === undefined ? record : this.find(movedTo, job);
     }
 
