--- a/packages/scenarios/src/startTimes.ts
+++ b/packages/scenarios/src/startTimes.ts
@@ -3,6 +3,9 @@
 import type { Facts } from "./facts.ts";
 import { type RecordedRun, recordedRuns } from "./runRecords.ts";
 
+/** Period of the numbers of starts after a loss, in milliseconds. */
+const PERIOD_MILLISECONDS = 5_000;
+
 /** One line for each name of work, and one for each failure domain that lost all of its entry processes. */
 export function startTimes(cell: Cell, facts: Facts): string[] {
     const runs = recordedRuns(cell);
@@ -18,9 +21,16 @@
     const ofLosses = facts.losses.map(({ domain, at }) => {
         const after = runs.filter(run => run.startedAt > at);
         const own = after.filter(run => run.target.startsWith(`${domain}-`)).map(run => run.startedAt);
+        const last = Math.max(at, ...after.map(run => run.startedAt));
+        const periods = Array.from({ length: Math.ceil((last - at) / PERIOD_MILLISECONDS) }, (_, index) => {
+            const from = at + index * PERIOD_MILLISECONDS;
+            return after.filter(run => run.startedAt > from && run.startedAt <= from + PERIOD_MILLISECONDS).length;
+        });
         const first = own.length === 0 ? "none" : span(at, Math.min(...own));
-        const last = after.length === 0 ? "none" : span(at, Math.max(...after.map(run => run.startedAt)));
-        return `after the loss of ${domain}: first start on its targets ${first}, last start anywhere ${last}`;
+        return `after the loss of ${domain}: first start on its targets ${first}, last start anywhere ${
+            span(at, last)
+        }; `
+            + `starts in each 5 s: ${periods.join(" ")}`;
     });
     return [...ofNames, ...ofLosses];
 }
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -6,7 +6,6 @@
 import {
     type ConfigurationSnapshot,
     failureDomainOfShard,
-    type JobRecord,
     type ServiceAnswer,
     type ServiceRequest,
     shardsOfFailureDomain,
@@ -15,18 +14,19 @@
 import type { OwnedShard, OwnershipListener } from "@tanagerlink/ownership";
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { Subscription } from "@tanagerlink/timers";
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import { randomInt, randomUUID } from "node:crypto";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetView } from "./fleetView.ts";
+import { JobLookup } from "./jobLookup.ts";
 import { JobRouter } from "./jobRouter.ts";
 import { cancelMethod, requestMethod, statusMethod, submitMethod } from "./peerMethods.ts";
 import { RequestRouter } from "./requestRouter.ts";
 import { ShardAccess } from "./shardAccess.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
 import { ShardScheduler, type ShardTargets } from "./shardScheduler.ts";
-import { jobIdentifier, type JobStatus, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
+import { jobIdentifier, type JobStatus, type Submission } from "./submission.ts";
 import { headlineOf, SummaryFeed, type SummaryPayload } from "./summaryPayload.ts";
 
 /** Bound of the seed of jitter. */
@@ -63,6 +63,7 @@
     private readonly closingShards = new Map<string, Promise<void>>();
     private readonly feed: SummaryFeed;
     private readonly access: ShardAccess;
+    private readonly lookup: JobLookup;
     private readonly jobRouter: JobRouter;
     private readonly requestRouter: RequestRouter;
     private readonly subscription: Subscription;
@@ -79,6 +80,7 @@
             fleet: this.fleet,
             local: shard => this.shards.get(shard),
         });
+        this.lookup = new JobLookup(this.access, dependencies.jobs);
         const generator = xoroshiro128plus(randomInt(SEED_BOUND));
         const random = (): number => uniformFloat64(generator);
         this.jobRouter = new JobRouter({
@@ -195,56 +197,12 @@
     }
 
     /** Status of a job from its owner, or from the table when the owner can't be asked. */
-    async status(job: string): Promise<Result<JobStatus, ServiceError>> {
-        const shard = shardOfJob(job);
-        if (shard === undefined) {
-            return err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`));
-        }
-        const answer = await this.access.status(shard, job);
-        if (answer.isOk()) {
-            return answer;
-        }
-        const found = await this.find(shard, job);
-        const last = found.isOk() ? found.value : undefined;
-        if (last === undefined || last.shard === shard) {
-            return statusOfRow(job, found);
-        }
-        const moved = await this.access.status(last.shard, job);
-        return moved.isOk() ? moved : statusOfRow(job, found);
+    status(job: string): Promise<Result<JobStatus, ServiceError>> {
+        return this.lookup.status(job);
     }
 
-    /** Reads the record of a job in the table, in the shard to which it was moved last. */
-    private async find(shard: string, job: string): Promise<Result<JobRecord | undefined, ServiceError>> {
-        const { jobs } = this.options.dependencies;
-        const record = await jobs.read(shard, job);
-        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        // Each pointer names where the job went when it left the shard last, so following them ends at the job.
-        return movedTo === undefined ? record : this.find(movedTo, job);
-    }
-
-    async cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
-        const shard = shardOfJob(job);
-        if (shard === undefined) {
-            return err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`));
-        }
-        const answer = await this.access.cancel(shard, job);
-        if (answer.isOk()) {
-            return answer;
-        }
-        const found = await this.find(shard, job);
-        const movedTo = found.isOk() ? found.value?.shard : undefined;
-        if (movedTo === undefined || movedTo === shard) {
-            return answer;
-        }
-        const moved = await this.access.cancel(movedTo, job);
-        return moved.mapErr(error =>
-            error.kind === ErrorKind.JobNotFound
-                ? serviceError(
-                    ErrorKind.ShardNotReady,
-                    `job ${job} is being moved to shard ${movedTo}; repeat the call`,
-                )
-                : error
-        );
+    cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
+        return this.lookup.cancel(job);
     }
 
     dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
@@ -331,14 +289,3 @@
             : action(scheduler);
     }
 }
-
-function statusOfRow(
-    job: string,
-    record: Result<JobRecord | undefined, ServiceError>,
-): Result<JobStatus, ServiceError> {
-    return record.andThen(value =>
-        value === undefined
-            ? err(serviceError(ErrorKind.JobNotFound, `there is no job ${job}`))
-            : ok(statusOfRecord(value))
-    );
-}
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -79,9 +79,9 @@
                 this.absent.add(session.client.id);
             }
         }
-        this.context.dependencies.ownership.setRoster(this.context.shard, Array.from(this.sessions.keys()));
-        const now = this.context.dependencies.timers.now();
-        this.unlisted.update(this.witnesses, worker => this.sessions.has(worker), now);
+        const { ownership, timers } = this.context.dependencies;
+        ownership.setRoster(this.context.shard, Array.from(this.sessions.keys()));
+        this.unlisted.update(this.witnesses, worker => this.sessions.has(worker), timers.now());
     }
 
     /** Whether every worker of the stored roster and of the VM list was read under this epoch. */
