--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -9,7 +9,7 @@
 import { Rendezvous, TableShardOwnership } from "@tanagerlink/ownership";
 import { WebSocketPeerNetwork } from "@tanagerlink/peer";
 import { createRoutingMetrics } from "@tanagerlink/routing";
-import { createSchedulerMetrics, SchedulerService } from "@tanagerlink/scheduler";
+import { createSchedulerMetrics, type FleetView, SchedulerService } from "@tanagerlink/scheduler";
 import type { Settings } from "@tanagerlink/settings";
 import { HttpExecutorClientFactory, HttpWorkerClientFactory } from "@tanagerlink/targets";
 import { createLogger, type Logger, Metrics } from "@tanagerlink/telemetry";
@@ -106,6 +106,12 @@
     readonly platform: PlatformAccess;
 }
 
+/** Their callers and the shards' own failure domain need a link to them. */
+function ownersOfAdoptedShards(fleet: FleetView): ReadonlySet<string> {
+    const adopted = fleet.headlines().filter(({ adoptedBy }) => adoptedBy !== undefined);
+    return new Set(adopted.map(({ owner }) => owner));
+}
+
 /** Connects the parts in the order of their dependencies. */
 async function buildParts(foundations: Foundations) {
     const { settings, timers, logger, metrics, peers, platform } = foundations;
@@ -129,6 +135,7 @@
         network: peers,
         timers,
         pollMilliseconds: settings.vmListPollMilliseconds,
+        wantedLinks: () => ownersOfAdoptedShards(scheduler.fleet),
     });
     const ownership = new TableShardOwnership({
         nodeId: settings.nodeId,
@@ -143,7 +150,12 @@
             margin: settings.shardLeaseMilliseconds / 6,
             confirmation: settings.confirmationWindowMilliseconds,
         },
-        liveMembers: () => membership.usableEntryProcesses(settings.failureDomain).map(entry => entry.id),
+        liveMembers: failureDomain => membership.usableEntryProcesses(failureDomain).map(entry => entry.id),
+        adoption: {
+            delayMilliseconds: settings.adoptionDelayMilliseconds,
+            mayHaveLiveProcess: failureDomain =>
+                membership.mayHaveLiveEntryProcess(failureDomain, settings.adoptionDelayMilliseconds),
+        },
         nextTransactionId,
     });
     const ledger = new TableGrantLedger({ timers, table, nextTransactionId, ...defaultGrantDurations });
@@ -161,14 +173,15 @@
         timers,
         maximumBodyBytes: settings.maximumBodyBytes,
     });
-    const scheduler = new SchedulerService({
+    const scheduler: SchedulerService = new SchedulerService({
         node: settings.nodeId,
         failureDomain: settings.failureDomain,
         peers,
         shardOfTarget: (target, shards) => rendezvous.shardOfTarget(target, shards),
         targets: {
-            workers: () => membership.workers(settings.failureDomain),
-            executors: () => membership.executors(settings.failureDomain),
+            known: () => membership.targetsKnown(),
+            workers: failureDomain => membership.workers(failureDomain),
+            executors: failureDomain => membership.executors(failureDomain),
         },
         dependencies: createShardDependencies({
             settings,
--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -117,6 +117,10 @@
     z.strictObject({
         leaving: z.strictObject({ role: z.enum(["worker", "executor"]), count: count.default(1), in: name.optional() }),
     }),
+    /** VMs fail for good: they answer nothing any more, and the platform's list no longer names them. */
+    z.strictObject({ lose: z.strictObject({ workers: z.union([count, z.literal("all")]), in: name }) }),
+    /** Waits until each entry process knows this number of shards of the failure domain as adopted. */
+    z.strictObject({ adopted: z.strictObject({ in: name, shards: z.int().min(0), within: milliseconds }) }),
     z.strictObject({ operator }),
     z.strictObject({ race: z.array(operator).min(2) }),
     z.strictObject({ "half-written": z.strictObject({ via: name.optional() }) }),
@@ -153,6 +157,8 @@
     z.strictObject({ started: z.strictObject({ as: name, "before-any-of": name }) }),
     /** Runs of the jobs that the product stopped before their end, for example by preemption. */
     z.strictObject({ stopped: z.strictObject({ as: name, "at-least": count }) }),
+    /** No task of the jobs was started more than once. */
+    z.strictObject({ "ran-once": name }),
     /** Tasks of the jobs that were throttled, because they used more than they declared. */
     z.strictObject({ throttled: z.strictObject({ as: name, "at-least": count }) }),
     /** None of the work ran. */
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -5,7 +5,7 @@
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import {
     type ConfigurationSnapshot,
-    type JobRecord,
+    failureDomainOfShard,
     type ServiceAnswer,
     type ServiceRequest,
     shardsOfFailureDomain,
@@ -14,18 +14,19 @@
 import type { OwnedShard, OwnershipListener } from "@tanagerlink/ownership";
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { Subscription } from "@tanagerlink/timers";
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import { randomInt, randomUUID } from "node:crypto";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetView } from "./fleetView.ts";
+import { JobLookup } from "./jobLookup.ts";
 import { JobRouter } from "./jobRouter.ts";
 import { cancelMethod, requestMethod, statusMethod, submitMethod } from "./peerMethods.ts";
 import { RequestRouter } from "./requestRouter.ts";
 import { ShardAccess } from "./shardAccess.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
-import { ShardScheduler } from "./shardScheduler.ts";
-import { jobIdentifier, type JobStatus, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
+import { ShardScheduler, type ShardTargets } from "./shardScheduler.ts";
+import { jobIdentifier, type JobStatus, type Submission } from "./submission.ts";
 import { headlineOf, SummaryFeed, type SummaryPayload } from "./summaryPayload.ts";
 
 /** Bound of the seed of jitter. */
@@ -34,10 +35,12 @@
 /** Period of taking over the fleet's usage into the policies, in milliseconds. */
 const FLEET_USAGE_MILLISECONDS = 1_000;
 
-/** Targets of this failure domain as membership knows them. */
+/** Targets of a failure domain as membership knows them. */
 export interface TargetView {
-    workers(): readonly VmRecord[];
-    executors(): readonly VmRecord[];
+    /** Whether the VM list has been read, so that a target that it lacks is gone. */
+    known(): boolean;
+    workers(failureDomain: string): readonly VmRecord[];
+    executors(failureDomain: string): readonly VmRecord[];
 }
 
 /** What the service is built from. */
@@ -60,6 +63,7 @@
     private readonly closingShards = new Map<string, Promise<void>>();
     private readonly feed: SummaryFeed;
     private readonly access: ShardAccess;
+    private readonly lookup: JobLookup;
     private readonly jobRouter: JobRouter;
     private readonly requestRouter: RequestRouter;
     private readonly subscription: Subscription;
@@ -76,6 +80,7 @@
             fleet: this.fleet,
             local: shard => this.shards.get(shard),
         });
+        this.lookup = new JobLookup(this.access, dependencies.jobs);
         const generator = xoroshiro128plus(randomInt(SEED_BOUND));
         const random = (): number => uniformFloat64(generator);
         this.jobRouter = new JobRouter({
@@ -102,13 +107,23 @@
 
     acquired(owned: OwnedShard): void {
         const { logger } = this.options.dependencies;
-        logger.info({ shard: owned.shard, epoch: owned.epoch }, "shard acquired");
+        const { node, failureDomain } = this.options;
+        const adopted = failureDomainOfShard(owned.shard) !== failureDomain;
+        logger.info(
+            { shard: owned.shard, epoch: owned.epoch, workers: owned.roster.length },
+            adopted ? "shard of a lost failure domain adopted" : "shard acquired",
+        );
         const scheduler = new ShardScheduler(owned.shard, owned.epoch, {
             ...this.options.dependencies,
             moveTarget: (record, leave) => this.jobRouter.moveTarget(record, leave),
+            ...(adopted ? { adopter: { node, failureDomain } } : {}),
         });
         this.shards.set(owned.shard, scheduler);
-        const begin = (): void => scheduler.start(...this.targetsOf(owned.shard), owned.roster);
+        if (adopted) {
+            this.options.dependencies.metrics.adoptions.increment();
+        }
+        this.countAdopted();
+        const begin = (): void => scheduler.start(this.targetsOf(owned.shard), owned.roster);
         // The former scheduler of the shard closes its grants and job records by the name of the shard.
         const closing = this.closingShards.get(owned.shard);
         if (closing === undefined) {
@@ -134,6 +149,7 @@
         }
         this.options.dependencies.logger.info({ shard, epoch }, "shard given up");
         this.shards.delete(shard);
+        this.countAdopted();
         const former = this.closingShards.get(shard);
         const closing = Promise.all([former, scheduler[Symbol.asyncDispose]()]).then(() => undefined);
         this.closingShards.set(shard, closing);
@@ -147,7 +163,10 @@
     /** Takes over a new list of workers and executors. */
     targetsChanged(): void {
         for (const scheduler of this.shards.values()) {
-            scheduler.setTargets(...this.targetsOf(scheduler.shard));
+            const targets = this.targetsOf(scheduler.shard);
+            if (targets !== undefined) {
+                scheduler.setTargets(targets);
+            }
         }
     }
 
@@ -178,48 +197,12 @@
     }
 
     /** Status of a job from its owner, or from the table when the owner can't be asked. */
-    async status(job: string): Promise<Result<JobStatus, ServiceError>> {
-        const shard = shardOfJob(job);
-        if (shard === undefined) {
-            return err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`));
-        }
-        const answer = await this.access.status(shard, job);
-        if (answer.isOk()) {
-            return answer;
-        }
-        const { jobs } = this.options.dependencies;
-        const record = await jobs.read(shard, job);
-        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        if (movedTo === undefined) {
-            return statusOfRow(job, record);
-        }
-        const moved = await this.access.status(movedTo, job);
-        return moved.isOk() ? moved : statusOfRow(job, await jobs.read(movedTo, job));
+    status(job: string): Promise<Result<JobStatus, ServiceError>> {
+        return this.lookup.status(job);
     }
 
-    async cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
-        const shard = shardOfJob(job);
-        if (shard === undefined) {
-            return err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`));
-        }
-        const answer = await this.access.cancel(shard, job);
-        if (answer.isOk()) {
-            return answer;
-        }
-        const record = await this.options.dependencies.jobs.read(shard, job);
-        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        if (movedTo === undefined) {
-            return answer;
-        }
-        const moved = await this.access.cancel(movedTo, job);
-        return moved.mapErr(error =>
-            error.kind === ErrorKind.JobNotFound
-                ? serviceError(
-                    ErrorKind.ShardNotReady,
-                    `job ${job} is being moved to shard ${movedTo}; repeat the call`,
-                )
-                : error
-        );
+    cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
+        return this.lookup.cancel(job);
     }
 
     dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
@@ -249,15 +232,20 @@
         await Promise.all([...closing, ...this.closingShards.values()]);
     }
 
-    private targetsOf(shard: string): [workers: VmRecord[], executors: VmRecord[]] {
-        const { targets, dependencies, failureDomain, shardOfTarget } = this.options;
+    /** `undefined` while it isn't known which targets there are. */
+    private targetsOf(shard: string): ShardTargets | undefined {
+        const { targets, dependencies, shardOfTarget } = this.options;
+        const failureDomain = failureDomainOfShard(shard);
         const configuration = dependencies.configuration()?.failureDomains[failureDomain];
-        if (configuration === undefined) {
-            return [[], []];
+        if (configuration === undefined || !targets.known()) {
+            return undefined;
         }
         const shards = shardsOfFailureDomain(configuration);
         const belongs = (vm: VmRecord): boolean => shardOfTarget(vm.id, shards) === shard;
-        return [targets.workers().filter(belongs), targets.executors().filter(belongs)];
+        return {
+            workers: targets.workers(failureDomain).filter(belongs),
+            executors: targets.executors(failureDomain).filter(belongs),
+        };
     }
 
     private spreadFleetUsage(): void {
@@ -267,6 +255,12 @@
         }
     }
 
+    private countAdopted(): void {
+        const { failureDomain, dependencies } = this.options;
+        const adopted = [...this.shards.keys()].filter(shard => failureDomainOfShard(shard) !== failureDomain);
+        dependencies.metrics.adoptedShards.set(adopted.length);
+    }
+
     private answerPeers(): void {
         const { peers } = this.options;
         peers.handle(
@@ -295,14 +289,3 @@
             : action(scheduler);
     }
 }
-
-function statusOfRow(
-    job: string,
-    record: Result<JobRecord | undefined, ServiceError>,
-): Result<JobStatus, ServiceError> {
-    return record.andThen(value =>
-        value === undefined
-            ? err(serviceError(ErrorKind.JobNotFound, `there is no job ${job}`))
-            : ok(statusOfRecord(value))
-    );
-}
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -6,7 +6,9 @@
 import {
     type ConfigurationSnapshot,
     failureDomainOfShard,
+    isFinished,
     type JobRecord,
+    Reason,
     type Resources,
     type ServiceAnswer,
     type ServiceRequest,
@@ -25,7 +27,7 @@
 import { Recovery } from "./recovery.ts";
 import { WorkerReports } from "./reportHandler.ts";
 import { SchedulingRounds } from "./schedulingRounds.ts";
-import type { ShardContext } from "./shardContext.ts";
+import { decide, type ShardContext } from "./shardContext.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
 import { ShardStatistics } from "./shardStatistics.ts";
 import { startRefusal } from "./startGate.ts";
@@ -48,6 +50,12 @@
 /** Pause between attempts to read the jobs of a shard, in milliseconds. */
 const LOAD_RETRY_MILLISECONDS = 500;
 
+/** Targets of one shard in the VM list. */
+export interface ShardTargets {
+    readonly workers: readonly VmRecord[];
+    readonly executors: readonly VmRecord[];
+}
+
 /** One owned shard. */
 export class ShardScheduler implements AsyncDisposable {
     readonly shard: string;
@@ -67,6 +75,7 @@
     private readonly subscriptions: Disposable[] = [];
     private loaded = false;
     private handingOver = false;
+    private pendingTargets: ShardTargets | undefined;
     private loading: Promise<void> = Promise.resolve();
 
     constructor(shard: string, epoch: number, dependencies: ShardDependencies) {
@@ -109,12 +118,13 @@
     }
 
     /**
-     * Reads the jobs, begins to talk to the workers, opens the grants and schedules. `storedRoster` are the
-     * workers on which the former owner may have started tasks.
+     * Reads the jobs, begins to talk to the workers, opens the grants and schedules. `targets` is `undefined` while the
+     * VM list is unknown. `storedRoster` are the workers on which the former owner may have started tasks.
      */
-    start(workers: readonly VmRecord[], executors: readonly VmRecord[], storedRoster: readonly string[] = []): void {
+    start(targets: ShardTargets | undefined, storedRoster: readonly string[] = []): void {
         this.workers.setStoredRoster(storedRoster);
-        this.loading = this.run(workers, executors);
+        this.pendingTargets ??= targets;
+        this.loading = this.run();
     }
 
     /** Whether the shard takes jobs. */
@@ -122,14 +132,13 @@
         return this.loaded && !this.handingOver && !this.closing.signal.aborted;
     }
 
-    setTargets(workers: readonly VmRecord[], executors: readonly VmRecord[]): void {
-        this.pendingTargets = { workers, executors };
+    setTargets(targets: ShardTargets): void {
+        this.pendingTargets = targets;
         if (this.loaded) {
-            this.workers.setWorkers(workers);
-            this.executors.setExecutors(executors);
+            this.workers.setWorkers(targets.workers);
+            this.executors.setExecutors(targets.executors);
         }
     }
-    private pendingTargets: { workers: readonly VmRecord[]; executors: readonly VmRecord[]; } | undefined;
 
     configurationChanged(configuration: ConfigurationSnapshot): void {
         this.context.policy.setSettings(configuration.policy);
@@ -219,8 +228,7 @@
         await this.dependencies.jobs.close(this.shard, CLOSE_JOBS_MILLISECONDS);
     }
 
-    private async run(workers: readonly VmRecord[], executors: readonly VmRecord[]): Promise<void> {
-        this.pendingTargets ??= { workers, executors };
+    private async run(): Promise<void> {
         const records = await this.load();
         if (records === undefined) {
             return;
@@ -239,7 +247,9 @@
         if (configuration !== undefined) {
             this.configurationChanged(configuration);
         }
-        this.setTargets(this.pendingTargets.workers, this.pendingTargets.executors);
+        if (this.pendingTargets !== undefined) {
+            this.setTargets(this.pendingTargets);
+        }
         this.subscriptions.push(
             new JobMoves(this.context, this.lifecycle),
             timers.every(SWEEP_MILLISECONDS, () => this.sweep()),
@@ -278,6 +288,11 @@
         const recovering = record.acceptedEpoch < this.epoch && mayHaveActiveTasks(record);
         const entry = createJobEntry(record, timers.now(), timers.wallClock(), recovering);
         this.context.book.add(entry);
+        const { adopter } = this.dependencies;
+        if (adopter !== undefined && !isFinished(record.state)) {
+            const detail = `${adopter.node} of failure domain ${adopter.failureDomain} owns shard ${this.shard}`;
+            decide(this.context, entry, Reason.ShardAdopted, { detail });
+        }
         this.lifecycle.enqueue(entry);
     }
 
--- a/scripts/proofs.ts
+++ b/scripts/proofs.ts
@@ -1,8 +1,8 @@
 /**
  * Runs the scenarios over many seeds: `npm run proofs -- --seeds 20`. Options: `--first` is the first seed, `--only`
- * a part of a scenario's name, `--trace` prints the trace of runs that held as well, `--logs DIRECTORY` writes the logs of
- * all processes and the records of all targets of runs that missed an outcome. Exits with 1 when a run missed an outcome,
- * also a known one.
+ * a part of a scenario's name, `--folder` another folder of scenarios, `--trace` prints the trace of runs that held as well,
+ * `--logs DIRECTORY` writes the logs of all processes and the records of all targets of runs that missed an outcome. Exits
+ * with 1 when a run missed an outcome, also a known one.
  */
 import { describeMiss, readScenarios, runScenarios, type ScenarioResult } from "@tanagerlink/scenarios";
 import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
@@ -16,6 +16,7 @@
         seeds: { type: "string", default: "3" },
         first: { type: "string", default: "1" },
         only: { type: "string", default: "" },
+        folder: { type: "string", default: "packages/scenarios/scenarios" },
         trace: { type: "boolean", default: false },
         logs: { type: "string" },
     },
@@ -25,7 +26,7 @@
     const folder = await mkdtemp(join(tmpdir(), "tanagerlink-proofs-"));
     const file = join(folder, "tanagerlink.cjs");
     const seeds = Array.from({ length: Number(values.seeds) }, (_, index) => Number(values.first) + index);
-    const scenarios = readScenarios("packages/scenarios/scenarios").filter(({ name }) => name.includes(values.only));
+    const scenarios = readScenarios(values.folder).filter(({ name }) => name.includes(values.only));
     const startedAt = performance.now();
     let missed = 0;
     try {
