feat(limits): stop tasks above a lowered limit

Limits marked enforce: stop were read and kept, but running tasks went on. The grant row now divides a debt among the shards when the lower limit is recorded, the policy selects the tasks, and the rounds checkpoint them.

--- a/packages/limits/src/grantLedger.ts
+++ b/packages/limits/src/grantLedger.ts
@@ -13,6 +13,14 @@
     readonly wanted: number;
 }
 
+/** Units of a team that a shard still uses beyond what the team's lowered limit leaves to it. */
+export interface LimitExcess {
+    readonly team: string;
+    readonly units: number;
+    /** Configuration version of the limit. */
+    readonly limitVersion: number;
+}
+
 /** Grants of the shards that this process owns. */
 export interface GrantLedger extends AsyncDisposable {
     /** Begins to manage a shard; `running` are the units found in use by recovery. Usable after it resolves. */
@@ -27,5 +35,10 @@
     holdBack(shard: ShardId, team: string, units: number): void;
     /** Current need beyond what is used; the ledger asks for grants accordingly. */
     want(shard: ShardId, team: string, units: number): void;
+    /**
+     * Teams that use more in the shard than their lowered limits leave to it. Empty while the rows can't be read, since
+     * the debt may have been paid meanwhile by units that ended elsewhere.
+     */
+    excess(shard: ShardId): readonly LimitExcess[];
     state(): readonly GrantState[];
 }
--- a/packages/limits/src/grantRow.ts
+++ b/packages/limits/src/grantRow.ts
@@ -13,6 +13,11 @@
     grants: unitsByShard,
     /** Units that shards wait for. */
     wants: unitsByShard,
+    /**
+     * Units that each shard has to give back while the row is in debt. Recorded, because a division that each owner
+     * made anew after every payment would put the parts that other shards have not paid yet on those that have.
+     */
+    dues: unitsByShard.exactOptional(),
 });
 
 export type GrantRowValue = z.infer<typeof grantRowSchema>;
@@ -46,13 +51,49 @@
     if (limit === undefined || limit.version <= row.limitVersion) {
         return row;
     }
-    return { ...row, limit: limit.limit, limitVersion: limit.version, free: row.free + limit.limit - row.limit };
+    const free = row.free + limit.limit - row.limit;
+    return withDues({ ...row, limit: limit.limit, limitVersion: limit.version, free });
 }
 
 /** The row after `units` went from the free ones to the shard; a negative number gives back. */
 export function withTransfer(row: GrantRowValue, shard: ShardId, units: number): GrantRowValue {
+    if (units === 0) {
+        return row;
+    }
     const grants = withEntry(row.grants, shard, unitsOf(row, shard) + units);
-    return units === 0 ? row : { ...row, free: row.free - units, grants };
+    const due = row.dues?.[shard] ?? 0;
+    const dues = due === 0 ? row.dues : withEntry(row.dues ?? {}, shard, Math.max(0, due + Math.min(0, units)));
+    const changed = { ...row, free: row.free - units, grants };
+    return withDues(dues === undefined ? changed : { ...changed, dues });
+}
+
+/** Units of the debt that the shard has to give back. */
+export function dueOf(row: GrantRowValue, shard: ShardId): number {
+    return row.free < 0 ? row.dues?.[shard] ?? 0 : 0;
+}
+
+/** The row with dues that add up to its debt: in proportion to the dues before while these suffice, or to the grants. */
+function withDues(row: GrantRowValue): GrantRowValue {
+    const { dues, ...rest } = row;
+    const debt = Math.max(0, -row.free);
+    if (debt === 0) {
+        return rest;
+    }
+    return { ...rest, dues: divide(debt, dues !== undefined && sumOf(dues) >= debt ? dues : row.grants) };
+}
+
+/** Divides whole units in proportion to the weights, by largest remainder. No part exceeds its weight. */
+function divide(units: number, weights: Readonly<Record<ShardId, number>>): Record<ShardId, number> {
+    const total = sumOf(weights);
+    const parts = Object.entries(weights).map(([shard, weight]) => ({
+        shard,
+        whole: Math.floor(units * weight / total),
+        rest: units * weight % total,
+    }));
+    let missing = units - parts.reduce((sum, part) => sum + part.whole, 0);
+    parts.sort((left, right) => right.rest - left.rest || (left.shard < right.shard ? -1 : 1));
+    const divided = parts.map(({ shard, whole }) => [shard, whole + Number(missing-- > 0)] as const);
+    return Object.fromEntries(divided.filter(([, part]) => part > 0));
 }
 
 /** The row with the shard waiting for `units`. */
--- a/packages/limits/src/shardGrants.ts
+++ b/packages/limits/src/shardGrants.ts
@@ -6,9 +6,10 @@
 import type { ShardId } from "@tanagerlink/model";
 import type { ConditionalWrite, RowCondition, TransactionAnswer } from "@tanagerlink/platform";
 import { sleep, type Subscription, withDeadline } from "@tanagerlink/timers";
+import type { LimitExcess } from "./grantLedger.ts";
 import type { GrantLedgerOptions } from "./grantLedgerOptions.ts";
 import { type GrantNeed, planGrant } from "./grantPlan.ts";
-import { grantKey, type GrantRowValue } from "./grantRow.ts";
+import { dueOf, grantKey, type GrantRowValue } from "./grantRow.ts";
 import type { GrantRows } from "./grantRows.ts";
 import { TeamGrant } from "./teamGrant.ts";
 
@@ -92,6 +93,24 @@
             && (this.rows.inDebt(name) || Object.keys(row.wants).some(shard => shard !== this.shard));
     }
 
+    /**
+     * Teams whose use exceeds what is left of their grant after the shard's part of the debt. Only limits that the row
+     * holds already count, since the row divides the debt. Units held back are not counted: they may have ended unseen.
+     */
+    excess(): readonly LimitExcess[] {
+        const excess: LimitExcess[] = [];
+        for (const [team, grant] of this.teams) {
+            const row = this.rows.get(team)?.value;
+            const current = this.rows.limitOf(team)?.version === row?.limitVersion;
+            const due = row === undefined || !current ? 0 : dueOf(row, this.shard);
+            const units = due === 0 ? 0 : grant.used - (grant.grantedUnits - due);
+            if (row !== undefined && units > 0) {
+                excess.push({ team, units, limitVersion: row.limitVersion });
+            }
+        }
+        return excess;
+    }
+
     /** Plans a transaction as soon as the rate allows one. */
     request(): void {
         this.requested = true;
--- a/packages/limits/src/tableGrantLedger.ts
+++ b/packages/limits/src/tableGrantLedger.ts
@@ -3,7 +3,7 @@
 import type { ShardId } from "@tanagerlink/model";
 import type { Subscription } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
-import type { GrantLedger, GrantState } from "./grantLedger.ts";
+import type { GrantLedger, GrantState, LimitExcess } from "./grantLedger.ts";
 import type { GrantLedgerOptions } from "./grantLedgerOptions.ts";
 import { GrantRows } from "./grantRows.ts";
 import { reclaimShard } from "./reclaim.ts";
@@ -11,12 +11,16 @@
 import { ShardGrants } from "./shardGrants.ts";
 import type { TeamGrant } from "./teamGrant.ts";
 
+/** Poll periods after which the rows as last read may no longer show what the other shards have paid of a debt. */
+const FRESH_POLLS = 2;
+
 export class TableGrantLedger implements GrantLedger {
     private readonly options: GrantLedgerOptions;
     private readonly rows: GrantRows;
     private readonly shards = new Map<ShardId, ShardGrants>();
     private readonly subscriptions: Subscription[];
     private polling = false;
+    private readAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: GrantLedgerOptions) {
         this.options = options;
@@ -45,7 +49,7 @@
             return err(condition.error);
         }
         // After the epoch was claimed no earlier owner can change the shard's part of a row, so what is read now holds.
-        const read = await this.rows.readAll();
+        const read = await this.readRows();
         if (read.isErr()) {
             return err(read.error);
         }
@@ -111,6 +115,13 @@
         this.change(shard, team, grant => grant.wanted = units);
     }
 
+    excess(shard: ShardId): readonly LimitExcess[] {
+        const { timers, pollMilliseconds } = this.options;
+        const grants = this.shards.get(shard);
+        const fresh = timers.now() - this.readAt <= FRESH_POLLS * pollMilliseconds;
+        return fresh && grants?.condition !== undefined && !grants.closed ? grants.excess() : [];
+    }
+
     state(): readonly GrantState[] {
         return [...this.shards.values()].flatMap(({ shard, teams }) =>
             [...teams].map(([team, grant]) => ({
@@ -171,11 +182,18 @@
             return;
         }
         this.polling = true;
-        await this.rows.readAll();
+        await this.readRows();
         this.polling = false;
         this.shards.forEach(shard => shard.request());
     }
 
+    private async readRows(): Promise<Result<void, ServiceError>> {
+        const began = this.options.timers.now();
+        const read = await this.rows.readAll();
+        this.readAt = read.isOk() ? Math.max(this.readAt, began) : this.readAt;
+        return read;
+    }
+
     private rotatePeaks(): void {
         this.shards.forEach(shard => shard.teams.forEach(grant => grant.rotatePeak()));
     }
--- a/packages/model/src/decision.ts
+++ b/packages/model/src/decision.ts
@@ -23,6 +23,7 @@
     Preempted: "preempted",
     Throttled: "throttled",
     StoppedOverSize: "stopped_over_size",
+    StoppedOverLimit: "stopped_over_limit",
     WorkerQuarantined: "worker_quarantined",
     WorkerLost: "worker_lost",
     WorkerLeaving: "worker_leaving",
--- a/packages/scheduler/src/jobBook.ts
+++ b/packages/scheduler/src/jobBook.ts
@@ -88,6 +88,11 @@
         }
     }
 
+    /** All tasks that occupy room. The result is a copy, so callers may change tasks while iterating. */
+    occupyingTasks(): TaskReference[] {
+        return [...this.byWorker.keys()].flatMap(worker => this.tasksOn(worker));
+    }
+
     /** Tasks that occupy room on a worker. The result is a copy, so callers may change tasks while iterating. */
     tasksOn(worker: string): TaskReference[] {
         const tasks = this.byWorker.get(worker);
--- a/packages/scheduler/src/jobEntry.ts
+++ b/packages/scheduler/src/jobEntry.ts
@@ -6,6 +6,7 @@
     isFinished,
     type JobRecord,
     JobState,
+    type Reason,
     type Resources,
     taskLeaseMilliseconds,
     TaskState,
@@ -35,6 +36,8 @@
     throttledAt: number;
     /** Set once a stop or checkpoint was sent; the worker's report decides what follows. */
     stopping: StopKind | undefined;
+    /** Reason under which the task waits again once it has stopped; `preempted` without one. */
+    stopReason: Reason | undefined;
     /** Monotonic time at which the stop or checkpoint was last sent. */
     stopSentAt: number;
 }
@@ -73,6 +76,7 @@
         startedAt: 0,
         throttledAt: 0,
         stopping: undefined,
+        stopReason: undefined,
         stopSentAt: 0,
     }));
     const waitingSince = now - Math.max(0, wallClock - record.submittedAt);
@@ -118,6 +122,7 @@
     task.startSentAt = 0;
     task.throttledAt = 0;
     task.stopping = undefined;
+    task.stopReason = undefined;
     task.stopSentAt = 0;
 }
 
--- /dev/null
+++ b/packages/scheduler/src/limitEnforcement.ts
@@ -0,0 +1,52 @@
+/** Stops running tasks of teams whose limit was lowered with `enforce: stop`, as far as their units are in debt. */
+import { LimitEnforcement, Reason } from "@tanagerlink/model";
+import { type LimitedTask, selectOverLimit } from "@tanagerlink/policy";
+import type { TaskReference } from "./jobBook.ts";
+import { isActive } from "./jobEntry.ts";
+import { decide, type ShardContext } from "./shardContext.ts";
+import type { TaskStopRequests } from "./taskStarter.ts";
+
+/** Stops sent in one round, so that a much lower limit does not delay the starts of other teams. */
+const MAXIMUM_STOPS = 256;
+
+interface Candidate extends LimitedTask {
+    readonly reference: TaskReference;
+}
+
+/** Sends checkpoints to the tasks above the limits. Ended tasks give back their units like any other. */
+export function stopOverLimit(context: ShardContext, requests: TaskStopRequests): void {
+    const { ledger, configuration, metrics } = context.dependencies;
+    const current = configuration();
+    let maximum = MAXIMUM_STOPS;
+    for (const { team, units, limitVersion } of ledger.excess(context.shard)) {
+        const enforced = current?.version === limitVersion && current.teams[team]?.enforce === LimitEnforcement.Stop;
+        const chosen = enforced ? selectOverLimit(candidatesOf(context, team), units, maximum) : [];
+        maximum -= chosen.length;
+        for (const { reference: { entry, task } } of chosen) {
+            metrics.overLimitStops.increment();
+            const facts = { task: task.index, ...(task.worker === undefined ? {} : { worker: task.worker }) };
+            decide(context, entry, Reason.StoppedOverLimit, { ...facts, detail: `${units} units above the limit` });
+            task.stopReason = Reason.StoppedOverLimit;
+            requests.checkpoint(entry, task);
+        }
+    }
+}
+
+function candidatesOf(context: ShardContext, team: string): Candidate[] {
+    const candidates: Candidate[] = [];
+    for (const reference of context.book.occupyingTasks()) {
+        const { entry: { record: { id, workClass, specification } }, task } = reference;
+        if (specification.team === team && isActive(task)) {
+            candidates.push({
+                job: id,
+                workClass,
+                allAtOnce: specification.allAtOnce,
+                idempotent: specification.idempotent,
+                attempt: task.attempt,
+                stopping: task.stopping !== undefined,
+                reference,
+            });
+        }
+    }
+    return candidates;
+}
--- a/packages/scheduler/src/reportHandler.ts
+++ b/packages/scheduler/src/reportHandler.ts
@@ -247,7 +247,8 @@
             void this.actions.lifecycle.outcomeUnknown(entry, task, detail);
             return;
         }
-        this.actions.lifecycle.requeue(entry, task, stoppedByOwner ? Reason.Preempted : Reason.WorkerLost, { worker });
+        const reason = stoppedByOwner ? task.stopReason ?? Reason.Preempted : Reason.WorkerLost;
+        this.actions.lifecycle.requeue(entry, task, reason, { worker });
         if (entry.record.specification.allAtOnce) {
             this.actions.lifecycle.dissolveGang(entry, Reason.WaitingForGang);
         }
--- a/packages/scheduler/src/schedulerMetrics.ts
+++ b/packages/scheduler/src/schedulerMetrics.ts
@@ -6,6 +6,7 @@
     readonly starts: Counter;
     readonly startDelay: Histogram;
     readonly preemptions: Counter;
+    readonly overLimitStops: Counter;
     readonly tasksEnded: Counter;
     readonly roundTime: Histogram;
     readonly waitingTasks: Gauge;
@@ -30,6 +31,10 @@
             name: "tanagerlink_preemptions_total",
             help: "Tasks checkpointed to make room for urgent work.",
         }),
+        overLimitStops: metrics.counter({
+            name: "tanagerlink_over_limit_stops_total",
+            help: "Tasks checkpointed because their team's limit was lowered with enforce: stop.",
+        }),
         tasksEnded: metrics.counter({
             name: "tanagerlink_tasks_ended_total",
             help: "Tasks that ended, by result.",
--- a/packages/scheduler/src/schedulingRounds.ts
+++ b/packages/scheduler/src/schedulingRounds.ts
@@ -1,8 +1,10 @@
 /** Runs the policy and carries out its decisions, one round at a time. */
+import { ErrorKind } from "@tanagerlink/errors";
 import { Reason, TaskState } from "@tanagerlink/model";
 import type { LimitGate, RoundResult } from "@tanagerlink/policy";
 import type { Subscription } from "@tanagerlink/timers";
 import { isActive, type JobEntry } from "./jobEntry.ts";
+import { stopOverLimit } from "./limitEnforcement.ts";
 import { decide, type ShardContext } from "./shardContext.ts";
 import { startRefusal } from "./startGate.ts";
 import type { TaskStarter, TaskStopRequests } from "./taskStarter.ts";
@@ -59,6 +61,9 @@
         }
         const { timers, settings, metrics } = this.context.dependencies;
         const refusal = startRefusal(this.context);
+        if (refusal === undefined || refusal.kind === ErrorKind.FailureDomainOut) {
+            stopOverLimit(this.context, this.requests);
+        }
         if (refusal !== undefined) {
             this.recordRefusal(refusal.kind === "failure_domain_out");
             return;
--- a/packages/scheduler/src/shardContext.ts
+++ b/packages/scheduler/src/shardContext.ts
@@ -1,5 +1,5 @@
 /** What the parts of one shard's scheduler share: identity, dependencies and the book of jobs. */
-import type { ConfigurationSnapshot, Decision, JobRecord, Reason } from "@tanagerlink/model";
+import { type ConfigurationSnapshot, type Decision, type JobRecord, Reason } from "@tanagerlink/model";
 import type { SchedulingPolicy } from "@tanagerlink/policy";
 import type { RunTimes } from "./exchangePlan.ts";
 import type { JobBook } from "./jobBook.ts";
@@ -44,6 +44,13 @@
     entry.lastHold = reason;
 }
 
+/** Reasons whose cause is the entry of the team. */
+const teamReasons: ReadonlySet<Reason> = new Set([
+    Reason.WaitingForLimit,
+    Reason.WaitingForShare,
+    Reason.StoppedOverLimit,
+]);
+
 /** The configuration entry behind a reason: the failure domain, the team, or else the queue. */
 function originOf(
     configuration: ConfigurationSnapshot | undefined,
@@ -57,7 +64,7 @@
     if (reason === "failure_domain_out") {
         return configuration.failureDomains[record.shard.slice(0, record.shard.lastIndexOf("/"))]?.origin;
     }
-    if (reason === "waiting_for_limit" || reason === "waiting_for_share") {
+    if (teamReasons.has(reason)) {
         return configuration.teams[team]?.origin;
     }
     return configuration.queues[queue]?.origin;
