--- /dev/null
+++ b/packages/scheduler/__tests__/limitEnforcement.spec.ts
@@ -0,0 +1,162 @@
+/** Running tasks above a limit that was lowered with `enforce: stop`, with faults of calls, owners and the store. */
+import { JobState, LimitEnforcement, Reason, WorkClass } from "@tanagerlink/model";
+import { expect } from "chai";
+import fc from "fast-check";
+import { SchedulerCell, size } from "./support/schedulerCell.ts";
+
+/** Bound for a lowered limit without faults. */
+const BOUND_MILLISECONDS = 5_000;
+const LONG = { runMilliseconds: 3_600_000 };
+
+function running(cell: SchedulerCell, job?: string): number {
+    return cell.record.attempts.filter(attempt =>
+        attempt.endedAt === undefined && (job === undefined || attempt.job === job)
+    ).length;
+}
+
+function stopped(cell: SchedulerCell): number {
+    return cell.record.attempts.filter(({ end }) => end === "stopped").length;
+}
+
+describe("a lowered limit with enforce: stop", () => {
+    it("stops the newest tasks above it, which go on from their checkpoints when the limit is raised", async () => {
+        const cell = new SchedulerCell({ limit: 10 });
+        const process = await cell.begin(4);
+        const older = await cell.submitAndStart(process, { tasks: 5, runMilliseconds: 60_000 });
+        const newer = await cell.submitAndStart(process, { tasks: 5, runMilliseconds: 60_000 });
+        await cell.timers.advance(10_000);
+        cell.setLimit(5, LimitEnforcement.Stop);
+        await cell.timers.advance(BOUND_MILLISECONDS);
+        expect([running(cell, older), running(cell, newer)]).to.deep.equal([5, 0]);
+        const { decisions } = await cell.status(process, newer);
+        expect(decisions.filter(({ reason }) => reason === Reason.StoppedOverLimit)).to.have.lengthOf(10);
+        expect(decisions.find(({ reason }) => reason === Reason.StoppedOverLimit)?.origin).to.equal("cell.yaml:1");
+        cell.setLimit(10, LimitEnforcement.Stop);
+        await cell.timers.advance(58_000);
+        expect(await cell.state(process, newer), "kept its progress").to.equal(JobState.Succeeded);
+        cell.check();
+    });
+
+    it("stops nothing with enforce: starts", async () => {
+        const cell = new SchedulerCell({ limit: 10 });
+        const process = await cell.begin(4);
+        await cell.submitAndStart(process, { tasks: 10, ...LONG });
+        cell.setLimit(2, LimitEnforcement.Starts);
+        await cell.timers.advance(20_000);
+        expect([running(cell), stopped(cell)]).to.deep.equal([10, 0]);
+    });
+
+    it("stops batch before services, urgent tasks last and non-idempotent ones never, down to a limit of 0", async () => {
+        const cell = new SchedulerCell({ limit: 20 });
+        const process = await cell.begin(4);
+        const once = await cell.submitAndStart(process, { tasks: 2, idempotent: false, ...LONG });
+        const batch = await cell.submitAndStart(process, { tasks: 2, ...LONG });
+        const urgent = await cell.submitAndStart(process, { tasks: 2, workClass: WorkClass.Urgent, ...LONG });
+        const service = await cell.submitAndStart(process, { tasks: 2, workClass: WorkClass.Service, ...LONG });
+        const expected: readonly (readonly [number, readonly number[]])[] = [
+            [7, [2, 1, 2, 2]],
+            [5, [2, 0, 1, 2]],
+            [3, [2, 0, 0, 1]],
+            [0, [2, 0, 0, 0]],
+        ];
+        for (const [limit, left] of expected) {
+            cell.setLimit(limit, LimitEnforcement.Stop);
+            await cell.timers.advance(BOUND_MILLISECONDS);
+            const jobs = [once, batch, service, urgent];
+            expect(jobs.map(job => running(cell, job)), `limit ${limit}`).to.deep.equal(left);
+        }
+        cell.check([once]);
+    });
+
+    it("stops a gang as a whole, and only when the single tasks do not suffice", async () => {
+        const cell = new SchedulerCell({ limit: 20 });
+        const process = await cell.begin(4);
+        const single = await cell.submitAndStart(process, { tasks: 3, ...LONG });
+        const gang = await cell.submitAndStart(process, { tasks: 4, allAtOnce: true, ...LONG });
+        cell.setLimit(5, LimitEnforcement.Stop);
+        await cell.timers.advance(BOUND_MILLISECONDS);
+        expect([running(cell, single), running(cell, gang)]).to.deep.equal([1, 4]);
+        cell.setLimit(3, LimitEnforcement.Stop);
+        await cell.timers.advance(BOUND_MILLISECONDS);
+        expect(running(cell, gang), "no partial gang").to.equal(0);
+        cell.check();
+    });
+
+    it("does not stop more tasks than the debt when calls and answers are lost", async () => {
+        await fc.assert(
+            fc.asyncProperty(
+                fc.infiniteStream(fc.constantFrom("normal" as const, "request_lost" as const, "answer_lost" as const)),
+                async fates => {
+                    const cell = new SchedulerCell({ limit: 12 });
+                    const process = await cell.begin(4);
+                    await cell.submitAndStart(process, { tasks: 12, ...LONG });
+                    process.links.plan = (_, call) => call === "checkpoint" ? fates.next().value ?? "normal" : "normal";
+                    cell.setLimit(7, LimitEnforcement.Stop);
+                    await cell.timers.advance(60_000);
+                    expect([running(cell), stopped(cell)]).to.deep.equal([7, 5]);
+                    cell.check();
+                },
+            ),
+            { numRuns: 15 },
+        );
+    });
+
+    it("does not stop more tasks than the debt when the owner dies at any moment", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.integer({ min: 0, max: 3_000 }), fc.boolean(), async (moment, lost) => {
+                const cell = new SchedulerCell({ limit: 12 });
+                const first = await cell.begin(4);
+                const second = cell.addProcess();
+                await cell.submitAndStart(first, { tasks: 12, ...LONG });
+                let calls = 0;
+                first.links.plan = (_, call) =>
+                    lost && call === "checkpoint" && calls++ % 2 === 0
+                        ? "request_lost"
+                        : "normal";
+                cell.setLimit(7, LimitEnforcement.Stop);
+                await cell.timers.advance(moment);
+                first.process.kill();
+                await cell.timers.advance(60_000);
+                expect(second.ownership.owned()).to.have.lengthOf(1);
+                expect([running(cell), stopped(cell)], `killed after ${moment} ms`).to.deep.equal([7, 5]);
+                cell.check();
+            }),
+            { numRuns: 15 },
+        );
+    });
+
+    it("stops nothing for a debt that ending tasks pay while the store is down", async () => {
+        const cell = new SchedulerCell({ limit: 10 });
+        const process = await cell.begin(4);
+        const short = await cell.submitAndStart(process, { tasks: 5, idempotent: false, runMilliseconds: 8_000 });
+        const long = await cell.submitAndStart(process, { tasks: 5, ...LONG });
+        cell.table.faults.down = true;
+        await cell.timers.advance(4_500);
+        cell.setLimit(5, LimitEnforcement.Stop);
+        await cell.timers.advance(4_000);
+        cell.table.faults.down = false;
+        await cell.timers.advance(20_000);
+        expect(await cell.state(process, short)).to.equal(JobState.Succeeded);
+        expect([running(cell, long), stopped(cell)]).to.deep.equal([5, 0]);
+    });
+
+    it("takes from each shard its part of the debt", async () => {
+        const cell = new SchedulerCell({ limit: 40, shards: 2 });
+        cell.addWorkers(4, size(10_000));
+        cell.addProcess();
+        cell.addProcess();
+        await cell.timers.advance(20_000);
+        const [north, south] = [
+            await cell.submitTo("north/0", { tasks: 12, ...LONG }),
+            await cell.submitTo("north/1", { tasks: 6, ...LONG }),
+        ];
+        await cell.timers.advance(10_000);
+        expect(running(cell), "all run").to.equal(18);
+        cell.setLimit(9, LimitEnforcement.Stop);
+        await cell.timers.advance(2 * BOUND_MILLISECONDS);
+        expect(running(cell), "the limit is used").to.equal(9);
+        expect(running(cell, north), "larger part").to.be.greaterThan(running(cell, south));
+        expect(running(cell, south)).to.be.greaterThan(0);
+        cell.check();
+    });
+});
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -10,6 +10,7 @@
     type JobSpecification,
     jobSpecificationSchema,
     type JobState,
+    type LimitEnforcement,
     type Resources,
     type VmRecord,
     WorkClass,
@@ -162,7 +163,7 @@
             nextTransactionId,
         });
         const ledger = new TableGrantLedger({ timers: process, table, nextTransactionId, ...defaultGrantDurations });
-        ledger.setTeamLimits({ alder: this.limit }, 1);
+        this.setLimits(ledger);
         const service = new SchedulerService({
             node: id,
             failureDomain: "north",
@@ -207,7 +208,21 @@
 
     configure(change: Partial<ConfigurationSnapshot>): void {
         this.configuration = { ...this.configuration, ...change, version: this.configuration.version + 1 };
-        this.processes.forEach(process => process.service.configurationChanged(this.configuration));
+        this.processes.forEach(({ ledger, service }) => {
+            this.setLimits(ledger);
+            service.configurationChanged(this.configuration);
+        });
+    }
+
+    /** Lowers or raises the limit of the team. */
+    setLimit(upperLimit: number, enforce: LimitEnforcement): void {
+        const team = this.configuration.teams["alder"]!;
+        this.configure({ teams: { alder: { ...team, upperLimit, enforce } } });
+    }
+
+    private setLimits(ledger: TableGrantLedger): void {
+        const { teams, version } = this.configuration;
+        ledger.setTeamLimits({ alder: teams["alder"]?.upperLimit ?? 0 }, version);
     }
 
     /** Submits a job and answers with its identifier. */
