feat(policy): preempt batch work for urgent gangs, for all tasks at once or not at all

Cause: an urgent gang without room waited for the planned start of its reservation and missed the 1.3 s bound. Change: the preemptor claims room for each task of the gang, also room that is free already, and takes everything back when one task finds none. The claims stand aside while the gang is placed. The preemptions of a round move to roundPreemptions.ts. Before: such a gang started when the reserved tasks ended; after: in a property test it starts within 1.3 s of virtual time whenever its shape fits the shard and the batch tasks stop within 400 ms.

--- a/packages/policy/src/placer.ts
+++ b/packages/policy/src/placer.ts
@@ -56,11 +56,18 @@
         return true;
     }
 
+    /** Places all waiting tasks of an urgent gang or none, with the room that preemptions have freed for it. */
+    placeUrgentGang(entry: JobEntry): boolean {
+        const { preemptor } = this.state;
+        const reason = preemptor.claimCount(entry.group) > 0 ? Reason.PlacedByPreemption : Reason.PlacedGang;
+        return preemptor.placeClaimed(entry.group, () => this.startAll(entry, fullAccess, reason));
+    }
+
     /** Places all waiting tasks of a gang or none. */
     placeGang(entry: JobEntry): boolean {
         const { group } = entry;
         const { size } = group.sizeClass;
-        const access = group.sample.workClass === WorkClass.Urgent ? fullAccess : this.accessOf(group);
+        const access = this.accessOf(group);
         const count = entry.tasks.length;
         if (access === ordinaryAccess && this.state.pool.countFitting(size, count) < count) {
             return false;
--- a/packages/policy/src/preemption.ts
+++ b/packages/policy/src/preemption.ts
@@ -1,9 +1,11 @@
 /**
  * Preemption of batch work for urgent work. A decided preemption makes a claim on the room that it frees: no other task
- * can take that room, and no second preemption is decided for the same urgent task while the claim stands.
+ * can take that room, and no second preemption is decided for the same urgent task while the claim stands. For an urgent
+ * gang, room for all its tasks is claimed at once or none.
  */
 import { fitsInto, type Resources } from "@tanagerlink/model";
 import { ResourceTally } from "./resourceTally.ts";
+import { fullAccess } from "./roomIndexes.ts";
 import type { RunningTasks } from "./runningTasks.ts";
 import type { WaitingGroup } from "./waitingGroup.ts";
 import type { TaskEntry, WorkerNode } from "./workerNode.ts";
@@ -59,6 +61,30 @@
         return claim?.worker;
     }
 
+    /**
+     * Places a gang with the room that was claimed for it, or leaves the claims as they are. The claims stand in the way
+     * of the gang itself while it is placed, since they do not say which task gets which of them.
+     */
+    placeClaimed(group: WaitingGroup, place: () => boolean): boolean {
+        const claims = this.claims.get(group) ?? [];
+        const placed = this.pool.withoutGrowth(() => {
+            claims.forEach(({ worker, size }) => this.pool.unclaim(worker, size));
+            const succeeded = place();
+            claims.forEach(({ worker, size }) => this.pool.claim(worker, size));
+            return succeeded;
+        });
+        if (placed) {
+            this.release(group);
+            this.timeouts.delete(group);
+        }
+        return placed;
+    }
+
+    /** Ends all claims of a group. */
+    release(group: WaitingGroup): void {
+        [...this.claims.get(group) ?? []].forEach(claim => this.end(group, claim));
+    }
+
     /** Ends claims that the group's waiting tasks no longer need. */
     trim(group: WaitingGroup): void {
         const claims = this.claims.get(group);
@@ -70,14 +96,13 @@
     /** Ends claims on lost workers and claims whose room was not freed in time. */
     review(now: number): void {
         for (const [group, claims] of this.claims) {
-            for (const claim of [...claims]) {
-                if (!claim.worker.usable) {
-                    this.end(group, claim);
-                }
-                else if (now >= claim.expiresAt) {
-                    this.giveUp(group, claim);
-                }
-            }
+            const ended = claims.filter(({ worker, expiresAt }) => !worker.usable || now >= expiresAt);
+            const late = ended.filter(({ worker }) => worker.usable);
+            late.forEach(claim => this.stall(claim));
+            // All claims of a gang were made together and count as one repetition.
+            late.slice(0, group.sample.allAtOnce ? 1 : late.length).forEach(() => this.lengthenTimeout(group));
+            // The rest of a gang's room is of no use alone; the next attempt counts what is being freed already.
+            (group.sample.allAtOnce && ended.length > 0 ? [...claims] : ended).forEach(claim => this.end(group, claim));
             this.trim(group);
         }
     }
@@ -85,21 +110,58 @@
     /** Decides which tasks to preempt for one more task of `size` and claims their room. */
     preempt(group: WaitingGroup, size: Resources, now: number): readonly TaskEntry[] | undefined {
         const choice = this.choose(size);
-        if (choice === undefined) {
-            return undefined;
+        if (choice !== undefined) {
+            this.setPreempted(choice.victims, true);
+            this.claim(group, { worker: choice.worker, size, expiresAt: now + this.timeoutOf(group) });
         }
-        for (const victim of choice.victims) {
-            this.pool.updateTask(victim, () => {
-                victim.preempted = true;
-            });
+        return choice?.victims;
+    }
+
+    /**
+     * Decides which tasks to preempt for a whole gang and claims room for each of its tasks, also room that is free
+     * already, so that nothing else takes it until the rest is freed. Changes nothing when the gang would not fit.
+     */
+    preemptGang(group: WaitingGroup, count: number, now: number): readonly TaskEntry[] | undefined {
+        const { size } = group.sizeClass;
+        if (!this.pool.mayHoldAfterPreemption(size, count)) {
+            return undefined;
         }
-        const timeout = this.timeouts.get(group) ?? FIRST_CLAIM_TIMEOUT_MS;
-        const claim = { worker: choice.worker, size, expiresAt: now + timeout };
+        const victims: TaskEntry[] = [];
+        return this.pool.withoutGrowth(() => {
+            for (let task = 0; task < count; task++) {
+                const free = this.pool.find(size, fullAccess);
+                const choice = free === undefined ? this.choose(size) : undefined;
+                const worker = free ?? choice?.worker;
+                if (worker === undefined) {
+                    this.release(group);
+                    this.setPreempted(victims, false);
+                    return undefined;
+                }
+                this.setPreempted(choice?.victims ?? [], true);
+                victims.push(...choice?.victims ?? []);
+                this.claim(group, { worker, size, expiresAt: now + this.timeoutOf(group) });
+            }
+            return victims;
+        });
+    }
+
+    private claim(group: WaitingGroup, claim: Claim): void {
         const claims = this.claims.get(group) ?? [];
         claims.push(claim);
         this.claims.set(group, claims);
-        this.pool.claim(choice.worker, size);
-        return choice.victims;
+        this.pool.claim(claim.worker, claim.size);
+    }
+
+    private setPreempted(victims: readonly TaskEntry[], preempted: boolean): void {
+        for (const victim of victims) {
+            this.pool.updateTask(victim, () => {
+                victim.preempted = preempted;
+            });
+        }
+    }
+
+    private timeoutOf(group: WaitingGroup): number {
+        return this.timeouts.get(group) ?? FIRST_CLAIM_TIMEOUT_MS;
     }
 
     private choose(size: Resources): Choice | undefined {
@@ -159,7 +221,8 @@
         return [...all];
     }
 
-    private giveUp(group: WaitingGroup, claim: Claim): void {
+    /** Expects the tasks that should have made room for the claim to take longer. */
+    private stall(claim: Claim): void {
         for (const task of claim.worker.tasks) {
             if (task.preempted && !task.stalled) {
                 this.pool.updateTask(task, () => {
@@ -167,9 +230,10 @@
                 });
             }
         }
-        const timeout = this.timeouts.get(group) ?? FIRST_CLAIM_TIMEOUT_MS;
-        this.timeouts.set(group, Math.min(LONGEST_CLAIM_TIMEOUT_MS, timeout * 2));
-        this.end(group, claim);
+    }
+
+    private lengthenTimeout(group: WaitingGroup): void {
+        this.timeouts.set(group, Math.min(LONGEST_CLAIM_TIMEOUT_MS, this.timeoutOf(group) * 2));
     }
 
     private end(group: WaitingGroup, claim: Claim): void {
--- a/packages/policy/src/schedulingRound.ts
+++ b/packages/policy/src/schedulingRound.ts
@@ -7,7 +7,8 @@
 import { Placer } from "./placer.ts";
 import type { PolicyState } from "./policyState.ts";
 import { ReservationStart } from "./reservationStart.ts";
-import type { Hold, LimitGate, Preemption, RoundResult } from "./schedulingPolicy.ts";
+import { RoundPreemptions } from "./roundPreemptions.ts";
+import type { Hold, LimitGate, RoundResult } from "./schedulingPolicy.ts";
 import type { TeamLane } from "./teamLane.ts";
 import type { JobEntry, WaitingGroup } from "./waitingGroup.ts";
 import { classOrder } from "./waitingQueue.ts";
@@ -34,7 +35,7 @@
     private readonly limits: LimitGate;
     private readonly maximum: number;
     private readonly placer: Placer;
-    private readonly preemptions: Preemption[] = [];
+    private readonly preemptions: RoundPreemptions;
     private growth = new Growth(new Set());
     private incomplete = false;
 
@@ -44,6 +45,7 @@
         this.limits = limits;
         this.maximum = maximum;
         this.placer = new Placer(state, now);
+        this.preemptions = new RoundPreemptions(state, limits, now, maximum);
     }
 
     run(): RoundResult {
@@ -65,7 +67,7 @@
         classOrder.filter(name => name !== WorkClass.Urgent).forEach(name => this.serveClass(name));
         reserved.plan();
         state.unusedGrowth = this.incomplete ? this.growth.remaining() : new Set();
-        return { placements: this.placer.placements, preemptions: this.preemptions, holds: this.takeHolds() };
+        return { placements: this.placer.placements, preemptions: this.preemptions.decided, holds: this.takeHolds() };
     }
 
     private get full(): boolean {
@@ -161,16 +163,15 @@
 
     private serveGroup(group: WaitingGroup, entry: JobEntry): Outcome {
         this.renewSize(group);
-        if (this.state.reservation.current?.entry === entry) {
+        const urgent = group.sample.workClass === WorkClass.Urgent;
+        if (this.state.reservation.current?.entry === entry && !urgent) {
             group.setHold(entry.job.allAtOnce ? Reason.WaitingForGang : Reason.WaitingForCapacity);
             return Outcome.Blocked;
         }
         if (entry.job.allAtOnce) {
-            return this.serveGang(entry);
+            return this.serveGang(entry, urgent);
         }
-        return group.sample.workClass === WorkClass.Urgent
-            ? this.serveUrgent(entry)
-            : this.serveSingle(entry);
+        return urgent ? this.serveUrgent(entry) : this.serveSingle(entry);
     }
 
     private renewSize(group: WaitingGroup): void {
@@ -208,8 +209,9 @@
         }
     }
 
-    private serveGang(entry: JobEntry): Outcome {
+    private serveGang(entry: JobEntry, urgent: boolean): Outcome {
         const { group } = entry;
+        const { blockedGangs, preemptor, reservation } = this.state;
         const count = entry.tasks.length;
         const remaining = this.maximum - this.placer.placements.length;
         // A gang above the bound of a round can never be within it, so it is allowed to exceed it.
@@ -218,16 +220,23 @@
             return Outcome.Skipped;
         }
         if (!this.limits.take(group.sample.team, count)) {
+            preemptor.release(group);
             group.setHold(Reason.WaitingForLimit);
             return Outcome.Skipped;
         }
-        if (this.placer.placeGang(entry)) {
-            this.state.blockedGangs.delete(group);
+        if (urgent ? this.placer.placeUrgentGang(entry) : this.placer.placeGang(entry)) {
+            blockedGangs.delete(group);
+            if (reservation.current?.entry === entry) {
+                reservation.clear();
+            }
             return Outcome.Placed;
         }
         this.limits.giveBack(group.sample.team, count);
-        this.state.blockedGangs.add(group);
         group.setHold(Reason.WaitingForGang);
+        if (urgent && this.preemptions.forGang(entry)) {
+            return Outcome.Skipped;
+        }
+        blockedGangs.add(group);
         return Outcome.Blocked;
     }
 
@@ -245,37 +254,11 @@
             return Outcome.Placed;
         }
         this.limits.giveBack(team, 1);
-        this.preemptFor(group);
+        this.preemptions.forTasks(group);
         group.setHold(Reason.WaitingForCapacity);
         return preemptor.claimCount(group) > 0 ? Outcome.Skipped : Outcome.Blocked;
     }
 
-    /** Decides preemptions until each waiting task of the group has a claim or no more room can be made. */
-    private preemptFor(group: WaitingGroup): void {
-        const { preemptor } = this.state;
-        for (const entry of group.entriesFrom(preemptor.claimCount(group))) {
-            if (this.preemptions.length >= this.maximum || !this.limitAllows(group, preemptor.claimCount(group) + 1)) {
-                return;
-            }
-            const victims = preemptor.preempt(group, group.sizeClass.size, this.now);
-            if (victims === undefined) {
-                return;
-            }
-            for (const { job, task, worker } of victims) {
-                this.preemptions.push({ job, task, worker: worker.id, beneficiary: entry.job.id });
-            }
-        }
-    }
-
-    /** Preemption would be needless for work that its team's limit then keeps from starting. */
-    private limitAllows(group: WaitingGroup, units: number): boolean {
-        const allowed = this.limits.take(group.sample.team, units);
-        if (allowed) {
-            this.limits.giveBack(group.sample.team, units);
-        }
-        return allowed;
-    }
-
     private report(group: WaitingGroup): void {
         if (group.hasUnreported) {
             this.state.queue.unreported.add(group);
--- a/packages/policy/src/workerPool.ts
+++ b/packages/policy/src/workerPool.ts
@@ -4,7 +4,7 @@
  */
 import { fitsInto, noResources, type Resources } from "@tanagerlink/model";
 import { AcceleratorDemand } from "./acceleratorDemand.ts";
-import { ResourceTally } from "./resourceTally.ts";
+import { countFitting, ResourceTally } from "./resourceTally.ts";
 import { type Access, RoomIndexes } from "./roomIndexes.ts";
 import type { PolicyWorker } from "./schedulingPolicy.ts";
 import { distributeReserve, type WorkerKind } from "./urgentReserve.ts";
@@ -133,6 +133,18 @@
         return this.rooms.preemptionCandidates(size, limit);
     }
 
+    /** Whether `count` tasks of `size` could fit if all batch work were preempted. */
+    mayHoldAfterPreemption(size: Resources, count: number): boolean {
+        let missing = count;
+        for (const { usable, rooms } of this.workers.values()) {
+            missing -= usable ? countFitting(size, rooms.afterPreemption, missing) : 0;
+            if (missing <= 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Tasks of `size` that fit in room without the reserve and without the held room, counted up to `limit`. */
     countFitting(size: Resources, limit: number): number {
         return this.rooms.countFitting(size, limit);
