--- a/packages/limits/__tests__/loweredLimit.spec.ts
+++ b/packages/limits/__tests__/loweredLimit.spec.ts
@@ -69,6 +69,23 @@
         expect([north.excess, south.excess]).to.deep.equal([0, 0]);
     });
 
+    it("asks for no unit in place of idle ones that another shard gives back", async () => {
+        const cell = await Cell.open(40);
+        await cell.runBusy(10_000, [20, 20]);
+        const [north, south] = cell.members as [Member, Member];
+        for (let unit = 0; unit < 15; unit++) {
+            south.release();
+        }
+        const used = cell.running;
+        cell.setLimit(22);
+        let stopped = 0;
+        for (let step = 0; step < 100; step++) {
+            await cell.timers.advance(50);
+            stopped = Math.max(stopped, north.excess + south.excess);
+        }
+        expect(stopped).to.equal(Math.max(0, used - 22));
+    });
+
     it("counts every unit against a limit of 0", async () => {
         const { north, south } = await lowered(0);
         expect([north.excess, south.excess]).to.deep.equal([north.running, south.running]);
--- a/packages/limits/src/shardGrants.ts
+++ b/packages/limits/src/shardGrants.ts
@@ -21,6 +21,11 @@
 const CONFLICT_ATTEMPTS = 4;
 /** A transaction without an answer for this long counts as one with an unknown outcome. */
 const ANSWER_MILLISECONDS = 10_000;
+/**
+ * Time after which the owners have given back idle units when a debt begins: a poll of the configuration and the least
+ * time between two transactions. Without it, shards in full use stopped tasks for units that were idle in others.
+ */
+const IDLE_RETURN_MILLISECONDS = 2_000;
 /** Rows in one transaction at most. */
 const MAXIMUM_ROWS = 500;
 
@@ -42,6 +47,7 @@
     private readonly options: GrantLedgerOptions;
     private readonly rows: GrantRows;
     private readonly superseded: (shard: ShardGrants) => void;
+    private readonly reread: () => Promise<void>;
     private scheduled: Subscription | undefined;
     private running = false;
     private requested = false;
@@ -52,11 +58,13 @@
         options: GrantLedgerOptions,
         rows: GrantRows,
         superseded: (shard: ShardGrants) => void,
+        reread: () => Promise<void>,
     ) {
         this.shard = shard;
         this.options = options;
         this.rows = rows;
         this.superseded = superseded;
+        this.reread = reread;
     }
 
     team(name: string): TeamGrant {
@@ -84,6 +92,13 @@
         }
         grant.observe(this.shard, known.value, known.version);
         grant.inDebt = this.rows.inDebt(name);
+        if (!grant.inDebt) {
+            grant.debtSince = undefined;
+        }
+        else if (grant.debtSince === undefined) {
+            grant.debtSince = this.options.timers.now();
+            this.options.timers.after(IDLE_RETURN_MILLISECONDS, () => this.closed ? undefined : this.reread());
+        }
     }
 
     /** Whether others wait for units of the team, so that an ended unit should be offered. */
@@ -96,13 +111,15 @@
     /**
      * Teams whose use exceeds what is left of their grant after the shard's part of the debt. Only limits that the row
      * holds already count, since the row divides the debt. Units held back are not counted: they may have ended unseen.
+     * `readAt` is the time of the last reading of the rows, which has to show the idle units that others gave back.
      */
-    excess(): readonly LimitExcess[] {
+    excess(readAt: number): readonly LimitExcess[] {
         const excess: LimitExcess[] = [];
         for (const [team, grant] of this.teams) {
             const row = this.rows.get(team)?.value;
             const current = this.rows.limitOf(team)?.version === row?.limitVersion;
-            const due = row === undefined || !current ? 0 : dueOf(row, this.shard);
+            const settled = readAt >= (grant.debtSince ?? Number.POSITIVE_INFINITY) + IDLE_RETURN_MILLISECONDS;
+            const due = row !== undefined && current && settled ? dueOf(row, this.shard) : 0;
             const units = due === 0 ? 0 : grant.used - (grant.grantedUnits - due);
             if (row !== undefined && units > 0) {
                 excess.push({ team, units, limitVersion: row.limitVersion });
--- a/packages/limits/src/tableGrantLedger.ts
+++ b/packages/limits/src/tableGrantLedger.ts
@@ -119,7 +119,7 @@
         const { timers, pollMilliseconds } = this.options;
         const grants = this.shards.get(shard);
         const fresh = timers.now() - this.readAt <= FRESH_POLLS * pollMilliseconds;
-        return fresh && grants?.condition !== undefined && !grants.closed ? grants.excess() : [];
+        return fresh && grants?.condition !== undefined && !grants.closed ? grants.excess(this.readAt) : [];
     }
 
     state(): readonly GrantState[] {
@@ -166,7 +166,9 @@
     private entry(shard: ShardId): ShardGrants {
         let grants = this.shards.get(shard);
         if (grants === undefined || grants.closed) {
-            grants = new ShardGrants(shard, this.options, this.rows, superseded => this.supersede(superseded));
+            const { options, rows } = this;
+            const superseded = (grants: ShardGrants): void => this.supersede(grants);
+            grants = new ShardGrants(shard, options, rows, superseded, () => this.poll());
             this.shards.set(shard, grants);
         }
         return grants;
--- a/packages/limits/src/teamGrant.ts
+++ b/packages/limits/src/teamGrant.ts
@@ -24,6 +24,8 @@
     ceiling = Number.POSITIVE_INFINITY;
     /** No new work starts while the team's row is in debt. */
     inDebt = false;
+    /** Monotonic time since when the row is in debt. */
+    debtSince: number | undefined;
     private granted = 0;
     private version = 0;
     private undecided: UndecidedWrite | undefined;
--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -152,7 +152,12 @@
     /** All tasks of `as` had started before the first job of `before-any-of` was finished. */
     z.strictObject({ started: z.strictObject({ as: name, "before-any-of": name }) }),
     /** Runs of the jobs that the product stopped before their end, for example by preemption. */
-    z.strictObject({ stopped: z.strictObject({ as: name, "at-least": count }) }),
+    z.strictObject({ stopped: z.strictObject({ as: name, "at-least": count, "at-most": count.optional() }) }),
+    /**
+     * From `within` milliseconds after the team's limit was lowered to `units` until the next change of the limit, no
+     * more than these units ran, and just before the change more did.
+     */
+    z.strictObject({ lowered: z.strictObject({ team: name, units: z.int().min(0), within: milliseconds }) }),
     /** Tasks of the jobs that were throttled, because they used more than they declared. */
     z.strictObject({ throttled: z.strictObject({ as: name, "at-least": count }) }),
     /** None of the work ran. */
--- a/packages/scenarios/src/outcomes.ts
+++ b/packages/scenarios/src/outcomes.ts
@@ -4,7 +4,7 @@
 import { type CheckedRun } from "./invariants.ts";
 import { cancelled, ranTogether, runsNamed, startedBefore } from "./jobOutcomes.ts";
 import type { Outcome, Scenario } from "./language.ts";
-import { recordedRuns, runningOfTeam } from "./runRecords.ts";
+import { highestRunning, recordedRuns, runningOfTeam } from "./runRecords.ts";
 import { isAnswered, TryEnd } from "./work.ts";
 
 const LOOK_MILLISECONDS = 200;
@@ -43,8 +43,13 @@
         return startedBefore(run, outcome.started.as, outcome.started["before-any-of"]);
     }
     if ("stopped" in outcome) {
-        const { as, "at-least": wanted } = outcome.stopped;
-        return atLeast(runsNamed(run, as).filter(({ stopped }) => stopped).length, wanted);
+        const { as, "at-least": wanted, "at-most": most = Infinity } = outcome.stopped;
+        const stops = runsNamed(run, as).filter(({ stopped }) => stopped).length;
+        return { reached: stops >= wanted && stops <= most, observed: `${stops} of at least ${wanted}` };
+    }
+    if ("lowered" in outcome) {
+        const { team, units, within } = outcome.lowered;
+        return lowered(run, team, units, within);
     }
     if ("throttled" in outcome) {
         const { as, "at-least": wanted } = outcome.throttled;
@@ -83,6 +88,20 @@
     return { reached: value >= wanted, observed: `${value} of at least ${wanted}` };
 }
 
+function lowered({ cell, facts }: CheckedRun, team: string, units: number, within: number): Finding {
+    const limits = facts.limits.filter(limit => limit.team === team);
+    const position = limits.findIndex(limit => limit.units === units);
+    const from = limits[position]?.at ?? Infinity;
+    const until = limits[position + 1]?.at ?? performance.now();
+    const runs = recordedRuns(cell).filter(run => run.team === team);
+    const before = highestRunning(runs, from, from);
+    const after = highestRunning(runs, from + within, until);
+    return {
+        reached: before > units && from + within < until && after <= units,
+        observed: `${before} before, at most ${after} later than ${within} ms after it`,
+    };
+}
+
 function finished({ cell, log }: CheckedRun, as: string): Finding {
     const succeeded = new Map<string, Set<number>>();
     for (const run of recordedRuns(cell).filter(each => each.succeeded)) {
--- a/packages/scenarios/src/runRecords.ts
+++ b/packages/scenarios/src/runRecords.ts
@@ -87,6 +87,16 @@
     return { highest, excesses };
 }
 
+/** Highest number of the runs at the same moment between two times. */
+export function highestRunning(runs: readonly RecordedRun[], from: number, until: number): number {
+    // The number rises only at starts, so these and the beginning are all moments to look at.
+    const moments = runs.map(run => run.startedAt).filter(at => at > from && at <= until);
+    return [from, ...moments].reduce(
+        (highest, at) => Math.max(highest, runs.filter(run => run.startedAt <= at && run.endedAt > at).length),
+        0,
+    );
+}
+
 /** Highest limit that may still be in force: a lowered one has `bound` to reach every node. */
 function permittedAt(
     limits: readonly { readonly units: number; readonly at: number; }[],
