perf(policy): place urgent tasks on the reserve first; policy versions drf-bestfit/1 and /2

Cause of the packing gap: urgent tasks took ordinary gaps first, so that a part of the 3 % reserve stayed empty while batch work waited for those gaps. Change: urgent tasks look for room on workers with a reserve first.

--- a/packages/benchmarks/src/policyBenchmark.ts
+++ b/packages/benchmarks/src/policyBenchmark.ts
@@ -30,12 +30,14 @@
         json: { type: "string" },
         seeds: { type: "string", default: "5" },
         only: { type: "string", default: "" },
+        /** Policies to measure, by a part of the name; by default all. */
+        policy: { type: "string", default: "" },
     },
 });
 
 const series: Series[] = [];
 for (const benchmark of benchmarks.filter(({ name }) => name.includes(values.only))) {
-    for (const policy of Object.values(PolicyName)) {
+    for (const policy of Object.values(PolicyName).filter(name => name.includes(values.policy))) {
         for (let seed = 1; seed <= Number(values.seeds); seed++) {
             for (const figure of benchmark.run(policy, seed)) {
                 const known = series.find(entry =>
--- a/packages/benchmarks/src/policyMeasurement.ts
+++ b/packages/benchmarks/src/policyMeasurement.ts
@@ -1,10 +1,15 @@
 /** Shape of a policy benchmark, and the policies that are compared. */
 import type { PolicySettings } from "@tanagerlink/model";
-import { ShardPolicy } from "@tanagerlink/policy";
+import { currentPolicyVersion, PolicyVersion, ShardPolicy } from "@tanagerlink/policy";
 import { BaselinePolicy, type BenchmarkedPolicy, firstFit, randomWorker } from "./policyBaselines.ts";
 import { Random } from "./policyWorkload.ts";
 
-export const PolicyName = { Shard: "policy", FirstFit: "first fit", Random: "random" } as const;
+export const PolicyName = {
+    Shard: currentPolicyVersion,
+    Previous: PolicyVersion.DrfBestFit1,
+    FirstFit: "first fit",
+    Random: "random",
+} as const;
 export type PolicyName = (typeof PolicyName)[keyof typeof PolicyName];
 
 /** One measured value of one run. */
@@ -31,8 +36,8 @@
 
 /** A fresh policy. */
 export function makePolicy(name: PolicyName, seed: number, changes: Partial<PolicySettings> = {}): BenchmarkedPolicy {
-    if (name === PolicyName.Shard) {
-        return new ShardPolicy({ ...benchmarkSettings, ...changes });
+    if (name === PolicyName.Shard || name === PolicyName.Previous) {
+        return new ShardPolicy({ ...benchmarkSettings, ...changes }, name);
     }
     return new BaselinePolicy(name === PolicyName.FirstFit ? firstFit : randomWorker(new Random(seed + 1_000_003)));
 }
--- a/packages/policy/src/placer.ts
+++ b/packages/policy/src/placer.ts
@@ -46,7 +46,10 @@
             return true;
         }
         const worker = this.findOnce(group.sizeClass, fullAccess, () => {
-            return this.state.pool.find(size, ordinaryAccess) ?? this.state.pool.find(size, fullAccess);
+            const { pool, rules } = this.state;
+            return (rules.reserveFirst ? pool.findReserved(size) : undefined)
+                ?? pool.find(size, ordinaryAccess)
+                ?? pool.find(size, fullAccess);
         });
         if (worker === undefined) {
             return false;
--- a/packages/policy/src/policyState.ts
+++ b/packages/policy/src/policyState.ts
@@ -3,6 +3,7 @@
 import { FairShare } from "./fairShare.ts";
 import { GangReservation } from "./gangReservation.ts";
 import { WorkProfiles } from "./learning.ts";
+import type { PolicyRules } from "./policyVersion.ts";
 import { Preemptor } from "./preemption.ts";
 import { RunningTasks } from "./runningTasks.ts";
 import type { WaitingGroup } from "./waitingGroup.ts";
@@ -13,6 +14,7 @@
 /** State of one shard's policy. */
 export class PolicyState {
     settings: PolicySettings;
+    readonly rules: PolicyRules;
     readonly pool = new WorkerPool();
     readonly shares = new FairShare(this.pool.capacity);
     readonly running = new RunningTasks(this.pool, this.shares);
@@ -28,8 +30,9 @@
     /** Workers with grown room that a round ended too early to use. */
     unusedGrowth: ReadonlySet<WorkerNode> = new Set();
 
-    constructor(settings: PolicySettings) {
+    constructor(settings: PolicySettings, rules: PolicyRules) {
         this.settings = settings;
+        this.rules = rules;
         this.pool.setReserve(settings.urgentReserve);
     }
 }
--- a/packages/policy/src/roomIndexes.ts
+++ b/packages/policy/src/roomIndexes.ts
@@ -33,6 +33,8 @@
     private readonly outsideReserve = new WorkerIndex();
     /** Whole open room, on workers where it may exceed the common room. */
     private readonly open = new WorkerIndex();
+    /** Whole open room of workers with a reserve, apart from those that hold room for a gang. */
+    private readonly reserved = new WorkerIndex();
     /** Projected room if all batch work were preempted, on workers with such work. */
     private readonly afterPreemption = new WorkerIndex();
     private readonly all = [
@@ -41,6 +43,7 @@
         this.besideAccelerators,
         this.outsideReserve,
         this.open,
+        this.reserved,
         this.afterPreemption,
     ];
     private readonly demand: AcceleratorDemand;
@@ -84,6 +87,11 @@
         return this.open.find(size, cost);
     }
 
+    /** Best worker with a reserve that has room for `size`, or `undefined`. */
+    findReserved(size: Resources): WorkerNode | undefined {
+        return this.reserved.find(size);
+    }
+
     preemptionCandidates(size: Resources, limit: number): WorkerNode[] {
         return this.afterPreemption.sample(size, limit);
     }
@@ -125,6 +133,7 @@
         setOrDelete(this.besideAccelerators, node, beside, hasAccelerators);
         setOrDelete(this.outsideReserve, node, unreserved, node.held !== undefined);
         setOrDelete(this.open, node, open, node.held !== undefined || hasAny(node.reserve));
+        setOrDelete(this.reserved, node, open, node.held === undefined && hasAny(node.reserve));
         const projected = addResources(node.projectedRoom(), node.preemptible);
         setOrDelete(this.afterPreemption, node, projected, hasAny(node.preemptible) || hasAny(node.ending));
         const before = node.rooms;
--- a/packages/policy/src/schedulingPolicy.ts
+++ b/packages/policy/src/schedulingPolicy.ts
@@ -1,4 +1,5 @@
 import type { PolicySettings, Reason, Resources, WorkClass } from "@tanagerlink/model";
+import type { PolicyVersion } from "./policyVersion.ts";
 
 /** A worker as the policy sees it. */
 export interface PolicyWorker {
@@ -88,6 +89,9 @@
 
 /** Decisions for one shard. Holds the shard's view of workers, queue and running tasks. */
 export interface SchedulingPolicy {
+    /** Name and version of the behaviour, for records and comparisons. */
+    readonly version: PolicyVersion;
+
     setSettings(settings: PolicySettings): void;
     setTeamShares(shares: ReadonlyMap<string, number>): void;
     /** Use of a team in the rest of the fleet, from peer summaries, and the capacity of the whole fleet. */
--- a/packages/policy/src/shardPolicy.ts
+++ b/packages/policy/src/shardPolicy.ts
@@ -2,6 +2,7 @@
 import { maximumResources, type PolicySettings, type Resources, WorkClass } from "@tanagerlink/model";
 import { judgeFeasibility } from "./feasibility.ts";
 import { PolicyState } from "./policyState.ts";
+import { currentPolicyVersion, policyRules, type PolicyVersion } from "./policyVersion.ts";
 import { Quarantine } from "./quarantine.ts";
 import { ResourceTally } from "./resourceTally.ts";
 import type {
@@ -20,11 +21,13 @@
  * Holds are reported when a job's reason is new or changes, at most 256 in a round.
  */
 export class ShardPolicy implements SchedulingPolicy {
+    readonly version: PolicyVersion;
     private readonly state: PolicyState;
     private readonly quarantine: Quarantine;
 
-    constructor(settings: PolicySettings) {
-        this.state = new PolicyState(settings);
+    constructor(settings: PolicySettings, version: PolicyVersion = currentPolicyVersion) {
+        this.version = version;
+        this.state = new PolicyState(settings, policyRules[version]);
         this.quarantine = new Quarantine(settings.workerFailureLimit, settings.jobFailureLimit);
     }
 
@@ -186,6 +189,7 @@
         const { pool, queue, running, profiles, reservation, shares } = this.state;
         const { current } = reservation;
         return {
+            version: this.version,
             workers: pool.workers.size,
             capacity: pool.capacity.snapshot(),
             free: pool.freeResources(),
--- a/packages/policy/src/workerPool.ts
+++ b/packages/policy/src/workerPool.ts
@@ -128,6 +128,11 @@
         return this.rooms.find(size, access, cost);
     }
 
+    /** Best worker with a reserve that has room for `size`, or `undefined`. */
+    findReserved(size: Resources): WorkerNode | undefined {
+        return this.rooms.findReserved(size);
+    }
+
     /** Workers with room for `size` if batch work on them were preempted. */
     preemptionCandidates(size: Resources, limit: number): WorkerNode[] {
         return this.rooms.preemptionCandidates(size, limit);
