perf(policy): keep half of the reserve of a worker for bursts of urgent tasks

Cause: filling the reserve first doubled the preemptions and lengthened the waits of services. Change: urgent tasks go first to a reserve of which at least half is free, and otherwise choose as in drf-bestfit/1.

--- a/packages/policy/__tests__/shardPolicy.spec.ts
+++ b/packages/policy/__tests__/shardPolicy.spec.ts
@@ -1,6 +1,7 @@
 import { Reason, WorkClass } from "@tanagerlink/model";
 import { expect } from "chai";
-import { CheckedShard, size } from "./checkedShard.ts";
+import { PolicyVersion, ShardPolicy } from "../src/index.ts";
+import { CheckedShard, settings, size } from "./checkedShard.ts";
 
 function tasks(count: number): number[] {
     return Array.from({ length: count }, (_, task) => task);
@@ -98,6 +99,22 @@
         expect(result.preemptions).to.deep.equal([]);
     });
 
+    it("leaves ordinary room to batch work while at least half of the reserve is free", () => {
+        const reasons = (version: PolicyVersion): Reason[] => {
+            const policy = new ShardPolicy({ ...settings, urgentReserve: 0.25 }, version);
+            tasks(4).forEach(index => policy.addWorker({ id: `w${index}`, rack: "r", capacity: size(16_000) }));
+            const common = { name: "urgent", team: "a", queue: "q", workClass: WorkClass.Urgent, runSeconds: 10 };
+            const job = { ...common, id: "urgent", size: size(4_000), allAtOnce: false, preemptible: true };
+            policy.addJob({ ...job, waitingTasks: tasks(5), waitingSince: 0 });
+            const limits = { take: () => true, giveBack: () => {} };
+            return policy.round(0, limits, 100).placements.map(({ reason }) => reason).sort();
+        };
+        const { Placed, PlacedUrgentReserve } = Reason;
+        const inReserve = [Placed, Placed, PlacedUrgentReserve, PlacedUrgentReserve, PlacedUrgentReserve];
+        expect(reasons(PolicyVersion.DrfBestFit2)).to.deep.equal(inReserve);
+        expect(reasons(PolicyVersion.DrfBestFit1)).to.deep.equal(tasks(5).map(() => Placed));
+    });
+
     it("tries another worker when the preempted task does not stop", () => {
         const shard = fullShard();
         shard.addJob({ id: "urgent", workClass: WorkClass.Urgent, size: size(3_000) });
--- a/packages/policy/src/policyVersion.ts
+++ b/packages/policy/src/policyVersion.ts
@@ -7,7 +7,10 @@
 export const PolicyVersion = {
     /** Urgent tasks use ordinary room first and the reserve last. */
     DrfBestFit1: "drf-bestfit/1",
-    /** Urgent tasks use the reserve first, so that ordinary room is left to work that has no other. */
+    /**
+     * Urgent tasks use the reserve of workers first of which at least half is free, so that ordinary room is left to work
+     * that has no other. Without the half that stays, services waited longer behind urgent tasks.
+     */
     DrfBestFit2: "drf-bestfit/2",
 } as const;
 export type PolicyVersion = (typeof PolicyVersion)[keyof typeof PolicyVersion];
@@ -17,7 +20,7 @@
 
 /** In what the versions differ. */
 export interface PolicyRules {
-    /** Whether urgent tasks are placed on the reserve before ordinary room. */
+    /** Whether urgent tasks are placed on a reserve that is at least half free before ordinary room. */
     readonly reserveFirst: boolean;
 }
 
--- a/packages/policy/src/roomIndexes.ts
+++ b/packages/policy/src/roomIndexes.ts
@@ -33,7 +33,7 @@
     private readonly outsideReserve = new WorkerIndex();
     /** Whole open room, on workers where it may exceed the common room. */
     private readonly open = new WorkerIndex();
-    /** Whole open room of workers with a reserve, apart from those that hold room for a gang. */
+    /** Whole open room of workers of whose reserve half is free, apart from those that hold room for a gang. */
     private readonly reserved = new WorkerIndex();
     /** Projected room if all batch work were preempted, on workers with such work. */
     private readonly afterPreemption = new WorkerIndex();
@@ -87,7 +87,7 @@
         return this.open.find(size, cost);
     }
 
-    /** Best worker with a reserve that has room for `size`, or `undefined`. */
+    /** Best worker with room for `size` of whose reserve at least half is free, or `undefined`. */
     findReserved(size: Resources): WorkerNode | undefined {
         return this.reserved.find(size);
     }
@@ -133,7 +133,7 @@
         setOrDelete(this.besideAccelerators, node, beside, hasAccelerators);
         setOrDelete(this.outsideReserve, node, unreserved, node.held !== undefined);
         setOrDelete(this.open, node, open, node.held !== undefined || hasAny(node.reserve));
-        setOrDelete(this.reserved, node, open, node.held === undefined && hasAny(node.reserve));
+        setOrDelete(this.reserved, node, open, node.held === undefined && keepsHalf(node.reserve, open));
         const projected = addResources(node.projectedRoom(), node.preemptible);
         setOrDelete(this.afterPreemption, node, projected, hasAny(node.preemptible) || hasAny(node.ending));
         const before = node.rooms;
@@ -187,6 +187,12 @@
     }
 }
 
+/** Whether at least half of the reserve is free. */
+function keepsHalf(reserve: Resources, open: Resources): boolean {
+    return hasAny(reserve) && open.processorMillis * 2 >= reserve.processorMillis
+        && open.memoryMebibytes * 2 >= reserve.memoryMebibytes;
+}
+
 function hasAny(size: Resources): boolean {
     return size.processorMillis > 0 || size.memoryMebibytes > 0 || size.accelerators > 0;
 }
--- a/packages/policy/src/workerPool.ts
+++ b/packages/policy/src/workerPool.ts
@@ -128,7 +128,7 @@
         return this.rooms.find(size, access, cost);
     }
 
-    /** Best worker with a reserve that has room for `size`, or `undefined`. */
+    /** Best worker with room for `size` of whose reserve at least half is free, or `undefined`. */
     findReserved(size: Resources): WorkerNode | undefined {
         return this.rooms.findReserved(size);
     }
