feat(benchmarks): measure bytes to the platform, long lists of VMs and one process at the target size

Change: the stand-in of the platform counts the bytes of its connections; controlCostBenchmark reports them and has the series `listed` (VMs of another failure domain) and `target` (227 workers, 2,497 tasks, 490 teams, one process).

--- a/packages/benchmarks/src/controlCostBenchmark.ts
+++ b/packages/benchmarks/src/controlCostBenchmark.ts
@@ -2,8 +2,9 @@
  * Control cost of one entry process: processor time, memory and bytes as functions of its workers, running tasks,
  * starts a second, peers and teams, measured on real processes, with a line fitted through each series.
  *
- * Run: `npx tsx packages/benchmarks/src/controlCostBenchmark.ts [--json FILE] [--only workers|entries|teams]`.
+ * Run: `npx tsx packages/benchmarks/src/controlCostBenchmark.ts [--json FILE] [--only workers|entries|teams|listed|target]`.
  */
+import { type VmRecord, VmRole, VmState } from "@tanagerlink/model";
 import { Cell, type EntryProcess, OPERATOR_TOKEN } from "@tanagerlink/scenarios";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -25,6 +26,8 @@
     readonly entries: number;
     readonly workers: number;
     readonly teams: number;
+    /** VMs of another failure domain in the list of VMs; nothing runs there. */
+    readonly listed: number;
 }
 
 interface Measurement extends Shape {
@@ -34,6 +37,8 @@
     readonly idleResidentMebibytes: number;
     readonly runningResidentMebibytes: number;
     readonly workerBytesPerSecond: number;
+    /** Calls to the platform for table, objects and the list of VMs, in both directions. */
+    readonly platformBytesPerSecond: number;
     readonly runningTasks: number;
     /** Milliseconds of processor time for one start, from submission to end. */
     readonly processorMillisecondsPerStart: number;
@@ -81,6 +86,20 @@
     });
 }
 
+/** Adds workers of another failure domain to the list; they are never contacted. */
+function listElsewhere(cell: Cell, count: number): void {
+    const elsewhere = Array.from({ length: count }, (_, index): VmRecord => ({
+        id: `elsewhere-worker-${index}`,
+        role: VmRole.Worker,
+        address: "127.0.0.1:9",
+        failureDomain: "elsewhere",
+        rack: `rack-${index % 40}`,
+        state: VmState.Live,
+        capacity: WORKER_CAPACITY,
+    }));
+    cell.platform.vms.replaceAll([...cell.platform.vms.actual(), ...elsewhere]);
+}
+
 async function shardsReady(cell: Cell): Promise<boolean> {
     const status = await call(cell.entries[0]!, "GET", "/operator/status") as {
         failureDomains: { shards: number; shardsReady: number; }[];
@@ -94,11 +113,13 @@
     readonly processorSeconds: number;
     readonly residentMebibytes: number;
     readonly bytesPerSecond: number;
+    readonly platformBytesPerSecond: number;
 }
 
 async function observe(cell: Cell, milliseconds: number): Promise<Window> {
     const before = cell.entries.map(entry => readProcessUsage(entry.processId));
     const bytesBefore = cell.workers.trafficBytes();
+    const platformBytesBefore = cell.platform.trafficBytes();
     const beganAt = performance.now();
     await pause(milliseconds);
     const seconds = (performance.now() - beganAt) / 1_000;
@@ -113,6 +134,7 @@
         corePercent: processorSeconds / seconds / count * 100,
         residentMebibytes: after.reduce((sum, usage) => sum + usage.residentMebibytes, 0) / count,
         bytesPerSecond: (cell.workers.trafficBytes() - bytesBefore) / seconds / count,
+        platformBytesPerSecond: (cell.platform.trafficBytes() - platformBytesBefore) / seconds / count,
     };
 }
 
@@ -146,6 +168,7 @@
         executorsPerDomain: 0,
         service: "records",
     });
+    listElsewhere(cell, shape.listed);
     await apply(cell, folder);
     await cell.eventually("all shards are ready", () => shardsReady(cell), 60_000);
     await pause(SETTLE_MILLISECONDS);
@@ -167,6 +190,7 @@
         idleResidentMebibytes: idle.residentMebibytes,
         runningResidentMebibytes: running.residentMebibytes,
         workerBytesPerSecond: running.bytesPerSecond,
+        platformBytesPerSecond: running.platformBytesPerSecond,
         runningTasks: wanted,
         processorMillisecondsPerStart: starts === 0
             ? 0
@@ -175,10 +199,24 @@
     };
 }
 
-const SERIES: readonly { readonly of: keyof Shape; readonly shapes: readonly Shape[]; }[] = [
-    { of: "workers", shapes: [20, 100, 200, 400].map(workers => ({ entries: 1, workers, teams: 6 })) },
-    { of: "entries", shapes: [1, 2, 4, 8].map(entries => ({ entries, workers: 40, teams: 6 })) },
-    { of: "teams", shapes: [6, 120, 490].map(teams => ({ entries: 2, workers: 40, teams })) },
+function shape(differing: Partial<Shape>): Shape {
+    return { entries: 1, workers: 40, teams: 6, listed: 0, ...differing };
+}
+
+interface Series {
+    readonly of: keyof Shape;
+    /** For `--only`; the varied quantity by default. */
+    readonly name?: string;
+    readonly shapes: readonly Shape[];
+}
+
+const SERIES: readonly Series[] = [
+    { of: "workers", shapes: [20, 100, 200, 400].map(workers => shape({ entries: 1, workers })) },
+    { of: "entries", shapes: [1, 2, 4, 8].map(entries => shape({ entries })) },
+    { of: "teams", shapes: [6, 120, 490].map(teams => shape({ entries: 2, teams })) },
+    { of: "listed", shapes: [0, 2_000, 22_000].map(listed => shape({ entries: 1, listed })) },
+    // One process at the target size; one point has no slope.
+    { of: "workers", name: "target", shapes: [shape({ entries: 1, workers: 227, teams: 490 })] },
 ];
 
 const FIGURES = [
@@ -187,6 +225,7 @@
     "idleResidentMebibytes",
     "runningResidentMebibytes",
     "workerBytesPerSecond",
+    "platformBytesPerSecond",
 ] as const;
 
 function flag(name: string): string | undefined {
@@ -202,7 +241,9 @@
         const measurements: Measurement[] = [];
         const slopes: Record<string, Record<string, LineFit>> = {};
         const only = flag("--only");
-        for (const { of, shapes } of SERIES.filter(line => only === undefined || line.of === only)) {
+        for (
+            const { of, name, shapes } of SERIES.filter(line => only === undefined || (line.name ?? line.of) === only)
+        ) {
             const series: Measurement[] = [];
             for (const shape of shapes) {
                 const measurement = await measure([process.execPath, file], folder, shape);
@@ -210,10 +251,13 @@
                 series.push(measurement);
             }
             measurements.push(...series);
-            slopes[of] = Object.fromEntries(
+            if (shapes.length === 1) {
+                continue;
+            }
+            slopes[name ?? of] = Object.fromEntries(
                 FIGURES.map(figure => [figure, fitLine(series.map(point => [point[of], point[figure]]))]),
             );
-            console.log(JSON.stringify({ slopePerUnitOf: of, ...slopes[of] }));
+            console.log(JSON.stringify({ slopePerUnitOf: of, ...slopes[name ?? of] }));
         }
         const output = flag("--json");
         if (output !== undefined) {
--- a/packages/stand-ins/src/platformStandIn.ts
+++ b/packages/stand-ins/src/platformStandIn.ts
@@ -7,6 +7,7 @@
 import { SystemTimers, type Timers } from "@tanagerlink/timers";
 import { type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { ConnectionTraffic } from "./connectionTraffic.ts";
 import { PlatformFaults } from "./platformFaults.ts";
 import { platformApplication } from "./platformRoutes.ts";
 import { LaggingVmList } from "./platformVmList.ts";
@@ -36,6 +37,7 @@
     readonly faults: PlatformFaults;
     private readonly server: Server;
     private readonly counts: { objectReads: number; objectWrites: number; vmListReads: number; };
+    private readonly traffic: ConnectionTraffic;
 
     /** @internal */
     constructor(parts: Omit<PlatformParts, "timers">, server: Server) {
@@ -47,6 +49,7 @@
         this.faults = parts.faults;
         this.counts = parts.counts;
         this.server = server;
+        this.traffic = new ConnectionTraffic(server);
     }
 
     /** Base URL for callers of one failure domain, which `faults.setPartitioned` can cut off from the platform. */
@@ -54,6 +57,11 @@
         return `${this.baseUrl}/from/${encodeURIComponent(failureDomain)}`;
     }
 
+    /** Bytes of all calls in both directions since the start. */
+    trafficBytes(): number {
+        return this.traffic.bytes();
+    }
+
     counters(): PlatformCounters {
         return { ...this.table.counters, ...this.counts };
     }
--- a/packages/stand-ins/src/workerLoopbackServer.ts
+++ b/packages/stand-ins/src/workerLoopbackServer.ts
@@ -6,7 +6,8 @@
 import type { Hono } from "hono";
 import { once } from "node:events";
 import type { Server } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { ConnectionTraffic } from "./connectionTraffic.ts";
 
 const LOOPBACK = "127.0.0.1";
 
@@ -28,27 +29,16 @@
 class NodeLoopbackServer implements LoopbackServer {
     readonly address: string;
     private readonly server: Server;
-    private readonly sockets = new Set<Socket>();
-    private closedBytes = 0;
+    private readonly traffic: ConnectionTraffic;
 
     constructor(server: Server) {
         this.server = server;
-        server.on("connection", (socket: Socket) => {
-            this.sockets.add(socket);
-            socket.once("close", () => {
-                this.sockets.delete(socket);
-                this.closedBytes += socket.bytesRead + socket.bytesWritten;
-            });
-        });
+        this.traffic = new ConnectionTraffic(server);
         this.address = `${LOOPBACK}:${(server.address() as AddressInfo).port}`;
     }
 
     trafficBytes(): number {
-        let bytes = this.closedBytes;
-        for (const socket of this.sockets) {
-            bytes += socket.bytesRead + socket.bytesWritten;
-        }
-        return bytes;
+        return this.traffic.bytes();
     }
 
     async setListening(listening: boolean): Promise<void> {
