feat(platform): read the list of VMs conditionally and by failure domain

Cause: each process read the whole list of VMs each second, also when nothing had changed. Membership skips the rebuild of its index for an unchanged list and tells which failure domains' targets it knows. The stand-in offers both and can be set to offer neither.

--- a/packages/membership/__tests__/membership.spec.ts
+++ b/packages/membership/__tests__/membership.spec.ts
@@ -60,6 +60,42 @@
         expect(changes).to.deep.equal([]);
     });
 
+    it("keeps the last good list when only the entry VMs are missing, as after a fault of one part", async () => {
+        list = ok([vm("w2", "worker")]);
+        await timers.advance(2_000);
+        expect(membership.workers("north").map(worker => worker.id)).to.deep.equal(["w"]);
+        expect(membership.entryProcesses("north")).to.have.length(3);
+    });
+
+    it("says that the targets of a failure domain are unknown until they were read", async () => {
+        const asked: (readonly string[] | undefined)[] = [];
+        const records = [vm("a"), vm("w", "worker"), vm("v", "worker", "south")];
+        await using scoped = new Membership({
+            ...vm("a"),
+            vmList: {
+                read: targetsOf => {
+                    asked.push(targetsOf);
+                    const isAsked = ({ role, failureDomain }: VmRecord) =>
+                        role === "entry" || (targetsOf?.includes(failureDomain) ?? true);
+                    return Promise.resolve(ok(records.filter(isAsked)));
+                },
+            },
+            network: { links: () => [] },
+            timers,
+            pollMilliseconds: 1_000,
+            byFailureDomain: true,
+        });
+        await scoped.start(0);
+        await timers.settle();
+        expect(scoped.knowsTargets("north")).to.equal(true);
+        expect(scoped.workers("south")).to.deep.equal([]);
+        expect(scoped.knowsTargets("south")).to.equal(false);
+        await timers.advance(1_000);
+        expect(scoped.knowsTargets("south")).to.equal(true);
+        expect(scoped.workers("south").map(worker => worker.id)).to.deep.equal(["v"]);
+        expect(asked).to.deep.equal([["north"], ["north", "south"]]);
+    });
+
     it("keeps a silent process as suspect while a peer reaches it, so that one cut does not count as a death", async () => {
         links = [heard("b", 9_000), heard("c", 0)];
         membership.learn("c", { reachable: ["b"] });
--- a/packages/membership/src/leavingMarks.ts
+++ b/packages/membership/src/leavingMarks.ts
@@ -29,6 +29,10 @@
         return this.marks.has(id);
     }
 
+    get isEmpty(): boolean {
+        return this.marks.size === 0;
+    }
+
     /** Drops marks of VMs that a list which was read successfully no longer names. */
     update(list: ReadonlyMap<string, VmRecord>, now: number): void {
         for (const [id, mark] of this.marks) {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -32,6 +32,8 @@
      * broken link is no reason for suspicion.
      */
     readonly suspectAfterMilliseconds?: number;
+    /** Whether workers and executors are read only for the failure domains whose targets were asked for. */
+    readonly byFailureDomain?: boolean;
 }
 
 const SUSPECT_AFTER_MILLISECONDS = 3_000;
@@ -55,6 +57,11 @@
     private readonly subscriptions: Subscription[] = [];
     private score: Score = () => 0n;
     private list: ReadonlyMap<string, VmRecord> = new Map();
+    /** What `list` was made of; the same object when a later read found no change. */
+    private records: readonly VmRecord[] | undefined;
+    /** Failure domains whose targets are read. */
+    private readonly wantedDomains = new Set<string>();
+    private knownDomains: ReadonlySet<string> = new Set();
     private listedEntryProcesses: readonly VmRecord[] = [];
     private listReadAt: number | undefined;
     private fault: ServiceError | undefined;
@@ -64,6 +71,7 @@
     constructor(options: MembershipOptions) {
         this.options = options;
         this.timers = options.timers;
+        this.wantTargets(options.failureDomain);
         this.reachability = new ReachabilityView(options.suspectAfterMilliseconds ?? SUSPECT_AFTER_MILLISECONDS);
     }
 
@@ -95,16 +103,31 @@
         return this.view.links.map(({ id, address, failureDomain }) => ({ id, address, failureDomain }));
     }
 
-    /** Workers of a failure domain; `state` is `leaving` when the list says so or `markLeaving` was called. */
+    /**
+     * Workers of a failure domain; `state` is `leaving` when the list says so or `markLeaving` was called. Empty for a
+     * failure domain whose targets were not read yet, see `knowsTargets`.
+     */
     workers(failureDomain: string): readonly VmRecord[] {
+        this.wantTargets(failureDomain);
         return this.targets.find(VmRole.Worker, failureDomain);
     }
 
     /** Executors of a failure domain; `state` as for workers. */
     executors(failureDomain: string): readonly VmRecord[] {
+        this.wantTargets(failureDomain);
         return this.targets.find(VmRole.Executor, failureDomain);
     }
 
+    /**
+     * Whether the targets of a failure domain were read. Before that, `workers` and `executors` being empty says nothing.
+     * The first question for a failure domain makes the next read include it.
+     */
+    knowsTargets(failureDomain: string): boolean {
+        this.wantTargets(failureDomain);
+        return this.listReadAt !== undefined
+            && (this.options.byFailureDomain !== true || this.knownDomains.has(failureDomain));
+    }
+
     /** All failure domains with a known VM, in name order. */
     failureDomains(): readonly string[] {
         const ofEntryProcesses = this.view.entryProcesses.map(entry => entry.failureDomain);
@@ -163,23 +186,36 @@
     }
 
     private async readList(): Promise<void> {
-        const read = await this.options.vmList.read();
+        const targetsOf = this.options.byFailureDomain === true ? [...this.wantedDomains] : undefined;
+        const read = await this.options.vmList.read(targetsOf);
         if (read.isErr()) {
             this.fault = read.error;
             return;
         }
         this.fault = undefined;
-        // This process itself runs on a VM; an empty list after a good one is a fault of the platform.
-        if (read.value.length === 0 && this.list.size > 0) {
+        // This process itself runs on an entry VM; a list without any after a good one is a fault of the platform.
+        if (this.listedEntryProcesses.length > 0 && !read.value.some(record => record.role === VmRole.Entry)) {
             return;
         }
         this.listReadAt = this.timers.now();
-        this.list = new Map(read.value.map(record => [record.id, record]));
-        this.listedEntryProcesses = read.value.filter(record => record.role === VmRole.Entry);
+        this.knownDomains = new Set(targetsOf);
+        // Most reads find no change; rebuilding the index each second would cost more than reading.
+        if (read.value !== this.records) {
+            this.records = read.value;
+            this.list = new Map(read.value.map(record => [record.id, record]));
+            this.listedEntryProcesses = read.value.filter(record => record.role === VmRole.Entry);
+        }
+        else if (this.marks.isEmpty) {
+            return;
+        }
         this.marks.update(this.list, this.listReadAt);
         this.refresh(this.rebuildTargets());
     }
 
+    private wantTargets(failureDomain: string): void {
+        this.wantedDomains.add(failureDomain);
+    }
+
     private rebuildTargets(): boolean {
         const targets = [...this.list.values()].filter(record => record.role !== VmRole.Entry);
         return this.targets.rebuild(targets, id => this.isLeaving(id));
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -128,6 +128,7 @@
         network: peers,
         timers,
         pollMilliseconds: settings.vmListPollMilliseconds,
+        byFailureDomain: true,
     });
     const ownership = new TableShardOwnership({
         nodeId: settings.nodeId,
--- a/packages/platform/src/httpPlatformClient.ts
+++ b/packages/platform/src/httpPlatformClient.ts
@@ -40,7 +40,12 @@
  * @internal
  */
 export type HttpExchange =
-    | { readonly answered: true; readonly status: number; readonly body: Uint8Array; }
+    | {
+        readonly answered: true;
+        readonly status: number;
+        readonly entityTag: string | undefined;
+        readonly body: Uint8Array;
+    }
     | { readonly answered: false; readonly sent: boolean; readonly reason: string; };
 
 /** @internal */
@@ -68,7 +73,12 @@
     }
 
     /** Sends one request and reads the whole answer. Never throws. */
-    async exchange(method: "GET" | "POST" | "PUT", path: string, body?: Uint8Array): Promise<HttpExchange> {
+    async exchange(
+        method: "GET" | "POST" | "PUT",
+        path: string,
+        body?: Uint8Array,
+        headers: Readonly<Record<string, string>> = {},
+    ): Promise<HttpExchange> {
         if (this.pending >= MAXIMUM_PENDING_CALLS) {
             return { answered: false, sent: false, reason: "too many calls to the platform are pending" };
         }
@@ -79,10 +89,13 @@
             const answer = await this.pool.request({
                 method,
                 path: this.pathPrefix + path,
+                headers,
                 body: body ?? "",
                 signal: abort.signal,
             });
-            return { answered: true, status: answer.statusCode, body: await answer.body.bytes() };
+            const { etag } = answer.headers;
+            const entityTag = typeof etag === "string" ? etag : undefined;
+            return { answered: true, status: answer.statusCode, entityTag, body: await answer.body.bytes() };
         }
         catch (failure) {
             return { answered: false, sent: !neverConnected(failure), reason: describeUnknown(failure) };
--- a/packages/platform/src/wireFormat.ts
+++ b/packages/platform/src/wireFormat.ts
@@ -15,7 +15,10 @@
     TableTransact: "/table/transact",
     /** PUT and GET, followed by the encoded name. 404 means that there is no such object. */
     Objects: "/objects/",
-    /** GET, `vmListAnswerSchema`. */
+    /**
+     * GET, `vmListAnswerSchema`. A platform may offer two filters, `?role=<role>` and `?failure-domain=<name>`, and says
+     * so in each answer to which it applied them. It may send an `ETag` and answer to `If-None-Match` with status 304.
+     */
     VirtualMachines: "/vms",
 } as const;
 
@@ -51,4 +54,8 @@
     z.object({ committed: z.literal(false), conflicts: z.array(z.string()).min(1), rows: z.array(tableRowSchema) }),
 ]);
 
-export const vmListAnswerSchema = z.object({ vms: z.array(vmRecordSchema) });
+export const vmListAnswerSchema = z.object({
+    vms: z.array(vmRecordSchema),
+    /** Whether only the VMs that the filters of the request match are listed. */
+    filtered: z.boolean().optional(),
+});
--- a/packages/stand-ins/src/platformRoutes.ts
+++ b/packages/stand-ins/src/platformRoutes.ts
@@ -11,6 +11,7 @@
     transactionSchema,
 } from "@tanagerlink/platform";
 import { type Context, Hono, type Next } from "hono";
+import { createHash } from "node:crypto";
 import type { z } from "zod";
 import type { PlatformParts } from "./platformStandIn.ts";
 
@@ -23,10 +24,7 @@
     const routes = new Hono<Environment>();
     addTableRoutes(routes, parts);
     addObjectRoutes(routes, parts);
-    routes.get(PlatformPath.VirtualMachines, context => {
-        parts.counts.vmListReads++;
-        return context.json({ vms: parts.vms.visibleFrom(callerOf(context.req.path)) });
-    });
+    addVmListRoute(routes, parts);
     const application = new Hono<Environment>();
     application.use((context, next) => injectFaults(parts, context, next));
     application.route("/", routes);
@@ -62,6 +60,23 @@
     });
 }
 
+function addVmListRoute(routes: Hono<Environment>, { vms, counts }: PlatformParts): void {
+    routes.get(PlatformPath.VirtualMachines, context => {
+        counts.vmListReads++;
+        const filter = { role: context.req.query("role"), failureDomain: context.req.query("failure-domain") };
+        const text = JSON.stringify(vms.answer(callerOf(context.req.path), filter));
+        if (!vms.offersEntityTags) {
+            return context.body(text, 200, { "content-type": "application/json" });
+        }
+        const entityTag = `"${createHash("sha256").update(text).digest("base64url")}"`;
+        if (context.req.header("if-none-match") === entityTag) {
+            counts.vmListUnchanged++;
+            return new Response(undefined, { status: 304, headers: { etag: entityTag } });
+        }
+        return context.body(text, 200, { "content-type": "application/json", "etag": entityTag });
+    });
+}
+
 function addObjectRoutes(routes: Hono<Environment>, { objects, counts }: PlatformParts): void {
     const path = `${PlatformPath.Objects}:name` as const;
     routes.put(path, async context => {
--- a/packages/stand-ins/src/platformStandIn.ts
+++ b/packages/stand-ins/src/platformStandIn.ts
@@ -19,13 +19,17 @@
     readonly timers?: Timers;
 }
 
-/** Calls carried out by the stand-in platform. */
-export interface PlatformCounters extends TableCounters {
+interface VmAndObjectCounters {
     objectReads: number;
     objectWrites: number;
     vmListReads: number;
+    /** Reads of the VM list that were answered with "not modified"; they count as reads too. */
+    vmListUnchanged: number;
 }
 
+/** Calls carried out by the stand-in platform. */
+export interface PlatformCounters extends TableCounters, VmAndObjectCounters {}
+
 /** A running stand-in of the platform. */
 export class PlatformStandIn implements AsyncDisposable {
     /** Base URL for the HTTP adapters. */
@@ -36,7 +40,7 @@
     readonly vms: LaggingVmList;
     readonly faults: PlatformFaults;
     private readonly server: Server;
-    private readonly counts: { objectReads: number; objectWrites: number; vmListReads: number; };
+    private readonly counts: VmAndObjectCounters;
     private readonly traffic: ConnectionTraffic;
 
     /** @internal */
@@ -80,7 +84,7 @@
     readonly objects: MemoryObjectStore;
     readonly vms: LaggingVmList;
     readonly faults: PlatformFaults;
-    readonly counts: { objectReads: number; objectWrites: number; vmListReads: number; };
+    readonly counts: VmAndObjectCounters;
 }
 
 /** Starts the stand-in platform; resolves when it listens. */
@@ -94,7 +98,7 @@
         objects: new MemoryObjectStore(),
         vms: new LaggingVmList(timers, options.lagMilliseconds ?? 0),
         faults: new PlatformFaults(timers),
-        counts: { objectReads: 0, objectWrites: 0, vmListReads: 0 },
+        counts: { objectReads: 0, objectWrites: 0, vmListReads: 0, vmListUnchanged: 0 },
     };
     const application = platformApplication(parts);
     const server = await new Promise<Server>(resolve => {
--- a/packages/stand-ins/src/platformVmList.ts
+++ b/packages/stand-ins/src/platformVmList.ts
@@ -9,9 +9,19 @@
     readonly records: readonly VmRecord[];
 }
 
+/** What a reader asks for. */
+export interface VmListFilter {
+    readonly role: string | undefined;
+    readonly failureDomain: string | undefined;
+}
+
 /** The VM list of the stand-in platform. */
 export class LaggingVmList {
     lagMilliseconds: number;
+    /** Whether the platform offers filters; without them each answer is the whole list. */
+    offersFilters = true;
+    /** Whether the platform sends entity tags and answers conditional requests. */
+    offersEntityTags = true;
     /** Changes what callers of one failure domain see, for example addresses of relays in place of the VMs' own. */
     viewFrom: (failureDomain: string, record: VmRecord) => VmRecord = (_failureDomain, record) => record;
     private readonly timers: Timers;
@@ -54,6 +64,19 @@
             : records.map(record => this.viewFrom(failureDomain, record));
     }
 
+    /** The VMs that a request gets; the filters apply only where the platform offers them. */
+    answer(failureDomain: string | undefined, filter: VmListFilter): { vms: readonly VmRecord[]; filtered?: true; } {
+        const vms = this.visibleFrom(failureDomain);
+        const isFiltered = filter.role !== undefined || filter.failureDomain !== undefined;
+        return !this.offersFilters || !isFiltered ? { vms } : {
+            vms: vms.filter(record =>
+                (filter.role ?? record.role) === record.role
+                && (filter.failureDomain ?? record.failureDomain) === record.failureDomain
+            ),
+            filtered: true,
+        };
+    }
+
     private forgetOutdated(): ListState | undefined {
         const horizon = this.timers.now() - this.lagMilliseconds;
         const visible = this.states.findLastIndex(state => state.since <= horizon);
