perf(limits): read grant rows only where a shard waits for units

Cause: each process read the grant rows of all teams every 2 s, although a shard needs the row of another only when someone waits for units or the team is in debt. Each version of the configuration also rewrote the rows of all teams, since the rows kept the version even when the limit stayed the same. Change: the owner of a shard names the teams that it waits for in grant-wants/<shard>, written in the same transaction; others read these rows each 2 s and then only the rows of the named teams (all rows when more than 8 are named, and each 10 min). The writes stay conditional, and a row that is out of date is learned from the conflict. A lowered limit blocks its team until the row was read or written under it, or for 2 s while the table is down. A row is written for a new configuration version only if the team's limit changed. Considered: a counter per group of teams, on which the transactions of all shards would conflict; a list of row versions without values, which is about 40 B x 490 rows each 2 s = 10 KB/s.

--- a/packages/limits/__tests__/tableGrantLedger.spec.ts
+++ b/packages/limits/__tests__/tableGrantLedger.spec.ts
@@ -290,6 +290,90 @@
         expect(cell.row?.grants["north/0"]).to.be.lessThan(8);
     });
 
+    it("blocks a team whose limit was lowered while its row was read too long ago to show the debt", async () => {
+        const cell = await Cell.open(20);
+        const [north, south] = cell.members as [Member, Member];
+        await cell.runBusy(4_000, [2, 0]);
+        await cell.runBusy(30_000, [2, 18]);
+        north.release();
+        north.fault = { kind: "down" };
+        cell.setLimit(12, [north]);
+        expect(south.running).to.be.at.least(15);
+        expect(north.reserve(), "before the row was read again").to.equal(false);
+        north.fault = undefined;
+        await cell.timers.advance(4_000);
+        expect(north.reserve(), "with the debt known").to.equal(false);
+        expect(cell.row).to.include({ limit: 12, limitVersion: 2 });
+    });
+
+    it("does not let a lowered limit stop a team without debt for longer than a poll while the table is down", async () => {
+        const cell = await Cell.open(20);
+        const [north] = cell.members as [Member, Member];
+        await cell.runBusy(4_000, [4, 0]);
+        north.release();
+        north.fault = { kind: "down" };
+        cell.setLimit(12, [north]);
+        expect(north.reserve()).to.equal(false);
+        await cell.timers.advance(defaultGrantDurations.pollMilliseconds);
+        expect(north.reserve()).to.equal(true);
+    });
+
+    it("transfers units although the notice of a want was lost, with the next read of all rows", async () => {
+        const cell = await Cell.open(20);
+        const [north, south] = cell.members as [Member, Member];
+        await cell.runBusy(10_000, [20, 0]);
+        while (north.running > 2) {
+            north.release();
+        }
+        north.ledger.want("north/0", TEAM, 0);
+        north.fault = { kind: "down" };
+        south.ledger.want("south/0", TEAM, 10);
+        await cell.timers.advance(1_000);
+        expect(cell.table.rows.delete("grant-wants/south/0"), "the want was announced").to.equal(true);
+        south.fault = { kind: "down" };
+        north.fault = undefined;
+        await cell.timers.advance(20_000);
+        const before = cell.row?.grants["north/0"] ?? 0;
+        await cell.timers.advance(defaultGrantDurations.readAllMilliseconds);
+        expect(cell.row?.grants["north/0"]).to.be.lessThan(before);
+    });
+
+    it("deletes the notice of a shard that waits for nothing any more, also one of its former owner", async () => {
+        const cell = await Cell.open(4);
+        const [north] = cell.members as [Member, Member];
+        await cell.runBusy(6_000, [8, 0]);
+        expect(cell.table.value("grant-wants/north/0")).to.deep.equal({ teams: [TEAM] });
+        await north.takeOver();
+        north.ledger.want("north/0", TEAM, 0);
+        await cell.timers.advance(70_000);
+        expect(cell.table.value("grant-wants/north/0")).to.equal(undefined);
+        await cell.runBusy(6_000, [8, 0]);
+        expect(cell.table.value("grant-wants/north/0")).to.deep.equal({ teams: [TEAM] });
+    });
+
+    it("corrects a limit that only a process which is gone has seen, and else leaves rows alone", async () => {
+        const cell = await Cell.open(10);
+        const [north, south] = cell.members as [Member, Member];
+        await cell.runBusy(4_000, [4, 0]);
+        north.ledger.setTeamLimits({ [TEAM]: 20 }, 2);
+        await cell.timers.advance(4_000);
+        expect(cell.row).to.include({ limit: 20, limitVersion: 2 });
+        north.fault = { kind: "down" };
+        south.ledger.setTeamLimits({ [TEAM]: 10 }, 3);
+        south.ledger.want("south/0", TEAM, 1);
+        await cell.timers.advance(4_000);
+        expect(cell.row).to.include({ limit: 10, limitVersion: 3 });
+        north.fault = undefined;
+        north.ledger.setTeamLimits({ [TEAM]: 10 }, 3);
+        await cell.timers.advance(10_000);
+        const written = cell.table.rowsWritten;
+        for (let version = 4; version < 10; version++) {
+            cell.members.forEach(each => each.ledger.setTeamLimits({ [TEAM]: 10 }, version));
+            await cell.timers.advance(2_000);
+        }
+        expect(cell.table.rowsWritten, "rows written for versions that change no limit").to.equal(written);
+    });
+
     it("refuses the former owner of a reclaimed shard, whose units others use then", async () => {
         const cell = await Cell.open(10);
         await cell.runBusy(5_000, [10, 0]);
--- a/packages/limits/src/grantLedgerOptions.ts
+++ b/packages/limits/src/grantLedgerOptions.ts
@@ -9,8 +9,10 @@
     readonly nextTransactionId: () => string;
     /** Least time between two grant transactions of a shard. */
     readonly transactionMilliseconds: number;
-    /** Period in which the rows are read, for wants and limits that other processes wrote. */
+    /** Period in which the wants of all shards are read, and the rows of the teams that they name. */
     readonly pollMilliseconds: number;
+    /** Period in which all rows are read, which finds what a lost row of wants did not tell. */
+    readonly readAllMilliseconds: number;
     /** Units that weren't needed for this long are given back. */
     readonly idleMilliseconds: number;
     /** Numbers from 0 to 1 for the jitter of retries; `Math.random` by default. */
@@ -23,5 +25,6 @@
 export const defaultGrantDurations = {
     transactionMilliseconds: 1_000,
     pollMilliseconds: 2_000,
+    readAllMilliseconds: 600_000,
     idleMilliseconds: 30_000,
 } as const;
--- a/packages/limits/src/grantRow.ts
+++ b/packages/limits/src/grantRow.ts
@@ -21,6 +21,8 @@
 export interface TeamLimit {
     readonly limit: number;
     readonly version: number;
+    /** Version with which the limit changed last, as far as the process has seen it. */
+    readonly changedAt: number;
 }
 
 export const grantPrefix = "grant/";
@@ -41,11 +43,17 @@
     return { limit: limit.limit, limitVersion: limit.version, free: limit.limit, grants: {}, wants: {} };
 }
 
-/** The row under the newer of its own limit and the given one. */
+/**
+ * The row under the newer of its own limit and the given one. The row stays the same when the limit is what it holds and
+ * was not changed since, so that rows are not written for each version of the configuration.
+ */
 export function withLimit(row: GrantRowValue, limit: TeamLimit | undefined): GrantRowValue {
     if (limit === undefined || limit.version <= row.limitVersion) {
         return row;
     }
+    if (limit.limit === row.limit && limit.changedAt <= row.limitVersion) {
+        return row;
+    }
     return { ...row, limit: limit.limit, limitVersion: limit.version, free: row.free + limit.limit - row.limit };
 }
 
--- a/packages/limits/src/grantRows.ts
+++ b/packages/limits/src/grantRows.ts
@@ -2,9 +2,19 @@
 import type { ServiceError } from "@tanagerlink/errors";
 import type { TableRow, TableService } from "@tanagerlink/platform";
 import { err, ok, type Result } from "neverthrow";
-import { grantPrefix, type GrantRowValue, newGrantRow, parseGrantRow, type TeamLimit, withLimit } from "./grantRow.ts";
+import {
+    grantKey,
+    grantPrefix,
+    type GrantRowValue,
+    newGrantRow,
+    parseGrantRow,
+    type TeamLimit,
+    withLimit,
+} from "./grantRow.ts";
 
 const PAGE_ROWS = 500;
+/** Rows that are read one by one at most; the table carries about two thousand reads a second for all processes. */
+const MAXIMUM_SINGLE_READS = 8;
 
 export interface KnownRow {
     readonly value: GrantRowValue;
@@ -18,6 +28,11 @@
     private readonly rows = new Map<string, KnownRow>();
     private limits: Readonly<Record<string, number>> = {};
     private limitVersion = -1;
+    private firstVersion = -1;
+    /** Version with which the limit of a team changed, as far as this process has seen it. */
+    private readonly limitChanges = new Map<string, number>();
+    /** Teams whose limit was lowered and whose row was not seen under the new limit yet. */
+    private readonly lowered = new Set<string>();
     private readonly changed: (team: string) => void;
 
     constructor(table: TableService, changed: (team: string) => void) {
@@ -25,19 +40,38 @@
         this.changed = changed;
     }
 
-    /** An older configuration version than the known one is ignored. */
-    setLimits(limits: Readonly<Record<string, number>>, version: number): void {
+    /**
+     * An older configuration version than the known one is ignored. Returns the teams whose limit was lowered: their rows
+     * may be old enough to hide a debt, so the teams count as indebted until `settleLowered` or a read of the row.
+     */
+    setLimits(limits: Readonly<Record<string, number>>, version: number): readonly string[] {
         if (version <= this.limitVersion) {
-            return;
+            return [];
         }
+        const before = this.limitVersion < 0 ? limits : this.limits;
+        const names = new Set([...Object.keys(before), ...Object.keys(limits)]);
+        const changed = [...names].filter(team => (before[team] ?? 0) !== (limits[team] ?? 0));
+        const lowered = changed.filter(team => (before[team] ?? 0) > (limits[team] ?? 0));
+        changed.forEach(team => this.limitChanges.set(team, version));
+        lowered.forEach(team => this.lowered.add(team));
+        this.firstVersion = this.firstVersion < 0 ? version : this.firstVersion;
         this.limits = limits;
         this.limitVersion = version;
         this.teams().forEach(team => this.changed(team));
+        return lowered;
+    }
+
+    /** Ends the waiting for the rows of lowered teams; after this the rows as last read count. */
+    settleLowered(teams: readonly string[]): void {
+        teams.filter(team => this.lowered.delete(team)).forEach(team => this.changed(team));
     }
 
     /** Limit of the team in the newest configuration. A team that isn't in it may run nothing. */
     limitOf(team: string): TeamLimit | undefined {
-        return this.limitVersion < 0 ? undefined : { limit: this.limits[team] ?? 0, version: this.limitVersion };
+        const changedAt = this.limitChanges.get(team) ?? this.firstVersion;
+        return this.limitVersion < 0
+            ? undefined
+            : { limit: this.limits[team] ?? 0, version: this.limitVersion, changedAt };
     }
 
     /** The row as last read; one that is to be created for a team of the configuration that has none. */
@@ -52,7 +86,7 @@
     /** Whether more is granted than the newest known limit allows. */
     inDebt(team: string): boolean {
         const row = this.rows.get(team);
-        return row !== undefined && withLimit(row.value, this.limitOf(team)).free < 0;
+        return row !== undefined && (this.lowered.has(team) || withLimit(row.value, this.limitOf(team)).free < 0);
     }
 
     teams(): readonly string[] {
@@ -63,6 +97,9 @@
     observe(team: string, value: GrantRowValue, version: number): void {
         if (version > (this.rows.get(team)?.version ?? 0)) {
             this.rows.set(team, { value, version });
+            if (value.limitVersion >= (this.limitOf(team)?.changedAt ?? 0)) {
+                this.lowered.delete(team);
+            }
             this.changed(team);
         }
     }
@@ -74,6 +111,23 @@
         }
     }
 
+    /** Reads the rows of the teams, or all rows when that takes fewer calls. */
+    async readTeams(teams: readonly string[]): Promise<Result<void, ServiceError>> {
+        if (teams.length > MAXIMUM_SINGLE_READS) {
+            return await this.readAll();
+        }
+        const reads = await Promise.all(teams.map(team => this.table.read(grantKey(team))));
+        for (const read of reads) {
+            if (read.isErr()) {
+                return err(read.error);
+            }
+            if (read.value !== undefined) {
+                this.observeRow(read.value);
+            }
+        }
+        return ok(undefined);
+    }
+
     /** Reads all rows in pages. */
     async readAll(): Promise<Result<void, ServiceError>> {
         for (let after: string | undefined = grantPrefix; after !== undefined;) {
--- a/packages/limits/src/shardGrants.ts
+++ b/packages/limits/src/shardGrants.ts
@@ -4,20 +4,24 @@
  */
 import { ErrorKind } from "@tanagerlink/errors";
 import type { ShardId } from "@tanagerlink/model";
-import type { ConditionalWrite, RowCondition, TransactionAnswer } from "@tanagerlink/platform";
+import type { ConditionalWrite, RowCondition, TableRow, TransactionAnswer } from "@tanagerlink/platform";
 import { sleep, type Subscription, withDeadline } from "@tanagerlink/timers";
 import type { GrantLedgerOptions } from "./grantLedgerOptions.ts";
 import { type GrantNeed, planGrant } from "./grantPlan.ts";
 import { grantKey, type GrantRowValue } from "./grantRow.ts";
 import type { GrantRows } from "./grantRows.ts";
+import { OwnWants } from "./grantWants.ts";
 import { TeamGrant } from "./teamGrant.ts";
 
 /** Needs that arise within this time go into the same transaction. */
 const COLLECT_MILLISECONDS = 10;
 /** Longest pause before the first retry after a conflict, doubled with each; without it, shards retry in lockstep. */
 const CONFLICT_PAUSE_MILLISECONDS = 20;
-/** Attempts of one transaction while its rows conflict; what is left waits for the next second. */
-const CONFLICT_ATTEMPTS = 4;
+/**
+ * Attempts of one transaction while its rows conflict; what is left waits for the next second. The first one often meets
+ * rows that others changed since they were read, and learns them from the answer.
+ */
+const CONFLICT_ATTEMPTS = 5;
 /** A transaction without an answer for this long counts as one with an unknown outcome. */
 const ANSWER_MILLISECONDS = 10_000;
 /** Rows in one transaction at most. */
@@ -40,6 +44,7 @@
     readonly teams = new Map<string, TeamGrant>();
     private readonly options: GrantLedgerOptions;
     private readonly rows: GrantRows;
+    private readonly ownWants: OwnWants;
     private readonly superseded: (shard: ShardGrants) => void;
     private scheduled: Subscription | undefined;
     private running = false;
@@ -55,6 +60,7 @@
         this.shard = shard;
         this.options = options;
         this.rows = rows;
+        this.ownWants = new OwnWants(shard);
         this.superseded = superseded;
     }
 
@@ -85,6 +91,13 @@
         grant.inDebt = this.rows.inDebt(name);
     }
 
+    /** Takes in the shard's own row of wants as it was read; a transaction under way knows it better. */
+    wantsRead(row: TableRow | undefined): void {
+        if (!this.running) {
+            this.ownWants.observe(row);
+        }
+    }
+
     /** Whether others wait for units of the team, so that an ended unit should be offered. */
     isContested(name: string): boolean {
         const row = this.rows.get(name)?.value;
@@ -133,12 +146,13 @@
                 await sleep(this.options.timers, CONFLICT_PAUSE_MILLISECONDS * random() * 2 ** attempt);
             }
             const planned = this.plan();
-            if (planned.length === 0 || this.condition === undefined) {
+            const { timers, table, nextTransactionId } = this.options;
+            const wants = this.ownWants.plan(this.waitingTeams(planned), timers.now());
+            if ((planned.length === 0 && wants === undefined) || this.condition === undefined) {
                 return;
             }
-            this.lastAt = this.options.timers.now();
-            const { timers, table, nextTransactionId } = this.options;
-            const writes = planned.map(toWrite);
+            this.lastAt = timers.now();
+            const writes = [...planned.map(toWrite), ...(wants === undefined ? [] : [wants])];
             const sent = table.transact({ id: nextTransactionId(), conditions: [this.condition], writes });
             const answer = await withDeadline(timers, ANSWER_MILLISECONDS, sent);
             if (answer === undefined || answer.isErr()) {
@@ -147,6 +161,7 @@
                 this.requested = true;
                 return;
             }
+            this.ownWants.settle(wants, answer.value);
             this.settle(planned, answer.value);
             if (answer.value.committed) {
                 // A need is met in steps; the plan after the last step is empty and ends the sequence.
@@ -171,6 +186,14 @@
         planned.forEach(({ grant }) => grant.endWrite());
     }
 
+    /** Teams for whose units the shard waits once the planned rows are written, in name order. */
+    private waitingTeams(planned: readonly PlannedWrite[]): readonly string[] {
+        const rows = new Map(planned.map(({ team, row }) => [team, row]));
+        return [...this.teams.keys()]
+            .filter(team => ((rows.get(team) ?? this.rows.get(team)?.value)?.wants[this.shard] ?? 0) > 0)
+            .sort();
+    }
+
     private needOf(grant: TeamGrant): GrantNeed {
         const { busy, need, peak, turnIsOver, sitsOut } = grant;
         return { shard: this.shard, busy, wanted: need, peak, turnIsOver, sitsOut };
--- a/packages/limits/src/tableGrantLedger.ts
+++ b/packages/limits/src/tableGrantLedger.ts
@@ -6,6 +6,7 @@
 import type { GrantLedger, GrantState } from "./grantLedger.ts";
 import type { GrantLedgerOptions } from "./grantLedgerOptions.ts";
 import { GrantRows } from "./grantRows.ts";
+import { readWants, teamsOfRow, wantsKey } from "./grantWants.ts";
 import { reclaimShard } from "./reclaim.ts";
 import { claimEpoch, staleEpoch } from "./shardEpoch.ts";
 import { ShardGrants } from "./shardGrants.ts";
@@ -17,6 +18,9 @@
     private readonly shards = new Map<ShardId, ShardGrants>();
     private readonly subscriptions: Subscription[];
     private polling = false;
+    /** Teams that some shard waited for when the wants were last read. */
+    private contested: ReadonlySet<string> = new Set();
+    private allReadAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: GrantLedgerOptions) {
         this.options = options;
@@ -32,8 +36,12 @@
      * that a process with an older configuration can't raise a limit again. A lowered limit blocks new work at once.
      */
     setTeamLimits(limits: Readonly<Record<string, number>>, version: number): void {
-        this.rows.setLimits(limits, version);
+        const lowered = this.rows.setLimits(limits, version);
         this.shards.forEach(shard => shard.request());
+        if (lowered.length > 0) {
+            // The shards write the new limit within this time, and learn the current rows by it, unless the table is down.
+            this.options.timers.after(this.options.pollMilliseconds, () => this.rows.settleLowered(lowered));
+        }
     }
 
     async open(shard: ShardId, epoch: number): Promise<Result<void, ServiceError>> {
@@ -45,7 +53,7 @@
             return err(condition.error);
         }
         // After the epoch was claimed no earlier owner can change the shard's part of a row, so what is read now holds.
-        const read = await this.rows.readAll();
+        const read = await this.readAll();
         if (read.isErr()) {
             return err(read.error);
         }
@@ -166,16 +174,48 @@
         this.options.superseded?.(grants.shard, grants.epoch ?? 0);
     }
 
+    /** Reads the rows for which something may have to be done; the rest is right enough until a write corrects it. */
     private async poll(): Promise<void> {
         if (this.polling || this.shards.size === 0) {
             return;
         }
         this.polling = true;
-        await this.rows.readAll();
+        const { timers, readAllMilliseconds } = this.options;
+        if (timers.now() - this.allReadAt >= readAllMilliseconds) {
+            await this.readAll();
+        }
+        await this.readContested();
         this.polling = false;
         this.shards.forEach(shard => shard.request());
     }
 
+    private async readAll(): Promise<Result<void, ServiceError>> {
+        const beganAt = this.options.timers.now();
+        const read = await this.rows.readAll();
+        if (read.isOk()) {
+            this.allReadAt = beganAt;
+        }
+        return read;
+    }
+
+    private async readContested(): Promise<void> {
+        const wants = await readWants(this.options.table);
+        if (wants.isErr()) {
+            return;
+        }
+        for (const shard of this.shards.values()) {
+            shard.wantsRead(wants.value.find(row => row.key === wantsKey(shard.shard)));
+        }
+        const contested = new Set(wants.value.flatMap(teamsOfRow));
+        // A team that was contested until now is read once more, since its row no longer names the wants.
+        const watched = new Set([...contested, ...this.contested]);
+        this.contested = contested;
+        const known = [...this.shards.values()].flatMap(({ teams }) => [...teams.keys()]);
+        const indebted = known.filter(team => this.rows.inDebt(team));
+        const isHere = new Set(known);
+        await this.rows.readTeams([...new Set([...[...watched].filter(team => isHere.has(team)), ...indebted])]);
+    }
+
     private rotatePeaks(): void {
         this.shards.forEach(shard => shard.teams.forEach(grant => grant.rotatePeak()));
     }
