perf(scheduler): let workers hold heartbeats until something changes

Cause: each worker was asked each 2 s although most answers say that nothing has changed. Change: a worker that offers it holds the answer until a task ends or it leaves, at most 8 s and a third of the shortest task lease, with a space in each period as a sign of life. The owner asks for the answer early when something is to be repeated or less than 3.5 s of its lease are left, so that the confirmation window gets its requests in time. Other workers keep the period.

--- a/packages/ownership/src/heldShard.ts
+++ b/packages/ownership/src/heldShard.ts
@@ -85,6 +85,10 @@
         return !this.releasing && this.takeoverSettled(now) && (now < this.leaseUntil || this.confirmedByQuorum(now));
     }
 
+    leaseRemaining(now: number): number {
+        return this.leaseUntil - now;
+    }
+
     /** Records an accepted request; only the newest send time of each worker counts. */
     confirm(worker: string, sentAt: number, now: number): void {
         this.confirmedAt.set(worker, Math.max(sentAt, this.confirmedAt.get(worker) ?? sentAt));
--- a/packages/ownership/src/shardOwnership.ts
+++ b/packages/ownership/src/shardOwnership.ts
@@ -41,6 +41,8 @@
      * attached and the confirmation window has passed since. To be checked again after every wait.
      */
     mayStart(shard: ShardId, epoch: number): boolean;
+    /** Milliseconds until the lease ends unless it is renewed; 0 or less when it is over or the shard is not held. */
+    leaseRemaining(shard: ShardId, epoch: number): number;
     /** Records that a worker accepted the epoch in a request sent at `sentAt` (monotonic). */
     confirm(shard: ShardId, epoch: number, worker: string, sentAt: number): void;
     /** Records that a worker refused the epoch in favour of a higher one; the shard is lost at once. */
--- a/packages/ownership/src/tableShardOwnership.ts
+++ b/packages/ownership/src/tableShardOwnership.ts
@@ -69,6 +69,10 @@
         return this.heldUnder(shard, epoch)?.mayStart(this.options.timers.now()) ?? false;
     }
 
+    leaseRemaining(shard: ShardId, epoch: number): number {
+        return this.heldUnder(shard, epoch)?.leaseRemaining(this.options.timers.now()) ?? 0;
+    }
+
     confirm(shard: ShardId, epoch: number, worker: string, sentAt: number): void {
         this.heldUnder(shard, epoch)?.confirm(worker, sentAt, this.options.timers.now());
     }
--- a/packages/scheduler/__tests__/support/workerLinks.ts
+++ b/packages/scheduler/__tests__/support/workerLinks.ts
@@ -1,7 +1,7 @@
 /** Calls of one process to simulated workers, without a network but with its faults. */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { SimulatedWorker } from "@tanagerlink/stand-ins";
-import type { WorkerClient, WorkerClientFactory } from "@tanagerlink/targets";
+import type { HeartbeatRequest, HeldCall, WorkerClient, WorkerClientFactory } from "@tanagerlink/targets";
 import { type ManualTimers, sleep } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import type { SimulatedProcess } from "./simulatedProcess.ts";
@@ -11,7 +11,7 @@
 const DEADLINE_MILLISECONDS = 2_000;
 
 /** Calls of the worker protocol. */
-export type WorkerCallName = "attach" | "heartbeat" | "start" | "stop" | "checkpoint" | "throttle";
+export type WorkerCallName = "attach" | "heartbeat" | "start" | "stop" | "checkpoint" | "throttle" | "release";
 
 /** What happens to a call. A call `delivered_late` takes effect after `lateMilliseconds`, long after its deadline. */
 export type CallFate = "normal" | "unreachable" | "request_lost" | "answer_lost" | "delivered_late";
@@ -39,7 +39,12 @@
         return {
             id,
             attach: (_shard, epoch) => this.call(id, "attach", () => worker?.attach(epoch)),
-            heartbeat: request => this.call(id, "heartbeat", () => worker?.heartbeat(request)),
+            heartbeat: (request, held) =>
+                this.call(id, "heartbeat", () =>
+                    held === undefined || worker === undefined
+                        ? worker?.heartbeat(request)
+                        : this.hold(worker, request, held)),
+            release: (epoch, bootId) => this.control(id, "release", () => worker?.release(epoch, bootId)),
             start: start => this.call(id, "start", () => worker?.start(start)),
             stop: (epoch, attempt) => this.control(id, "stop", () => worker?.stop(epoch, attempt)),
             checkpoint: (epoch, attempt) => this.control(id, "checkpoint", () => worker?.checkpoint(epoch, attempt)),
@@ -51,6 +56,32 @@
         return Promise.resolve();
     }
 
+    /** A held call breaks in the period in which a fault of the link begins. */
+    private async hold(
+        worker: SimulatedWorker,
+        request: HeartbeatRequest,
+        held: HeldCall,
+    ): Promise<ReturnType<SimulatedWorker["heartbeat"]> | undefined> {
+        const { hold } = request;
+        if (hold === undefined) {
+            return worker.heartbeat(request);
+        }
+        let end: (answer: undefined) => void = () => undefined;
+        const broken = new Promise<undefined>(resolve => end = resolve);
+        const signs = this.timers.every(hold.periodMilliseconds, () => {
+            if (this.plan(worker.id, "heartbeat") === "normal") {
+                held.alive();
+            }
+            else {
+                end(undefined);
+            }
+        });
+        held.signal.addEventListener("abort", () => end(undefined), { once: true });
+        const answer = await Promise.race([worker.heldHeartbeat(request, hold, held.alive), broken]);
+        signs[Symbol.dispose]();
+        return answer;
+    }
+
     private async control(
         worker: string,
         name: WorkerCallName,
@@ -62,7 +93,7 @@
     private async call<Answer extends object>(
         worker: string,
         name: WorkerCallName,
-        effect: () => Answer | undefined,
+        effect: () => Answer | undefined | Promise<Answer | undefined>,
     ): Promise<Result<Exclude<Answer, { readonly error: string; }>, ServiceError>> {
         this.calls.push({ at: this.timers.now(), worker, call: name });
         const result = await this.transfer(worker, this.plan(worker, name), effect);
@@ -73,7 +104,7 @@
     private async transfer(
         worker: string,
         fate: CallFate,
-        effect: () => object | undefined,
+        effect: () => object | undefined | Promise<object | undefined>,
     ): Promise<Result<object, ServiceError>> {
         await sleep(this.timers, LATENCY_MILLISECONDS);
         if (fate === "unreachable") {
@@ -86,7 +117,7 @@
             await sleep(this.timers, DEADLINE_MILLISECONDS);
             return err(serviceError(ErrorKind.OutcomeUnknown, `${worker} did not answer in time`));
         }
-        const answer = effect();
+        const answer = await effect();
         await sleep(this.timers, LATENCY_MILLISECONDS);
         if (fate === "answer_lost" || answer === undefined) {
             return err(serviceError(ErrorKind.OutcomeUnknown, `the answer of ${worker} was lost`));
--- a/packages/scheduler/src/exchangePlan.ts
+++ b/packages/scheduler/src/exchangePlan.ts
@@ -2,7 +2,7 @@
  * When a worker is asked for its next report. The regular period bounds the messages; a worker on which a task is about
  * to end, or whose answer to a start or stop is awaited, is asked earlier, so that its room is used again soon.
  */
-import { type JobSpecification, TaskState } from "@tanagerlink/model";
+import { type JobSpecification, taskLeaseMilliseconds, TaskState } from "@tanagerlink/model";
 import type { JobEntry, TaskEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
 
@@ -12,6 +12,18 @@
 /** Time after an expected end at which a report is asked for, in milliseconds. */
 const AFTER_END_MILLISECONDS = 50;
 
+/** Longest time for which a worker holds the answer to a heartbeat, in milliseconds. */
+const LONGEST_HOLD_MILLISECONDS = 8_000;
+
+/** Part of the shortest task lease on a worker that a hold may take, so that two renewals may be lost. */
+const HOLD_PART_OF_LEASE = 1 / 3;
+
+/**
+ * Remaining time of the owner lease, in milliseconds, from which on workers confirm the epoch in short periods. A renewal in
+ * time leaves 4,000 ms of 6,000; with less than this, one has failed, and a majority confirms before the lease ends.
+ */
+const LATE_RENEWAL_MILLISECONDS = 3_500;
+
 /** Names of jobs whose run times are kept. */
 const MAXIMUM_NAMES = 2_000;
 
@@ -46,6 +58,28 @@
     return Math.max(Math.min(SHORTEST_MILLISECONDS, settings.workerHeartbeatMilliseconds), delay);
 }
 
+/**
+ * Time for which a worker may hold the answer to a heartbeat, in milliseconds. It must answer at once while the store does
+ * not confirm the lease, since its acceptance is needed as a confirmation then, and while something on it is to be repeated.
+ */
+export function holdMilliseconds(context: ShardContext, worker: string): number {
+    const { ownership } = context.dependencies;
+    const isConfirmed = ownership.mayStart(context.shard, context.epoch)
+        && ownership.leaseRemaining(context.shard, context.epoch) > LATE_RENEWAL_MILLISECONDS;
+    if (!isConfirmed) {
+        return 0;
+    }
+    let hold = LONGEST_HOLD_MILLISECONDS;
+    for (const { entry, task } of context.book.tasksOn(worker)) {
+        const isUnsettled = task.state === TaskState.Starting && !task.startInFlight;
+        if (isUnsettled || task.stopping !== undefined || task.throttledAt > 0) {
+            return 0;
+        }
+        hold = Math.min(hold, taskLeaseMilliseconds[entry.record.workClass] * HOLD_PART_OF_LEASE);
+    }
+    return hold;
+}
+
 function taskDelay(runTimes: RunTimes, entry: JobEntry, task: TaskEntry, now: number): number {
     if (task.stopping !== undefined || (task.state === TaskState.Starting && !task.startInFlight)) {
         // The pause grows until the call is repeated, which has a least period of its own.
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -5,7 +5,7 @@
 import type { ServiceError } from "@tanagerlink/errors";
 import { FailureDomainState, Reason, taskLeaseMilliseconds, type VmRecord, VmState } from "@tanagerlink/model";
 import type { TaskAttempt, WorkerReport } from "@tanagerlink/targets";
-import { exchangeDelay } from "./exchangePlan.ts";
+import { exchangeDelay, holdMilliseconds } from "./exchangePlan.ts";
 import { attemptOf, isActive, type JobEntry, leaseEnd, type TaskEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
@@ -99,6 +99,9 @@
         for (const session of [...this.sessions.values()]) {
             this.updateAvailability(session);
             this.sweepSilentWorker(session);
+            if (session.isHeld && this.holdMilliseconds(session.client.id) === 0) {
+                void session.release();
+            }
         }
     }
 
@@ -126,6 +129,10 @@
         return exchangeDelay(this.context, worker);
     }
 
+    holdMilliseconds(worker: string): number {
+        return holdMilliseconds(this.context, worker);
+    }
+
     workerAttached(session: WorkerSession, report: WorkerReport): void {
         this.read.add(session.client.id);
         this.context.policy.removeWorker(session.client.id);
@@ -200,7 +207,7 @@
             return;
         }
         const { timers, settings, configuration, ownership } = this.context.dependencies;
-        const silentSince = timers.now() - (session.lastContactAt ?? 0);
+        const silentSince = timers.now() - (session.lastHeardAt ?? 0);
         const silent = silentSince > SILENT_PERIODS * settings.workerHeartbeatMilliseconds;
         const failureDomain = configuration()?.failureDomains[this.context.failureDomain];
         const available = session.attached && !session.leaving && !silent && session.foreignTasks.length === 0
@@ -223,8 +230,8 @@
     private sweepSilentWorker(session: WorkerSession): void {
         const { timers, settings } = this.context.dependencies;
         const worker = session.client.id;
-        const silentFor = timers.now() - (session.lastContactAt ?? 0);
-        const answers = session.lastContactAt !== undefined
+        const silentFor = timers.now() - (session.lastHeardAt ?? 0);
+        const answers = session.lastHeardAt !== undefined
             && silentFor <= SILENT_PERIODS * settings.workerHeartbeatMilliseconds;
         this.endLapsedTasks(session, answers);
         if (!answers && this.absent.has(worker)) {
--- a/packages/scheduler/src/workerSession.ts
+++ b/packages/scheduler/src/workerSession.ts
@@ -1,11 +1,13 @@
 /**
  * The conversation with one worker: attach under the shard's epoch, then heartbeats that renew task leases and bring
- * back reports. One asynchronous task per worker, from `run` until the session is disposed.
+ * back reports. A worker that can do so holds the answer until something changes, so that an unchanged one costs few
+ * messages. One asynchronous task per worker, from `run` until the session is disposed.
  */
 import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
 import type { VmRecord } from "@tanagerlink/model";
-import type { TaskAttempt, WorkerClient, WorkerReport, WorkerTask } from "@tanagerlink/targets";
+import type { HeldCall, TaskAttempt, WorkerClient, WorkerReport, WorkerTask } from "@tanagerlink/targets";
 import { sleep, type Timers } from "@tanagerlink/timers";
+import type { Result } from "neverthrow";
 
 /** What the session asks of the shard and tells it. All calls are synchronous. */
 export interface WorkerSessionHost {
@@ -19,6 +21,8 @@
     workerUnreachable(session: WorkerSession, error: ServiceError): void;
     /** Time until the next exchange with a worker that answers, in milliseconds; at most the heartbeat period. */
     exchangeDelay(worker: string): number;
+    /** Time for which the worker may hold the answer to a heartbeat, in milliseconds; 0 when it must answer at once. */
+    holdMilliseconds(worker: string): number;
     /** The worker accepted the epoch in a request sent at `sentAt`. */
     epochAccepted(worker: string, sentAt: number): void;
     epochRefused(worker: string, error: ServiceError): void;
@@ -36,6 +40,9 @@
 /** Upper bound of acknowledgements in one heartbeat, which bounds the size of the message. */
 const ACKNOWLEDGEMENTS_PER_HEARTBEAT = 500;
 
+/** Pause after a held heartbeat: bounds the reports of a worker whose state changes all the time. */
+const HELD_PAUSE_MILLISECONDS = 250;
+
 /** Waiting time between attempts to reach a worker that does not answer, in heartbeat periods, at most. */
 const MAXIMUM_BACKOFF_PERIODS = 5;
 
@@ -47,7 +54,10 @@
     attached = false;
     leaving = false;
     lastReport: WorkerReport | undefined;
+    /** Monotonic time at which the last report was received. */
     lastContactAt: number | undefined;
+    /** Monotonic time of the last sign of life, which is later than the last report while a heartbeat is held. */
+    lastHeardAt: number | undefined;
     /** Monotonic time at which the exchange that brought the last report was sent. */
     lastExchangeSentAt = 0;
     /** Sequence of the last report received, which tells the worker from when its leases count. */
@@ -64,6 +74,8 @@
     private readonly acknowledgements: TaskAttempt[] = [];
     private readonly closing = new AbortController();
     private wake = new AbortController();
+    private held: AbortController | undefined;
+    private isReleasing = false;
     private failures = 0;
     private foreignStopSentAt = Number.NEGATIVE_INFINITY;
     private finished: Promise<void> = Promise.resolve();
@@ -109,6 +121,33 @@
     /** Sends the next heartbeat at once instead of at the end of the period. */
     hurry(): void {
         this.wake.abort();
+        void this.release();
+    }
+
+    /** Whether the worker holds a heartbeat. */
+    get isHeld(): boolean {
+        return this.held !== undefined;
+    }
+
+    /**
+     * Makes the worker answer the heartbeat that it holds. If it can't be told, the call is given up, so that the next
+     * heartbeat is sent in any case.
+     */
+    async release(): Promise<void> {
+        const { held, bootId } = this;
+        if (held === undefined || bootId === undefined || this.isReleasing) {
+            return;
+        }
+        this.isReleasing = true;
+        const sentAt = this.timers.now();
+        const result = await this.client.release(this.epoch, bootId);
+        this.isReleasing = false;
+        if (result.isErr()) {
+            held.abort();
+        }
+        else if (!this.closing.signal.aborted) {
+            this.host.epochAccepted(this.client.id, sentAt);
+        }
     }
 
     state(): WorkerSessionState {
@@ -124,6 +163,7 @@
     async [Symbol.asyncDispose](): Promise<void> {
         this.closing.abort();
         this.wake.abort();
+        this.held?.abort();
         await this.finished;
     }
 
@@ -139,13 +179,7 @@
         const sentAt = this.timers.now();
         const acknowledged = this.acknowledgements.splice(0, ACKNOWLEDGEMENTS_PER_HEARTBEAT);
         const result = this.attached && this.bootId !== undefined
-            ? await this.client.heartbeat({
-                epoch: this.epoch,
-                bootId: this.bootId,
-                lastReport: this.reportSequence,
-                renew: this.host.attemptsToRenew(this.client.id),
-                acknowledge: acknowledged,
-            })
+            ? await this.heartbeat(this.bootId, acknowledged, sentAt)
             : await this.client.attach(this.shard, this.epoch);
         if (this.closing.signal.aborted) {
             return;
@@ -159,9 +193,49 @@
         }
     }
 
+    private async heartbeat(
+        bootId: string,
+        acknowledge: readonly TaskAttempt[],
+        sentAt: number,
+    ): Promise<Result<WorkerReport, ServiceError>> {
+        const request = {
+            epoch: this.epoch,
+            bootId,
+            lastReport: this.reportSequence,
+            renew: this.host.attemptsToRenew(this.client.id),
+            acknowledge,
+        };
+        const milliseconds = this.lastReport?.holds === true ? this.host.holdMilliseconds(this.client.id) : 0;
+        if (milliseconds <= 0) {
+            return await this.client.heartbeat(request);
+        }
+        const held = new AbortController();
+        this.held = held;
+        const hold = { milliseconds, periodMilliseconds: this.periodMilliseconds };
+        const result = await this.client.heartbeat({ ...request, hold }, this.heldCall(held.signal, sentAt));
+        this.held = undefined;
+        return result;
+    }
+
+    /** The first sign of life says that the worker has accepted the epoch; it refuses before that. */
+    private heldCall(signal: AbortSignal, sentAt: number): HeldCall {
+        let isAccepted = false;
+        return {
+            signal,
+            alive: () => {
+                this.lastHeardAt = this.timers.now();
+                if (!isAccepted && !this.closing.signal.aborted) {
+                    isAccepted = true;
+                    this.host.epochAccepted(this.client.id, sentAt);
+                }
+            },
+        };
+    }
+
     private succeeded(report: WorkerReport, sentAt: number): void {
         this.failures = 0;
         this.lastContactAt = this.timers.now();
+        this.lastHeardAt = this.lastContactAt;
         if (this.bootId !== undefined && this.bootId !== report.bootId) {
             this.host.workerRestarted(this, this.bootId);
             this.attached = false;
@@ -205,6 +279,8 @@
         const delay = periods > 1 || !this.attached
             ? this.periodMilliseconds * periods
             : this.host.exchangeDelay(this.client.id);
-        await sleep(this.timers, delay, this.wake.signal);
+        const holds = this.failures === 0 && this.lastReport?.holds === true
+            && this.host.holdMilliseconds(this.client.id) > 0;
+        await sleep(this.timers, holds ? Math.min(delay, HELD_PAUSE_MILLISECONDS) : delay, this.wake.signal);
     }
 }
--- a/packages/stand-ins/src/workerProtocol.ts
+++ b/packages/stand-ins/src/workerProtocol.ts
@@ -19,8 +19,11 @@
     acknowledge: z.array(attempt),
     /** The report may be a difference to the report `lastReport`. */
     differences: z.boolean().default(false),
+    hold: z.object({ milliseconds: z.number().positive(), periodMilliseconds: z.number().positive() }).optional(),
 });
 
+export const releaseSchema = z.object({ epoch, bootId: z.string() });
+
 export const startSchema = attempt.extend({
     epoch,
     bootId: z.string(),
--- a/packages/stand-ins/src/workerSimulation.ts
+++ b/packages/stand-ins/src/workerSimulation.ts
@@ -4,6 +4,7 @@
  */
 import type { Resources } from "@tanagerlink/model";
 import {
+    type HeartbeatHold,
     type HeartbeatRequest,
     type TaskAttempt,
     type TaskStart,
@@ -14,6 +15,7 @@
 } from "@tanagerlink/targets";
 import type { Subscription, Timers } from "@tanagerlink/timers";
 import { randomUUID } from "node:crypto";
+import { HeldAnswers, WorkerChange } from "./workerHold.ts";
 import { readBehaviour, type TaskBehaviour } from "./workerProtocol.ts";
 import type { AttemptRecord, WorkerRecord } from "./workerRecord.ts";
 
@@ -52,6 +54,8 @@
     readonly id: string;
     readonly capacity: Resources;
     readonly capabilities?: Partial<WorkerCapabilities>;
+    /** Whether the worker can hold the answers to heartbeats; `true` by default. */
+    readonly holds?: boolean;
 }
 
 /** What all workers of one stand-in share. */
@@ -93,7 +97,7 @@
         slowMilliseconds: 0,
         failEverything: false,
     };
-    leaving = false;
+    readonly holds: boolean;
     bootId: string = randomUUID();
     epoch = 0;
     private sequence = 0;
@@ -101,14 +105,26 @@
     private readonly reportTimes = new Map<number, number>();
     private readonly surroundings: WorkerSurroundings;
     private readonly runs = new Map<string, Run>();
+    private readonly held = new HeldAnswers();
+    private isLeaving = false;
 
     constructor(options: WorkerOptions, surroundings: WorkerSurroundings) {
         this.id = options.id;
         this.capacity = options.capacity;
         this.capabilities = { ...allCapabilities, ...options.capabilities };
+        this.holds = options.holds ?? true;
         this.surroundings = surroundings;
     }
 
+    get leaving(): boolean {
+        return this.isLeaving;
+    }
+
+    set leaving(leaving: boolean) {
+        this.isLeaving = leaving;
+        this.held.note(WorkerChange.State, this.sequence);
+    }
+
     /** Tasks that run now. */
     runningCount(): number {
         return [...this.runs.values()].filter(run => run.state === WorkerTaskState.Running).length;
@@ -123,14 +139,44 @@
         this.epoch = 0;
         this.reportTimes.clear();
         this.bootId = randomUUID();
+        this.held.note(WorkerChange.Restart, 0);
     }
 
     attach(epoch: number): WorkerReport | WorkerRefusal {
-        return this.fence(epoch) ?? this.report();
+        const refusal = this.fence(epoch);
+        this.held.note(WorkerChange.Call, this.sequence);
+        return refusal ?? this.report();
     }
 
     heartbeat(request: HeartbeatRequest): WorkerReport | WorkerRefusal {
+        return this.renew(request) ?? this.report();
+    }
+
+    /** A heartbeat whose answer is held back; `accepted` is called when it will be. */
+    async heldHeartbeat(
+        request: HeartbeatRequest,
+        hold: HeartbeatHold,
+        accepted: () => void,
+    ): Promise<WorkerReport | WorkerRefusal> {
+        const refusal = this.renew(request);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        accepted();
+        await this.held.wait(this.surroundings.timers, hold, request.lastReport);
+        return this.fence(request.epoch) ?? this.checkBoot(request.bootId) ?? this.report();
+    }
+
+    /** Ends the holding of heartbeats. */
+    release(epoch: number, bootId: string): WorkerRefusal | undefined {
+        const refusal = this.fence(epoch) ?? this.checkBoot(bootId);
+        this.held.note(WorkerChange.Call, this.sequence);
+        return refusal;
+    }
+
+    private renew(request: HeartbeatRequest): WorkerRefusal | undefined {
         const refusal = this.fence(request.epoch) ?? this.checkBoot(request.bootId);
+        this.held.note(WorkerChange.Call, this.sequence);
         if (refusal !== undefined) {
             return refusal;
         }
@@ -147,7 +193,7 @@
                 run.acknowledged = true;
             }
         }
-        return this.report();
+        return undefined;
     }
 
     start(start: TaskStart): WorkerTask | WorkerRefusal {
@@ -180,6 +226,7 @@
         if (refusal === undefined && run !== undefined) {
             run.throttled = true;
             run.record.throttled = true;
+            this.held.note(WorkerChange.Usage, this.sequence);
         }
         return refusal;
     }
@@ -286,6 +333,7 @@
         run.runTimer?.[Symbol.dispose]();
         run.leaseTimer?.[Symbol.dispose]();
         this.surroundings.record.finish(run.record, end ?? state, this.now());
+        this.held.note(WorkerChange.State, this.sequence);
     }
 
     private report(): WorkerReport {
@@ -301,6 +349,7 @@
             capacity: this.capacity,
             capabilities: this.capabilities,
             leaving: this.leaving,
+            ...(this.holds ? { holds: true } : {}),
             tasks: listed.map(describeRun),
         };
     }
--- a/packages/stand-ins/src/workerStandIn.ts
+++ b/packages/stand-ins/src/workerStandIn.ts
@@ -3,11 +3,13 @@
  * protocol is JSON over POST: `attach`, `heartbeat`, `start`, `stop`, `checkpoint` and `throttle`.
  */
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import type { HeartbeatHold, TaskAttempt } from "@tanagerlink/targets";
 import { sleep, SystemTimers, type Timers } from "@tanagerlink/timers";
 import { type Context, Hono } from "hono";
+import type { z } from "zod";
 import { ReportHistory } from "./workerDifferences.ts";
 import { type LoopbackServer, type StandInEnvironment, startLoopbackServer } from "./workerLoopbackServer.ts";
-import { attachSchema, attemptSchema, heartbeatSchema, startSchema } from "./workerProtocol.ts";
+import { attachSchema, attemptSchema, heartbeatSchema, releaseSchema, startSchema } from "./workerProtocol.ts";
 import { WorkerRecord } from "./workerRecord.ts";
 import { SimulatedWorker, type WorkerOptions, type WorkerSurroundings } from "./workerSimulation.ts";
 
@@ -116,6 +118,12 @@
         if (worker.faults.unreachable) {
             return breakConnection(context);
         }
+        if (worker.holds && call === calls["heartbeat"]) {
+            const request = heartbeatSchema.safeParse(body).data;
+            if (request?.hold !== undefined) {
+                return this.answerHeld(context, worker, { ...request, hold: request.hold });
+            }
+        }
         const result = call(worker, body, this.historyOf(worker.id));
         if (worker.faults.loseAnswers > 0) {
             worker.faults.loseAnswers--;
@@ -126,6 +134,68 @@
         }
         return context.json(result ?? {}, isRefusal(result) ? 409 : 200);
     }
+
+    /** Answers with a space at once and in each period, so that the caller knows that the worker lives, then with JSON. */
+    private async answerHeld(
+        context: Context<StandInEnvironment>,
+        worker: SimulatedWorker,
+        request: HeldHeartbeat,
+    ): Promise<Response> {
+        const { timers } = this.surroundings;
+        const { outgoing } = context.env;
+        const history = this.historyOf(worker.id);
+        const attempts = attemptsOf(request, history);
+        if (attempts === undefined) {
+            return context.json(unknownReport(request.lastReport), 409);
+        }
+        let signs: Disposable | undefined;
+        const { differences, hold } = request;
+        const result = await worker.heldHeartbeat({ ...request, renew: attempts }, hold, () => {
+            outgoing.writeHead(200, { "content-type": "application/json" });
+            outgoing.write(" ");
+            signs = timers.every(hold.periodMilliseconds, () => {
+                if (worker.faults.unreachable) {
+                    outgoing.destroy();
+                }
+                else if (!worker.faults.silent && !outgoing.destroyed) {
+                    outgoing.write(" ");
+                }
+            });
+        });
+        signs?.[Symbol.dispose]();
+        if (signs === undefined) {
+            return context.json(result, 409);
+        }
+        if (worker.faults.silent || outgoing.destroyed) {
+            return RESPONSE_ALREADY_SENT;
+        }
+        const isRestarted = "error" in result && result.error === "stale_boot";
+        if (worker.faults.unreachable || worker.faults.loseAnswers > 0 || isRestarted) {
+            worker.faults.loseAnswers = Math.max(0, worker.faults.loseAnswers - 1);
+            return breakConnection(context);
+        }
+        if (worker.faults.slowMilliseconds > 0) {
+            await sleep(timers, worker.faults.slowMilliseconds);
+        }
+        const isRefused = "error" in result;
+        outgoing.end(JSON.stringify(
+            isRefused ? result : history.shorten(result, differences ? request.lastReport : undefined),
+        ));
+        return RESPONSE_ALREADY_SENT;
+    }
+}
+
+type HeldHeartbeat = z.infer<typeof heartbeatSchema> & { readonly hold: HeartbeatHold; };
+
+function attemptsOf(
+    { renew, bootId, lastReport }: z.infer<typeof heartbeatSchema>,
+    history: ReportHistory,
+): readonly TaskAttempt[] | undefined {
+    return renew === "listed" ? history.runningIn(bootId, lastReport) : renew;
+}
+
+function unknownReport(report: number): object {
+    return { error: "unknown_report", message: `report ${report} is not known` };
 }
 
 type Call = (worker: SimulatedWorker, body: unknown, history: ReportHistory) => object | undefined;
@@ -137,14 +207,16 @@
             return "error" in report ? report : history.shorten(report, undefined);
         }),
     heartbeat: (worker, body, history) =>
-        checked(heartbeatSchema, body, ({ differences, renew, ...request }) => {
-            const attempts = renew === "listed" ? history.runningIn(request.bootId, request.lastReport) : renew;
+        checked(heartbeatSchema, body, ({ hold: _, ...request }) => {
+            const attempts = attemptsOf(request, history);
             if (attempts === undefined) {
-                return { error: "unknown_report", message: `report ${request.lastReport} is not known` };
+                return unknownReport(request.lastReport);
             }
             const report = worker.heartbeat({ ...request, renew: attempts });
-            return "error" in report ? report : history.shorten(report, differences ? request.lastReport : undefined);
+            const since = request.differences ? request.lastReport : undefined;
+            return "error" in report ? report : history.shorten(report, since);
         }),
+    release: (worker, body) => checked(releaseSchema, body, ({ epoch, bootId }) => worker.release(epoch, bootId)),
     start: (worker, body) => checked(startSchema, body, start => worker.start(start)),
     stop: (worker, body) => checked(attemptSchema, body, ({ epoch, attempt }) => worker.stop(epoch, attempt)),
     checkpoint: (worker, body) =>
--- a/packages/targets/src/httpWorkerClient.ts
+++ b/packages/targets/src/httpWorkerClient.ts
@@ -8,9 +8,11 @@
 import { z } from "zod";
 import { controlFailure, unknownOutcome } from "./callFailure.ts";
 import { TargetConnections } from "./targetConnections.ts";
-import { CallEnd, wholeCall } from "./wholeCall.ts";
+import { CallEnd, type CallOptions, wholeCall } from "./wholeCall.ts";
 import type {
+    HeartbeatHold,
     HeartbeatRequest,
+    HeldCall,
     TaskAttempt,
     TaskStart,
     WorkerClient,
@@ -33,10 +35,13 @@
 
 const DEFAULT_DEADLINE_MS = 2_000;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
-const DEFAULT_CONNECTIONS = 2;
+/** One of them may be taken by a held heartbeat. */
+const DEFAULT_CONNECTIONS = 3;
 /** A report of a worker with 10,000 tasks takes about 2.5 MB. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
 
+const CLIENT_ERROR_STATUSES = { from: 400, to: 499 } as const;
+
 /** Makes HTTP clients of workers. */
 export class HttpWorkerClientFactory implements WorkerClientFactory {
     private readonly connections: TargetConnections<WorkerClient>;
@@ -78,9 +83,10 @@
         return report.andThen(received => this.view.complete(received, undefined));
     }
 
-    async heartbeat(request: HeartbeatRequest): Promise<Result<WorkerReport, ServiceError>> {
+    async heartbeat(request: HeartbeatRequest, held?: HeldCall): Promise<Result<WorkerReport, ServiceError>> {
         const shortened = this.view.shorten(request);
-        const report = this.ownReport(await this.call("heartbeat", shortened, workerReportSchema));
+        const options = request.hold === undefined || held === undefined ? {} : this.holdOptions(request.hold, held);
+        const report = this.ownReport(await this.call("heartbeat", shortened, workerReportSchema, options));
         if (report.isErr()) {
             // The worker may not be able to expand a shortened heartbeat any more; the next one is whole.
             this.view.forget();
@@ -88,6 +94,10 @@
         return report.andThen(received => this.view.complete(received, request));
     }
 
+    async release(epoch: number, bootId: string): Promise<Result<void, ServiceError>> {
+        return (await this.call("release", { epoch, bootId }, z.unknown())).map(() => undefined);
+    }
+
     async start(start: TaskStart): Promise<Result<WorkerTask, ServiceError>> {
         const result = await this.call("start", start, workerTaskSchema);
         return result.andThen(task => {
@@ -119,10 +129,22 @@
         );
     }
 
+    /** The silence that ends a held call is the period of its signs of life and the time of an ordinary call. */
+    private holdOptions(hold: HeartbeatHold, held: HeldCall): Partial<CallOptions> {
+        const deadline = this.options.deadlineMilliseconds ?? DEFAULT_DEADLINE_MS;
+        return {
+            answerMilliseconds: hold.milliseconds + deadline,
+            silenceMilliseconds: hold.periodMilliseconds + deadline,
+            onProgress: held.alive,
+            signal: held.signal,
+        };
+    }
+
     private async call<Answer>(
         name: string,
         body: object,
         schema: z.ZodType<Answer>,
+        options: Partial<CallOptions> = {},
     ): Promise<Result<Answer, ServiceError>> {
         const result = await wholeCall(this.dispatcher, this.options.timers, {
             method: "POST",
@@ -131,6 +153,7 @@
             body: JSON.stringify(body),
             deadlineMilliseconds: this.options.deadlineMilliseconds ?? DEFAULT_DEADLINE_MS,
             maximumBodyBytes: this.options.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES,
+            ...options,
         });
         if (result.end !== CallEnd.Answered) {
             return err(controlFailure(this.id, result));
@@ -140,14 +163,16 @@
             return err(refusal(this.id, result.status, content));
         }
         const parsed = schema.safeParse(content);
-        return parsed.success && content !== undefined
-            ? ok(parsed.data)
+        if (parsed.success && content !== undefined) {
+            return ok(parsed.data);
+        }
+        // A held answer has its status before it is known that the worker refuses.
+        return options.onProgress !== undefined && refusalSchema.safeParse(content).success
+            ? err(refusal(this.id, CLIENT_ERROR_STATUSES.from, content))
             : err(unknownOutcome(this.id, `the answer to ${name} is malformed`));
     }
 }
 
-const CLIENT_ERROR_STATUSES = { from: 400, to: 499 } as const;
-
 /** Error of a control call that a target answered with another status than 200. */
 export function refusal(target: string, status: number, content: unknown): ServiceError {
     const parsed = refusalSchema.safeParse(content);
--- a/packages/targets/src/wholeCall.ts
+++ b/packages/targets/src/wholeCall.ts
@@ -54,6 +54,10 @@
     readonly deadlineMilliseconds: number;
     /** Longest wait for the answer of a call that was sent; the deadline when absent. */
     readonly answerMilliseconds?: number | undefined;
+    /** Longest time without any part of the answer; without it only `answerMilliseconds` counts. */
+    readonly silenceMilliseconds?: number | undefined;
+    /** Called with each part of a successful answer, its header included. */
+    readonly onProgress?: (() => void) | undefined;
     readonly maximumBodyBytes: number;
     readonly signal?: AbortSignal | undefined;
 }
@@ -75,9 +79,12 @@
     private headers: Headers = {};
     private readonly chunks: Buffer[] = [];
     private size = 0;
+    private readonly timers: Timers;
+    private progressAt = 0;
 
-    constructor(options: CallOptions) {
+    constructor(options: CallOptions, timers: Timers) {
         this.options = options;
+        this.timers = timers;
         this.result = new Promise(resolve => {
             this.settle = resolve;
         });
@@ -90,6 +97,7 @@
             return;
         }
         this.controller = controller;
+        this.progressAt = this.timers.now();
     }
 
     onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Headers): void {
@@ -98,6 +106,7 @@
         }
         this.status = status;
         this.headers = headers;
+        this.noteProgress();
         if (Number(headers["content-length"] ?? 0) > this.options.maximumBodyBytes && this.hasBody()) {
             this.abandon("the answer is larger than the maximum body size");
         }
@@ -110,6 +119,7 @@
             return;
         }
         this.chunks.push(chunk);
+        this.noteProgress();
     }
 
     onResponseEnd(): void {
@@ -136,6 +146,18 @@
         return this.controller !== undefined;
     }
 
+    /** Milliseconds until the silence has lasted too long. */
+    silenceLeft(): number {
+        return this.progressAt + (this.options.silenceMilliseconds ?? 0) - this.timers.now();
+    }
+
+    private noteProgress(): void {
+        this.progressAt = this.timers.now();
+        if (this.status === 200) {
+            this.options.onProgress?.();
+        }
+    }
+
     /** Ends the call from this side. */
     giveUp(cause: NotSentCause): void {
         if (this.controller === undefined) {
@@ -196,19 +218,10 @@
     if (options.signal?.aborted === true) {
         return { end: CallEnd.NotSent, cause: NotSentCause.Cancelled, reason: "the call was cancelled" };
     }
-    const handler = new CallHandler(options);
+    const handler = new CallHandler(options, timers);
     const cancel = (): void => handler.giveUp(NotSentCause.Cancelled);
     options.signal?.addEventListener("abort", cancel, { once: true });
-    const giveUp = (): void => handler.giveUp(NotSentCause.Deadline);
-    const extra = Math.max(0, (options.answerMilliseconds ?? 0) - options.deadlineMilliseconds);
-    let deadline = timers.after(options.deadlineMilliseconds, () => {
-        if (handler.sent && extra > 0) {
-            deadline = timers.after(extra, giveUp);
-        }
-        else {
-            giveUp();
-        }
-    });
+    const limit = limitCall(handler, timers, options);
     try {
         dispatcher.dispatch({
             method: options.method as Dispatcher.HttpMethod,
@@ -227,7 +240,24 @@
         return await handler.result;
     }
     finally {
-        deadline[Symbol.dispose]();
+        limit[Symbol.dispose]();
         options.signal?.removeEventListener("abort", cancel);
     }
 }
+
+/** Gives the call up at its deadline when it was not sent, and later at the end of the longer limits. */
+function limitCall(handler: CallHandler, timers: Timers, options: CallOptions): Disposable {
+    const end = timers.now() + Math.max(options.deadlineMilliseconds, options.answerMilliseconds ?? 0);
+    let timer = timers.after(options.deadlineMilliseconds, check);
+    function check(): void {
+        const left = end - timers.now();
+        const wait = options.silenceMilliseconds === undefined ? left : Math.min(left, handler.silenceLeft());
+        if (handler.sent && wait > 0) {
+            timer = timers.after(wait, check);
+        }
+        else {
+            handler.giveUp(NotSentCause.Deadline);
+        }
+    }
+    return { [Symbol.dispose]: () => timer[Symbol.dispose]() };
+}
--- a/packages/targets/src/workerClient.ts
+++ b/packages/targets/src/workerClient.ts
@@ -42,6 +42,8 @@
     readonly capacity: Resources;
     readonly capabilities: WorkerCapabilities;
     readonly leaving: boolean;
+    /** The worker can hold the answer to a heartbeat back until something changes, see `HeartbeatHold`. */
+    readonly holds?: boolean | undefined;
     /** All running tasks, and ended ones that were not acknowledged yet. */
     readonly tasks: readonly WorkerTask[];
 }
@@ -79,6 +81,26 @@
     readonly renew: readonly TaskAttempt[];
     /** Ended attempts whose result the owner has recorded; the worker may forget them. */
     readonly acknowledge: readonly TaskAttempt[];
+    /** Absent when the worker is to answer at once. */
+    readonly hold?: HeartbeatHold;
+}
+
+/**
+ * Permission to hold the answer back. The worker answers as soon as a task has ended, the worker begins to leave, or
+ * another call asks for it, and at the latest after `milliseconds`. Until then it sends a space each `periodMilliseconds`
+ * before the JSON, so that its silence is noticed. A change of the usage alone is answered after `periodMilliseconds`.
+ */
+export interface HeartbeatHold {
+    readonly milliseconds: number;
+    readonly periodMilliseconds: number;
+}
+
+/** The caller's side of a heartbeat whose answer is held back. */
+export interface HeldCall {
+    /** The worker has accepted the heartbeat, or has shown since that it is alive. */
+    readonly alive: () => void;
+    /** Ends the call, with an unknown outcome. */
+    readonly signal: AbortSignal;
 }
 
 /**
@@ -88,7 +110,10 @@
 export interface WorkerClient {
     readonly id: string;
     attach(shard: string, epoch: number): Promise<Result<WorkerReport, ServiceError>>;
-    heartbeat(request: HeartbeatRequest): Promise<Result<WorkerReport, ServiceError>>;
+    /** `held` belongs to a request with `hold`. */
+    heartbeat(request: HeartbeatRequest, held?: HeldCall): Promise<Result<WorkerReport, ServiceError>>;
+    /** Makes a worker that holds a heartbeat answer it now. Only for workers whose report says that they hold. */
+    release(epoch: number, bootId: string): Promise<Result<void, ServiceError>>;
     /** Answers with the state of the attempt. A repeated start of the same attempt is not run again. */
     start(start: TaskStart): Promise<Result<WorkerTask, ServiceError>>;
     stop(epoch: number, attempt: TaskAttempt): Promise<Result<void, ServiceError>>;
--- a/packages/targets/src/workerSchemas.ts
+++ b/packages/targets/src/workerSchemas.ts
@@ -40,6 +40,7 @@
         leaseTimer: z.boolean(),
     }),
     leaving: z.boolean(),
+    holds: z.boolean().optional(),
     tasks: z.array(workerTaskSchema),
     differences: z.boolean().optional(),
     since: z.int().min(0).optional(),
