--- /dev/null
+++ b/packages/scheduler/__tests__/heldHeartbeats.spec.ts
@@ -0,0 +1,136 @@
+/** Heartbeats that workers hold until something changes: fewer messages, and no slower reaction to any change or fault. */
+import { JobState } from "@tanagerlink/model";
+import { expect } from "chai";
+import { type CellProcess, SchedulerCell, size } from "./support/schedulerCell.ts";
+
+async function begin(holds: boolean, workers: number, capacity = size(4_000)): Promise<[SchedulerCell, CellProcess]> {
+    const cell = new SchedulerCell();
+    cell.holds = holds;
+    return [cell, await cell.begin(workers, capacity)];
+}
+
+const heartbeats = ({ links }: CellProcess, since: number): number =>
+    links.calls.filter(({ call, at }) => call === "heartbeat" && at >= since).length;
+
+/** Time from the event to the first start on another worker, or of another task, as `isNext` says. */
+async function reaction(holds: boolean, event: (cell: SchedulerCell, job: string) => void): Promise<number> {
+    const [cell, owner] = await begin(holds, 1, size(1_000));
+    const first = await cell.submitAndStart(owner, { runMilliseconds: 33_333 });
+    const second = await cell.submit(owner, { runMilliseconds: 1_000 });
+    await cell.timers.advance(9_100);
+    const at = cell.timers.now();
+    event(cell, first);
+    await cell.timers.advance(40_000);
+    expect(await cell.state(owner, second)).to.equal(JobState.Succeeded);
+    cell.check();
+    return cell.attempts(second)[0]!.startedAt - at;
+}
+
+describe("held heartbeats", () => {
+    for (const holds of [true, false]) {
+        it(`keeps leases of unchanged workers with the messages of the period (holds: ${holds})`, async () => {
+            const [cell, owner] = await begin(holds, 3);
+            const job = await cell.submitAndStart(owner, { tasks: 6 });
+            await cell.timers.advance(10_000);
+            const since = cell.timers.now();
+            await cell.timers.advance(120_000);
+            const perWorker = heartbeats(owner, since) / 3;
+            expect(perWorker).to.be.within(holds ? 12 : 58, holds ? 16 : 62);
+            expect(cell.attempts(job), "no lease has ended").to.have.lengthOf(6);
+        });
+    }
+
+    it("notices an unexpected end at once, not at the end of the period", async () => {
+        const end = (cell: SchedulerCell): void => {
+            cell.worker("worker0").restart();
+        };
+        expect(await reaction(true, end)).to.be.at.most(await reaction(false, end));
+        const [cell, owner] = await begin(true, 1, size(1_000));
+        const first = await cell.submitAndStart(owner, { runMilliseconds: 33_333 });
+        const second = await cell.submit(owner, { runMilliseconds: 1_000 });
+        await cell.timers.advance(60_000);
+        const waited = cell.attempts(second)[0]!.startedAt - cell.attempts(first)[0]!.endedAt!;
+        expect(waited).to.be.below(1_000);
+    });
+
+    it("starts nothing on a worker shortly after it began to leave during a hold", async () => {
+        const [cell, owner] = await begin(true, 2);
+        await cell.timers.advance(9_000);
+        cell.worker("worker0").leaving = true;
+        await cell.timers.advance(50);
+        const job = await cell.submitAndStart(owner, { tasks: 4 });
+        expect(cell.attempts(job).map(attempt => attempt.worker)).to.deep.equal(Array(4).fill("worker1"));
+    });
+
+    it("starts a task again soon whose worker was restarted while it held a heartbeat", async () => {
+        const [cell, owner] = await begin(true, 1);
+        const job = await cell.submitAndStart(owner, { runMilliseconds: 100_000 });
+        await cell.timers.advance(9_000);
+        cell.worker("worker0").restart();
+        await cell.timers.advance(3_000);
+        expect(cell.attempts(job)).to.have.lengthOf(2);
+        cell.check();
+    });
+
+    for (const holds of [true, false]) {
+        it(`gives a worker that fell silent no more work after 7 s (holds: ${holds})`, async () => {
+            const [cell, owner] = await begin(holds, 2);
+            await cell.timers.advance(9_000);
+            owner.links.plan = worker => worker === "worker0" ? "request_lost" : "normal";
+            await cell.timers.advance(7_000);
+            const job = await cell.submit(owner, { tasks: 4 });
+            await cell.timers.advance(500);
+            expect(cell.attempts(job).map(attempt => attempt.worker)).to.deep.equal(Array(4).fill("worker1"));
+        });
+    }
+
+    for (const release of ["normal", "request_lost"] as const) {
+        it(`keeps starting through an outage of the store that begins during holds (release: ${release})`, async () => {
+            const [cell, owner] = await begin(true, 5, size(1_000));
+            const job = await cell.submit(owner, { tasks: 100, runMilliseconds: 3_000 });
+            await cell.timers.advance(10_000);
+            owner.links.plan = (_worker, call) => call === "release" ? release : "normal";
+            cell.table.faults.down = true;
+            const before = cell.timers.now();
+            const started = (): number => cell.attempts(job).length;
+            for (let second = 0; second < 10; second++) {
+                const count = started();
+                await cell.timers.advance(4_500);
+                expect(started(), `started after ${cell.timers.now() - before} ms`).to.be.greaterThan(count);
+            }
+            cell.table.faults.down = false;
+            await cell.timers.advance(30_000);
+            expect(await cell.state(owner, job)).to.equal(JobState.Succeeded);
+            cell.check();
+        });
+    }
+
+    it("confirms the epoch in the short period during an outage also on workers where nothing changes", async () => {
+        const [cell, owner] = await begin(true, 5);
+        const [owned] = owner.ownership.owned();
+        await cell.timers.advance(11_000);
+        cell.table.faults.down = true;
+        for (let second = 0; second < 30; second++) {
+            await cell.timers.advance(1_000);
+            expect(owner.ownership.mayStart(owned!.shard, owned!.epoch), `after ${second + 1} s`).to.equal(true);
+        }
+        cell.table.faults.down = false;
+        await cell.timers.advance(5_000);
+        const since = cell.timers.now();
+        await cell.timers.advance(60_000);
+        expect(heartbeats(owner, since) / 5, "held again after the outage").to.be.at.most(10);
+    });
+
+    it("ends the hold of a paused owner when its successor attaches, so that the former owner learns of it", async () => {
+        const [cell, owner] = await begin(true, 3);
+        cell.addProcess();
+        await cell.timers.advance(5_000);
+        const holder = cell.processes.find(({ ownership }) => ownership.owned().length > 0) ?? owner;
+        holder.process.pause();
+        await cell.timers.advance(25_000);
+        holder.process.resume();
+        await cell.timers.advance(200);
+        expect(holder.ownership.owned()).to.have.lengthOf(0);
+        cell.check();
+    });
+});
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -101,6 +101,8 @@
     readonly limit: number;
     readonly shards: readonly string[];
     vms: VmRecord[] = [];
+    /** Whether workers that are added hold the answers to heartbeats. */
+    holds = true;
     /** A worker that the VM list lacks at the moment. */
     hidden: string | undefined;
     configuration: ConfigurationSnapshot;
@@ -125,7 +127,10 @@
             };
             this.workers.set(
                 id,
-                new SimulatedWorker({ id, capacity, capabilities: { ...capabilities } }, surroundings),
+                new SimulatedWorker(
+                    { id, capacity, capabilities: { ...capabilities }, holds: this.holds },
+                    surroundings,
+                ),
             );
             this.vms.push({
                 id,
