perf(targets): leave out of a difference what a worker does not change

Cause: capacity, capabilities and the flags of a worker made up half of each unchanged report. Change: a difference leaves them out; they are as in the report that it continues, which has the same boot identifier.

--- a/packages/stand-ins/src/workerDifferences.ts
+++ b/packages/stand-ins/src/workerDifferences.ts
@@ -7,8 +7,8 @@
 /** Reports kept; an owner names the last one that it received. */
 const REPORTS_KEPT = 8;
 
-/** A report as it is sent. */
-export interface ReportDifference extends WorkerReport {
+/** A report as it is sent; a difference leaves out what a worker does not change under one boot identifier. */
+export interface ReportDifference extends Omit<WorkerReport, "capacity" | "capabilities" | "holds"> {
     readonly differences: true;
     /** Report to which `tasks` and `removed` are the difference. */
     readonly since?: number;
@@ -46,7 +46,18 @@
         const changed = [...tasks].filter(([key, task]) => !sameTask(earlier.get(key), task)).map(([, task]) => task);
         const removed = [...earlier].filter(([key]) => !tasks.has(key))
             .map(([, { job, task, attempt }]) => ({ job, task, attempt }));
-        return { ...report, tasks: changed, differences: true, since, removed };
+        const { worker, bootId, epoch, sequence, leaving } = report;
+        const difference = {
+            worker,
+            bootId,
+            epoch,
+            sequence,
+            leaving,
+            tasks: changed,
+            differences: true,
+            since,
+        } as const;
+        return removed.length === 0 ? difference : { ...difference, removed };
     }
 }
 
--- a/packages/targets/src/workerSchemas.ts
+++ b/packages/targets/src/workerSchemas.ts
@@ -18,8 +18,14 @@
 
 const attemptSchema = z.object({ job: z.string(), task: z.int().min(0), attempt: z.int().min(0) });
 
+/** What a difference may leave out, since it seldom changes; it is then as in the earlier report. */
+type Constant = "capacity" | "capabilities" | "holds";
+
 /** Report as it is received, possibly as the difference to an earlier one. */
-export interface WireReport extends WorkerReport {
+export interface WireReport extends Omit<WorkerReport, Constant> {
+    readonly capacity?: WorkerReport["capacity"] | undefined;
+    readonly capabilities?: WorkerReport["capabilities"] | undefined;
+    readonly holds?: boolean | undefined;
     /** The worker can send differences and expand shortened heartbeats. */
     readonly differences?: boolean | undefined;
     /** Report to which `tasks` and `removed` are the difference. */
@@ -32,13 +38,13 @@
     bootId: z.string().min(1),
     epoch: z.int().min(0),
     sequence: z.int().min(0),
-    capacity: resourcesSchema,
+    capacity: resourcesSchema.optional(),
     capabilities: z.object({
         fencing: z.boolean(),
         deduplication: z.boolean(),
         listing: z.boolean(),
         leaseTimer: z.boolean(),
-    }),
+    }).optional(),
     leaving: z.boolean(),
     holds: z.boolean().optional(),
     tasks: z.array(workerTaskSchema),
--- a/packages/targets/src/workerView.ts
+++ b/packages/targets/src/workerView.ts
@@ -19,7 +19,7 @@
     readonly differences: boolean;
 }
 
-interface KnownReport {
+interface KnownReport extends Pick<WorkerReport, "capacity" | "capabilities" | "holds"> {
     readonly bootId: string;
     readonly sequence: number;
     readonly tasks: ReadonlyMap<string, WorkerTask>;
@@ -48,25 +48,29 @@
     /** Completes a report and remembers it. `request` is the heartbeat that it answers, if it is one. */
     complete(report: WireReport, request: HeartbeatRequest | undefined): Result<WorkerReport, ServiceError> {
         const { since, removed, differences, ...rest } = report;
-        if (since === undefined) {
-            this.remember(rest, differences === true, new Map(rest.tasks.map(task => [attemptKey(task), task])));
-            return ok(rest);
-        }
-        const { known } = this;
-        if (known === undefined || since !== known.sequence || since !== request?.lastReport) {
+        const isKnown = since !== undefined && since === this.known?.sequence && since === request?.lastReport
+            && rest.bootId === this.known.bootId;
+        const known = isKnown ? this.known : undefined;
+        const { capacity = known?.capacity, capabilities = known?.capabilities, holds = known?.holds } = rest;
+        if (capacity === undefined || capabilities === undefined || (since !== undefined && known === undefined)) {
             this.known = undefined;
             const message = `The report of ${rest.worker} is a difference to a report that is not known here.`;
             return err(serviceError(ErrorKind.OutcomeUnknown, message, { target: rest.worker }));
         }
+        const whole = { ...rest, capacity, capabilities, holds };
+        if (known === undefined) {
+            this.remember(whole, differences === true, new Map(rest.tasks.map(task => [attemptKey(task), task])));
+            return ok(whole);
+        }
         const tasks = new Map(known.tasks);
         removed?.forEach(attempt => tasks.delete(attemptKey(attempt)));
         rest.tasks.forEach(task => tasks.set(attemptKey(task), task));
-        this.remember(rest, differences === true, tasks);
-        return ok({ ...rest, tasks: [...tasks.values()] });
+        this.remember(whole, differences === true, tasks);
+        return ok({ ...whole, tasks: [...tasks.values()] });
     }
 
     private remember(
-        { bootId, sequence }: Pick<WorkerReport, "bootId" | "sequence">,
+        { bootId, sequence, capacity, capabilities, holds }: WorkerReport,
         differences: boolean,
         tasks: ReadonlyMap<string, WorkerTask>,
     ): void {
@@ -78,7 +82,7 @@
         for (const task of tasks.values()) {
             running += task.state === WorkerTaskState.Running ? 1 : 0;
         }
-        this.known = { bootId, sequence, tasks, running };
+        this.known = { bootId, sequence, capacity, capabilities, holds, tasks, running };
     }
 
     private renewsAllListed(known: KnownReport, renew: readonly TaskAttempt[]): boolean {
