--- /dev/null
+++ b/packages/targets/__tests__/heldHeartbeat.spec.ts
@@ -0,0 +1,117 @@
+import { startWorkerStandIn, type WorkerStandIn } from "@tanagerlink/stand-ins";
+import { SystemTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { HttpWorkerClientFactory, type WorkerClient, type WorkerReport } from "../src/index.ts";
+
+const timers = new SystemTimers(failure => {
+    throw failure;
+});
+const size = { processorMillis: 1_000, memoryMebibytes: 512, accelerators: 0 };
+/** Longer than any test may take, so that only the event under test can end the hold. */
+const HOLD_MILLISECONDS = 600_000;
+
+type Held = ReturnType<WorkerClient["heartbeat"]>;
+
+describe("held heartbeats over HTTP", () => {
+    let workers: WorkerStandIn;
+    let clients: HttpWorkerClientFactory;
+    let client: WorkerClient;
+    let report: WorkerReport;
+
+    beforeEach(async () => {
+        workers = await startWorkerStandIn({ workers: [{ id: "w1", capacity: size }] });
+        clients = new HttpWorkerClientFactory({ timers, deadlineMilliseconds: 200 });
+        client = clients.client("w1", workers.address);
+        report = (await client.attach("north/0", 2))._unsafeUnwrap();
+    });
+
+    afterEach(async () => {
+        await clients[Symbol.asyncDispose]();
+        await workers[Symbol.asyncDispose]();
+    });
+
+    /** Sends a heartbeat and resolves when the worker holds it. */
+    async function hold(signal = new AbortController().signal, periodMilliseconds = 20): Promise<{ answer: Held; }> {
+        const beat = { epoch: 2, bootId: report.bootId, lastReport: report.sequence, renew: [], acknowledge: [] };
+        return await new Promise(resolve => {
+            const limits = { milliseconds: HOLD_MILLISECONDS, periodMilliseconds };
+            const answer = client.heartbeat({ ...beat, hold: limits }, { signal, alive: () => resolve({ answer }) });
+        });
+    }
+
+    it("is answered when a task ends, and shows signs of life until then for longer than a call may take", async () => {
+        const start = { epoch: 2, bootId: report.bootId, job: "j", task: 0, attempt: 1, team: "t", size };
+        const lease = { leaseMilliseconds: 60_000, lastReport: report.sequence };
+        await client.start({ ...start, ...lease, payload: JSON.stringify({ runMilliseconds: 600 }) });
+        const { answer } = await hold();
+        expect((await answer)._unsafeUnwrap().tasks.map(task => task.state)).to.deep.equal(["succeeded"]);
+    });
+
+    it("is answered at once when the worker begins to leave, or is asked for the answer", async () => {
+        const leaving = await hold();
+        workers.worker("w1").leaving = true;
+        report = (await leaving.answer)._unsafeUnwrap();
+        expect(report.leaving).to.equal(true);
+        const released = await hold();
+        expect((await client.release(2, report.bootId)).isOk()).to.equal(true);
+        expect((await released.answer).isOk()).to.equal(true);
+    });
+
+    it("tells of a higher epoch although the status was sent before it", async () => {
+        const { answer } = await hold();
+        await clients.client("w1", workers.address).attach("north/0", 3);
+        const error = (await answer)._unsafeUnwrapErr();
+        expect(error.kind).to.equal("stale_epoch");
+        expect(error.detail).to.include({ epoch: 3 });
+    });
+
+    it("breaks when the worker restarts, and the next heartbeat tells of the restart", async () => {
+        const { answer } = await hold();
+        workers.worker("w1").restart();
+        expect((await answer)._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+        const beat = { epoch: 2, bootId: report.bootId, lastReport: report.sequence, renew: [], acknowledge: [] };
+        expect((await client.heartbeat(beat))._unsafeUnwrapErr().kind).to.equal("stale_boot");
+    });
+
+    it("ends when the worker falls silent or its VM is gone", async () => {
+        const silent = await hold();
+        workers.worker("w1").faults.silent = true;
+        expect((await silent.answer)._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+        workers.worker("w1").faults.silent = false;
+        const gone = await hold();
+        workers.worker("w1").faults.unreachable = true;
+        expect((await gone.answer)._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+    });
+
+    it("ends when the caller gives it up, and the connection is free for the next call", async () => {
+        for (let round = 0; round < 6; round++) {
+            const abort = new AbortController();
+            const { answer } = await hold(abort.signal);
+            abort.abort();
+            expect((await answer)._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+        }
+        expect((await client.attach("north/0", 2)).isOk()).to.equal(true);
+    });
+
+    it("does not take signs of life without an end, or without an answer, for more than the hold allows", async () => {
+        const server = createServer((request, response) => {
+            request.resume();
+            response.write(" ");
+            const signs = setInterval(() => response.write(" "), 10);
+            response.once("close", () => clearInterval(signs));
+        });
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const other = clients.client("w2", `127.0.0.1:${(server.address() as AddressInfo).port}`);
+        const beat = { epoch: 2, bootId: "b", lastReport: 1, renew: [], acknowledge: [] };
+        const limits = { milliseconds: 100, periodMilliseconds: 50 };
+        const held = { alive: () => undefined, signal: new AbortController().signal };
+        const answer = await other.heartbeat({ ...beat, hold: limits }, held);
+        expect(answer._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+        server.closeAllConnections();
+        server.close();
+    });
+});
