--- a/packages/scheduler/src/jobBook.ts
+++ b/packages/scheduler/src/jobBook.ts
@@ -8,6 +8,8 @@
     readonly task: TaskEntry;
 }
 
+const noOccupants: ReadonlyMap<TaskEntry, JobEntry> = new Map();
+
 /** Waiting and running tasks of one team. */
 export interface TeamTaskCount {
     waiting: number;
@@ -94,6 +96,11 @@
         return tasks === undefined ? [] : Array.from(tasks, ([task, entry]) => ({ entry, task }));
     }
 
+    /** The same without a copy, for periodic checks of all workers. The tasks must not be changed meanwhile. */
+    occupantsOf(worker: string): ReadonlyMap<TaskEntry, JobEntry> {
+        return this.byWorker.get(worker) ?? noOccupants;
+    }
+
     /** Notes that the state of a job or of its tasks has changed; the counts take it in when they are next read. */
     touch(entry: JobEntry): void {
         this.changed.add(entry);
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -247,12 +247,17 @@
         if (session.lastReport?.capabilities.leaseTimer === false) {
             return;
         }
-        for (const { entry, task } of this.context.book.tasksOn(worker)) {
+        const now = timers.now();
+        const lapsed: [JobEntry, TaskEntry][] = [];
+        // Runs for each worker in each sweep, so it copies nothing in the usual case.
+        for (const [task, entry] of this.context.book.occupantsOf(worker)) {
             const unseen = !answers || task.bootId !== session.bootId;
-            if (unseen && timers.now() > leaseEnd(entry, task, settings.leaseMarginMilliseconds)) {
-                this.taskLost(entry, task, `the lease of the task on worker ${worker} ended`);
+            if (unseen && now > leaseEnd(entry, task, settings.leaseMarginMilliseconds)) {
+                lapsed.push([entry, task]);
             }
         }
+        const detail = `the lease of the task on worker ${worker} ended`;
+        lapsed.forEach(([entry, task]) => this.taskLost(entry, task, detail));
     }
 
     /** A VM that the lagging list lacks may still run its tasks, so the worker is kept until their leases have ended. */
