--- a/packages/benchmarks/src/controlCostBenchmark.ts
+++ b/packages/benchmarks/src/controlCostBenchmark.ts
@@ -15,7 +15,8 @@
 import { readProcessUsage } from "./processUsage.ts";
 
 const SETTLE_MILLISECONDS = 4_000;
-const WINDOW_MILLISECONDS = 15_000;
+/** Several periods of held heartbeats, since a window with one or two of them counts bytes unevenly. */
+const WINDOW_MILLISECONDS = 30_000;
 const TASKS_PER_WORKER = 11;
 /** Small enough that the jobs spread over the shards; the tasks of one job stay in one shard. */
 const TASKS_PER_JOB = 20;
