perf(scheduler): let holds of workers that were attached together end together

Cause: holds that differ by up to a tenth drift apart, so that signs of life and answers no longer arrive in groups and each wakes the process. Conclusion: messages that arrive together are cheaper; do not spread the periods of workers.

--- a/packages/scheduler/src/exchangePlan.ts
+++ b/packages/scheduler/src/exchangePlan.ts
@@ -18,9 +18,6 @@
 /** Part of the shortest task lease on a worker that a hold may take, so that two renewals may be lost. */
 const HOLD_PART_OF_LEASE = 1 / 3;
 
-/** Part by which holds of different workers differ, so that workers attached together do not answer together for ever. */
-const HOLD_SPREAD = 0.1;
-
 /**
  * Remaining time of the owner lease, in milliseconds, from which on workers confirm the epoch in short periods. A renewal in
  * time leaves 4,000 ms of 6,000; with less than this, one has failed, and a majority confirms before the lease ends.
@@ -77,16 +74,7 @@
         }
         hold = Math.min(hold, taskLeaseMilliseconds[entry.record.workClass] * HOLD_PART_OF_LEASE);
     }
-    return hold * (1 - spread(worker) * HOLD_SPREAD);
-}
-
-/** A number from 0 to 1 that differs between workers. */
-function spread(worker: string): number {
-    let sum = 0;
-    for (let index = 0; index < worker.length; index++) {
-        sum = (sum * 31 + worker.charCodeAt(index)) % 1_009;
-    }
-    return sum / 1_009;
+    return hold;
 }
 
 /** Whether the last renewal of the owner lease succeeded in time. */
