merge: cheaper control (conditional VM list, grant rows by wants, held heartbeats)

A limit counts as current for enforced stops when the row would not change under the newest known limit, since rows are no longer written for each configuration version; the two parts compared versions.

--- a/packages/limits/__tests__/loweredLimit.spec.ts
+++ b/packages/limits/__tests__/loweredLimit.spec.ts
@@ -37,10 +37,12 @@
         });
         fc.assert(
             fc.property(fc.array(fc.nat(12), { minLength: 3, maxLength: 3 }), fc.array(change), (grants, changes) => {
-                let row = newGrantRow({ limit: 36, version: 1 });
+                let row = newGrantRow({ limit: 36, version: 1, changedAt: 1 });
                 ["a", "b", "c"].forEach((shard, index) => row = withTransfer(row, shard, grants[index] ?? 0));
                 changes.forEach(({ shard, units, limit }, index) => {
-                    row = limit === undefined ? row : withLimit(row, { limit, version: index + 2 });
+                    row = limit === undefined
+                        ? row
+                        : withLimit(row, { limit, version: index + 2, changedAt: index + 2 });
                     row = withTransfer(row, shard, -Math.min(units, row.grants[shard] ?? 0));
                     const dues = ["a", "b", "c"].map(each => dueOf(row, each));
                     expect(dues.reduce((sum, due) => sum + due, 0)).to.equal(Math.max(0, -row.free));
--- a/packages/limits/src/grantLedger.ts
+++ b/packages/limits/src/grantLedger.ts
@@ -17,7 +17,7 @@
 export interface LimitExcess {
     readonly team: string;
     readonly units: number;
-    /** Configuration version of the limit. */
+    /** Newest known configuration version, in which the team has this limit. */
     readonly limitVersion: number;
 }
 
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -136,6 +136,7 @@
         timers,
         pollMilliseconds: settings.vmListPollMilliseconds,
         wantedLinks: () => ownersOfAdoptedShards(scheduler.fleet),
+        byFailureDomain: true,
     });
     const ownership = new TableShardOwnership({
         nodeId: settings.nodeId,
@@ -179,7 +180,7 @@
         peers,
         shardOfTarget: (target, shards) => rendezvous.shardOfTarget(target, shards),
         targets: {
-            known: () => membership.targetsKnown(),
+            known: failureDomain => membership.knowsTargets(failureDomain),
             workers: failureDomain => membership.workers(failureDomain),
             executors: failureDomain => membership.executors(failureDomain),
         },
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -37,8 +37,8 @@
 
 /** Targets of a failure domain as membership knows them. */
 export interface TargetView {
-    /** Whether the VM list has been read, so that a target that it lacks is gone. */
-    known(): boolean;
+    /** Whether the VM list of the failure domain has been read, so that a target that it lacks is gone. */
+    known(failureDomain: string): boolean;
     workers(failureDomain: string): readonly VmRecord[];
     executors(failureDomain: string): readonly VmRecord[];
 }
@@ -237,7 +237,7 @@
         const { targets, dependencies, shardOfTarget } = this.options;
         const failureDomain = failureDomainOfShard(shard);
         const configuration = dependencies.configuration()?.failureDomains[failureDomain];
-        if (configuration === undefined || !targets.known()) {
+        if (configuration === undefined || !targets.known(failureDomain)) {
             return undefined;
         }
         const shards = shardsOfFailureDomain(configuration);
--- a/packages/scheduler/src/workerRegistry.ts
+++ b/packages/scheduler/src/workerRegistry.ts
@@ -5,7 +5,7 @@
 import type { ServiceError } from "@tanagerlink/errors";
 import { FailureDomainState, Reason, taskLeaseMilliseconds, type VmRecord, VmState } from "@tanagerlink/model";
 import type { TaskAttempt, WorkerReport } from "@tanagerlink/targets";
-import { exchangeDelay } from "./exchangePlan.ts";
+import { exchangeDelay, holdMilliseconds } from "./exchangePlan.ts";
 import { attemptOf, isActive, type JobEntry, leaseEnd, type TaskEntry } from "./jobEntry.ts";
 import type { ShardContext } from "./shardContext.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
@@ -104,6 +104,9 @@
         for (const session of [...this.sessions.values()]) {
             this.updateAvailability(session);
             this.sweepSilentWorker(session);
+            if (session.isHeld && this.holdMilliseconds(session.client.id) === 0) {
+                void session.release();
+            }
         }
         for (const worker of this.unlisted.gone(timers.now())) {
             ownership.witnessGone(this.context.shard, this.context.epoch, worker);
@@ -134,6 +137,10 @@
         return exchangeDelay(this.context, worker);
     }
 
+    holdMilliseconds(worker: string): number {
+        return holdMilliseconds(this.context, worker);
+    }
+
     workerAttached(session: WorkerSession, report: WorkerReport): void {
         this.read.add(session.client.id);
         this.context.policy.removeWorker(session.client.id);
@@ -208,7 +215,7 @@
             return;
         }
         const { timers, settings, configuration, ownership } = this.context.dependencies;
-        const silentSince = timers.now() - (session.lastContactAt ?? 0);
+        const silentSince = timers.now() - (session.lastHeardAt ?? 0);
         const silent = silentSince > SILENT_PERIODS * settings.workerHeartbeatMilliseconds;
         const failureDomain = configuration()?.failureDomains[this.context.failureDomain];
         const available = session.attached && !session.leaving && !silent && session.foreignTasks.length === 0
@@ -231,8 +238,8 @@
     private sweepSilentWorker(session: WorkerSession): void {
         const { timers, settings } = this.context.dependencies;
         const worker = session.client.id;
-        const silentFor = timers.now() - (session.lastContactAt ?? 0);
-        const answers = session.lastContactAt !== undefined
+        const silentFor = timers.now() - (session.lastHeardAt ?? 0);
+        const answers = session.lastHeardAt !== undefined
             && silentFor <= SILENT_PERIODS * settings.workerHeartbeatMilliseconds;
         this.endLapsedTasks(session, answers);
         if (!answers && this.absent.has(worker)) {
@@ -248,12 +255,17 @@
         if (session.lastReport?.capabilities.leaseTimer === false) {
             return;
         }
-        for (const { entry, task } of this.context.book.tasksOn(worker)) {
+        const now = timers.now();
+        const lapsed: [JobEntry, TaskEntry][] = [];
+        // Runs for each worker in each sweep, so it copies nothing in the usual case.
+        for (const [task, entry] of this.context.book.occupantsOf(worker)) {
             const unseen = !answers || task.bootId !== session.bootId;
-            if (unseen && timers.now() > leaseEnd(entry, task, settings.leaseMarginMilliseconds)) {
-                this.taskLost(entry, task, `the lease of the task on worker ${worker} ended`);
+            if (unseen && now > leaseEnd(entry, task, settings.leaseMarginMilliseconds)) {
+                lapsed.push([entry, task]);
             }
         }
+        const detail = `the lease of the task on worker ${worker} ended`;
+        lapsed.forEach(([entry, task]) => this.taskLost(entry, task, detail));
     }
 
     /** A VM that the lagging list lacks may still run its tasks, so the worker is kept until their leases have ended. */
--- a/packages/stand-ins/src/platformStandIn.ts
+++ b/packages/stand-ins/src/platformStandIn.ts
@@ -7,6 +7,7 @@
 import { SystemTimers, type Timers } from "@tanagerlink/timers";
 import { type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { ConnectionTraffic } from "./connectionTraffic.ts";
 import { PlatformFaults } from "./platformFaults.ts";
 import { platformApplication } from "./platformRoutes.ts";
 import { LaggingVmList } from "./platformVmList.ts";
@@ -18,13 +19,17 @@
     readonly timers?: Timers;
 }
 
-/** Calls carried out by the stand-in platform. */
-export interface PlatformCounters extends TableCounters {
+interface VmAndObjectCounters {
     objectReads: number;
     objectWrites: number;
     vmListReads: number;
+    /** Reads of the VM list that were answered with "not modified"; they count as reads too. */
+    vmListUnchanged: number;
 }
 
+/** Calls carried out by the stand-in platform. */
+export interface PlatformCounters extends TableCounters, VmAndObjectCounters {}
+
 /** A running stand-in of the platform. */
 export class PlatformStandIn implements AsyncDisposable {
     /** Base URL for the HTTP adapters. */
@@ -35,7 +40,8 @@
     readonly vms: LaggingVmList;
     readonly faults: PlatformFaults;
     private readonly server: Server;
-    private readonly counts: { objectReads: number; objectWrites: number; vmListReads: number; };
+    private readonly counts: VmAndObjectCounters;
+    private readonly traffic: ConnectionTraffic;
 
     /** @internal */
     constructor(parts: Omit<PlatformParts, "timers">, server: Server) {
@@ -47,6 +53,7 @@
         this.faults = parts.faults;
         this.counts = parts.counts;
         this.server = server;
+        this.traffic = new ConnectionTraffic(server);
     }
 
     /** Base URL for callers of one failure domain, which `faults.setPartitioned` can cut off from the platform. */
@@ -54,6 +61,11 @@
         return `${this.baseUrl}/from/${encodeURIComponent(failureDomain)}`;
     }
 
+    /** Bytes of all calls in both directions since the start. */
+    trafficBytes(): number {
+        return this.traffic.bytes();
+    }
+
     counters(): PlatformCounters {
         return { ...this.table.counters, ...this.counts };
     }
@@ -72,7 +84,7 @@
     readonly objects: MemoryObjectStore;
     readonly vms: LaggingVmList;
     readonly faults: PlatformFaults;
-    readonly counts: { objectReads: number; objectWrites: number; vmListReads: number; };
+    readonly counts: VmAndObjectCounters;
 }
 
 /** Starts the stand-in platform; resolves when it listens. */
@@ -86,7 +98,7 @@
         objects: new MemoryObjectStore(),
         vms: new LaggingVmList(timers, options.lagMilliseconds ?? 0),
         faults: new PlatformFaults(timers),
-        counts: { objectReads: 0, objectWrites: 0, vmListReads: 0 },
+        counts: { objectReads: 0, objectWrites: 0, vmListReads: 0, vmListUnchanged: 0 },
     };
     const application = platformApplication(parts);
     const server = await new Promise<Server>(resolve => {
