--- /dev/null
+++ b/packages/certificates/src/tlsServer.ts
@@ -0,0 +1,45 @@
+/** HTTPS servers that take over changed credentials without closing open connections. */
+import { constants } from "node:crypto";
+import { createServer, type Server, type ServerOptions } from "node:https";
+import type { Socket } from "node:net";
+import type { CredentialSource } from "./credentialSource.ts";
+
+/** Longest time for a TLS handshake, in milliseconds. */
+const HANDSHAKE_MILLISECONDS = 10_000;
+
+/** A server and its connections. */
+export interface TlsServer {
+    readonly server: Server;
+    /** Ends all connections, including those within their handshake, which `closeAllConnections` doesn't know. */
+    destroyConnections(): void;
+}
+
+/** Creates a server that does not listen yet. */
+export function createTlsServer(
+    source: CredentialSource,
+    options: ServerOptions & { readonly minVersion: "TLSv1.2" | "TLSv1.3"; },
+    application: Parameters<typeof createServer>[1],
+): TlsServer {
+    const contextOptions = () => {
+        const { certificate, key, authority } = source.current();
+        return {
+            cert: certificate,
+            key,
+            ...(authority === undefined ? {} : { ca: authority }),
+            minVersion: options.minVersion,
+            // A resumed session would skip the check of the peer's certificate, which may have expired since.
+            secureOptions: constants.SSL_OP_NO_TICKET,
+        };
+    };
+    const server = createServer(
+        { handshakeTimeout: HANDSHAKE_MILLISECONDS, ...options, ...contextOptions() },
+        application,
+    );
+    source.subscribe(() => server.setSecureContext(contextOptions()));
+    const connections = new Set<Socket>();
+    server.on("connection", (socket: Socket) => {
+        connections.add(socket);
+        socket.once("close", () => connections.delete(socket));
+    });
+    return { server, destroyConnections: () => connections.forEach(socket => socket.destroy()) };
+}
--- a/packages/errors/src/errorAnswer.ts
+++ b/packages/errors/src/errorAnswer.ts
@@ -50,6 +50,7 @@
     [ErrorKind.StoreUnavailable]: answer(503, 9, Outcome.NotRun, true),
     [ErrorKind.StoreOutcomeUnknown]: answer(504, 10, Outcome.Unknown, true),
     [ErrorKind.PeerUnreachable]: answer(503, 9, Outcome.NotRun, true),
+    [ErrorKind.PeerRejected]: answer(503, 9, Outcome.NotRun, true),
     [ErrorKind.TargetUnreachable]: answer(502, 9, Outcome.NotRun, true),
     [ErrorKind.TargetRefused]: answer(502, 9, Outcome.NotRun, true),
     [ErrorKind.StaleEpoch]: answer(503, 8, Outcome.NotRun, true),
--- a/packages/errors/src/errorKind.ts
+++ b/packages/errors/src/errorKind.ts
@@ -27,6 +27,7 @@
     StoreUnavailable: "store_unavailable",
     StoreOutcomeUnknown: "store_outcome_unknown",
     PeerUnreachable: "peer_unreachable",
+    PeerRejected: "peer_rejected",
     TargetUnreachable: "target_unreachable",
     TargetRefused: "target_refused",
     StaleEpoch: "stale_epoch",
--- /dev/null
+++ b/packages/stand-ins/src/authorityStandIn.ts
@@ -0,0 +1,139 @@
+/**
+ * A certificate authority for tests. Certificates are made when they are needed, so that the repository contains no keys
+ * and none expires.
+ */
+import "reflect-metadata";
+import {
+    BasicConstraintsExtension,
+    GeneralName,
+    type JsonGeneralName,
+    KeyUsageFlags,
+    KeyUsagesExtension,
+    PemConverter,
+    SubjectAlternativeNameExtension,
+    type X509Certificate,
+    X509CertificateGenerator,
+} from "@peculiar/x509";
+import { randomBytes, webcrypto } from "node:crypto";
+import { mkdir, rename, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+
+const HOUR_MILLISECONDS = 3_600_000;
+const EC = { name: "ECDSA", namedCurve: "P-256" };
+const SIGNATURE = { name: "ECDSA", hash: "SHA-256" };
+
+/** What a certificate contains. */
+export interface CertificateRequest {
+    /** Common name. */
+    readonly name: string;
+    readonly uris?: readonly string[];
+    readonly addresses?: readonly string[];
+    /** Time from now to the end of validity; negative for an expired certificate. */
+    readonly validMilliseconds?: number;
+}
+
+/** PEM texts of one issued certificate. */
+export interface IssuedCertificate {
+    readonly certificate: string;
+    readonly key: string;
+    /** The issuing authority. */
+    readonly authority: string;
+}
+
+/** Paths of the files of one issued certificate. */
+export interface CertificatePaths {
+    readonly certificate: string;
+    readonly key: string;
+    readonly authority: string;
+}
+
+/** An authority. */
+export class AuthorityStandIn {
+    /** PEM text of the authority's certificate. */
+    readonly pem: string;
+    private readonly certificate: X509Certificate;
+    private readonly keys: webcrypto.CryptoKeyPair;
+
+    private constructor(certificate: X509Certificate, keys: webcrypto.CryptoKeyPair) {
+        this.certificate = certificate;
+        this.keys = keys;
+        this.pem = `${certificate.toString("pem")}\n`;
+    }
+
+    static async create(name = "test authority"): Promise<AuthorityStandIn> {
+        const keys = await createKeys();
+        const certificate = await X509CertificateGenerator.createSelfSigned({
+            serialNumber: createSerialNumber(),
+            name: `CN=${name}`,
+            notBefore: new Date(Date.now() - HOUR_MILLISECONDS),
+            notAfter: new Date(Date.now() + 24 * HOUR_MILLISECONDS),
+            signingAlgorithm: SIGNATURE,
+            keys,
+            extensions: [
+                new BasicConstraintsExtension(true, undefined, true),
+                new KeyUsagesExtension(KeyUsageFlags.keyCertSign | KeyUsageFlags.cRLSign, true),
+            ],
+        }, webcrypto);
+        return new AuthorityStandIn(certificate, keys);
+    }
+
+    async issue(request: CertificateRequest): Promise<IssuedCertificate> {
+        const { name, uris = [], addresses = [], validMilliseconds = HOUR_MILLISECONDS } = request;
+        const keys = await createKeys();
+        const names: JsonGeneralName[] = [
+            ...uris.map(value => ({ type: "url" as const, value })),
+            ...addresses.map(value => ({ type: "ip" as const, value })),
+        ];
+        const certificate = await X509CertificateGenerator.create({
+            serialNumber: createSerialNumber(),
+            subject: `CN=${name}`,
+            issuer: this.certificate.subject,
+            notBefore: new Date(Date.now() - 2 * HOUR_MILLISECONDS),
+            notAfter: new Date(Date.now() + validMilliseconds),
+            signingAlgorithm: SIGNATURE,
+            publicKey: keys.publicKey,
+            signingKey: this.keys.privateKey,
+            extensions: [
+                new BasicConstraintsExtension(false),
+                ...(names.length === 0
+                    ? []
+                    : [
+                        new SubjectAlternativeNameExtension(
+                            names.map(({ type, value }) => new GeneralName(type, value)),
+                        ),
+                    ]),
+            ],
+        }, webcrypto);
+        const key = await webcrypto.subtle.exportKey("pkcs8", keys.privateKey);
+        return {
+            certificate: `${certificate.toString("pem")}\n`,
+            key: `${PemConverter.encode(key, "PRIVATE KEY")}\n`,
+            authority: this.pem,
+        };
+    }
+}
+
+/** Writes the files into the folder, replacing each at once, as operators are told to do. */
+export async function writeCertificate(folder: string, issued: IssuedCertificate): Promise<CertificatePaths> {
+    await mkdir(folder, { recursive: true });
+    const paths = {
+        certificate: join(folder, "certificate.pem"),
+        key: join(folder, "key.pem"),
+        authority: join(folder, "authority.pem"),
+    };
+    for (const part of ["certificate", "key", "authority"] as const) {
+        await writeFile(`${paths[part]}.new`, issued[part], { mode: 0o600 });
+        await rename(`${paths[part]}.new`, paths[part]);
+    }
+    return paths;
+}
+
+async function createKeys(): Promise<webcrypto.CryptoKeyPair> {
+    const keys = await webcrypto.subtle.generateKey(EC, true, ["sign", "verify"]);
+    return keys as webcrypto.CryptoKeyPair;
+}
+
+/** Positive, as the format demands. */
+function createSerialNumber(): string {
+    return `01${randomBytes(8).toString("hex")}`;
+}
