feat(settings): certificate files of peers, callers and platform with all faults at once

Cause: TLS needs files that belong together. Change: peer-certificate, peer-key, peer-authority, peer-tls, http-certificate, http-key and platform-authority; missing, unreadable or malformed files, a key of another certificate, an incomplete group and a certificate without the identity of the node are reported with all other faults. Conclusion: a faulty start line is corrected in one pass.

--- a/packages/settings/src/crossChecks.ts
+++ b/packages/settings/src/crossChecks.ts
@@ -59,6 +59,16 @@
         holds: values => values.operatorTokenHash === undefined || values.operatorKeyFile === undefined,
         reason: "must not be given together with operator-key-file",
     },
+    {
+        settings: ["peerTls", "peerCertificate"],
+        holds: values => values.peerTls !== "optional" || values.peerCertificate !== undefined,
+        reason: "must not be optional without peer-certificate, peer-key and peer-authority",
+    },
+    {
+        settings: ["platformAuthority", "platformUrl"],
+        holds: values => values.platformAuthority === undefined || values.platformUrl.startsWith("https:"),
+        reason: "needs an https platform-url",
+    },
 ];
 
 /** Broken rules among the settings that are valid by themselves. */
--- a/packages/settings/src/readSettings.ts
+++ b/packages/settings/src/readSettings.ts
@@ -4,6 +4,7 @@
  */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import { err, ok, type Result } from "neverthrow";
+import { certificateFaults } from "./certificateChecks.ts";
 import { brokenRules } from "./crossChecks.ts";
 import { type SettingDefinition, type Settings, settingsTable } from "./settingsTable.ts";
 
@@ -45,6 +46,7 @@
     }
     const settings = values as Settings;
     faults.push(...brokenRules(settings, invalid).map(rule => faultOf(rule.name, rule.reason)));
+    faults.push(...certificateFaults(settings, invalid).map(fault => faultOf(fault.name, fault.reason)));
     return faults.length === 0 ? ok(settings) : err(settingsError(faults));
 }
 
--- a/packages/settings/src/settingsTable.ts
+++ b/packages/settings/src/settingsTable.ts
@@ -208,6 +208,50 @@
         [0, 1, 168],
         "Time for which a finished job can still be explained.",
     ),
+    peerCertificate: optional("peer-certificate", {
+        unit: "",
+        range: "path of a PEM file",
+        schema: filePath,
+        description:
+            "Certificate of this process with the URI `tanagerlink:<failure-domain>/<node-id>`; with peer-key and peer-authority.",
+    }),
+    peerKey: optional("peer-key", {
+        unit: "",
+        range: "path of a PEM file",
+        schema: filePath,
+        description: "Private key of peer-certificate, without a passphrase.",
+    }),
+    peerAuthority: optional("peer-authority", {
+        unit: "",
+        range: "path of a PEM file",
+        schema: filePath,
+        description: "Authorities that issue the certificates of all processes.",
+    }),
+    peerTls: text("peer-tls", "required", {
+        unit: "",
+        range: "required, optional",
+        schema: oneOf(["required", "optional"]),
+        description:
+            "With certificates: whether peers must use TLS. `optional` also permits links without TLS, while a fleet moves to TLS.",
+    }),
+    httpCertificate: optional("http-certificate", {
+        unit: "",
+        range: "path of a PEM file",
+        schema: filePath,
+        description: "Certificate of listen-address, which then serves HTTPS; with http-key.",
+    }),
+    httpKey: optional("http-key", {
+        unit: "",
+        range: "path of a PEM file",
+        schema: filePath,
+        description: "Private key of http-certificate, without a passphrase.",
+    }),
+    platformAuthority: optional("platform-authority", {
+        unit: "",
+        range: "path of a PEM file",
+        schema: filePath,
+        description: "Authorities of an https platform-url, in place of the public ones. Read at start only.",
+    }),
     operatorKeyFile: optional("operator-key-file", {
         unit: "",
         range: "path",
