feat(peer): mutual TLS 1.3 with identity by URI, and an optional mode for moving a fleet

Cause: whoever reached the peer port could act as a process. Change: links use TLS with certificates on both sides; both compare the certificate with the node and failure domain of the hello, the accepting side before it answers. Refusals are counted by reason and logged with the remedy, equal ones once a minute. With mode optional the port accepts both kinds and links fall back to plain only when the other side answers without TLS. Conclusion: identity is enforced on both sides.

--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -5,13 +5,29 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { decodeFrame, pack, unpack } from "../src/frames.ts";
-import { append, Fixture, helloOf, isLinked, link, message, RawPeer, read, timers, until } from "./peerFixture.ts";
+import {
+    append,
+    Fixture,
+    helloOf,
+    isLinked,
+    issue,
+    link,
+    message,
+    RawPeer,
+    read,
+    timers,
+    until,
+} from "./peerFixture.ts";
 import { TcpRelay } from "./tcpRelay.ts";
 
-describe("faults of links", () => {
+for (const secure of [false, true]) {
+    describe(`faults of links ${secure ? "over TLS" : "without TLS"}`, () => testLinkFaults(secure));
+}
+
+function testLinkFaults(secure: boolean): void {
     let fixture: Fixture;
     beforeEach(() => {
-        fixture = new Fixture();
+        fixture = new Fixture(secure);
     });
     afterEach(async () => await fixture[Symbol.asyncDispose]());
 
@@ -133,7 +149,9 @@
     it("survives malformed frames, and still answers on the same link", async function() {
         const network = await fixture.start("a");
         network.handle(append, request => Promise.resolve(ok(request)));
-        const peer = fixture.add(await RawPeer.connect(network.address, helloOf("b")));
+        const peer = fixture.add(
+            await RawPeer.connect(network.address, helloOf("b"), secure ? await issue("b") : undefined),
+        );
         const values = fc.oneof(
             fc.uint8Array({ maxLength: 200 }),
             fc.anything().map(value => pack(value)),
@@ -153,4 +171,4 @@
         const dropped = await fixture.metric("a", 'tanagerlink_peer_frames_dropped_total{reason="malformed"}');
         expect(dropped, `seed ${seed}`).to.equal(501);
     });
-});
+}
--- a/packages/peer/__tests__/peerFixture.ts
+++ b/packages/peer/__tests__/peerFixture.ts
@@ -1,10 +1,18 @@
+import { type Credentials, type CredentialSource, parseCredentials, peerIdentity } from "@tanagerlink/certificates";
+import { AuthorityStandIn, type IssuedCertificate } from "@tanagerlink/stand-ins";
 import { Metrics, silentLogger } from "@tanagerlink/telemetry";
 import { sleep, SystemTimers } from "@tanagerlink/timers";
 import { once } from "node:events";
 import { WebSocket } from "ws";
 import { z } from "zod";
 import { decodeFrame, encodeFrame, type Frame, FrameKind, type HelloFrame, PROTOCOL_VERSION } from "../src/frames.ts";
-import { type PeerMethod, type PeerNetworkOptions, WebSocketPeerNetwork } from "../src/index.ts";
+import {
+    type PeerMethod,
+    type PeerNetworkOptions,
+    type PeerTls,
+    PeerTlsMode,
+    WebSocketPeerNetwork,
+} from "../src/index.ts";
 
 export const timers = new SystemTimers(failure => {
     throw failure;
@@ -24,12 +32,58 @@
     longestBackoffMilliseconds: 20,
 };
 
+/** Authority of the certificates of all tests. */
+export const authority = await AuthorityStandIn.create();
+
+/** A certificate for the process in the failure domain of the tests. */
+export function issue(id: string, validMilliseconds?: number, by = authority): Promise<IssuedCertificate> {
+    const validity = validMilliseconds === undefined ? {} : { validMilliseconds };
+    return by.issue({ name: id, uris: [peerIdentity("north", id)], ...validity });
+}
+
+/** Credentials that a test exchanges in place of files. */
+export class ExchangedCredentials implements PeerTls {
+    readonly mode: PeerTlsMode;
+    readonly credentials: CredentialSource = this;
+    private readonly listeners: ((credentials: Credentials) => void)[] = [];
+    private issued: IssuedCertificate;
+
+    constructor(issued: IssuedCertificate, mode: PeerTlsMode = PeerTlsMode.Required) {
+        this.issued = issued;
+        this.mode = mode;
+    }
+
+    current() {
+        return parseCredentials(this.issued, ["certificate", "key", "authority"])._unsafeUnwrap();
+    }
+
+    subscribe(listener: (credentials: Credentials) => void): void {
+        this.listeners.push(listener);
+    }
+
+    exchange(issued: IssuedCertificate): void {
+        this.issued = issued;
+        this.listeners.forEach(listener => listener(this.current()));
+    }
+}
+
 /** Networks, relays and raw peers of one test, closed after it. */
 export class Fixture implements AsyncDisposable {
     private readonly parts: AsyncDisposable[] = [];
     private readonly metrics = new Map<string, Metrics>();
 
-    async start(id: string, extra: Partial<PeerNetworkOptions["limits"]> = {}): Promise<WebSocketPeerNetwork> {
+    private readonly secure: boolean;
+
+    /** `secure` gives all processes certificates. */
+    constructor(secure = false) {
+        this.secure = secure;
+    }
+
+    async start(
+        id: string,
+        extra: Partial<PeerNetworkOptions["limits"]> = {},
+        options: Partial<PeerNetworkOptions> = {},
+    ): Promise<WebSocketPeerNetwork> {
         const metrics = new Metrics();
         this.metrics.set(id, metrics);
         const network = (await WebSocketPeerNetwork.listen({
@@ -40,6 +94,8 @@
             logger: silentLogger,
             metrics,
             limits: { ...limits, ...extra },
+            tls: this.secure ? new ExchangedCredentials(await issue(id)) : undefined,
+            ...options,
         }))._unsafeUnwrap();
         return this.add(network);
     }
@@ -109,8 +165,17 @@
         });
     }
 
-    static async connect(address: string, hello: HelloFrame): Promise<RawPeer> {
-        const peer = new RawPeer(new WebSocket(`ws://${address}/peer`));
+    static async connect(address: string, hello: HelloFrame, issued?: IssuedCertificate): Promise<RawPeer> {
+        const peer = new RawPeer(
+            issued === undefined
+                ? new WebSocket(`ws://${address}/peer`)
+                : new WebSocket(`wss://${address}/peer`, {
+                    cert: issued.certificate,
+                    key: issued.key,
+                    ca: issued.authority,
+                    checkServerIdentity: () => false,
+                }),
+        );
         await once(peer.socket, "open");
         peer.send(hello);
         await until(() => peer.received.some(frame => frame.kind === FrameKind.Hello));
--- a/packages/peer/src/handshake.ts
+++ b/packages/peer/src/handshake.ts
@@ -1,12 +1,18 @@
 /**
  * The exchange of hello frames at the start of a link. The side that opened the link speaks first.
  */
+import { namesIdentity, peerIdentity } from "@tanagerlink/certificates";
 import { type Timers, withDeadline } from "@tanagerlink/timers";
 import { decodeFrame, encodeFrame, FrameKind, type HelloFrame, PROTOCOL_VERSION } from "./frames.ts";
 import type { Link } from "./link.ts";
 
-/** Why a handshake failed, in words for the log. */
-export type HandshakeFault = string;
+/** Why a handshake failed. */
+export interface HandshakeFault {
+    /** In words for the log. */
+    readonly text: string;
+    /** Whether the certificate belongs to another process. */
+    readonly foreign: boolean;
+}
 
 /** Exchanges hello frames and sets `link.remote`; `undefined` when the link may be used. */
 export async function shakeHands(
@@ -21,21 +27,44 @@
     }
     const message = await withDeadline(timers, withinMilliseconds, link.receive());
     if (message === undefined) {
-        return "no hello was received";
+        return fault("no hello was received");
     }
     const hello = decodeFrame(message);
     if (hello?.kind !== FrameKind.Hello) {
-        return "the first message is not a hello";
+        return fault("the first message is not a hello");
+    }
+    link.remote = hello;
+    const foreign = identityFault(link);
+    if (foreign !== undefined) {
+        return { text: foreign, foreign: true };
     }
-    // Sent before the checks, so that the other side can log the same fault.
+    // Sent before the other checks, so that the other side can log the same fault. A process with a false identity gets
+    // none: it would take the link for open and send calls, whose outcome it could not know.
     if (link.direction === "incoming" && link.open) {
         link.send(encodeFrame(own));
     }
-    link.remote = hello;
-    return helloFault(hello, own, expectedNode);
+    const text = helloFault(hello, own, expectedNode);
+    return text === undefined ? undefined : fault(text);
+}
+
+function fault(text: string): HandshakeFault {
+    return { text, foreign: false };
+}
+
+/**
+ * Compares the names of the hello with the certificate of the link. Both sides do so, and addresses are not compared,
+ * since they change with each replaced VM. `undefined` when they agree or the link has no TLS.
+ */
+function identityFault(link: Link): string | undefined {
+    const { node, failureDomain } = link.remote;
+    const expected = peerIdentity(failureDomain, node);
+    const { certificate } = link;
+    return !link.encrypted || (certificate !== undefined && namesIdentity(certificate, expected))
+        ? undefined
+        : `the certificate lacks the URI ${expected}`;
 }
 
-function helloFault(hello: HelloFrame, own: HelloFrame, expectedNode: string | undefined): HandshakeFault | undefined {
+function helloFault(hello: HelloFrame, own: HelloFrame, expectedNode: string | undefined): string | undefined {
     if (hello.version !== PROTOCOL_VERSION) {
         return `protocol version ${hello.version} differs from ${PROTOCOL_VERSION}; run the same release on all processes`;
     }
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -3,5 +3,5 @@
  * summaries, and replacement of links that have gone silent.
  */
 export * from "./peerNetwork.ts";
-export { type PeerNetworkOptions } from "./peerOptions.ts";
+export { type PeerNetworkOptions, type PeerTls, PeerTlsMode } from "./peerOptions.ts";
 export { WebSocketPeerNetwork } from "./webSocketPeerNetwork.ts";
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -2,7 +2,9 @@
  * One WebSocket with an inbox that its task reads from. Events of the socket only fill the inbox or end the link.
  */
 import type { Timers } from "@tanagerlink/timers";
+import type { X509Certificate } from "node:crypto";
 import type { Socket } from "node:net";
+import { TLSSocket } from "node:tls";
 import { type RawData, WebSocket } from "ws";
 import { FrameKind, type HelloFrame } from "./frames.ts";
 import type { CloseReason, PeerMetrics } from "./peerMetrics.ts";
@@ -68,6 +70,15 @@
         return this.stream?.bytesRead ?? 0;
     }
 
+    get encrypted(): boolean {
+        return this.stream instanceof TLSSocket;
+    }
+
+    /** Certificate that the peer presented, already checked against the authorities. */
+    get certificate(): X509Certificate | undefined {
+        return this.stream instanceof TLSSocket ? this.stream.getPeerX509Certificate() : undefined;
+    }
+
     /** Gives a message to the socket; `sent` is called once the operating system has accepted it or the link failed. */
     send(message: Uint8Array, sent?: () => void): void {
         this.metrics.sent(message.byteLength);
--- a/packages/peer/src/linkTask.ts
+++ b/packages/peer/src/linkTask.ts
@@ -9,6 +9,7 @@
 import { shakeHands } from "./handshake.ts";
 import type { Heartbeats } from "./heartbeats.ts";
 import type { Link } from "./link.ts";
+import { type LinkRefusals, RefusalReason } from "./linkRefusal.ts";
 import type { PeerMetrics } from "./peerMetrics.ts";
 import type { PeerAddress } from "./peerNetwork.ts";
 import type { PeerNetworkLimits } from "./peerOptions.ts";
@@ -19,6 +20,7 @@
     readonly limits: PeerNetworkLimits;
     readonly logger: Logger;
     readonly metrics: PeerMetrics;
+    readonly refusals: LinkRefusals;
     readonly heartbeats: Heartbeats;
     readonly receiver: CallReceiver;
     readonly hello: () => HelloFrame;
@@ -31,8 +33,13 @@
 export async function serveLink(parts: LinkTaskParts, link: Link, expectedNode?: string): Promise<boolean> {
     const { timers, limits, logger, heartbeats } = parts;
     const fault = await shakeHands(link, parts.hello(), expectedNode, timers, limits.silenceMilliseconds);
+    if (fault?.foreign === true) {
+        parts.refusals.refuse(RefusalReason.Identity, link.remote.node, fault.text);
+    }
+    else if (fault !== undefined) {
+        logger.warn({ peer: expectedNode ?? link.remote.node, fault: fault.text }, "peer link refused");
+    }
     if (fault !== undefined) {
-        logger.warn({ peer: expectedNode ?? link.remote.node, fault }, "peer link refused");
         link.close("handshake");
         return false;
     }
@@ -40,7 +47,7 @@
     const session = parts.sessionOf({ id: node, address, failureDomain });
     link.pulse.restart();
     session.attach(link);
-    logger.info({ peer: node, direction: link.direction }, "peer link open");
+    logger.info({ peer: node, direction: link.direction, encrypted: link.encrypted }, "peer link open");
     heartbeats.beat(link, session, heartbeats.packPayload());
     for (let message = await link.receive(); message !== undefined; message = await link.receive()) {
         dispatchGuarded(parts, link, session, message);
--- a/packages/peer/src/outgoingLink.ts
+++ b/packages/peer/src/outgoingLink.ts
@@ -2,11 +2,12 @@
  * The task that keeps one link open to one peer: connect, serve until the link ends, wait, connect again.
  */
 import { sleep, type Timers } from "@tanagerlink/timers";
-import { WebSocket } from "ws";
+import { type ClientOptions, WebSocket } from "ws";
 import { Link } from "./link.ts";
+import { codeOf, type LinkRefusals, RefusalReason, tlsRefusal } from "./linkRefusal.ts";
 import type { PeerMetrics } from "./peerMetrics.ts";
 import type { PeerAddress } from "./peerNetwork.ts";
-import type { PeerNetworkLimits } from "./peerOptions.ts";
+import { type PeerNetworkLimits, type PeerTls, PeerTlsMode } from "./peerOptions.ts";
 
 export const PEER_PATH = "/peer";
 
@@ -14,6 +15,8 @@
     readonly timers: Timers;
     readonly limits: PeerNetworkLimits;
     readonly metrics: PeerMetrics;
+    readonly refusals: LinkRefusals;
+    readonly tls: PeerTls | undefined;
     readonly random: () => number;
     /** Runs a connected link to its end; returns whether its handshake succeeded. */
     readonly serve: (link: Link, expectedNode: string) => Promise<boolean>;
@@ -48,12 +51,23 @@
     }
 
     private async connectAndServe(): Promise<boolean> {
-        const { limits, metrics, timers, serve } = this.parts;
-        const url = `ws://${this.peer.address}${PEER_PATH}`;
+        const { serve, tls } = this.parts;
+        const first = await this.connect(tls);
+        const link = first === RefusalReason.Plain && tls?.mode === PeerTlsMode.Optional
+            ? await this.connect(undefined)
+            : first;
+        return link instanceof Link && await serve(link, this.peer.id);
+    }
+
+    /** Opens a connection; the result is the reason when TLS failed, and `undefined` for other causes. */
+    private async connect(tls: PeerTls | undefined): Promise<Link | RefusalReason | undefined> {
+        const { limits, metrics, timers, refusals } = this.parts;
+        const url = `${tls === undefined ? "ws" : "wss"}://${this.peer.address}${PEER_PATH}`;
         if (!URL.canParse(url)) {
-            return false;
+            return undefined;
         }
         const socket = new WebSocket(url, {
+            ...(tls === undefined ? {} : secureOptions(tls)),
             perMessageDeflate: false,
             maxPayload: limits.maximumMessageBytes,
             // Masking protects HTTP intermediaries, of which there are none here. It took half of the CPU time of calls
@@ -62,27 +76,34 @@
         });
         const link = new Link(socket, undefined, "outgoing", timers, limits, metrics);
         this.link = link;
-        if (!await this.opened(socket) || this.abort.signal.aborted) {
-            link.close("handshake");
-            return false;
+        const failure = await this.opened(socket);
+        if (failure === undefined && !this.abort.signal.aborted) {
+            return link;
+        }
+        link.close("handshake");
+        const reason = tls === undefined ? undefined : tlsRefusal(codeOf(failure));
+        const fallsBack = reason === RefusalReason.Plain && tls?.mode === PeerTlsMode.Optional;
+        if (reason !== undefined && !fallsBack) {
+            refusals.refuse(reason, this.peer.id, failure);
         }
-        return await serve(link, this.peer.id);
+        return reason;
     }
 
-    /** Waits until the socket is open; `false` when it fails or takes longer than the permitted silence. */
-    private opened(socket: WebSocket): Promise<boolean> {
+    /** Waits until the socket is open; the result is why it is not, also after the permitted silence. */
+    private opened(socket: WebSocket): Promise<Error | undefined> {
         return new Promise(resolve => {
-            const finish = (opened: boolean): void => {
+            const finish = (failure: Error | undefined): void => {
                 timeout[Symbol.dispose]();
                 this.abort.signal.removeEventListener("abort", stop);
-                resolve(opened);
+                resolve(failure);
             };
-            const stop = (): void => finish(false);
+            const stop = (): void => finish(new Error("not opened"));
             const timeout = this.parts.timers.after(this.parts.limits.silenceMilliseconds, stop);
             this.abort.signal.addEventListener("abort", stop);
-            socket.once("open", () => finish(true));
+            socket.once("open", () => finish(undefined));
             socket.once("close", stop);
-            socket.once("error", stop);
+            // Before the link's own listener, which ends the socket, so that the cause is not lost.
+            socket.prependOnceListener("error", finish);
         });
     }
 
@@ -93,3 +114,17 @@
         return shortestBackoffMilliseconds * 0.5 + this.parts.random() * (longest - shortestBackoffMilliseconds * 0.5);
     }
 }
+
+/** The identity is compared after the handshake; host names say nothing about a process. */
+function secureOptions({ credentials }: PeerTls): ClientOptions {
+    const { certificate, key, authority } = credentials.current();
+    return {
+        cert: certificate,
+        key,
+        ca: authority ?? [],
+        minVersion: "TLSv1.3",
+        rejectUnauthorized: true,
+        // The library expects an error or nothing, although its declared type is a boolean.
+        checkServerIdentity: () => false,
+    };
+}
--- a/packages/peer/src/peerMetrics.ts
+++ b/packages/peer/src/peerMetrics.ts
@@ -2,6 +2,7 @@
  * Metrics of the peer network. Peers do not appear as labels, since their number is not bounded over time.
  */
 import type { Metrics } from "@tanagerlink/telemetry";
+import type { RefusalReason } from "./linkRefusal.ts";
 
 /** Why a frame was dropped. */
 export type DropReason = "malformed" | "late" | "foreign" | "unexpected" | "oversized";
@@ -29,6 +30,11 @@
         help: "Peer links that ended, by reason.",
         labels: ["reason"],
     });
+    const refused = metrics.counter({
+        name: "tanagerlink_peer_links_refused_total",
+        help: "Peer links refused because of TLS or the identity of the peer, by reason.",
+        labels: ["reason"],
+    });
     const duplicates = metrics.counter({
         name: "tanagerlink_peer_duplicate_calls_total",
         help: "Calls received again under the same identifier, by what was done.",
@@ -54,6 +60,7 @@
     return {
         dropped: (reason: DropReason) => dropped.increment({ reason }),
         closed: (reason: CloseReason) => closed.increment({ reason }),
+        refused: (reason: RefusalReason) => refused.increment({ reason }),
         duplicate: (action: "joined" | "answered" | "refused") => duplicates.increment({ action }),
         called: (method: string, result: string, seconds: number) => {
             calls.increment({ method, result });
--- a/packages/peer/src/peerNetwork.ts
+++ b/packages/peer/src/peerNetwork.ts
@@ -26,6 +26,8 @@
 export interface PeerLinkState {
     readonly peer: PeerAddress;
     readonly connected: boolean;
+    /** Whether the link uses TLS; `undefined` without a link. */
+    readonly encrypted?: boolean | undefined;
     /** Milliseconds since anything was received from the peer; `undefined` before the first message. */
     readonly silentMilliseconds: number | undefined;
     /** Smoothed round-trip time of heartbeats in milliseconds. */
--- a/packages/peer/src/peerOptions.ts
+++ b/packages/peer/src/peerOptions.ts
@@ -1,6 +1,7 @@
 /**
  * Options of a peer network and their defaults.
  */
+import type { CredentialSource } from "@tanagerlink/certificates";
 import type { Logger, Metrics } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
 
@@ -31,6 +32,23 @@
     readonly maximumRememberedBytes: number;
 }
 
+/** Whether links without TLS are permitted. */
+export const PeerTlsMode = {
+    /** Every link uses TLS with certificates on both sides. */
+    Required: "required",
+    /** Links without TLS are accepted, and opened to peers that don't speak TLS. For moving a fleet to TLS. */
+    Optional: "optional",
+} as const;
+
+export type PeerTlsMode = (typeof PeerTlsMode)[keyof typeof PeerTlsMode];
+
+/** TLS of the links. */
+export interface PeerTls {
+    readonly mode: PeerTlsMode;
+    /** Read for each new link. The authority must be set. */
+    readonly credentials: CredentialSource;
+}
+
 export interface PeerNetworkOptions {
     readonly id: string;
     readonly failureDomain: string;
@@ -43,6 +61,8 @@
     readonly metrics: Metrics;
     /** Uniform numbers from 0 to 1 for the jitter of reconnections. */
     readonly random?: () => number;
+    /** Without it, peers do not prove their identity and nothing is encrypted. */
+    readonly tls?: PeerTls | undefined;
     readonly limits?: Partial<PeerNetworkLimits>;
 }
 
--- a/packages/peer/src/peerSession.ts
+++ b/packages/peer/src/peerSession.ts
@@ -69,6 +69,7 @@
         return {
             peer: this.peer,
             connected: link !== undefined,
+            encrypted: link?.encrypted,
             silentMilliseconds: heardAt === undefined ? undefined : this.timers.now() - heardAt,
             roundTripMilliseconds: link?.pulse.roundTripMilliseconds,
         };
--- a/packages/peer/src/webSocketPeerNetwork.ts
+++ b/packages/peer/src/webSocketPeerNetwork.ts
@@ -18,6 +18,7 @@
 import { FrameKind, type HelloFrame, PROTOCOL_VERSION } from "./frames.ts";
 import { Heartbeats } from "./heartbeats.ts";
 import { Link } from "./link.ts";
+import { LinkRefusals } from "./linkRefusal.ts";
 import { type LinkTaskParts, serveLink } from "./linkTask.ts";
 import { OutgoingLink } from "./outgoingLink.ts";
 import { createPeerMetrics, type PeerMetrics } from "./peerMetrics.ts";
@@ -55,6 +56,7 @@
     private readonly timers: Timers;
     private readonly logger: Logger;
     private readonly metrics: PeerMetrics;
+    private readonly refusals: LinkRefusals;
     private readonly memory: CallMemory;
     private readonly receiver: CallReceiver;
     private readonly heartbeats: Heartbeats;
@@ -75,6 +77,7 @@
         this.timers = options.timers;
         this.logger = options.logger;
         this.metrics = createPeerMetrics(options.metrics);
+        this.refusals = new LinkRefusals(this.timers, this.logger, this.metrics);
         this.memory = new CallMemory(this.timers, this.limits);
         this.receiver = new CallReceiver(this.memory, this.limits, this.logger, this.metrics);
         this.heartbeats = new Heartbeats(this.limits, this.logger, this.metrics);
@@ -83,6 +86,7 @@
             limits: this.limits,
             logger: this.logger,
             metrics: this.metrics,
+            refusals: this.refusals,
             heartbeats: this.heartbeats,
             receiver: this.receiver,
             hello: () => this.hello(),
@@ -124,12 +128,14 @@
     /** Starts a network. Errors: `invalid_settings` when the address cannot be listened on. */
     static async listen(options: PeerNetworkOptions): Promise<Result<WebSocketPeerNetwork, ServiceError>> {
         const network = new WebSocketPeerNetwork(options);
-        const server = await PeerServer.listen(
-            options.address,
-            network.limits.maximumMessageBytes,
-            (socket, stream) => network.accept(socket, stream),
-            failure => options.logger.error({ failure }, "peer server failed"),
-        );
+        const server = await PeerServer.listen({
+            address: options.address,
+            maximumMessageBytes: network.limits.maximumMessageBytes,
+            tls: options.tls,
+            refusals: network.refusals,
+            accept: (socket, stream) => network.accept(socket, stream),
+            report: failure => options.logger.error({ failure }, "peer server failed"),
+        });
         return server.map(listening => {
             network.server = listening;
             network.ticker = options.timers.every(network.limits.heartbeatMilliseconds, () => network.tick());
@@ -241,6 +247,8 @@
                 timers: this.timers,
                 limits: this.limits,
                 metrics: this.metrics,
+                refusals: this.refusals,
+                tls: this.options.tls,
                 random: this.options.random ?? Math.random,
                 serve: (link, expectedNode) => serveLink(this.linkParts, link, expectedNode),
             }),
