feat(node): https for callers and towards the platform, certificates in dump and metrics

Cause: keys and tokens of callers crossed the network in the clear. A certificate that the command line refuses is answered as not run, since nothing was sent. Conclusion: workers and executors are still called without TLS.

--- a/packages/cli/__tests__/program.spec.ts
+++ b/packages/cli/__tests__/program.spec.ts
@@ -1,8 +1,10 @@
 import { errorAnswers, ErrorKind } from "@tanagerlink/errors";
+import { AuthorityStandIn } from "@tanagerlink/stand-ins";
 import { expect } from "chai";
 import { once } from "node:events";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { createServer, type IncomingMessage, type Server } from "node:http";
+import { createServer as createSecureServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -187,4 +189,29 @@
         expect((await run("status", "--all")).out.match(/^team-\d+/gm)).to.have.length(490);
         expect(JSON.parse((await run("status", "--json")).out).teams).to.have.length(490);
     });
+
+    it("calls an https server with --authority, and says how when its certificate is not trusted", async () => {
+        const authority = await AuthorityStandIn.create();
+        const { certificate: cert, key } = await authority.issue({ name: "entry", addresses: ["127.0.0.1"] });
+        const secure = createSecureServer({ cert, key }, (call, response) => {
+            call.resume().on("end", () => response.end(JSON.stringify(job)));
+        }).listen(0, "127.0.0.1");
+        await once(secure, "listening");
+        environment["TANAGERLINK_SERVER"] = `https://127.0.0.1:${(secure.address() as AddressInfo).port}`;
+        const path = join(folder, "authority.pem");
+        await writeFile(path, authority.pem);
+        const untrusted = await run("cancel", "x");
+        const trusted = await run("cancel", "x", "--authority", path);
+        environment["TANAGERLINK_AUTHORITY"] = join(folder, "job.json");
+        const faulty = await run("status");
+        secure.closeAllConnections();
+        secure.close();
+        expect([untrusted.code, untrusted.error]).to.satisfy(([code, text]: [number, string]) =>
+            code === 9 && text.includes("--authority") && text.includes("not_run")
+        );
+        expect([trusted.code, trusted.error]).to.deep.equal([0, ""]);
+        expect([faulty.code, faulty.error]).to.satisfy(([code, text]: [number, string]) =>
+            code === 2 && text.includes("--authority (TANAGERLINK_AUTHORITY)")
+        );
+    });
 });
--- a/packages/cli/src/commands/configurationCommands.ts
+++ b/packages/cli/src/commands/configurationCommands.ts
@@ -13,7 +13,7 @@
 import { z } from "zod";
 import type { CommandContext, CommandResult } from "../commandContext.ts";
 import { renderJson, renderTable } from "../output.ts";
-import { createClient, OPERATOR_VARIABLE, type ServerClient } from "../serverClient.ts";
+import { createClient, OPERATOR_VARIABLE, type ServerClient, type ServerFlags } from "../serverClient.ts";
 
 const configurationAnswerSchema = z.looseObject({ version: z.int() });
 
@@ -45,8 +45,7 @@
 const SPREAD_POLL_MILLISECONDS = 500;
 
 /** Flags of `apply`. */
-export interface ApplyFlags {
-    readonly server?: string;
+export interface ApplyFlags extends ServerFlags {
     readonly json?: boolean;
     readonly expectedVersion?: string | number;
     readonly operator?: string;
@@ -79,7 +78,7 @@
     const expected = flags.expectedVersion === undefined
         ? ok(undefined)
         : wholeNumber("--expected-version", flags.expectedVersion);
-    const client = createClient(context, flags.server, OPERATOR_VARIABLE);
+    const client = createClient(context, flags, OPERATOR_VARIABLE);
     const loaded = await loadConfigurationFolder(folder);
     if (loaded.isErr()) {
         printFaults(context, loaded.error, flags.json === true);
--- a/packages/cli/src/commands/jobCommands.ts
+++ b/packages/cli/src/commands/jobCommands.ts
@@ -7,11 +7,10 @@
 import { parse } from "yaml";
 import type { CommandContext, CommandResult } from "../commandContext.ts";
 import { renderJson, renderTable } from "../output.ts";
-import { createClient, KEY_VARIABLE, type ServerClient } from "../serverClient.ts";
+import { createClient, KEY_VARIABLE, type ServerClient, type ServerFlags } from "../serverClient.ts";
 
 /** Flags that all commands of callers have. */
-export interface CallerFlags {
-    readonly server?: string;
+export interface CallerFlags extends ServerFlags {
     readonly json?: boolean;
     readonly idempotencyKey?: string;
 }
@@ -22,7 +21,7 @@
     file: string,
     flags: CallerFlags,
 ): Promise<CommandResult> {
-    const client = createClient(context, flags.server, KEY_VARIABLE);
+    const client = createClient(context, flags, KEY_VARIABLE);
     const specification = await readSpecification(file);
     if (client.isErr() || specification.isErr()) {
         return err(client.isErr() ? client.error : specification._unsafeUnwrapErr());
@@ -69,7 +68,7 @@
     flags: CallerFlags,
     action: (client: ServerClient) => Promise<CommandResult>,
 ): Promise<CommandResult> {
-    const client = createClient(context, flags.server, KEY_VARIABLE);
+    const client = createClient(context, flags, KEY_VARIABLE);
     return client.isErr() ? err(client.error) : action(client.value);
 }
 
--- a/packages/cli/src/commands/operatorCommands.ts
+++ b/packages/cli/src/commands/operatorCommands.ts
@@ -3,7 +3,7 @@
 import { z } from "zod";
 import type { CommandContext, CommandResult } from "../commandContext.ts";
 import { renderJson, renderTable } from "../output.ts";
-import { createClient, OPERATOR_VARIABLE } from "../serverClient.ts";
+import { createClient, OPERATOR_VARIABLE, type ServerFlags } from "../serverClient.ts";
 
 const statusSchema = z.looseObject({
     node: z.string(),
@@ -33,8 +33,7 @@
 type FleetStatus = z.infer<typeof statusSchema>;
 
 /** Flags of operators' commands. */
-export interface OperatorFlags {
-    readonly server?: string;
+export interface OperatorFlags extends ServerFlags {
     readonly json?: boolean;
     /** List every team. */
     readonly all?: boolean;
@@ -45,7 +44,7 @@
 
 /** Prints failure domains, teams and queues as one entry process sees them. */
 export async function fleetStatusCommand(context: CommandContext, flags: OperatorFlags): Promise<CommandResult> {
-    const client = createClient(context, flags.server, OPERATOR_VARIABLE);
+    const client = createClient(context, flags, OPERATOR_VARIABLE);
     if (client.isErr()) {
         return err(client.error);
     }
@@ -57,7 +56,7 @@
 
 /** Prints the whole state of one process as JSON. */
 export async function dumpCommand(context: CommandContext, flags: OperatorFlags): Promise<CommandResult> {
-    const client = createClient(context, flags.server, OPERATOR_VARIABLE);
+    const client = createClient(context, flags, OPERATOR_VARIABLE);
     if (client.isErr()) {
         return err(client.error);
     }
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -8,10 +8,11 @@
 import { dumpCommand, fleetStatusCommand } from "./commands/operatorCommands.ts";
 import { serveCommand } from "./commands/serveCommand.ts";
 import { flagTexts } from "./flagTexts.ts";
-import { KEY_VARIABLE, OPERATOR_VARIABLE, SERVER_VARIABLE } from "./serverClient.ts";
+import { AUTHORITY_VARIABLE, KEY_VARIABLE, OPERATOR_VARIABLE, SERVER_VARIABLE } from "./serverClient.ts";
 import { VERSION } from "./version.ts";
 
 const SERVER_HELP = `Address of an entry process or the balancer (${SERVER_VARIABLE})`;
+const AUTHORITY_HELP = `Authorities of an https server, PEM file (${AUTHORITY_VARIABLE})`;
 const JSON_HELP = "Print JSON for programs";
 
 /** Runs the program and answers with its exit code. */
@@ -54,6 +55,7 @@
         .action(action((folder: string, flags: object) => checkCommand(context, folder, flags)));
     program.command("apply <folder>", `Apply a configuration folder as the next version (${OPERATOR_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
+        .option("--authority <file>", AUTHORITY_HELP)
         .option("--expected-version <version>", "Version that the change is based on; the one in force by default")
         .option("--operator <name>", "Name recorded with the version; the user name by default")
         .option("--wait-seconds <seconds>", "Longest wait until the version is in force everywhere; 15 by default")
@@ -66,15 +68,18 @@
         .action(action(() => operatorTokenCommand(context)));
     program.command("submit <file>", `Submit the job described by a YAML or JSON file (${KEY_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
+        .option("--authority <file>", AUTHORITY_HELP)
         .option("--idempotency-key <key>", "Repeating a submission with the same key gives the first one's job")
         .option("--json", JSON_HELP)
         .action(action((file: string, flags: object) => submitCommand(context, file, flags)));
     program.command("cancel <job>", `Cancel a job (${KEY_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
+        .option("--authority <file>", AUTHORITY_HELP)
         .option("--json", JSON_HELP)
         .action(action((job: string, flags: object) => cancelCommand(context, job, flags)));
     program.command("status [job]", `State of a job (${KEY_VARIABLE}), or of the fleet (${OPERATOR_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
+        .option("--authority <file>", AUTHORITY_HELP)
         .option("--all", "List every team, not only those that need attention first")
         .option("--json", JSON_HELP)
         .action(
@@ -84,10 +89,12 @@
         );
     program.command("explain <job>", `Decisions on a job, with reason and file (${KEY_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
+        .option("--authority <file>", AUTHORITY_HELP)
         .option("--json", JSON_HELP)
         .action(action((job: string, flags: object) => explainCommand(context, job, flags)));
     program.command("dump", `Whole state of one process as JSON (${OPERATOR_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
+        .option("--authority <file>", AUTHORITY_HELP)
         .action(action((flags: object) => dumpCommand(context, flags)));
     program.help();
     program.version(VERSION);
--- a/packages/cli/src/serverClient.ts
+++ b/packages/cli/src/serverClient.ts
@@ -1,13 +1,17 @@
 /** Calls of the command line to an entry process. */
+import { readAuthority } from "@tanagerlink/certificates";
 import { describeUnknown, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import { err, ok, type Result } from "neverthrow";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { z } from "zod";
 import type { CommandContext } from "./commandContext.ts";
 
 /** Environment variable with the address of an entry process or of the balancer. */
 export const SERVER_VARIABLE = "TANAGERLINK_SERVER";
 
+/** Environment variable with the path of the authorities of an https server. */
+export const AUTHORITY_VARIABLE = "TANAGERLINK_AUTHORITY";
+
 /** Environment variable with the key of a team. Keys are not taken from flags, which other users can read. */
 export const KEY_VARIABLE = "TANAGERLINK_KEY";
 
@@ -36,15 +40,20 @@
 export class ServerClient {
     private readonly server: string;
     private readonly credential: string | undefined;
+    private readonly authority: string | undefined;
 
-    constructor(server: string, credential: string | undefined) {
+    /** `authority` is PEM text of authorities that are accepted in place of the public ones. */
+    constructor(server: string, credential: string | undefined, authority: string | undefined) {
         this.server = server;
         this.credential = credential;
+        this.authority = authority;
     }
 
     async call<Answer>(call: ServerCall<Answer>): Promise<Result<Answer, ServiceError>> {
+        const dispatcher = new Agent(this.authority === undefined ? {} : { connect: { ca: this.authority } });
         try {
             const response = await request(new URL(call.path, this.server), {
+                dispatcher,
                 method: call.method,
                 headers: this.headers(call),
                 ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
@@ -57,6 +66,9 @@
         catch (failure) {
             return err(callFailure(call, this.server, failure));
         }
+        finally {
+            await dispatcher.destroy();
+        }
     }
 
     private headers(call: ServerCall<unknown>): Record<string, string> {
@@ -68,18 +80,31 @@
     }
 }
 
-/** Makes a client from the flag `--server` or its environment variable. */
+/** Flags of commands that call a server. */
+export interface ServerFlags {
+    readonly server?: string;
+    /** Path of a file with the authorities of an https server. */
+    readonly authority?: string;
+}
+
+/** Makes a client from the flags or their environment variables. */
 export function createClient(
     context: CommandContext,
-    server: string | undefined,
+    flags: ServerFlags,
     credentialVariable: string,
 ): Result<ServerClient, ServiceError> {
-    const address = server ?? context.environment[SERVER_VARIABLE];
+    const address = flags.server ?? context.environment[SERVER_VARIABLE];
+    const authorityPath = flags.authority ?? context.environment[AUTHORITY_VARIABLE];
+    const authority = authorityPath === undefined ? undefined : readAuthority(authorityPath);
     const credential = context.environment[credentialVariable];
-    const faults = [...addressFaults(address), ...credentialFaults(credentialVariable, credential)];
+    const faults = [
+        ...addressFaults(address),
+        ...(authority?.isErr() === true ? [`--authority (${AUTHORITY_VARIABLE}) ${authority.error}`] : []),
+        ...credentialFaults(credentialVariable, credential),
+    ];
     return address === undefined || faults.length > 0
         ? err(serviceError(ErrorKind.InvalidSettings, faults.join("; ")))
-        : ok(new ServerClient(address, credential));
+        : ok(new ServerClient(address, credential, authority?.unwrapOr(undefined)));
 }
 
 /** A balancer in between may answer with something else than JSON. */
@@ -124,11 +149,16 @@
         : serviceError(ErrorKind.Internal, "the answer is not one of tanagerlink; check the address of the server");
 }
 
+/** Codes of a certificate that was refused; the call was not sent then. */
+const CERTIFICATE_CODE = /^(UNABLE_TO_|DEPTH_ZERO_|SELF_SIGNED_|CERT_|ERR_TLS_CERT_|ERR_SSL_)/;
+
 /** A call that may have arrived has an unknown outcome, unless it only reads. */
 function callFailure(call: ServerCall<unknown>, server: string, failure: unknown): ServiceError {
     const code = failure instanceof Error && "code" in failure ? String(failure.code) : "";
-    const description = `${server} could not be reached: ${describeUnknown(failure) || code}`;
-    const notSent = code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT" || code === "ENOTFOUND";
+    const refused = CERTIFICATE_CODE.test(code);
+    const remedy = refused ? "; name the authority of its certificate with --authority, or correct the address" : "";
+    const description = `${server} could not be reached: ${describeUnknown(failure) || code}${remedy}`;
+    const notSent = refused || code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT" || code === "ENOTFOUND";
     return call.method === "GET" || notSent
         ? serviceError(ErrorKind.PeerUnreachable, description)
         : serviceError(ErrorKind.OutcomeUnknown, `${description}; the call may have taken effect`);
--- a/packages/entry/src/httpServer.ts
+++ b/packages/entry/src/httpServer.ts
@@ -1,11 +1,12 @@
 /** The HTTP server of one process: counts calls in flight and answers calls that never reach the application. */
 import { getRequestListener } from "@hono/node-server";
+import { createTlsServer, type CredentialSource, type TlsServer } from "@tanagerlink/certificates";
 import { describeUnknown, errorAnswers, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Timers } from "@tanagerlink/timers";
 import type { Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
-import { createServer, type Server, type ServerResponse, STATUS_CODES } from "node:http";
+import { createServer, type RequestListener, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { ERROR_HEADER, errorBody, OUTCOME_HEADER } from "./errorAnswer.ts";
 
@@ -28,6 +29,8 @@
     readonly keepAliveMilliseconds: number;
     /** Time within which a caller must take an answer. */
     readonly answerMilliseconds: number;
+    /** Certificate of the server, which then speaks HTTPS only. */
+    readonly credentials?: CredentialSource | undefined;
 }
 
 /** A listening server. */
@@ -37,12 +40,14 @@
     /** Calls in flight, with the time since which their answer waits for the caller. */
     private readonly calls = new Map<ServerResponse, number | undefined>();
     private readonly sweep: Disposable;
+    private readonly destroyConnections: () => void;
     private closed: Promise<void> | undefined;
     /** `ip:port` */
     readonly address: string;
 
-    private constructor(server: Server, options: HttpServerOptions) {
+    private constructor({ server, destroyConnections }: ListeningServer, options: HttpServerOptions) {
         this.server = server;
+        this.destroyConnections = destroyConnections;
         this.options = options;
         const { address, port, family } = server.address() as AddressInfo;
         this.address = family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
@@ -67,10 +72,11 @@
         const separator = address.lastIndexOf(":");
         const hostname = address.slice(0, separator).replace(/^\[(.*)\]$/, "$1");
         const listener = getRequestListener(application.fetch, { errorHandler: malformedCall });
-        const server = createServer(
-            { keepAliveTimeout: options.keepAliveMilliseconds, headersTimeout: HEADERS_MILLISECONDS },
+        const listening = createListeningServer(
+            options,
             (incoming, outgoing) => void listener(incoming, outgoing),
         );
+        const { server } = listening;
         return new Promise(resolve => {
             const fail = (failure: Error): void => {
                 const message = `--listen-address (TANAGERLINK_LISTEN_ADDRESS) ${address} cannot be used: ${
@@ -81,7 +87,7 @@
             server.once("error", fail);
             server.listen(Number(address.slice(separator + 1)), hostname, () => {
                 server.off("error", fail);
-                resolve(ok(new HttpServer(server, options)));
+                resolve(ok(new HttpServer(listening, options)));
             });
         });
     }
@@ -110,6 +116,7 @@
         this.sweep[Symbol.dispose]();
         this.stopListening();
         this.server.closeAllConnections();
+        this.destroyConnections();
         await this.closed;
     }
 
@@ -143,6 +150,28 @@
     }
 }
 
+interface ListeningServer {
+    readonly server: Server | TlsServer["server"];
+    /** Ends connections that are not known to the server yet. */
+    readonly destroyConnections: () => void;
+}
+
+function createListeningServer(options: HttpServerOptions, application: RequestListener): ListeningServer {
+    const common = { keepAliveTimeout: options.keepAliveMilliseconds, headersTimeout: HEADERS_MILLISECONDS };
+    if (options.credentials === undefined) {
+        return { server: createServer(common, application), destroyConnections: () => undefined };
+    }
+    const { server, destroyConnections } = createTlsServer(
+        options.credentials,
+        { ...common, minVersion: "TLSv1.2" },
+        application,
+    );
+    // A failed handshake would otherwise be answered as a malformed call.
+    server.removeAllListeners("tlsClientError");
+    server.on("tlsClientError", (_failure, socket) => socket.destroy());
+    return { server, destroyConnections };
+}
+
 /** Answer to a call whose request line or `host` header cannot be used. */
 function malformedCall(): Response {
     const error = serviceError(ErrorKind.InvalidRequest, "the request line or the host header is malformed");
--- a/packages/node/__tests__/node.spec.ts
+++ b/packages/node/__tests__/node.spec.ts
@@ -1,15 +1,21 @@
 import { generateKey, hashKey } from "@tanagerlink/admission";
 import { readSettings, type Settings } from "@tanagerlink/settings";
 import {
+    AuthorityStandIn,
     type ExecutorStandIn,
     type PlatformStandIn,
     startExecutorStandIn,
     startPlatformStandIn,
+    writeCertificate,
 } from "@tanagerlink/stand-ins";
-import { silentLogger } from "@tanagerlink/telemetry";
+import { type Logger, silentLogger } from "@tanagerlink/telemetry";
 import { expect } from "chai";
 import { once } from "node:events";
+import { mkdtemp, readFile, rm } from "node:fs/promises";
 import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Agent, request as send } from "undici";
 import { type Node, startNode } from "../src/index.ts";
 
 const TOKEN = "token-of-the-operator";
@@ -165,4 +171,47 @@
         expect(performance.now() - began).to.be.below(4_000);
         expect(await lost).to.equal("broken off");
     });
+
+    it("serves HTTPS and shows its certificates without keys; without certificates it warns with the flags", async () => {
+        const authority = await AuthorityStandIn.create("fleet");
+        const folder = await mkdtemp(join(tmpdir(), "tanagerlink-node-"));
+        const uris = ["tanagerlink:north/entry-1"];
+        const issued = await authority.issue({ name: "entry-1", uris, addresses: ["127.0.0.1"] });
+        const paths = await writeCertificate(folder, issued);
+        const warnings: string[] = [];
+        const logger: Logger = { ...silentLogger, warn: (_fields, text) => void warnings.push(text) };
+        const plain = (await startNode(settings(), { logger }))._unsafeUnwrap();
+        await plain.drain();
+        expect(warnings.join("\n")).to.contain("--peer-authority").and.contain("--http-key");
+        warnings.length = 0;
+        const node = (await startNode(
+            settings({
+                "peer-certificate": paths.certificate,
+                "peer-key": paths.key,
+                "peer-authority": paths.authority,
+                "http-certificate": paths.certificate,
+                "http-key": paths.key,
+            }),
+            { logger },
+        ))._unsafeUnwrap();
+        started.push(node);
+        expect(warnings.filter(text => text.includes("certificate"))).to.deep.equal([]);
+        const dispatcher = new Agent({ connect: { ca: authority.pem } });
+        const options = { dispatcher, headers: operator };
+        const dump = await (await send(`https://${node.address}/operator/dump`, options)).body.text();
+        const exposition = await (await send(`https://${node.address}/metrics`, options)).body.text();
+        await dispatcher.destroy();
+        const { certificates } = JSON.parse(dump) as { certificates: Record<string, unknown>; };
+        expect(certificates["peerTls"]).to.equal("required");
+        expect(certificates["peer"]).to.include({ subject: "CN=entry-1", authority: "CN=fleet" });
+        expect(certificates["http"]).to.have.property("validUntil");
+        const key = (await readFile(paths.key, "utf8")).split("\n")[1]!;
+        expect(dump + exposition).to.not.contain(key).and.not.contain("PRIVATE");
+        for (const name of ["peer", "peer_authority", "http"]) {
+            expect(exposition).to.match(
+                new RegExp(`tanagerlink_certificate_expiry_timestamp_seconds\\{certificate="${name}"\\} \\d{10}\n`),
+            );
+        }
+        await rm(folder, { recursive: true });
+    });
 });
--- a/packages/node/src/platformAccess.ts
+++ b/packages/node/src/platformAccess.ts
@@ -1,4 +1,5 @@
 /** The adapters of the platform that one process uses. */
+import { readAuthority } from "@tanagerlink/certificates";
 import {
     HttpObjectStore,
     HttpTableService,
@@ -19,10 +20,15 @@
 
 /** Creates the HTTP adapters. */
 export function openPlatform(settings: Settings, timers: Timers): PlatformAccess {
+    // The settings have checked the file.
+    const authority = settings.platformAuthority === undefined
+        ? undefined
+        : readAuthority(settings.platformAuthority).unwrapOr(undefined);
     const options = {
         baseUrl: settings.platformUrl,
         timers,
         callTimeoutMilliseconds: settings.platformTimeoutMilliseconds,
+        authority,
     };
     const table = new HttpTableService(options);
     const objects = new HttpObjectStore(options);
--- a/packages/node/src/processGauges.ts
+++ b/packages/node/src/processGauges.ts
@@ -40,6 +40,10 @@
         help: "Links to other processes, by state.",
         labels: ["state"],
     });
+    const plain = metrics.gauge({
+        name: "tanagerlink_peer_links_without_tls",
+        help: "Links to other processes that are open and do not use TLS.",
+    });
     const subscription = timers.every(PERIOD_MILLISECONDS, () => {
         version.set(follower.current()?.version ?? 0);
         age.set(follower.ageMilliseconds() / SECOND);
@@ -47,6 +51,7 @@
         const states = peers.links();
         const connected = states.filter(link => link.connected).length;
         links.set(connected, { state: "connected" });
+        plain.set(states.filter(link => link.encrypted === false).length);
         links.set(states.length - connected, { state: "disconnected" });
     });
     return {
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -21,6 +21,7 @@
 import { AcceptanceState, disposeAll, Node } from "./node.ts";
 import { readOperators } from "./operatorAccess.ts";
 import { openPlatform, type PlatformAccess } from "./platformAccess.ts";
+import { openCertificates, type ProcessCertificates } from "./processCertificates.ts";
 import { processGauges } from "./processGauges.ts";
 import { RequestPruning } from "./requestPruning.ts";
 import { createShardDependencies } from "./shardParts.ts";
@@ -53,6 +54,11 @@
         return err(operators.error);
     }
     const metrics = new Metrics();
+    const opened = openCertificates({ settings, timers, logger, metrics });
+    if (opened.isErr()) {
+        return err(opened.error);
+    }
+    const certificates = opened.value;
     const peers = await WebSocketPeerNetwork.listen({
         id: settings.nodeId,
         failureDomain: settings.failureDomain,
@@ -60,17 +66,19 @@
         timers,
         logger,
         metrics,
+        tls: certificates.peer,
         limits: {
             heartbeatMilliseconds: settings.peerHeartbeatMilliseconds,
             silenceMilliseconds: settings.peerSilenceMilliseconds,
         },
     });
     if (peers.isErr()) {
+        await certificates[Symbol.asyncDispose]();
         const message = `--peer-address (TANAGERLINK_PEER_ADDRESS): ${peers.error.message}`;
         return err(serviceError(peers.error.kind, message));
     }
     const platform = openPlatform(settings, timers);
-    const parts = await buildParts({ settings, timers, logger, metrics, peers: peers.value, platform });
+    const parts = await buildParts({ settings, timers, logger, metrics, peers: peers.value, platform, certificates });
     const application = createApplication({
         ...parts.entry,
         operators: operators.value,
@@ -81,16 +89,17 @@
         logger,
         keepAliveMilliseconds: settings.keepAliveSeconds * SECOND,
         answerMilliseconds: settings.answerTimeoutSeconds * SECOND,
+        credentials: certificates.http,
     });
     if (server.isErr()) {
         // Parts keep timers, which would keep the process alive.
-        await disposeAll([...parts.disposables, peers.value, platform]);
+        await disposeAll([...parts.disposables, peers.value, platform, certificates]);
         return err(server.error);
     }
     const node = new Node({
         ...parts.node,
         server: server.value,
-        disposables: [server.value, ...parts.disposables, peers.value, platform],
+        disposables: [server.value, ...parts.disposables, peers.value, platform, certificates],
     });
     await node.start();
     return ok(node);
@@ -103,11 +112,12 @@
     readonly metrics: Metrics;
     readonly peers: WebSocketPeerNetwork;
     readonly platform: PlatformAccess;
+    readonly certificates: ProcessCertificates;
 }
 
 /** Connects the parts in the order of their dependencies. */
 async function buildParts(foundations: Foundations) {
-    const { settings, timers, logger, metrics, peers, platform } = foundations;
+    const { settings, timers, logger, metrics, peers, platform, certificates } = foundations;
     const { table, objects, vmList } = platform;
     const state = new AcceptanceState();
     const rendezvous = await Rendezvous.load();
@@ -233,6 +243,7 @@
                 configuration: { version: follower.current()?.version, ageMilliseconds: follower.ageMilliseconds() },
                 entryProcesses: membership.failureDomains().flatMap(name => membership.entryProcesses(name)),
                 vmListAgeMilliseconds: membership.listAgeMilliseconds(),
+                certificates: certificates.describe(),
                 links: peers.links(),
                 owned: ownership.owned(),
                 grants: ledger.state(),
--- a/packages/platform/__tests__/httpAdapters.spec.ts
+++ b/packages/platform/__tests__/httpAdapters.spec.ts
@@ -1,8 +1,10 @@
 import { ErrorKind } from "@tanagerlink/errors";
+import { AuthorityStandIn } from "@tanagerlink/stand-ins";
 import { SystemTimers } from "@tanagerlink/timers";
 import { expect } from "chai";
 import fc from "fast-check";
 import { createServer, type Server } from "node:http";
+import { createServer as createSecureServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import { HttpObjectStore, HttpTableService, HttpVmList } from "../src/index.ts";
 
@@ -75,4 +77,27 @@
             { numRuns: 300 },
         );
     });
+
+    it("reach a platform with a certificate of the given authority, and no other one", async () => {
+        const authority = await AuthorityStandIn.create();
+        const { certificate: cert, key } = await authority.issue({ name: "platform", addresses: ["127.0.0.1"] });
+        const secure = createSecureServer({ cert, key }, (_request, response) => {
+            response.end(JSON.stringify({ vms: [] }));
+        });
+        await new Promise<void>(resolve => secure.listen(0, "127.0.0.1", resolve));
+        const address = `https://127.0.0.1:${(secure.address() as AddressInfo).port}`;
+        const results: boolean[] = [];
+        for (const { pem } of [authority, await AuthorityStandIn.create()]) {
+            await using list = new HttpVmList({
+                baseUrl: address,
+                timers,
+                callTimeoutMilliseconds: 5_000,
+                authority: pem,
+            });
+            results.push((await list.read()).isOk());
+        }
+        secure.closeAllConnections();
+        secure.close();
+        expect(results).to.deep.equal([true, false]);
+    });
 });
--- a/packages/platform/src/httpPlatformClient.ts
+++ b/packages/platform/src/httpPlatformClient.ts
@@ -32,6 +32,8 @@
     /** Longest time one call may take, including the wait for a free connection. */
     readonly callTimeoutMilliseconds: number;
     readonly connections?: number;
+    /** PEM text of the authorities of an https address, in place of the public ones. */
+    readonly authority?: string | undefined;
 }
 
 /**
@@ -64,6 +66,7 @@
             headersTimeout: 0,
             bodyTimeout: 0,
             connectTimeout: options.callTimeoutMilliseconds,
+            ...(options.authority === undefined ? {} : { connect: { ca: options.authority } }),
         });
     }
 
