fix(peer): finish calls before an unwanted link is closed, and end calls that no link can answer

A process that no longer wanted a link to a peer of another failure domain closed it although it was still handling calls of that peer. The caller did not want a link either, so the calls waited for their own deadlines and held up the drain of the caller. Change: an unwanted link stays until the calls in both directions have ended; calls to a peer that neither side has linked to for the silence limit and the longest backoff end as unknown.

--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -61,6 +61,25 @@
         expect(await fixture.metric("a", 'tanagerlink_peer_links_closed_total{reason="silent"}')).to.equal(1);
     });
 
+    it("answers a call on a link that only the peer wants and replaces after it went silent", async () => {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        const relay = fixture.add(await TcpRelay.to(first.address));
+        let release: (() => void) | undefined;
+        second.handle(append, async request => {
+            await new Promise<void>(resolve => {
+                release = resolve;
+            });
+            return ok(request);
+        });
+        link(second, "a", relay.address);
+        await until(() => isLinked(first, "b"));
+        const call = first.call("b", append, message, 20_000);
+        await until(() => release !== undefined);
+        relay.silence("both");
+        release?.();
+        expect((await call).isOk()).to.equal(true);
+    });
+
     it("replaces a link that delivers in one direction only", async () => {
         const { first, second, relay } = await relayed();
         second.handle(append, request => Promise.resolve(ok(request)));
--- a/packages/peer/__tests__/peerCalls.spec.ts
+++ b/packages/peer/__tests__/peerCalls.spec.ts
@@ -88,6 +88,42 @@
         expect((await call)._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
     });
 
+    it("answers running calls of a peer before it closes a link that it no longer wants", async () => {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        let release: (() => void) | undefined;
+        second.handle(append, async request => {
+            await new Promise<void>(resolve => {
+                release = resolve;
+            });
+            return ok(request);
+        });
+        link(second, "a", first.address);
+        await until(() => isLinked(first, "b"));
+        const call = first.call("b", append, message, 20_000);
+        await until(() => release !== undefined);
+        second.setPeers([]);
+        await sleep(timers, 200);
+        expect(isLinked(first, "b")).to.equal(true);
+        release?.();
+        expect((await call).isOk()).to.equal(true);
+        await until(() => !isLinked(first, "b"));
+    });
+
+    it("ends calls to a peer whose only link has ended and that nobody wants to link to again", async () => {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        let isRunning = false;
+        second.handle(append, () => {
+            isRunning = true;
+            return new Promise(() => undefined);
+        });
+        link(second, "a", first.address);
+        await until(() => isLinked(first, "b"));
+        const call = first.call("b", append, message, 3_600_000);
+        await until(() => isRunning);
+        await second[Symbol.asyncDispose]();
+        expect((await call)._unsafeUnwrapErr().kind).to.equal("outcome_unknown");
+    });
+
     it("refuses calls at once when the send queue is full, so that memory is bounded", async () => {
         const first = await fixture.start("a", { maximumPendingCalls: 2 });
         const second = await fixture.start("b");
--- a/packages/peer/src/callReceiver.ts
+++ b/packages/peer/src/callReceiver.ts
@@ -28,6 +28,8 @@
     private readonly logger: Logger;
     private readonly metrics: PeerMetrics;
     private readonly registrations = new Map<string, Registration>();
+    /** Calls that are being handled, by peer. */
+    private readonly runningByPeer = new Map<string, number>();
     /** New calls are refused, and running ones finished, before the process stops. */
     private draining = false;
     private servedWhileDraining = "";
@@ -50,6 +52,11 @@
         return this.memory.running;
     }
 
+    /** Calls of one peer that are being handled. */
+    runningFor(peer: string): number {
+        return this.runningByPeer.get(peer) ?? 0;
+    }
+
     register(method: PeerMethod<unknown, unknown>, handler: Handler): void {
         this.registrations.set(method.name, { method, handler });
     }
@@ -75,9 +82,21 @@
         const overloaded = this.memory.running >= this.limits.maximumRunningCalls
             || this.memory.runningBytes + frame.body.byteLength > this.limits.maximumRunningBytes;
         const call = this.memory.begin(link, frame);
+        const peer = link.remote.node;
+        this.countRunning(peer, 1);
         this.execute(frame, call, registration, overloaded).catch((failure: unknown) => {
             this.logger.error({ method: frame.method, failure }, "answer of a peer call could not be sent");
-        });
+        }).finally(() => this.countRunning(peer, -1));
+    }
+
+    private countRunning(peer: string, change: number): void {
+        const running = this.runningFor(peer) + change;
+        if (running === 0) {
+            this.runningByPeer.delete(peer);
+        }
+        else {
+            this.runningByPeer.set(peer, running);
+        }
     }
 
     private repeat(link: Link, known: RememberedCall): void {
--- a/packages/peer/src/peerSession.ts
+++ b/packages/peer/src/peerSession.ts
@@ -26,6 +26,8 @@
     private retiredBoot: string | undefined;
     private pendingBytes = 0;
     private lastHeardAt: number | undefined;
+    /** Time at which the last link ended. */
+    private detachedAt: number | undefined;
     /** Whether calls wait for room in the socket's buffer. */
     private backlogged = false;
     private readonly sent = (): void => {
@@ -96,6 +98,7 @@
 
     detach(link: Link): void {
         this.lastHeardAt = Math.max(this.lastHeardAt ?? -Infinity, link.pulse.heardAt);
+        this.detachedAt = this.timers.now();
         this.links = this.links.filter(other => other !== link);
         this.resend();
     }
@@ -147,6 +150,9 @@
             else if (this.hasStopped(call.link, waitLimit)) {
                 this.settle(call, err(this.unknownOutcome(call, "stopped")));
             }
+            else if (call.firstSentAt !== undefined && this.isAbandoned()) {
+                this.settle(call, err(this.unknownOutcome(call, "closed its link")));
+            }
         }
         this.resend();
     }
@@ -168,6 +174,16 @@
             && !this.links.some(other => other.open && other.remote.boot === boot);
     }
 
+    /**
+     * Whether neither side has opened a link for as long as a peer that wants one needs at most. Nothing would then end the
+     * calls before their own deadlines.
+     */
+    private isAbandoned(): boolean {
+        const { silenceMilliseconds, longestBackoffMilliseconds } = this.limits;
+        const since = this.timers.now() - silenceMilliseconds - longestBackoffMilliseconds;
+        return !this.wanted && this.link === undefined && (this.detachedAt ?? Infinity) <= since;
+    }
+
     private refuse(order: CallOrder): ServiceError | undefined {
         if (!this.wanted && this.link === undefined) {
             return this.unreachable();
--- a/packages/peer/src/webSocketPeerNetwork.ts
+++ b/packages/peer/src/webSocketPeerNetwork.ts
@@ -255,12 +255,13 @@
         );
     }
 
-    /** Closes links to removed peers, once these have answered or their calls have ended. */
+    /** Closes links to removed peers, once the calls in both directions have been answered or have ended. */
     private retireUnwanted(): void {
         for (const [id, link] of this.outgoing) {
             const session = this.sessions.get(id);
-            const mayAnswer = session !== undefined && session.pendingCalls > 0 && session.link !== undefined;
-            if (session?.wanted !== true && !mayAnswer) {
+            const calls = (session?.pendingCalls ?? 0) + this.receiver.runningFor(id);
+            const inUse = calls > 0 && session?.link !== undefined;
+            if (session?.wanted !== true && !inUse) {
                 session?.failAll();
                 this.outgoing.delete(id);
                 this.retire(link);
