--- a/packages/scenarios/src/callers.ts
+++ b/packages/scenarios/src/callers.ts
@@ -1,8 +1,8 @@
 /** Callers of a test cell: they submit jobs and send requests, and note each answer. */
 import { errorAnswers, ErrorKind } from "@tanagerlink/errors";
 import type { Resources } from "@tanagerlink/model";
-import { request } from "undici";
 import { z } from "zod";
+import { cellRequest } from "./cellCertificates.ts";
 import type { EntryProcess } from "./entryProcess.ts";
 import type { JobsStep, RequestsStep } from "./language.ts";
 import type { RandomChoices } from "./random.ts";
@@ -91,7 +91,7 @@
     /** Status of the answer, or `undefined` without an answer. */
     private async cancelThrough(entry: EntryProcess, item: WorkItem): Promise<number | undefined> {
         try {
-            const response = await request(`${this.surroundings.url(entry)}/jobs/${item.job}`, {
+            const response = await cellRequest(`${this.surroundings.url(entry)}/jobs/${item.job}`, {
                 method: "DELETE",
                 headers: { authorization: `Bearer ${this.secretOf(item.key)}` },
                 reset: true,
@@ -225,7 +225,7 @@
     private async send(entry: EntryProcess, item: WorkItem, call: Call, tried: Try): Promise<CallAnswer | undefined> {
         const secret = this.secretOf(item.key);
         try {
-            const response = await request(`${this.surroundings.url(entry)}${call.path}`, {
+            const response = await cellRequest(`${this.surroundings.url(entry)}${call.path}`, {
                 method: "POST",
                 body: call.body,
                 headers: { ...call.headers, ...(secret === undefined ? {} : { authorization: `Bearer ${secret}` }) },
--- a/packages/scenarios/src/cell.ts
+++ b/packages/scenarios/src/cell.ts
@@ -12,6 +12,7 @@
     startWorkerStandIn,
     type WorkerStandIn,
 } from "@tanagerlink/stand-ins";
+import { CellCertificates } from "./cellCertificates.ts";
 import { CellRelays } from "./cellRelays.ts";
 import { EntryProcess } from "./entryProcess.ts";
 
@@ -39,6 +40,8 @@
     readonly relays?: boolean;
     /** Whether relays stand before the addresses for callers as well. */
     readonly callerRelays?: boolean;
+    /** Whether entry processes have certificates for peers and callers; `later` begins without. */
+    readonly tls?: boolean | "later";
 }
 
 /** A running cell. */
@@ -47,6 +50,8 @@
     readonly entries: EntryProcess[] = [];
     readonly executors = new Map<string, ExecutorStandIn>();
     readonly relays = new CellRelays();
+    /** Certificates of the entry processes, with the option `tls`. */
+    certificates: CellCertificates | undefined;
     workers!: WorkerStandIn;
     private readonly options: CellOptions;
     private readonly operatorTokenHash: string;
@@ -66,6 +71,9 @@
         const cell = new Cell(options, platform, `scrypt:${salt}:${hash}`);
         platform.vms.viewFrom = (failureDomain, record) => cell.relays.seenFrom(failureDomain, record);
         try {
+            cell.certificates = options.tls === true || options.tls === "later"
+                ? await CellCertificates.create(options.tls === true ? "now" : "later")
+                : undefined;
             await cell.startTargets();
             await Promise.all(
                 options.failureDomains.flatMap(failureDomain =>
@@ -83,13 +91,15 @@
     /** Starts one more entry process, as the platform does when it replaces a VM. */
     async startEntry(failureDomain: string): Promise<EntryProcess> {
         this.started++;
+        const id = `${failureDomain}-entry-${this.started}`;
+        const certificates = await this.certificates?.settingsFor(id, failureDomain);
         const entry = await EntryProcess.start({
             command: this.options.command,
-            id: `${failureDomain}-entry-${this.started}`,
+            id,
             failureDomain,
             platformUrl: this.platform.baseUrlFor(failureDomain),
             operatorTokenHash: this.operatorTokenHash,
-            settings: this.options.settings ?? {},
+            settings: { ...this.options.settings, ...certificates },
         });
         if (this.options.relays === true) {
             await this.relays.addPeer(entry, this.options.failureDomains);
@@ -155,6 +165,7 @@
         await Promise.all([...this.executors.values()].map(executor => executor[Symbol.asyncDispose]()));
         await this.relays[Symbol.asyncDispose]();
         await this.platform[Symbol.asyncDispose]();
+        await this.certificates?.[Symbol.asyncDispose]();
     }
 
     private async startTargets(): Promise<void> {
--- a/packages/scenarios/src/cellConfiguration.ts
+++ b/packages/scenarios/src/cellConfiguration.ts
@@ -1,8 +1,8 @@
 /** The configuration folder of a test cell, and operators who apply changes of it. */
 import { generateKey } from "@tanagerlink/admission";
-import { request } from "undici";
 import { z } from "zod";
 import { OPERATOR_TOKEN } from "./cell.ts";
+import { cellRequest } from "./cellCertificates.ts";
 import type { OperatorChange, Scenario } from "./language.ts";
 
 /** Longest wait for one answer to an operator, in milliseconds. */
@@ -103,7 +103,7 @@
 
 /** Version that the process at `url` has in force. */
 export async function readVersion(url: string): Promise<number> {
-    const response = await request(`${url}/operator/configuration`, {
+    const response = await cellRequest(`${url}/operator/configuration`, {
         headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
         headersTimeout: ANSWER_MILLISECONDS,
         reset: true,
@@ -118,7 +118,7 @@
     expectedVersion: number,
     operator: string,
 ): Promise<{ readonly status: number; readonly answer: string; }> {
-    const response = await request(`${url}/operator/configuration`, {
+    const response = await cellRequest(`${url}/operator/configuration`, {
         method: "POST",
         headers: { "authorization": `Bearer ${OPERATOR_TOKEN}`, "content-type": "application/json" },
         body: JSON.stringify({ files, expectedVersion, operator }),
--- a/packages/scenarios/src/cellRelays.ts
+++ b/packages/scenarios/src/cellRelays.ts
@@ -47,7 +47,7 @@
     /** Base URL at which callers reach the process. */
     callerUrl(entry: EntryProcess): string {
         const relay = this.callers.get(entry.id);
-        return relay === undefined ? entry.url : `http://${relay.address}`;
+        return relay === undefined ? entry.url : entry.url.replace(entry.address, relay.address);
     }
 
     /** Cuts or heals all links between two failure domains. */
--- a/packages/scenarios/src/cellStatus.ts
+++ b/packages/scenarios/src/cellStatus.ts
@@ -1,7 +1,7 @@
 /** Reads of an entry process's status, used only to know when a cell is ready. */
-import { request } from "undici";
 import { z } from "zod";
 import { OPERATOR_TOKEN } from "./cell.ts";
+import { cellRequest } from "./cellCertificates.ts";
 import type { EntryProcess } from "./entryProcess.ts";
 
 const statusSchema = z.looseObject({ failureDomains: z.array(z.looseObject({ shardsReady: z.int() })) });
@@ -9,7 +9,7 @@
 /** Number of shards that the process knows to be ready; 0 when it does not answer. */
 export async function readyShards(entry: EntryProcess): Promise<number> {
     try {
-        const response = await request(`${entry.url}/operator/status`, {
+        const response = await cellRequest(`${entry.url}/operator/status`, {
             headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
             reset: true,
         });
--- a/packages/scenarios/src/entryProcess.ts
+++ b/packages/scenarios/src/entryProcess.ts
@@ -1,8 +1,8 @@
 /** One entry process of a test cell, started as a real process from the bundled command line. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { createInterface } from "node:readline";
-import { request } from "undici";
 import { z } from "zod";
+import { cellRequest } from "./cellCertificates.ts";
 
 /** Longest wait for the start of a process, in milliseconds. */
 const START_MILLISECONDS = 30_000;
@@ -31,6 +31,7 @@
     readonly failureDomain: string;
     readonly address: string;
     readonly peerAddress: string;
+    private readonly scheme: "http" | "https";
     /** Last lines of the log, for failure messages. */
     readonly log: string[];
     private readonly child: ChildProcess;
@@ -47,6 +48,7 @@
         this.failureDomain = options.failureDomain;
         this.address = addresses.address;
         this.peerAddress = addresses.peerAddress;
+        this.scheme = options.settings["http-certificate"] === undefined ? "http" : "https";
         this.child = child;
         this.log = log;
         this.exited = exited;
@@ -82,7 +84,7 @@
     }
 
     get url(): string {
-        return `http://${this.address}`;
+        return `${this.scheme}://${this.address}`;
     }
 
     /** Process identifier of the operating system. */
@@ -112,7 +114,7 @@
 
     async isReady(): Promise<boolean> {
         try {
-            const response = await request(`${this.url}/ready`);
+            const response = await cellRequest(`${this.url}/ready`);
             await response.body.dump();
             return response.statusCode === 200;
         }
--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -5,6 +5,7 @@
 import { FailureDomainState, LimitEnforcement } from "@tanagerlink/model";
 import { parse } from "yaml";
 import { z } from "zod";
+import { CertificateStep } from "./cellCertificates.ts";
 
 const milliseconds = z.number().min(0).max(120_000);
 const range = z.union([milliseconds, z.tuple([milliseconds, milliseconds])]);
@@ -15,6 +16,8 @@
     /** Number of processes, chosen by the seed. */
     entries: z.union([count, z.literal("all")]).default(1),
     in: name.optional(),
+    /** Whether those that were started first are taken, in place of a choice by the seed. */
+    oldest: z.boolean().default(false),
     /** Time until the processes go on, for `pause`. */
     for: range.optional(),
 });
@@ -119,6 +122,8 @@
     }),
     z.strictObject({ operator }),
     z.strictObject({ race: z.array(operator).min(2) }),
+    /** Changes the certificate files of all processes, or waits until the processes use them. Needs `tls`. */
+    z.strictObject({ certificates: z.enum([...Object.values(CertificateStep), "check"]) }),
     z.strictObject({ "half-written": z.strictObject({ via: name.optional() }) }),
     z.strictObject({ probe: z.strictObject({ key: name, team: name, as: name.default("probe") }) }),
     z.strictObject({ wait: range }),
@@ -190,6 +195,8 @@
         "vm-list-lag": milliseconds.default(0),
         /** Whether callers reach the entry processes through a relay, for `silence: callers`. */
         "caller-relay": z.boolean().default(false),
+        /** Whether peers and callers use TLS, with certificates on both sides between peers; "later" begins without. */
+        tls: z.union([z.boolean(), z.literal("later")]).default(false),
     }),
     settings: z.record(name, z.union([z.string(), z.number()])).default({}),
     /** Upper limit of each team. */
--- a/packages/scenarios/src/scenarioRun.ts
+++ b/packages/scenarios/src/scenarioRun.ts
@@ -1,6 +1,7 @@
 /** One run of a scenario with one seed: starts the cell, takes the steps, and compares the outcomes. */
 import { Callers, pause } from "./callers.ts";
 import { Cell } from "./cell.ts";
+import type { CertificateStep } from "./cellCertificates.ts";
 import { CellConfiguration } from "./cellConfiguration.ts";
 import { readyShards } from "./cellStatus.ts";
 import type { EntryProcess } from "./entryProcess.ts";
@@ -84,6 +85,7 @@
             vmListLagMilliseconds: shape["vm-list-lag"],
             relays: true,
             callerRelays: shape["caller-relay"],
+            tls: shape.tls,
         });
         const run = new ScenarioRun(scenario, seed, cell, folder);
         try {
@@ -177,6 +179,9 @@
         else if ("race" in step) {
             await this.operators.race(step.race);
         }
+        else if ("certificates" in step) {
+            await this.changeCertificates(step.certificates);
+        }
         else if ("half-written" in step) {
             await this.operators.halfWritten(step["half-written"].via);
         }
@@ -270,6 +275,22 @@
         }
     }
 
+    private async changeCertificates(step: CertificateStep | "check"): Promise<void> {
+        const { certificates } = this.cell;
+        if (certificates === undefined) {
+            throw new Error("the cell needs tls: true");
+        }
+        if (step !== "check") {
+            await certificates.take(step);
+            return;
+        }
+        await this.cell.eventually("all processes use their certificates", async () => {
+            const entries = this.entries(undefined);
+            const inForce = await Promise.all(entries.map(entry => certificates.areInForce(entry).catch(() => false)));
+            return inForce.every(Boolean);
+        });
+    }
+
     private async kill(entry: EntryProcess): Promise<void> {
         this.trace.note(`${entry.id} is killed`);
         this.gone.add(entry.id);
@@ -309,7 +330,8 @@
 
     private choose(step: ProcessesStep): EntryProcess[] {
         const entries = this.entries(step.in);
-        return this.random.some(entries, step.entries === "all" ? entries.length : step.entries);
+        const count = step.entries === "all" ? entries.length : step.entries;
+        return step.oldest ? entries.slice(0, count) : this.random.some(entries, count);
     }
 
     private async isReady(): Promise<boolean> {
--- a/packages/stand-ins/src/authorityStandIn.ts
+++ b/packages/stand-ins/src/authorityStandIn.ts
@@ -38,6 +38,8 @@
     readonly key: string;
     /** The issuing authority. */
     readonly authority: string;
+    /** In upper case, as Node.js shows it. */
+    readonly serialNumber: string;
 }
 
 /** Paths of the files of one issued certificate. */
@@ -109,6 +111,7 @@
             certificate: `${certificate.toString("pem")}\n`,
             key: `${PemConverter.encode(key, "PRIVATE KEY")}\n`,
             authority: this.pem,
+            serialNumber: certificate.serialNumber.toUpperCase(),
         };
     }
 }
