perf(benchmarks): calls and the opening of links with and without TLS

Cause: the price of TLS was not known. Change: peerBenchmark measures both in turn; the group of processes moved to a file of its own.

--- a/packages/benchmarks/src/peerBenchmark.ts
+++ b/packages/benchmarks/src/peerBenchmark.ts
@@ -3,16 +3,18 @@
  * measurement are networks in one process on loopback, so that CPU figures hold both ends; they are divided by the
  * number of link ends or reported for both ends together, as the field names say.
  *
- * Run: `node --import tsx packages/benchmarks/src/peerBenchmark.ts [seconds]`. Prints one JSON line for each measurement
- * and one for each slope.
+ * Run: `node --import tsx packages/benchmarks/src/peerBenchmark.ts [seconds] [tls]`. Prints one JSON line for each
+ * measurement and one for each slope. With `tls`, calls and the opening of links are measured with and without TLS in
+ * turn, and idle links are left out; with 0 seconds only
+ * the opening.
  */
-import { type PeerMethod, WebSocketPeerNetwork } from "@tanagerlink/peer";
-import { Metrics, silentLogger } from "@tanagerlink/telemetry";
-import { sleep, SystemTimers } from "@tanagerlink/timers";
+import type { PeerMethod } from "@tanagerlink/peer";
+import { sleep } from "@tanagerlink/timers";
 import { build } from "hdr-histogram-js";
 import { ok } from "neverthrow";
 import { pathToFileURL } from "node:url";
 import { z } from "zod";
+import { cpuSeconds, startGroup, timers } from "./peerGroup.ts";
 
 /** One idle link end, which sends and receives the payload twice a second. */
 export interface IdleLinkCost {
@@ -27,6 +29,7 @@
 
 export interface CallCost {
     readonly measurement: "calls";
+    readonly tls: boolean;
     readonly bodyBytes: number;
     readonly concurrency: number;
     readonly callsPerSecond: number;
@@ -36,71 +39,36 @@
     readonly percentile99Milliseconds: number;
 }
 
+/** One link that is opened, handshake included, until calls can be sent on it. */
+export interface OpeningCost {
+    readonly measurement: "opening";
+    readonly tls: boolean;
+    readonly links: number;
+    readonly cpuMillisecondsBothEnds: number;
+    readonly medianMilliseconds: number;
+    readonly percentile99Milliseconds: number;
+}
+
 export interface Slope {
     readonly measurement: "slope";
     readonly of: string;
+    readonly tls: boolean;
     readonly fixed: number;
     readonly perByte: number;
 }
 
-interface Group extends AsyncDisposable {
-    readonly networks: readonly WebSocketPeerNetwork[];
-    sentBytes(): Promise<number>;
-}
-
 const SPOKES = 24;
 const PAYLOAD_BYTES = [0, 256, 1_024, 4_096, 16_384];
 const BODY_BYTES = [16, 1_024, 16_384, 131_072];
 const CONCURRENCY = 64;
+const OPENINGS = 500;
+const WARM_UP_OPENINGS = 100;
 const HEARTBEAT_MILLISECONDS = 500;
 const WARM_UP_HEARTBEAT_MILLISECONDS = 10;
 
 const body = z.instanceof(Uint8Array);
 const echo: PeerMethod<Uint8Array, Uint8Array> = { name: "echo", request: body, answer: body };
 
-const timers = new SystemTimers(failure => {
-    throw failure;
-});
-
-async function startGroup(count: number, heartbeatMilliseconds: number): Promise<Group> {
-    const metrics = new Metrics();
-    const networks: WebSocketPeerNetwork[] = [];
-    for (let index = 0; index < count; index++) {
-        const started = await WebSocketPeerNetwork.listen({
-            id: `n${index}`,
-            failureDomain: "north",
-            address: "127.0.0.1:0",
-            timers,
-            logger: silentLogger,
-            metrics,
-            limits: { heartbeatMilliseconds },
-        });
-        networks.push(started._unsafeUnwrap());
-    }
-    const [hub, ...spokes] = networks;
-    hub?.setPeers(spokes.map(({ id, address }) => ({ id, address, failureDomain: "north" })));
-    while (hub?.links().some(link => !link.connected) === true) {
-        await sleep(timers, 20);
-    }
-    return {
-        networks,
-        sentBytes: async () => sum(await metrics.exposition(), "tanagerlink_peer_sent_bytes_total"),
-        async [Symbol.asyncDispose](): Promise<void> {
-            await Promise.all(networks.map(network => network[Symbol.asyncDispose]()));
-        },
-    };
-}
-
-function sum(exposition: string, name: string): number {
-    const line = exposition.split("\n").find(candidate => candidate.startsWith(`${name} `));
-    return line === undefined ? 0 : Number(line.slice(name.length + 1));
-}
-
-function cpuSeconds(since: NodeJS.CpuUsage): number {
-    const used = process.cpuUsage(since);
-    return (used.user + used.system) / 1_000_000;
-}
-
 /** One hub linked to 24 processes: 48 link ends. */
 async function measureIdleLinks(
     payloadBytes: number,
@@ -134,8 +102,13 @@
     };
 }
 
-async function measureCalls(bodyBytes: number, seconds: number): Promise<CallCost> {
-    await using group = await startGroup(2, HEARTBEAT_MILLISECONDS);
+async function measureCalls(
+    bodyBytes: number,
+    seconds: number,
+    tls = false,
+    concurrency = CONCURRENCY,
+): Promise<CallCost> {
+    await using group = await startGroup(2, HEARTBEAT_MILLISECONDS, tls);
     const [caller, receiver] = group.networks;
     receiver?.handle(echo, () => Promise.resolve(ok(new Uint8Array(1))));
     const request = new Uint8Array(bodyBytes);
@@ -150,7 +123,7 @@
             calls++;
         }
     };
-    const callAll = (end: number) => Promise.all(Array.from({ length: CONCURRENCY }, () => callUntil(end)));
+    const callAll = (end: number) => Promise.all(Array.from({ length: concurrency }, () => callUntil(end)));
     await callAll(timers.now() + 1_000);
     calls = 0;
     histogram.reset();
@@ -159,8 +132,9 @@
     await callAll(startedAt + seconds * 1_000);
     return {
         measurement: "calls",
+        tls,
         bodyBytes,
-        concurrency: CONCURRENCY,
+        concurrency,
         callsPerSecond: calls / ((timers.now() - startedAt) / 1_000),
         callsPerCoreSecondBothEnds: calls / cpuSeconds(startCpu),
         medianMilliseconds: histogram.getValueAtPercentile(50) / 1_000,
@@ -168,14 +142,56 @@
     };
 }
 
+/** One process that opens links to another, one after the other. */
+async function measureOpenings(tls: boolean, links: number): Promise<OpeningCost> {
+    await using group = await startGroup(2, HEARTBEAT_MILLISECONDS, tls);
+    const [from, to] = group.networks;
+    const histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000 });
+    if (from === undefined || to === undefined) {
+        throw new Error("the group has no two processes");
+    }
+    let coreSeconds = 0;
+    // Each side sends a heartbeat as soon as the link is open.
+    to.provideHeartbeat(() => 0);
+    let opened = (): void => undefined;
+    from.onHeartbeat(() => opened());
+    // The first ones, in which the code is compiled, are not counted.
+    for (let index = -WARM_UP_OPENINGS; index < links; index++) {
+        from.setPeers([]);
+        while (from.links().some(link => link.connected) || to.links().some(link => link.connected)) {
+            await sleep(timers, 1);
+        }
+        const isOpen = new Promise<void>(resolve => {
+            opened = resolve;
+        });
+        const startCpu = process.cpuUsage();
+        const startedAt = timers.now();
+        from.setPeers([{ id: to.id, address: to.address, failureDomain: "north" }]);
+        await isOpen;
+        const milliseconds = timers.now() - startedAt;
+        if (index >= 0) {
+            coreSeconds += cpuSeconds(startCpu);
+            histogram.recordValue(Math.max(1, Math.round(milliseconds * 1_000)));
+        }
+    }
+    return {
+        measurement: "opening",
+        tls,
+        links,
+        cpuMillisecondsBothEnds: coreSeconds / links * 1_000,
+        medianMilliseconds: histogram.getValueAtPercentile(50) / 1_000,
+        percentile99Milliseconds: histogram.getValueAtPercentile(99) / 1_000,
+    };
+}
+
 /** Least squares over (bytes, cost). */
-function slope(of: string, points: readonly (readonly [bytes: number, cost: number])[]): Slope {
+function slope(of: string, tls: boolean, points: readonly (readonly [bytes: number, cost: number])[]): Slope {
     const meanBytes = points.reduce((total, [bytes]) => total + bytes, 0) / points.length;
     const meanCost = points.reduce((total, [, cost]) => total + cost, 0) / points.length;
     const covariance = points.reduce((total, [bytes, cost]) => total + (bytes - meanBytes) * (cost - meanCost), 0);
     const variance = points.reduce((total, [bytes]) => total + (bytes - meanBytes) ** 2, 0);
     const perByte = covariance / variance;
-    return { measurement: "slope", of, fixed: meanCost - perByte * meanBytes, perByte };
+    return { measurement: "slope", of, tls, fixed: meanCost - perByte * meanBytes, perByte };
 }
 
 /** Runs all measurements and reports each as it ends. */
@@ -200,15 +216,49 @@
     }
     report(slope(
         "bytes sent by one link end for one heartbeat",
+        false,
         idle.map(cost => [cost.payloadBytes, cost.sentBytesPerHeartbeat]),
     ));
-    report(slope("share of one core of one idle link end", idle.map(cost => [cost.payloadBytes, cost.coreShare])));
-    report(slope(
+    report(
+        slope("share of one core of one idle link end", false, idle.map(cost => [cost.payloadBytes, cost.coreShare])),
+    );
+    report(callSlope(false, calls));
+}
+
+function callSlope(tls: boolean, calls: readonly CallCost[]): Slope {
+    return slope(
         "core seconds of one call, both ends",
+        tls,
         calls.map(cost => [cost.bodyBytes, 1 / cost.callsPerCoreSecondBothEnds]),
-    ));
+    );
+}
+
+/** Measures calls and the opening of links with and without TLS in turn, so that load of the machine meets both. */
+export async function runTlsBenchmark(
+    seconds: number,
+    report: (line: CallCost | OpeningCost | Slope) => void,
+): Promise<void> {
+    const calls = new Map<boolean, CallCost[]>([[false, []], [true, []]]);
+    for (const tls of calls.keys()) {
+        report(await measureOpenings(tls, OPENINGS));
+    }
+    if (seconds === 0) {
+        return;
+    }
+    await measureCalls(1, 2, false);
+    await measureCalls(1, 2, true);
+    for (const bodyBytes of BODY_BYTES) {
+        for (const [tls, costs] of calls) {
+            const cost = await measureCalls(bodyBytes, seconds, tls);
+            costs.push(cost);
+            report(cost);
+            report(await measureCalls(bodyBytes, seconds, tls, 1));
+        }
+    }
+    calls.forEach((costs, tls) => report(callSlope(tls, costs)));
 }
 
 if (import.meta.url === pathToFileURL(process.argv[1] ?? "").href) {
-    await runPeerBenchmark(Number(process.argv[2] ?? 10), line => console.log(JSON.stringify(line)));
+    const run = process.argv[3] === "tls" ? runTlsBenchmark : runPeerBenchmark;
+    await run(Number(process.argv[2] ?? 10), (line: object) => console.log(JSON.stringify(line)));
 }
