--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -22,6 +22,7 @@
 import { AcceptanceState, disposeAll, Node } from "./node.ts";
 import { readOperators } from "./operatorAccess.ts";
 import { openPlatform, type PlatformAccess } from "./platformAccess.ts";
+import { openCertificates, type ProcessCertificates } from "./processCertificates.ts";
 import { processGauges } from "./processGauges.ts";
 import { RequestPruning } from "./requestPruning.ts";
 import { createShardDependencies } from "./shardParts.ts";
@@ -54,6 +55,11 @@
         return err(operators.error);
     }
     const metrics = new Metrics();
+    const opened = openCertificates({ settings, timers, logger, metrics });
+    if (opened.isErr()) {
+        return err(opened.error);
+    }
+    const certificates = opened.value;
     const peers = await WebSocketPeerNetwork.listen({
         id: settings.nodeId,
         failureDomain: settings.failureDomain,
@@ -61,17 +67,19 @@
         timers,
         logger,
         metrics,
+        tls: certificates.peer,
         limits: {
             heartbeatMilliseconds: settings.peerHeartbeatMilliseconds,
             silenceMilliseconds: settings.peerSilenceMilliseconds,
         },
     });
     if (peers.isErr()) {
+        await certificates[Symbol.asyncDispose]();
         const message = `--peer-address (TANAGERLINK_PEER_ADDRESS): ${peers.error.message}`;
         return err(serviceError(peers.error.kind, message));
     }
     const platform = openPlatform(settings, timers);
-    const parts = await buildParts({ settings, timers, logger, metrics, peers: peers.value, platform });
+    const parts = await buildParts({ settings, timers, logger, metrics, peers: peers.value, platform, certificates });
     const application = createApplication({
         ...parts.entry,
         operators: operators.value,
@@ -82,16 +90,17 @@
         logger,
         keepAliveMilliseconds: settings.keepAliveSeconds * SECOND,
         answerMilliseconds: settings.answerTimeoutSeconds * SECOND,
+        credentials: certificates.http,
     });
     if (server.isErr()) {
         // Parts keep timers, which would keep the process alive.
-        await disposeAll([...parts.disposables, peers.value, platform]);
+        await disposeAll([...parts.disposables, peers.value, platform, certificates]);
         return err(server.error);
     }
     const node = new Node({
         ...parts.node,
         server: server.value,
-        disposables: [server.value, ...parts.disposables, peers.value, platform],
+        disposables: [server.value, ...parts.disposables, peers.value, platform, certificates],
     });
     await node.start();
     return ok(node);
@@ -104,6 +113,7 @@
     readonly metrics: Metrics;
     readonly peers: WebSocketPeerNetwork;
     readonly platform: PlatformAccess;
+    readonly certificates: ProcessCertificates;
 }
 
 /** Their callers and the shards' own failure domain need a link to them. */
@@ -114,7 +124,7 @@
 
 /** Connects the parts in the order of their dependencies. */
 async function buildParts(foundations: Foundations) {
-    const { settings, timers, logger, metrics, peers, platform } = foundations;
+    const { settings, timers, logger, metrics, peers, platform, certificates } = foundations;
     const { table, objects, vmList } = platform;
     const state = new AcceptanceState();
     const rendezvous = await Rendezvous.load();
@@ -249,6 +259,7 @@
                 configuration: { version: follower.current()?.version, ageMilliseconds: follower.ageMilliseconds() },
                 entryProcesses: membership.failureDomains().flatMap(name => membership.entryProcesses(name)),
                 vmListAgeMilliseconds: membership.listAgeMilliseconds(),
+                certificates: certificates.describe(),
                 links: peers.links(),
                 owned: ownership.owned(),
                 grants: ledger.state(),
--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -5,13 +5,29 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { decodeFrame, pack, unpack } from "../src/frames.ts";
-import { append, Fixture, helloOf, isLinked, link, message, RawPeer, read, timers, until } from "./peerFixture.ts";
+import {
+    append,
+    Fixture,
+    helloOf,
+    isLinked,
+    issue,
+    link,
+    message,
+    RawPeer,
+    read,
+    timers,
+    until,
+} from "./peerFixture.ts";
 import { TcpRelay } from "./tcpRelay.ts";
 
-describe("faults of links", () => {
+for (const secure of [false, true]) {
+    describe(`faults of links ${secure ? "over TLS" : "without TLS"}`, () => testLinkFaults(secure));
+}
+
+function testLinkFaults(secure: boolean): void {
     let fixture: Fixture;
     beforeEach(() => {
-        fixture = new Fixture();
+        fixture = new Fixture(secure);
     });
     afterEach(async () => await fixture[Symbol.asyncDispose]());
 
@@ -45,6 +61,25 @@
         expect(await fixture.metric("a", 'tanagerlink_peer_links_closed_total{reason="silent"}')).to.equal(1);
     });
 
+    it("answers a call on a link that only the peer wants and replaces after it went silent", async () => {
+        const [first, second] = [await fixture.start("a"), await fixture.start("b")];
+        const relay = fixture.add(await TcpRelay.to(first.address));
+        let release: (() => void) | undefined;
+        second.handle(append, async request => {
+            await new Promise<void>(resolve => {
+                release = resolve;
+            });
+            return ok(request);
+        });
+        link(second, "a", relay.address);
+        await until(() => isLinked(first, "b"));
+        const call = first.call("b", append, message, 20_000);
+        await until(() => release !== undefined);
+        relay.silence("both");
+        release?.();
+        expect((await call).isOk()).to.equal(true);
+    });
+
     it("replaces a link that delivers in one direction only", async () => {
         const { first, second, relay } = await relayed();
         second.handle(append, request => Promise.resolve(ok(request)));
@@ -171,7 +206,9 @@
     it("survives malformed frames, and still answers on the same link", async function() {
         const network = await fixture.start("a");
         network.handle(append, request => Promise.resolve(ok(request)));
-        const peer = fixture.add(await RawPeer.connect(network.address, helloOf("b")));
+        const peer = fixture.add(
+            await RawPeer.connect(network.address, helloOf("b"), secure ? await issue("b") : undefined),
+        );
         const values = fc.oneof(
             fc.uint8Array({ maxLength: 200 }),
             fc.anything().map(value => pack(value)),
@@ -191,4 +228,4 @@
         const dropped = await fixture.metric("a", 'tanagerlink_peer_frames_dropped_total{reason="malformed"}');
         expect(dropped, `seed ${seed}`).to.equal(501);
     });
-});
+}
--- a/packages/peer/src/peerSession.ts
+++ b/packages/peer/src/peerSession.ts
@@ -26,6 +26,8 @@
     private retiredBoot: string | undefined;
     private pendingBytes = 0;
     private lastHeardAt: number | undefined;
+    /** Time at which the last link ended. */
+    private detachedAt: number | undefined;
     /** Whether calls wait for room in the socket's buffer. */
     private backlogged = false;
     private readonly sent = (): void => {
@@ -69,6 +71,7 @@
         return {
             peer: this.peer,
             connected: link !== undefined,
+            encrypted: link?.encrypted,
             silentMilliseconds: heardAt === undefined ? undefined : this.timers.now() - heardAt,
             roundTripMilliseconds: link?.pulse.roundTripMilliseconds,
         };
@@ -95,6 +98,7 @@
 
     detach(link: Link): void {
         this.lastHeardAt = Math.max(this.lastHeardAt ?? -Infinity, link.pulse.heardAt);
+        this.detachedAt = this.timers.now();
         this.links = this.links.filter(other => other !== link);
         this.resend();
     }
@@ -150,11 +154,11 @@
         this.resend();
     }
 
-    /** Whether no link has been open for the silence limit, or ever. */
+    /** Whether there was never a link, or none for as long as a process that wants one needs at most to open it. */
     isLost(): boolean {
-        const heardAt = this.heardAt;
-        return this.link === undefined
-            && (heardAt === undefined || this.timers.now() - heardAt > this.limits.silenceMilliseconds);
+        const { silenceMilliseconds, longestBackoffMilliseconds } = this.limits;
+        const since = this.timers.now() - silenceMilliseconds - longestBackoffMilliseconds;
+        return this.link === undefined && (this.detachedAt ?? -Infinity) <= since;
     }
 
     /** Ends all calls, because the peer was removed or the network stops. */
--- a/packages/scenarios/src/cellStatus.ts
+++ b/packages/scenarios/src/cellStatus.ts
@@ -1,7 +1,7 @@
 /** Reads of an entry process's status, used only to know when a cell is ready. */
-import { request } from "undici";
 import { z } from "zod";
 import { OPERATOR_TOKEN } from "./cell.ts";
+import { cellRequest } from "./cellCertificates.ts";
 import type { EntryProcess } from "./entryProcess.ts";
 
 const statusSchema = z.looseObject({
@@ -32,7 +32,7 @@
 /** Status as the process sees it; `undefined` when it does not answer. */
 async function readStatus(entry: EntryProcess): Promise<Status | undefined> {
     try {
-        const response = await request(`${entry.url}/operator/status`, {
+        const response = await cellRequest(`${entry.url}/operator/status`, {
             headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
             reset: true,
         });
