feat(jobs): split service jobs over failure domains

Cause: the tasks of a service job stay in one shard, so the loss of one failure domain takes down the whole service. Change: the shard that accepts a service job stores a record of the whole and, in the same transaction, a record and an arrival row for a part in each failure domain whose workers could run a task. Status and explanation are derived from the parts, a cancellation is recorded in the whole first and delivered until all parts have ended, and the records of parts are kept as long as that of the whole.

--- a/packages/jobs/src/commitBatch.ts
+++ b/packages/jobs/src/commitBatch.ts
@@ -2,6 +2,7 @@
 import type { ConditionalWrite, RowCondition, TableTransaction } from "@tanagerlink/platform";
 import { jobKey, specificationDigest, submissionKey, type SubmissionRowValue } from "./jobRow.ts";
 import type { KnownJobs } from "./knownJobs.ts";
+import { partWrites, storedRecord } from "./partRows.ts";
 import type { PendingJob } from "./pendingJob.ts";
 
 export interface BatchItem {
@@ -23,10 +24,13 @@
 export function chooseJobs(pending: Iterable<PendingJob>, limit: number): readonly PendingJob[] {
     const chosen: PendingJob[] = [];
     const submissions = new Set<string>();
+    let records = 0;
     for (const job of pending) {
         const submission = submissionKeyOf(job);
-        if (chosen.length < limit && (submission === undefined || !submissions.has(submission))) {
+        if (records < limit && (submission === undefined || !submissions.has(submission))) {
             chosen.push(job);
+            // Each part of a split job adds a record of its own.
+            records += 1 + (job.record.parts?.length ?? 0);
             submissions.add(submission ?? "");
         }
     }
@@ -60,18 +64,22 @@
     const write: ConditionalWrite = {
         key: jobKey(shard, record.id),
         expectedVersion: stored?.version ?? 0,
-        value: { record, ...(idempotencyKey === undefined ? {} : { idempotencyKey }) },
+        value: { record: storedRecord(record), ...(idempotencyKey === undefined ? {} : { idempotencyKey }) },
     };
-    const submission = submissionKeyOf(job);
-    if (stored !== undefined || submission === undefined) {
+    if (stored !== undefined) {
         return [write];
     }
+    const submission = submissionKeyOf(job);
+    const writes = [write, ...partWrites(record)];
+    if (submission === undefined) {
+        return writes;
+    }
     const value: SubmissionRowValue = {
         shard,
         job: record.id,
         digest: specificationDigest(record.specification),
     };
-    return [write, { key: submission, expectedVersion: 0, value }];
+    return [...writes, { key: submission, expectedVersion: 0, value }];
 }
 
 function deletions(shard: string, { record }: PendingJob, known: KnownJobs): ConditionalWrite[] {
--- a/packages/jobs/src/jobRow.ts
+++ b/packages/jobs/src/jobRow.ts
@@ -23,6 +23,8 @@
 
 const intentSchema = z.object({ task: z.int(), attempt: z.int(), worker: z.string(), bootId: z.string() });
 
+const partSchema = z.object({ id: z.string(), shard: z.string(), tasks: z.int() });
+
 const recordSchema = z.object({
     id: z.string(),
     specification: jobSpecificationSchema,
@@ -36,6 +38,8 @@
     intents: z.array(intentSchema),
     decisions: z.array(decisionSchema),
     movedTo: z.string().exactOptional(),
+    parts: z.array(partSchema).exactOptional(),
+    partOf: z.string().exactOptional(),
 });
 
 const jobRowSchema = z.object({ record: recordSchema, idempotencyKey: z.string().exactOptional() });
@@ -64,6 +68,11 @@
     return `arrival/${shard}/`;
 }
 
+/** Whether the key is one of an arrival row. */
+export function isArrivalKey(key: string): boolean {
+    return key.startsWith("arrival/");
+}
+
 /** Idempotency keys are free text; encoding keeps them from forming the key of another row. */
 export function submissionKey(team: string, idempotencyKey: string): string {
     return `submission/${team}/${encodeURIComponent(idempotencyKey)}`;
--- a/packages/jobs/src/shardCommits.ts
+++ b/packages/jobs/src/shardCommits.ts
@@ -13,6 +13,7 @@
 import { commitMove, type MoveContext, moveWrites } from "./jobMove.ts";
 import {
     arrivalPrefix,
+    isArrivalKey,
     jobKey,
     type JobRowValue,
     parseJobRow,
@@ -291,8 +292,10 @@
         }
         if (conflicts.includes(condition.key)) {
             // If a newer owner changed every row since, an earlier sending may have taken effect before. A row that
-            // still has the expected version shows that none did, since all rows are written together.
-            const mayHave = wasUndecided && batch.transaction.writes.every(write => conflicts.includes(write.key));
+            // still has the expected version shows that none did, since all rows are written together. Arrival rows show
+            // nothing: the receiver deletes them.
+            const lasting = batch.transaction.writes.filter(write => !isArrivalKey(write.key));
+            const mayHave = wasUndecided && lasting.every(write => conflicts.includes(write.key));
             this.inFlight = mayHave && !tookEffect ? batch : undefined;
             this.close(serviceError(ErrorKind.StaleEpoch, `Shard ${shard} has an owner after epoch ${epoch}.`));
         }
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -57,6 +57,14 @@
 } as const;
 export type TaskState = (typeof TaskState)[keyof typeof TaskState];
 
+/** Part of a service job that runs in several failure domains. */
+export interface JobPart {
+    readonly id: string;
+    /** Shard to which the part was given at submission; a moved part left a pointer there. */
+    readonly shard: string;
+    readonly tasks: number;
+}
+
 /** Record of one job as it lasts in the platform's table. */
 export interface JobRecord {
     readonly id: string;
@@ -76,6 +84,10 @@
     readonly decisions: readonly Decision[];
     /** Set when the job was moved to another shard before it ever started; the record there is the valid one. */
     readonly movedTo?: string;
+    /** Parts of a split service job, which runs nothing itself; only a cancellation of the whole is recorded here. */
+    readonly parts?: readonly JobPart[];
+    /** Split job that this one is a part of. */
+    readonly partOf?: string;
 }
 
 /** The one start that a non-idempotent task gets. */
--- a/packages/scenarios/src/callers.ts
+++ b/packages/scenarios/src/callers.ts
@@ -74,6 +74,7 @@
     private async cancelItem(item: WorkItem): Promise<void> {
         const until = performance.now() + SUBMISSION_MILLISECONDS;
         let last: string | undefined;
+        item.cancelSentAt ??= performance.now();
         while (item.cancelledAt === undefined && performance.now() < until) {
             const entry = this.choose(undefined, last);
             last = entry?.id;
--- a/packages/scenarios/src/jobOutcomes.ts
+++ b/packages/scenarios/src/jobOutcomes.ts
@@ -51,6 +51,29 @@
     };
 }
 
+/** Whether the tasks of each accepted job ran in at least so many failure domains. */
+export function ranInDomains(run: CheckedRun, as: string, wanted: number): Finding {
+    const runs = runsNamed(run, as);
+    const domains = run.log.named(as).filter(isAnswered).map(({ reference }) =>
+        new Set(runs.filter(each => each.reference === reference).map(({ target }) => target.split("-")[0])).size
+    );
+    const fewest = domains.length === 0 ? 0 : Math.min(...domains);
+    return { reached: fewest >= wanted, observed: `${domains.length} jobs in ${fewest} or more failure domains` };
+}
+
+/** Whether the runs of each job, except those in the failure domain, lasted until the job was cancelled. */
+export function uninterrupted(run: CheckedRun, as: string, exceptIn: string | undefined): Finding {
+    const until = new Map(run.log.named(as).map(item => [item.reference, item.cancelSentAt ?? Infinity]));
+    const runs = runsNamed(run, as).filter(({ target }) =>
+        exceptIn === undefined || !target.startsWith(`${exceptIn}-`)
+    );
+    const ended = runs.filter(({ reference, endedAt }) => endedAt < (until.get(reference) ?? Infinity));
+    return {
+        reached: runs.length > 0 && ended.length === 0,
+        observed: `${runs.length - ended.length} of ${runs.length} runs${list(ended.map(({ target }) => target))}`,
+    };
+}
+
 /** Whether every task of the first jobs had started when the first task of the others succeeded. */
 export function startedBefore(run: CheckedRun, as: string, others: string): Finding {
     const firstEnd = Math.min(...runsNamed(run, others).filter(each => each.succeeded).map(each => each.endedAt));
--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -149,6 +149,10 @@
     z.strictObject({ cancelled: name }),
     /** All tasks of each finished job ran at the same time. */
     z.strictObject({ "ran-together": name }),
+    /** Least number of failure domains in which the tasks of one job ran, over all accepted jobs of the name. */
+    z.strictObject({ "ran-in-domains": z.strictObject({ as: name, "at-least": count }) }),
+    /** No run of the jobs ended before their cancellation was sent, except on targets of the failure domain. */
+    z.strictObject({ uninterrupted: z.strictObject({ as: name, "except-in": name.optional() }) }),
     /** All tasks of `as` had started before the first job of `before-any-of` was finished. */
     z.strictObject({ started: z.strictObject({ as: name, "before-any-of": name }) }),
     /** Runs of the jobs that the product stopped before their end, for example by preemption. */
--- a/packages/scenarios/src/outcomes.ts
+++ b/packages/scenarios/src/outcomes.ts
@@ -2,7 +2,7 @@
 import { pause } from "./callers.ts";
 import type { Finding } from "./finding.ts";
 import { type CheckedRun } from "./invariants.ts";
-import { cancelled, ranTogether, runsNamed, startedBefore } from "./jobOutcomes.ts";
+import { cancelled, ranInDomains, ranTogether, runsNamed, startedBefore, uninterrupted } from "./jobOutcomes.ts";
 import type { Outcome, Scenario } from "./language.ts";
 import { recordedRuns, runningOfTeam } from "./runRecords.ts";
 import { isAnswered, TryEnd } from "./work.ts";
@@ -39,6 +39,12 @@
     if ("ran-together" in outcome) {
         return ranTogether(run, outcome["ran-together"]);
     }
+    if ("ran-in-domains" in outcome) {
+        return ranInDomains(run, outcome["ran-in-domains"].as, outcome["ran-in-domains"]["at-least"]);
+    }
+    if ("uninterrupted" in outcome) {
+        return uninterrupted(run, outcome.uninterrupted.as, outcome.uninterrupted["except-in"]);
+    }
     if ("started" in outcome) {
         return startedBefore(run, outcome.started.as, outcome.started["before-any-of"]);
     }
--- a/packages/scenarios/src/runRecords.ts
+++ b/packages/scenarios/src/runRecords.ts
@@ -2,13 +2,21 @@
 import type { Cell } from "./cell.ts";
 import type { Facts } from "./facts.ts";
 
+/** Most tasks of one job. */
+const MAXIMUM_TASKS = 10_000;
+
+/** Position of a part, by the end `-p<position>` of its identifier; 0 for jobs without parts. */
+function partOf(job: string): number {
+    return Number(/-p(\d+)$/.exec(job)?.[1] ?? 0);
+}
+
 /** One run of a task or a request as a stand-in recorded it. */
 export interface RecordedRun {
     readonly target: string;
     readonly team: string;
     /** Reference of the job, or of the try of a request. */
     readonly reference: string;
-    /** Index of the task; 0 for requests. */
+    /** Number of the task, different for the tasks of all parts of one job; 0 for requests. */
     readonly task: number;
     readonly kind: "task" | "request";
     readonly epoch: number;
@@ -26,7 +34,7 @@
         target: attempt.worker,
         team: attempt.team,
         reference: (JSON.parse(attempt.payload) as { readonly reference: string; }).reference,
-        task: attempt.task,
+        task: partOf(attempt.job) * MAXIMUM_TASKS + attempt.task,
         kind: "task",
         epoch: attempt.epoch,
         startedAt: attempt.startedAt,
--- a/packages/scenarios/src/work.ts
+++ b/packages/scenarios/src/work.ts
@@ -43,6 +43,8 @@
     readonly tries: Try[];
     /** Identifier that the job got when it was accepted. */
     job?: string;
+    /** Monotonic time of the first try to cancel the job, in milliseconds. */
+    cancelSentAt?: number;
     /** Monotonic time of the answer to the cancellation of the job, in milliseconds. */
     cancelledAt?: number;
 }
--- a/packages/scheduler/src/jobAdmission.ts
+++ b/packages/scheduler/src/jobAdmission.ts
@@ -1,21 +1,26 @@
 /** Acceptance, cancellation and status of the jobs of one shard. */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
-import { isFinished, type JobRecord, JobState, Reason } from "@tanagerlink/model";
+import { isFinished, type JobPart, type JobRecord, JobState, Reason } from "@tanagerlink/model";
 import { withDeadline } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { createJobEntry, describeSize, type JobEntry } from "./jobEntry.ts";
-import { decide, type ShardContext } from "./shardContext.ts";
+import { decide, type DecisionFacts, type ShardContext } from "./shardContext.ts";
 import type { ShardStatistics } from "./shardStatistics.ts";
-import { type JobStatus, statusOfRecord, type Submission } from "./submission.ts";
+import type { SplitJobs } from "./splitJobs.ts";
+import { type JobStatus, partIdentifier, statusOfRecord, type Submission } from "./submission.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
 import type { WorkerRegistry } from "./workerRegistry.ts";
 
 /** Longest wait for the durable acceptance or cancellation of a job, in milliseconds. */
 const ACCEPT_MILLISECONDS = 4_000;
 
+/** Time for which the answer to a cancellation waits for the parts of a split job, in milliseconds. */
+const DELIVER_MILLISECONDS = 500;
+
 /** What the admission of one shard uses. */
 export interface JobAdmissionParts {
     readonly lifecycle: TaskLifecycle;
+    readonly split: SplitJobs;
     readonly workers: WorkerRegistry;
     readonly statistics: ShardStatistics;
     /** Whether the shard was given up, so that a new owner reads its jobs. */
@@ -43,7 +48,7 @@
             return err(refusal);
         }
         const entry = this.createEntry(submission);
-        decide(this.context, entry, Reason.Accepted);
+        decide(this.context, entry, Reason.Accepted, describeParts(entry.record));
         const acceptance = this.context.dependencies.jobs.accept(entry.record, submission.idempotencyKey)
             .then(accepted => accepted.map(({ record, repeated }) => this.accepted(entry, record, repeated)));
         const tracked = this.context.writes.track(acceptance);
@@ -76,17 +81,28 @@
         if (isFinished(entry.record.state) && entry.pendingWrites === 0) {
             return ok(this.parts.statistics.status(entry));
         }
-        const written = isFinished(entry.record.state)
-            ? this.parts.lifecycle.persist(entry)
-            : this.parts.lifecycle.finish(entry, JobState.Cancelled, Reason.CancelledByCaller);
         // The write goes on through an outage of the store; only this caller does not learn of it.
-        const durable = await withDeadline(this.context.dependencies.timers, ACCEPT_MILLISECONDS, written);
+        const { timers } = this.context.dependencies;
+        const durable = await withDeadline(timers, ACCEPT_MILLISECONDS, this.recordCancellation(entry));
         if (durable !== true) {
             return err(serviceError(ErrorKind.StoreOutcomeUnknown, `the cancellation of ${job} is not durable yet`));
         }
+        if (entry.record.parts !== undefined) {
+            await withDeadline(timers, DELIVER_MILLISECONDS, this.parts.split.deliver(entry));
+        }
         return ok(this.parts.statistics.status(entry));
     }
 
+    private recordCancellation(entry: JobEntry): Promise<boolean> {
+        const { split, lifecycle } = this.parts;
+        if (entry.record.parts !== undefined) {
+            return split.cancel(entry);
+        }
+        return isFinished(entry.record.state)
+            ? lifecycle.persist(entry)
+            : lifecycle.finish(entry, JobState.Cancelled, Reason.CancelledByCaller);
+    }
+
     /** Current state of a job with its decisions. */
     status(job: string): Result<JobStatus, ServiceError> {
         const entry = this.context.book.get(job);
@@ -133,10 +149,22 @@
             succeededTasks: [],
             intents: [],
             decisions: [],
+            ...this.partsOf(submission),
         };
         return createJobEntry(record, timers.now(), timers.wallClock(), false);
     }
 
+    /** Parts of a service job over several failure domains; nothing for a job that stays in this shard. */
+    private partsOf(submission: Submission): Pick<JobRecord, "parts"> {
+        const plan = this.context.dependencies.parts?.plan(submission) ?? [];
+        const parts = plan.map(({ shard, tasks }, position): JobPart => ({
+            id: partIdentifier(submission.id, shard, position),
+            shard,
+            tasks,
+        }));
+        return parts.length < 2 ? {} : { parts };
+    }
+
     private repeatedStatus(record: JobRecord): JobStatus {
         const entry = this.context.book.get(record.id);
         const status = entry === undefined
@@ -149,3 +177,10 @@
         return serviceError(ErrorKind.JobNotFound, `shard ${this.context.shard} has no job ${job}`);
     }
 }
+
+/** Names the parts in the decision that accepts a split job. */
+function describeParts({ parts }: JobRecord): DecisionFacts {
+    return parts === undefined
+        ? {}
+        : { detail: `in parts: ${parts.map(({ shard, tasks }) => `${tasks} tasks in ${shard}`).join(", ")}` };
+}
--- a/packages/scheduler/src/jobBook.ts
+++ b/packages/scheduler/src/jobBook.ts
@@ -27,6 +27,8 @@
 export class JobBook {
     /** Jobs that were moved to another shard, with that shard. */
     readonly moved = new Map<string, string>();
+    /** Split jobs with a part that is not known to have ended. */
+    readonly split = new Set<JobEntry>();
     private readonly jobs = new Map<string, JobEntry>();
     private readonly changed = new Set<JobEntry>();
     private readonly counted = new Map<JobEntry, JobCount>();
@@ -38,6 +40,9 @@
     add(entry: JobEntry): void {
         this.jobs.set(entry.record.id, entry);
         this.touch(entry);
+        if (entry.record.parts !== undefined && entry.record.finishedAt === undefined) {
+            this.split.add(entry);
+        }
         if (entry.tasks.some(task => task.recovering)) {
             this.recovering.add(entry);
         }
@@ -51,6 +56,7 @@
         const entry = this.jobs.get(job);
         if (entry !== undefined) {
             this.touch(entry);
+            this.split.delete(entry);
         }
         this.jobs.delete(job);
     }
--- a/packages/scheduler/src/jobEntry.ts
+++ b/packages/scheduler/src/jobEntry.ts
@@ -59,7 +59,7 @@
 /** Creates the entry of a job; `recovering` for jobs that were accepted under an earlier epoch. */
 export function createJobEntry(record: JobRecord, now: number, wallClock: number, recovering: boolean): JobEntry {
     const succeeded = new Set(record.succeededTasks);
-    const tasks = Array.from({ length: record.specification.tasks }, (_, index): TaskEntry => ({
+    const tasks = Array.from({ length: ownTasks(record) }, (_, index): TaskEntry => ({
         index,
         state: succeeded.has(index) ? TaskState.Succeeded : TaskState.Waiting,
         recovering: recovering && !succeeded.has(index),
@@ -79,6 +79,11 @@
     return { record, tasks, waitingSince, lastHold: undefined, queued: false, pendingWrites: 0 };
 }
 
+/** A job with parts has no tasks of its own. */
+function ownTasks(record: JobRecord): number {
+    return record.parts === undefined ? record.specification.tasks : 0;
+}
+
 /** Whether tasks of a loaded job may run: those of an ended job run until their stop has reached the worker. */
 export function mayHaveActiveTasks(record: JobRecord): boolean {
     if (!isFinished(record.state)) {
--- a/packages/scheduler/src/jobMoves.ts
+++ b/packages/scheduler/src/jobMoves.ts
@@ -164,7 +164,7 @@
 function isMovable(entry: JobEntry): boolean {
     const { record } = entry;
     const settled = entry.pendingWrites === 0 && !isFinished(record.state) && record.intents.length === 0
-        && shardOfJob(record.id) === record.shard;
+        && shardOfJob(record.id) === record.shard && record.parts === undefined;
     if (!settled) {
         return false;
     }
--- a/packages/scheduler/src/jobRouter.ts
+++ b/packages/scheduler/src/jobRouter.ts
@@ -10,11 +10,13 @@
     multiplyResources,
     type Resources,
     shardsOfFailureDomain,
+    WorkClass,
 } from "@tanagerlink/model";
 import type { Timers } from "@tanagerlink/timers";
 import { err, type Result } from "neverthrow";
 import type { FleetView } from "./fleetView.ts";
 import { throughHandovers } from "./handoverWait.ts";
+import type { PartPlan } from "./shardDependencies.ts";
 import type { JobStatus, Submission } from "./submission.ts";
 import type { ShardHeadline } from "./summaryPayload.ts";
 
@@ -84,7 +86,9 @@
         );
         for (const headline of this.candidates(specification).slice(0, MAXIMUM_ATTEMPTS)) {
             const id = this.dependencies.identify(headline.shard);
-            this.dependencies.fleet.noteSubmission(headline.shard, specification.size, specification.tasks);
+            if (this.partShards(draft).length < 2) {
+                this.dependencies.fleet.noteSubmission(headline.shard, specification.size, specification.tasks);
+            }
             const result = await this.dependencies.submitTo({ ...draft, id, shard: headline.shard });
             if (result.isOk() || !TRY_ANOTHER_SHARD.has(result.error.kind)) {
                 return result;
@@ -125,6 +129,43 @@
         return best.shard;
     }
 
+    /**
+     * Parts of a service job, in the best shard of each failure domain that could run a task; none when the job stays in
+     * one shard. The first parts have one task more where the tasks don't divide evenly.
+     */
+    planParts(submission: Pick<Submission, "specification" | "workClass">): readonly PartPlan[] {
+        const { tasks, size } = submission.specification;
+        const shards = this.partShards(submission);
+        const plan = shards.map((shard, index) => ({
+            shard,
+            tasks: Math.floor(tasks / shards.length) + (index < tasks % shards.length ? 1 : 0),
+        }));
+        plan.forEach(part => this.dependencies.fleet.noteSubmission(part.shard, size, part.tasks));
+        return plan;
+    }
+
+    private partShards({ specification, workClass }: Pick<Submission, "specification" | "workClass">): string[] {
+        const { tasks, size, allAtOnce } = specification;
+        if (workClass !== WorkClass.Service || tasks < 2 || allAtOnce) {
+            return [];
+        }
+        const able = this.candidates(specification).filter(headline => fitsInto(size, largestWorker(headline)));
+        const domains = new Set(able.map(({ shard }) => failureDomainOfShard(shard)));
+        const parts = Math.min(domains.size, tasks);
+        if (parts < 2) {
+            return [];
+        }
+        // Ranked again by the size of a part, since a shard without room for the whole job may have room for a part.
+        const best = new Map<string, string>();
+        for (const headline of this.candidates({ ...specification, tasks: Math.ceil(tasks / parts) })) {
+            const domain = failureDomainOfShard(headline.shard);
+            if (!best.has(domain) && fitsInto(size, largestWorker(headline))) {
+                best.set(domain, headline.shard);
+            }
+        }
+        return [...best.values()].slice(0, parts);
+    }
+
     /** Shards that may run the job, best first. */
     candidates(specification: JobSpecification): ShardHeadline[] {
         const configuration = this.dependencies.configuration();
@@ -148,17 +189,12 @@
      */
     private cost(headline: ShardHeadline, specification: JobSpecification): number {
         const { size, tasks, team } = specification;
-        const largest: Resources = {
-            processorMillis: headline.largestProcessorMillis,
-            memoryMebibytes: headline.largestMemoryMebibytes,
-            accelerators: headline.largestAccelerators,
-        };
         const free: Resources = {
             processorMillis: headline.freeProcessorMillis,
             memoryMebibytes: headline.freeMemoryMebibytes,
             accelerators: headline.freeAccelerators,
         };
-        const neverFits = fitsInto(size, largest) ? 0 : 1;
+        const neverFits = fitsInto(size, largestWorker(headline)) ? 0 : 1;
         const unusedGrant = this.dependencies.fleet.unusedGrant(headline.shard, team);
         const withoutGrant = unusedGrant === undefined || unusedGrant > 0 ? 0 : 1;
         const full = fitsInto(multiplyResources(size, tasks), free) ? 0 : 1;
@@ -169,6 +205,14 @@
     }
 }
 
+function largestWorker(headline: ShardHeadline): Resources {
+    return {
+        processorMillis: headline.largestProcessorMillis,
+        memoryMebibytes: headline.largestMemoryMebibytes,
+        accelerators: headline.largestAccelerators,
+    };
+}
+
 /**
  * Load of a shard in the resource of which it has least for this size, as a cost from 0 to below 2. Work that waits
  * counts like work that runs, so that queues grow evenly.
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -5,7 +5,6 @@
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import {
     type ConfigurationSnapshot,
-    type JobRecord,
     type ServiceAnswer,
     type ServiceRequest,
     shardsOfFailureDomain,
@@ -14,18 +13,19 @@
 import type { OwnedShard, OwnershipListener } from "@tanagerlink/ownership";
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { Subscription } from "@tanagerlink/timers";
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import { randomInt, randomUUID } from "node:crypto";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetView } from "./fleetView.ts";
+import { JobAccess } from "./jobAccess.ts";
 import { JobRouter } from "./jobRouter.ts";
 import { cancelMethod, requestMethod, statusMethod, submitMethod } from "./peerMethods.ts";
 import { RequestRouter } from "./requestRouter.ts";
 import { ShardAccess } from "./shardAccess.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
 import { ShardScheduler } from "./shardScheduler.ts";
-import { jobIdentifier, type JobStatus, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
+import { jobIdentifier, type JobStatus, type Submission } from "./submission.ts";
 import { headlineOf, SummaryFeed, type SummaryPayload } from "./summaryPayload.ts";
 
 /** Bound of the seed of jitter. */
@@ -61,6 +61,7 @@
     private readonly feed: SummaryFeed;
     private readonly access: ShardAccess;
     private readonly jobRouter: JobRouter;
+    private readonly jobAccess: JobAccess;
     private readonly requestRouter: RequestRouter;
     private readonly subscription: Subscription;
 
@@ -87,6 +88,12 @@
             submitTo: submission => this.access.submit(submission),
             identify: shard => jobIdentifier(shard, randomUUID().replaceAll("-", "")),
         });
+        this.jobAccess = new JobAccess({
+            router: this.jobRouter,
+            access: this.access,
+            jobs: dependencies.jobs,
+            timers: dependencies.timers,
+        });
         this.requestRouter = new RequestRouter({
             node,
             failureDomain,
@@ -106,6 +113,10 @@
         const scheduler = new ShardScheduler(owned.shard, owned.epoch, {
             ...this.options.dependencies,
             moveTarget: (record, leave) => this.jobRouter.moveTarget(record, leave),
+            parts: {
+                plan: submission => this.jobRouter.planParts(submission),
+                cancel: part => this.jobAccess.cancelOne(part),
+            },
         });
         this.shards.set(owned.shard, scheduler);
         const begin = (): void => scheduler.start(...this.targetsOf(owned.shard), owned.roster);
@@ -174,52 +185,16 @@
     }
 
     submit(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
-        return this.jobRouter.submit(draft);
+        return this.jobAccess.submit(draft);
     }
 
     /** Status of a job from its owner, or from the table when the owner can't be asked. */
-    async status(job: string): Promise<Result<JobStatus, ServiceError>> {
-        const shard = shardOfJob(job);
-        if (shard === undefined) {
-            return err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`));
-        }
-        const answer = await this.access.status(shard, job);
-        if (answer.isOk()) {
-            return answer;
-        }
-        const { jobs } = this.options.dependencies;
-        const record = await jobs.read(shard, job);
-        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        if (movedTo === undefined) {
-            return statusOfRow(job, record);
-        }
-        const moved = await this.access.status(movedTo, job);
-        return moved.isOk() ? moved : statusOfRow(job, await jobs.read(movedTo, job));
+    status(job: string): Promise<Result<JobStatus, ServiceError>> {
+        return this.jobAccess.status(job);
     }
 
-    async cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
-        const shard = shardOfJob(job);
-        if (shard === undefined) {
-            return err(serviceError(ErrorKind.JobNotFound, `${job} is not a job identifier`));
-        }
-        const answer = await this.access.cancel(shard, job);
-        if (answer.isOk()) {
-            return answer;
-        }
-        const record = await this.options.dependencies.jobs.read(shard, job);
-        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        if (movedTo === undefined) {
-            return answer;
-        }
-        const moved = await this.access.cancel(movedTo, job);
-        return moved.mapErr(error =>
-            error.kind === ErrorKind.JobNotFound
-                ? serviceError(
-                    ErrorKind.ShardNotReady,
-                    `job ${job} is being moved to shard ${movedTo}; repeat the call`,
-                )
-                : error
-        );
+    cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
+        return this.jobAccess.cancel(job);
     }
 
     dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
@@ -295,14 +270,3 @@
             : action(scheduler);
     }
 }
-
-function statusOfRow(
-    job: string,
-    record: Result<JobRecord | undefined, ServiceError>,
-): Result<JobStatus, ServiceError> {
-    return record.andThen(value =>
-        value === undefined
-            ? err(serviceError(ErrorKind.JobNotFound, `there is no job ${job}`))
-            : ok(statusOfRecord(value))
-    );
-}
--- a/packages/scheduler/src/shardDependencies.ts
+++ b/packages/scheduler/src/shardDependencies.ts
@@ -1,6 +1,7 @@
 /**
  * What an owned shard is built from. Everything a scheduler touches outside its own memory comes in here.
  */
+import type { ServiceError } from "@tanagerlink/errors";
 import type { JobStore } from "@tanagerlink/jobs";
 import type { GrantLedger } from "@tanagerlink/limits";
 import type { ConfigurationSnapshot, JobRecord } from "@tanagerlink/model";
@@ -10,7 +11,9 @@
 import type { WorkerClientFactory } from "@tanagerlink/targets";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
+import type { Result } from "neverthrow";
 import type { SchedulerMetrics } from "./schedulerMetrics.ts";
+import type { JobStatus, Submission } from "./submission.ts";
 
 /** Settings of the scheduler of one shard. */
 export interface ShardSettings {
@@ -28,6 +31,20 @@
     readonly maximumConfigurationAgeMilliseconds: number;
 }
 
+/** One part of a job that is to be split. */
+export interface PartPlan {
+    readonly shard: string;
+    readonly tasks: number;
+}
+
+/** What the owner of a split job needs of other shards. */
+export interface PartAccess {
+    /** Shards and sizes of the parts of a new job; none when it stays in one shard. */
+    plan(submission: Pick<Submission, "specification" | "workClass">): readonly PartPlan[];
+    /** Cancels a part in the shard that holds it. */
+    cancel(part: string): Promise<Result<JobStatus, ServiceError>>;
+}
+
 /** Parts that all shards of a process share, and those made for one shard. */
 export interface ShardDependencies {
     readonly timers: Timers;
@@ -42,6 +59,8 @@
     readonly configurationAgeMilliseconds: () => number;
     /** Shard that could run a waiting job now; with `leave`, any other shard of an active failure domain. */
     readonly moveTarget?: (record: JobRecord, leave: boolean) => string | undefined;
+    /** Without it no job is split. */
+    readonly parts?: PartAccess;
     readonly createPolicy: () => SchedulingPolicy;
     readonly createExecutorPool: (shard: string, epoch: number, gate: DispatchGate) => ExecutorPool;
 }
--- a/packages/scheduler/src/shardScheduler.ts
+++ b/packages/scheduler/src/shardScheduler.ts
@@ -19,8 +19,9 @@
 import { RunTimes } from "./exchangePlan.ts";
 import { JobAdmission } from "./jobAdmission.ts";
 import { JobBook } from "./jobBook.ts";
-import { activeTasks, createJobEntry, mayHaveActiveTasks } from "./jobEntry.ts";
+import { createJobEntry, mayHaveActiveTasks } from "./jobEntry.ts";
 import { JobMoves } from "./jobMoves.ts";
+import { JobRetention } from "./jobRetention.ts";
 import { PendingWrites } from "./pendingWrites.ts";
 import { Recovery } from "./recovery.ts";
 import { WorkerReports } from "./reportHandler.ts";
@@ -28,6 +29,7 @@
 import type { ShardContext } from "./shardContext.ts";
 import type { ShardDependencies } from "./shardDependencies.ts";
 import { ShardStatistics } from "./shardStatistics.ts";
+import { SplitJobs } from "./splitJobs.ts";
 import { startRefusal } from "./startGate.ts";
 import type { JobStatus, Submission } from "./submission.ts";
 import { TaskLifecycle } from "./taskLifecycle.ts";
@@ -62,6 +64,7 @@
     private readonly executors: ExecutorPool;
     private readonly statistics: ShardStatistics;
     private readonly admission: JobAdmission;
+    private readonly split: SplitJobs;
     private readonly unitWait: UnitWait;
     private readonly closing = new AbortController();
     private readonly subscriptions: Disposable[] = [];
@@ -100,8 +103,10 @@
         this.executors = dependencies.createExecutorPool(shard, epoch, this.dispatchGate());
         this.recovery = new Recovery(this.context, this.lifecycle, this.workers, this.executors);
         this.statistics = new ShardStatistics(this.context, this.executors);
+        this.split = new SplitJobs(this.context, this.lifecycle);
         this.admission = new JobAdmission(this.context, {
             lifecycle: this.lifecycle,
+            split: this.split,
             workers: this.workers,
             statistics: this.statistics,
             closed: () => this.closing.signal.aborted,
@@ -235,10 +240,12 @@
             this.configurationChanged(configuration);
         }
         this.setTargets(this.pendingTargets.workers, this.pendingTargets.executors);
+        const retention = new JobRetention(this.context);
         this.subscriptions.push(
             new JobMoves(this.context, this.lifecycle),
             timers.every(SWEEP_MILLISECONDS, () => this.sweep()),
-            timers.every(FORGET_MILLISECONDS, () => this.forgetFinishedJobs()),
+            timers.every(FORGET_MILLISECONDS, () => retention.forgetExpired()),
+            this.split.start(),
             timers.every(this.dependencies.settings.roundPeriodMilliseconds, () => this.rounds.request()),
         );
         // Units of an open grant may be passed on to other shards, so what may run unseen has to count before that.
@@ -282,18 +289,6 @@
         this.statistics.sweep();
     }
 
-    private forgetFinishedJobs(): void {
-        const { timers, settings } = this.dependencies;
-        const oldest = timers.wallClock() - settings.explanationMilliseconds;
-        for (const entry of this.context.book.entries()) {
-            const expired = (entry.record.finishedAt ?? Number.POSITIVE_INFINITY) < oldest;
-            if (expired && entry.pendingWrites === 0 && activeTasks(entry).length === 0) {
-                this.context.book.delete(entry.record.id);
-                this.dependencies.jobs.remove(this.shard, entry.record.id);
-            }
-        }
-    }
-
     private dispatchGate(): DispatchGate {
         return {
             enter: team => {
--- a/packages/scheduler/src/shardStatistics.ts
+++ b/packages/scheduler/src/shardStatistics.ts
@@ -23,6 +23,9 @@
     }
 
     status(entry: JobEntry): JobStatus {
+        if (entry.record.parts !== undefined) {
+            return statusOfRecord(entry.record);
+        }
         const tasks: Partial<Record<TaskState, number>> = {};
         for (const task of entry.tasks) {
             tasks[task.state] = (tasks[task.state] ?? 0) + 1;
