test(scheduler): service parts under lost answers, owner changes and cut-off domains

Cause: the split of service jobs has no tests. Change: unit tests of the rows, the plan and the printed parts; integration tests in a simulated cell that now may have several failure domains and processes that are cut off. The store benchmark measures the use by one split job. Conclusion: a submission is accepted once, parts and job are kept and forgotten together.

--- a/packages/benchmarks/src/storeUseBenchmark.ts
+++ b/packages/benchmarks/src/storeUseBenchmark.ts
@@ -3,12 +3,15 @@
  * their slopes against the number of processes, shards, teams and jobs a second. Counted on an in-memory table in
  * simulated time, so the figures don't depend on the machine. Rows of 900 workers per shard are included.
  *
+ * Before that, the use by one service job over several failure domains.
+ *
  * Run: `node --import tsx packages/benchmarks/src/storeUseBenchmark.ts [seconds]`. Prints one JSON line for each
  * measurement and one for each slope.
  */
 import { pathToFileURL } from "node:url";
 import type { TableUse } from "./countingTable.ts";
 import { fitLine } from "./lineFit.ts";
+import { measureSplitUse, type SplitUse } from "./splitUse.ts";
 import { StoreUseCell, type StoreUseSize } from "./storeUseCell.ts";
 
 /** Use of the table by a cell of one size, per second. */
@@ -33,6 +36,9 @@
     { of: "teams", values: [0, 20, 40, 80] },
     { of: "jobsPerSecond", values: [0, 10, 40, 160] },
 ];
+/** Parts of one service job and bytes of its payload. */
+const SPLIT_PARTS = [1, 2, 3, 4, 11];
+const SPLIT_PAYLOADS = [0, 1_024];
 const FIGURES = ["reads", "bytesRead", "transactions", "conflicts", "rowsWritten", "bytesWritten"] as const;
 
 function slopeOf(of: keyof StoreUseSize, measurements: readonly StoreUseMeasurement[]): StoreUseSlope {
@@ -58,8 +64,13 @@
 /** Runs all measurements and reports each as it ends. */
 export async function runStoreUseBenchmark(
     seconds: number,
-    report: (line: StoreUseMeasurement | StoreUseSlope) => void,
+    report: (line: StoreUseMeasurement | StoreUseSlope | SplitUse) => void,
 ): Promise<void> {
+    for (const payloadBytes of SPLIT_PAYLOADS) {
+        for (const parts of SPLIT_PARTS) {
+            report(await measureSplitUse(parts, payloadBytes));
+        }
+    }
     for (const { of, values } of VARIED) {
         const measurements: StoreUseMeasurement[] = [];
         for (const value of values) {
--- a/packages/cli/__tests__/program.spec.ts
+++ b/packages/cli/__tests__/program.spec.ts
@@ -153,6 +153,16 @@
         expect((await run("cancel", "a/b")).out).to.contain("cancelled");
     });
 
+    it("prints the parts of a split job below it, with those whose owner was not reached", async () => {
+        const part = { id: "n.0.x-p0", shard: "north/0", state: "running", tasks: { running: 2 } };
+        const parts = [part, { ...part, id: "s.0.x-p1", shard: "south/0", unreachable: true }];
+        answers = { "GET /jobs/x/explanation": [200, { ...job, parts }] };
+        for (const command of ["status", "explain"]) {
+            const { out } = await run(command, "x");
+            expect(out, command).to.match(/n\.0\.x-p0 +north\/0 +running +2 running\s+s\.0\.x-p1 .*not reached/);
+        }
+    });
+
     it("does not report an applied configuration as refused when its spread cannot be read", async () => {
         answers = {
             "GET /operator/configuration": [200, { version: 3 }],
--- a/packages/cli/src/commands/jobCommands.ts
+++ b/packages/cli/src/commands/jobCommands.ts
@@ -92,10 +92,29 @@
         context.write(renderJson(status));
         return;
     }
-    const tasks = Object.entries(status.tasks).map(([state, count]) => `${count} ${state}`).join(", ");
-    context.write(renderTable(["JOB", "TEAM", "QUEUE", "STATE", "TASKS"], [
-        [status.id, status.team, status.queue, status.state, tasks],
-    ]));
+    context.write(
+        renderTable(["JOB", "TEAM", "QUEUE", "STATE", "TASKS"], [
+            [status.id, status.team, status.queue, status.state, describeTasks(status.tasks)],
+        ]) + describeParts(status),
+    );
+}
+
+function describeTasks(tasks: JobStatus["tasks"]): string {
+    return Object.entries(tasks).map(([state, count]) => `${count} ${state}`).join(", ");
+}
+
+/** Table of the parts of a service job over several failure domains; empty for other jobs. */
+function describeParts({ parts }: JobStatus): string {
+    return parts === undefined ? "" : "\n" + renderTable(
+        ["PART", "SHARD", "STATE", "TASKS", ""],
+        parts.map(part => [
+            part.id,
+            part.shard,
+            part.state,
+            describeTasks(part.tasks),
+            part.unreachable === true ? "not reached, as last recorded" : "",
+        ]),
+    );
 }
 
 function explain(status: JobStatus): string {
@@ -109,5 +128,7 @@
         decision.detail ?? "",
     ]);
     const heading = `${status.id} (${status.team}, ${status.queue}): ${status.state}\n`;
-    return heading + renderTable(["TIME", "REASON", "TASK", "WORKER", "CONFIGURATION", "FILE", "DETAIL"], rows);
+    const parts = describeParts(status);
+    return heading + (parts === "" ? "" : `${parts}\n`) +
+        renderTable(["TIME", "REASON", "TASK", "WORKER", "CONFIGURATION", "FILE", "DETAIL"], rows);
 }
--- a/packages/jobs/__tests__/tableJobStore.spec.ts
+++ b/packages/jobs/__tests__/tableJobStore.spec.ts
@@ -27,6 +27,17 @@
     };
 }
 
+/** A job whose five tasks are split over two other shards. */
+function splitRecord(id: string): JobRecord {
+    const whole = record(id);
+    return {
+        ...whole,
+        specification: { ...whole.specification, tasks: 5, payload: "inputs" },
+        workClass: "service",
+        parts: [{ id: `${id}-0`, shard: "south/0", tasks: 2 }, { id: `${id}-1`, shard: "west/0", tasks: 3 }],
+    };
+}
+
 class Cell {
     readonly timers = new ManualTimers();
     readonly table = new MemoryTable();
@@ -173,6 +184,63 @@
         expect((await cell.settle(accepted))._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreOutcomeUnknown);
     });
 
+    it("writes a split job with its parts and its idempotency key at once, and reads both back", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        cell.faults = [{ kind: "answerLost" }];
+        expect((await cell.settle(store.accept(splitRecord("a"), "key-1"))).isOk()).to.equal(true);
+        expect(cell.batches[0]).to.deep.equal(["a", "a-0", "a-0", "a-1", "a-1", "key-1"]);
+        const [job] = (await store.load(SHARD))._unsafeUnwrap();
+        expect(job).to.deep.equal({
+            ...splitRecord("a"),
+            specification: { ...splitRecord("a").specification, payload: "" },
+        });
+        const [part] = (await store.arrivals("south/0"))._unsafeUnwrap();
+        expect(part).to.deep.include({ id: "a-0", shard: "south/0", acceptedEpoch: 0, partOf: "a" });
+        expect(part?.specification).to.deep.equal({ ...splitRecord("a").specification, tasks: 2 });
+        const repeated = await cell.settle(store.accept({ ...splitRecord("b"), parts: [] }, "key-1"));
+        expect(repeated._unsafeUnwrap()).to.deep.include({ repeated: true });
+        store.remove(SHARD, "a");
+        await cell.timers.advance(1_000);
+        expect(cell.stored("a")).to.equal(undefined);
+        expect(cell.table.value(SUBMISSION), "the key is deleted with the job").to.equal(undefined);
+    });
+
+    it("reads rows that were written before jobs had parts", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        const old = JSON.parse(JSON.stringify(record("a"))) as JobRecord;
+        const writes = [{ key: `job/${SHARD}/a`, expectedVersion: 0, value: { record: old } }];
+        cell.table.apply({ id: "old", conditions: [], writes });
+        expect((await store.load(SHARD))._unsafeUnwrap()).to.deep.equal([old]);
+    });
+
+    it("counts the parts of split jobs among the records of a transaction, so that it stays bounded", async () => {
+        const cell = new Cell();
+        const store = await cell.takeOver();
+        const accepted = Array.from({ length: 60 }, (_, index) => store.accept(splitRecord(`j${index}`), undefined));
+        await cell.settle(Promise.all(accepted));
+        expect(cell.batches.map(batch => batch.length)).to.deep.equal([34 * 5, 26 * 5]);
+    });
+
+    it("says unknown of a split job whose parts have arrived before the former owner could settle it", async () => {
+        const cell = new Cell();
+        const former = await cell.takeOver();
+        cell.faults = [{ kind: "answerLost" }];
+        const accepted = former.accept(splitRecord("a"), undefined);
+        await cell.timers.advance(30);
+        const owner = await cell.takeOver();
+        await owner.load(SHARD);
+        const arrivals = ["a-0", "a-1"].map((id, index) => `arrival/${["south", "west"][index]}/0/${id}`);
+        const writes = arrivals.map(key => ({ key, expectedVersion: 1, value: undefined }));
+        expect(cell.table.apply({ id: "arrived", conditions: [], writes }).committed).to.equal(true);
+        for (const [key, row] of [...cell.table.rows].filter(([key]) => key.startsWith("job/"))) {
+            const change = { key, expectedVersion: row.version, value: row.value };
+            cell.table.apply({ id: `changed ${key}`, conditions: [], writes: [change] });
+        }
+        expect((await cell.settle(accepted))._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreOutcomeUnknown);
+    });
+
     it("keeps what a former owner sent from taking effect after the new owner has loaded", async () => {
         const cell = new Cell();
         const former = await cell.takeOver();
--- a/packages/scheduler/__tests__/jobRouter.spec.ts
+++ b/packages/scheduler/__tests__/jobRouter.spec.ts
@@ -65,9 +65,11 @@
                 : ok({ id: submission.id } as JobStatus);
         },
     });
+    const plan = (changes: Partial<JobSpecification> = {}) =>
+        router.planParts({ specification: specification(changes), workClass: WorkClass.Service });
     const submit = (changes: Partial<JobSpecification> = {}) =>
         router.submit({ specification: specification(changes), workClass: WorkClass.Batch, submittedAt: 0 });
-    return { timers, fleet, submitted, submit };
+    return { timers, fleet, submitted, submit, plan };
 }
 
 describe("JobRouter", () => {
@@ -142,6 +144,19 @@
         expect((await every.submit())._unsafeUnwrapErr().kind).to.equal(ErrorKind.NeverRunnable);
     });
 
+    it("plans the parts of services in the shards with room of each failure domain, also in a burst", () => {
+        const { plan } = createRouter([
+            headline("a/0", { freeProcessorMillis: 9_000 }),
+            headline("a/1", { freeProcessorMillis: 11_000 }),
+            headline("b/0"),
+            headline("b/1", { largestProcessorMillis: 0 }),
+        ]);
+        expect(plan()).to.deep.equal([{ shard: "a/1", tasks: 10 }, { shard: "b/0", tasks: 10 }]);
+        expect(plan({ tasks: 17 })).to.deep.equal([{ shard: "a/0", tasks: 9 }, { shard: "b/0", tasks: 8 }]);
+        expect(plan({ tasks: 1 }), "one task").to.deep.equal([]);
+        expect(plan({ failureDomains: ["b"] }), "one failure domain").to.deep.equal([]);
+    });
+
     it("tries the next shard only after an answer that says that the job was not accepted", async () => {
         const { submitted, submit } = createRouter([headline("a/0"), headline("a/1")], new Set(["a/0"]));
         expect((await submit()).isOk()).to.equal(true);
--- /dev/null
+++ b/packages/scheduler/__tests__/serviceParts.spec.ts
@@ -0,0 +1,213 @@
+/** Service jobs over several failure domains: parts, their status, cancellation and retention under faults. */
+import { errorAnswers, ErrorKind, Outcome } from "@tanagerlink/errors";
+import { FailureDomainState, type JobRecord, JobState, WorkClass } from "@tanagerlink/model";
+import { expect } from "chai";
+import fc from "fast-check";
+import { type CellProcess, type JobChoice, SchedulerCell } from "./support/schedulerCell.ts";
+
+const DOMAINS = ["north", "south", "west"];
+const SERVICE: JobChoice = { workClass: WorkClass.Service, tasks: 5 };
+
+interface DomainCell {
+    readonly cell: SchedulerCell;
+    readonly north: CellProcess;
+    readonly south: CellProcess;
+    readonly west: CellProcess;
+}
+
+/** Three failure domains with one process, one shard and two workers each. */
+async function domainCell(explanationMilliseconds = 3_600_000): Promise<DomainCell> {
+    const cell = new SchedulerCell({ domains: DOMAINS });
+    const [north, south, west] = await cell.beginEverywhere(2, { explanationMilliseconds });
+    return { cell, north: north!, south: south!, west: west! };
+}
+
+function domainsOf(cell: SchedulerCell, job: string): string[] {
+    const ran = cell.record.attempts.filter(attempt => isOf(attempt.job, job) && attempt.endedAt === undefined);
+    const domains = ran.map(({ worker }) => cell.vms.find(({ id }) => id === worker)!.failureDomain);
+    return domains.sort();
+}
+
+/** Whether the identifier is that of the job or of a part of it. */
+function isOf(id: string, job: string): boolean {
+    return id === job || id.includes(`.${job.slice(job.lastIndexOf(".") + 1)}-p`);
+}
+
+function rowsOf(cell: SchedulerCell, job: string): string[] {
+    return cell.table.rows().map(({ key }) => key).filter(key => isOf(key.slice(key.lastIndexOf("/") + 1), job));
+}
+
+function takeOut(cell: SchedulerCell, domain: string, state: FailureDomainState): void {
+    const known = cell.configuration.failureDomains;
+    cell.configure({ failureDomains: { ...known, [domain]: { ...known[domain]!, state } } });
+}
+
+describe("service jobs over several failure domains", () => {
+    it("runs nearly equal parts in all failure domains and shows them as one job", async () => {
+        const { cell, south } = await domainCell();
+        const job = await cell.submit(south, { ...SERVICE, payload: JSON.stringify({ secret: "x".repeat(1_000) }) });
+        await cell.timers.advance(6_000);
+        expect(domainsOf(cell, job)).to.deep.equal(["north", "north", "south", "south", "west"].sort());
+        const status = await cell.status(south, job);
+        expect(status).to.deep.include({ state: JobState.Running, tasks: { running: 5 } });
+        expect(status.parts?.map(({ shard }) => shard).sort()).to.deep.equal(["north/0", "south/0", "west/0"]);
+        const placed = status.decisions.filter(({ reason }) => reason.startsWith("placed")).map(({ task }) => task);
+        expect(placed.sort(), "tasks are numbered over the whole job").to.deep.equal([0, 1, 2, 3, 4]);
+        const row = cell.table.rows().find(({ key }) => key === `job/south/0/${job}`)?.value as { record: JobRecord; };
+        expect(row.record.specification.payload, "payload is kept by the parts only").to.equal("");
+        cell.check();
+    });
+
+    it("makes no more parts than tasks, and leaves out domains that are out, not allowed or without a fitting worker", async () => {
+        const { cell, north } = await domainCell();
+        const parts = async (choice: JobChoice): Promise<string[] | undefined> => {
+            const status = (await cell.settle(cell.submission(north, { ...SERVICE, ...choice })))._unsafeUnwrap();
+            return status.parts?.map(({ shard }) => shard).sort();
+        };
+        expect(await parts({ tasks: 2 })).to.have.lengthOf(2);
+        expect(await parts({ failureDomains: ["south", "west"] })).to.deep.equal(["south/0", "west/0"]);
+        for (const choice of [{ tasks: 1 }, { allAtOnce: true }, { workClass: WorkClass.Batch, queue: "batch" }]) {
+            expect(await parts(choice), JSON.stringify(choice)).to.equal(undefined);
+        }
+        expect(await parts({ failureDomains: ["south"] })).to.equal(undefined);
+        cell.addWorkers(2, { processorMillis: 9_000, memoryMebibytes: 9_000, accelerators: 0 }, {}, "west");
+        cell.addWorkers(2, { processorMillis: 9_000, memoryMebibytes: 9_000, accelerators: 0 }, {}, "south");
+        await cell.timers.advance(3_000);
+        const large = { processorMillis: 8_000, memoryMebibytes: 100, accelerators: 0 };
+        expect(await parts({ size: large })).to.deep.equal(["south/0", "west/0"]);
+        takeOut(cell, "west", FailureDomainState.Out);
+        expect(await parts({})).to.deep.equal(["north/0", "south/0"]);
+    });
+
+    it("answers a repetition through another process with the first job and its parts, and makes no others", async () => {
+        const { cell, north, west } = await domainCell();
+        const job = await cell.submit(north, { ...SERVICE, key: "once" });
+        await cell.timers.advance(6_000);
+        takeOut(cell, "south", FailureDomainState.Out);
+        const repeated = (await cell.settle(cell.submission(west, { ...SERVICE, key: "once" })))._unsafeUnwrap();
+        expect(repeated).to.deep.include({ id: job, repeated: true, state: JobState.Running, tasks: { running: 5 } });
+        expect(repeated.parts).to.have.lengthOf(3);
+        expect(cell.table.rows().filter(({ key }) => key.startsWith("job/"))).to.have.lengthOf(4);
+        const other = await cell.settle(cell.submission(west, { ...SERVICE, tasks: 4, key: "once" }));
+        expect(other._unsafeUnwrapErr().kind).to.equal(ErrorKind.IdempotencyKeyConflict);
+    });
+
+    it("moves a part whose failure domain is taken out before the arrival", async () => {
+        const { cell, north, west } = await domainCell();
+        west.process.pause();
+        const job = await cell.submit(north, SERVICE);
+        takeOut(cell, "west", FailureDomainState.Out);
+        west.process.resume();
+        await cell.timers.advance(30_000);
+        expect(domainsOf(cell, job)).to.have.lengthOf(5).and.not.to.include("west");
+        const status = await cell.status(north, job);
+        expect(status).to.deep.include({ state: JobState.Running, tasks: { running: 5 } });
+        expect(status.parts?.map(({ shard }) => shard)).not.to.include("west/0");
+        expect((await cell.settle(north.service.cancel(job)))._unsafeUnwrap().state).to.equal(JobState.Cancelled);
+        await cell.timers.advance(10_000);
+        expect(domainsOf(cell, job)).to.deep.equal([]);
+    });
+
+    it("delivers a cancellation to a part that could not be reached, also after an owner change", async () => {
+        const { cell, north, south, west } = await domainCell();
+        cell.addProcess({}, "north");
+        await cell.timers.advance(15_000);
+        const owner = cell.ownerOf("north/0");
+        const job = await cell.submit(owner, SERVICE);
+        await cell.timers.advance(6_000);
+        west.peers.cutOff = true;
+        const cancelled = (await cell.settle(south.service.cancel(job)))._unsafeUnwrap();
+        expect(cancelled.state).to.equal(JobState.Cancelled);
+        expect(cancelled.parts?.filter(({ unreachable }) => unreachable)).to.have.lengthOf(1);
+        owner.process.kill();
+        await cell.timers.advance(40_000);
+        expect(domainsOf(cell, job), "only the part that cannot be reached runs on").to.deep.equal(["west"]);
+        west.peers.cutOff = false;
+        await cell.timers.advance(15_000);
+        expect(domainsOf(cell, job)).to.deep.equal([]);
+        const remaining = north.process.isRunning ? north : south;
+        expect(await cell.state(remaining, job)).to.equal(JobState.Cancelled);
+    });
+
+    it("cancels a part that has not arrived yet as soon as it arrives", async () => {
+        const { cell, north } = await domainCell();
+        const job = await cell.submit(north, SERVICE);
+        expect((await cell.settle(north.service.cancel(job)))._unsafeUnwrap().state).to.equal(JobState.Cancelled);
+        await cell.timers.advance(15_000);
+        expect(domainsOf(cell, job)).to.deep.equal([]);
+        expect((await cell.status(north, job)).parts?.map(({ state }) => state))
+            .to.deep.equal(Array.from({ length: 3 }, () => JobState.Cancelled));
+    });
+
+    it("derives the state of the job from its parts after an owner change, and forgets all of it together", async () => {
+        const { cell, north, south } = await domainCell(60_000);
+        cell.addProcess({ explanationMilliseconds: 60_000 }, "north");
+        await cell.timers.advance(15_000);
+        const owner = cell.ownerOf("north/0");
+        const job = await cell.submit(owner, { ...SERVICE, runMilliseconds: 100_000, key: "once" });
+        await cell.timers.advance(10_000);
+        const west = (await cell.status(south, job)).parts!.find(({ shard }) => shard === "west/0")!;
+        await cell.settle(south.service.cancel(west.id));
+        owner.process.kill();
+        await cell.timers.advance(85_000);
+        expect(await cell.state(south, job)).to.equal(JobState.Running);
+        expect(rowsOf(cell, job), "an ended part is kept as long as others run").to.have.lengthOf(4);
+        await cell.timers.advance(40_000);
+        expect(await cell.state(south, job), "a part was cancelled by itself").to.equal(JobState.Cancelled);
+        expect(rowsOf(cell, job)).to.have.lengthOf(4);
+        await cell.timers.advance(80_000);
+        expect(rowsOf(cell, job)).to.deep.equal([]);
+        expect(cell.table.rows().filter(({ key }) => key.startsWith("submission/"))).to.deep.equal([]);
+        expect((await cell.settle(south.service.status(job)))._unsafeUnwrapErr().kind).to.equal(ErrorKind.JobNotFound);
+        expect(north.process.isRunning || south.process.isRunning).to.equal(true);
+    });
+
+    it("accepts once and answers truly when answers of the table are lost and the owner changes before the arrival", async () => {
+        const schedule = fc.record({
+            fault: fc.constantFrom("loseAnswers" as const, "loseRequests" as const, "delayEffects" as const),
+            count: fc.integer({ min: 0, max: 4 }),
+            pauseAt: fc.constantFrom(undefined, 0, 30, 200, 1_500),
+            delay: fc.constantFrom(0, 40, 400),
+            paused: fc.constantFrom("north/0", "west/0"),
+            idempotent: fc.boolean(),
+        });
+        await fc.assert(
+            fc.asyncProperty(schedule, async ({ fault, count, pauseAt, delay, paused, idempotent }) => {
+                const choice = { ...SERVICE, idempotent, key: "once" };
+                const { cell, south } = await domainCell();
+                cell.addProcess({}, "north");
+                cell.addProcess({}, "west");
+                await cell.timers.advance(15_000);
+                const owner = cell.ownerOf("north/0");
+                cell.table.faults.delayMilliseconds = delay;
+                const submitted = cell.submission(owner, choice);
+                await cell.timers.advance(10);
+                cell.table.faults[fault] = count;
+                if (pauseAt !== undefined) {
+                    await cell.timers.advance(pauseAt);
+                    const { process } = cell.ownerOf(paused);
+                    process.pause();
+                    await cell.timers.advance(20_000);
+                    process.resume();
+                }
+                const first = await cell.settle(submitted);
+                cell.table.faults.delayMilliseconds = 0;
+                await cell.timers.advance(40_000);
+                const again = (await cell.settle(cell.submission(south, choice)))._unsafeUnwrap();
+                if (first.isOk()) {
+                    expect(again).to.deep.include({ id: first.value.id, repeated: true });
+                }
+                else if (errorAnswers[first.error.kind].outcome === Outcome.NotRun) {
+                    expect(again.repeated, `${first.error.kind} said that nothing was accepted`).to.equal(undefined);
+                }
+                await cell.timers.advance(30_000);
+                const jobs = cell.table.rows().filter(({ key }) => key.startsWith("job/"))
+                    .map(({ value }) => (value as { record: JobRecord; }).record);
+                expect(jobs.filter(({ movedTo }) => movedTo === undefined)).to.have.lengthOf(4);
+                expect(domainsOf(cell, again.id)).to.have.lengthOf(5);
+                cell.check(idempotent ? [] : jobs.map(({ id }) => id));
+            }),
+            { numRuns: 25 },
+        );
+    });
+});
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -1,5 +1,5 @@
 /**
- * Several processes of one failure domain with their schedulers, on one table and one set of simulated workers, in
+ * Several processes of one or more failure domains with their schedulers, on one table and one set of simulated workers, in
  * virtual time. The checks use the workers' own record, not the account of the schedulers.
  */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
@@ -48,6 +48,7 @@
 /** One process of the cell. */
 export interface CellProcess {
     readonly id: string;
+    readonly failureDomain: string;
     readonly process: SimulatedProcess;
     readonly links: WorkerLinks;
     readonly ownership: TableShardOwnership;
@@ -59,6 +60,8 @@
 /** Calls between the processes of a cell, without links. */
 class CellPeers {
     readonly handlers = new Map<string, (request: unknown) => Promise<Result<unknown, ServiceError>>>();
+    /** Set while no call and no heartbeat passes between this process and others. */
+    cutOff = false;
     private readonly find: (process: string) => CellProcess | undefined;
 
     constructor(find: (process: string) => CellProcess | undefined) {
@@ -78,7 +81,9 @@
         request: unknown,
     ): Promise<Result<unknown, ServiceError>> {
         const target = this.find(owner);
-        const handler = target?.process.isRunning === true ? target.peers.handlers.get(method.name) : undefined;
+        const reached = target !== undefined && target.process.isRunning
+            && (target.peers === this || !(this.cutOff || target.peers.cutOff));
+        const handler = reached ? target.peers.handlers.get(method.name) : undefined;
         return handler?.(request) ?? err(serviceError(ErrorKind.PeerUnreachable, `${owner} does not answer`));
     }
 }
@@ -107,14 +112,22 @@
     private readonly progress = new Map<string, number>();
     private transactions = 0;
 
-    /** With several shards, worker N belongs to shard N modulo their number. */
-    constructor(options: { readonly limit?: number; readonly shards?: number; } = {}) {
-        this.limit = options.limit ?? 1_000;
-        this.shards = Array.from({ length: options.shards ?? 1 }, (_, index) => `north/${index}`);
-        this.configuration = configurationOf(this.limit, this.shards.length);
+    /** With several shards in a failure domain, its worker N belongs to shard N modulo their number. */
+    constructor(
+        options: { readonly limit?: number; readonly shards?: number; readonly domains?: readonly string[]; } = {},
+    ) {
+        const { limit = 1_000, shards = 1, domains = ["north"] } = options;
+        this.limit = limit;
+        this.shards = domains.flatMap(domain => Array.from({ length: shards }, (_, index) => `${domain}/${index}`));
+        this.configuration = configurationOf(limit, shards, domains);
     }
 
-    addWorkers(count: number, capacity = size(4_000), capabilities: WorkerOptions["capabilities"] = {}): void {
+    addWorkers(
+        count: number,
+        capacity = size(4_000),
+        capabilities: WorkerOptions["capabilities"] = {},
+        failureDomain = "north",
+    ): void {
         for (let index = 0; index < count; index++) {
             const id = `worker${this.workers.size}`;
             const surroundings = {
@@ -131,7 +144,7 @@
                 id,
                 role: "worker",
                 address: "127.0.0.1:1",
-                failureDomain: "north",
+                failureDomain,
                 rack: `rack${index % 2}`,
                 state: "live",
             });
@@ -143,7 +156,7 @@
         return this.workers.get(id)!;
     }
 
-    addProcess(settings: Partial<ShardSettings> = {}): CellProcess {
+    addProcess(settings: Partial<ShardSettings> = {}, failureDomain = "north"): CellProcess {
         const id = `process${this.processes.length}`;
         const process = new SimulatedProcess(this.timers);
         const table = process.connect(this.table);
@@ -152,26 +165,28 @@
         const peers = new CellPeers(owner => this.processes.find(other => other.id === owner));
         const ownership = new TableShardOwnership({
             nodeId: id,
-            failureDomain: "north",
-            shards: this.shards,
+            failureDomain,
+            shards: this.shardsOf(failureDomain),
             timers: process,
             table,
             rendezvous,
             durations: defaultOwnershipDurations,
-            liveMembers: () => this.processes.filter(other => !other.process.isKilled).map(other => other.id),
+            liveMembers: () =>
+                this.processes.filter(other => !other.process.isKilled && other.failureDomain === failureDomain)
+                    .map(other => other.id),
             nextTransactionId,
         });
         const ledger = new TableGrantLedger({ timers: process, table, nextTransactionId, ...defaultGrantDurations });
         ledger.setTeamLimits({ alder: this.limit }, 1);
         const service = new SchedulerService({
             node: id,
-            failureDomain: "north",
+            failureDomain,
             peers: peers as unknown as PeerNetwork,
             targets: {
-                workers: () => this.vms.filter(({ id: worker }) => worker !== this.hidden),
+                workers: () => this.vms.filter(vm => vm.id !== this.hidden && vm.failureDomain === failureDomain),
                 executors: () => [],
             },
-            shardOfTarget: target => this.shards[Number(target.slice("worker".length)) % this.shards.length],
+            shardOfTarget: (target, shards) => shards[Number(target.slice("worker".length)) % shards.length],
             dependencies: {
                 timers: process,
                 logger: silentLogger,
@@ -187,11 +202,13 @@
                 createExecutorPool: () => noExecutors,
             },
         });
-        const cellProcess = { id, process, links, ownership, service, ledger, peers };
+        const cellProcess = { id, failureDomain, process, links, ownership, service, ledger, peers };
         this.processes.push(cellProcess);
         process.every(HEARTBEAT_MILLISECONDS, () => {
             const payload = service.heartbeat();
-            this.processes.filter(other => other.process.isRunning).forEach(other => other.service.learn(payload));
+            this.processes.filter(other => other.process.isRunning)
+                .filter(other => other === cellProcess || !(other.peers.cutOff || peers.cutOff))
+                .forEach(other => other.service.learn(payload));
         });
         ownership.start(service);
         return cellProcess;
@@ -205,6 +222,19 @@
         return process;
     }
 
+    /** A cell with one process and so many workers in each failure domain, all of them attached. */
+    async beginEverywhere(workers: number, settings: Partial<ShardSettings> = {}): Promise<CellProcess[]> {
+        const domains = Object.keys(this.configuration.failureDomains);
+        domains.forEach(domain => this.addWorkers(workers, size(4_000), {}, domain));
+        const processes = domains.map(domain => this.addProcess(settings, domain));
+        await this.timers.advance(7_000);
+        return processes;
+    }
+
+    private shardsOf(failureDomain: string): string[] {
+        return this.shards.filter(shard => shard.startsWith(`${failureDomain}/`));
+    }
+
     configure(change: Partial<ConfigurationSnapshot>): void {
         this.configuration = { ...this.configuration, ...change, version: this.configuration.version + 1 };
         this.processes.forEach(process => process.service.configurationChanged(this.configuration));
@@ -332,7 +362,7 @@
     [Symbol.asyncDispose]: () => Promise.resolve(),
 };
 
-function configurationOf(limit: number, shards: number): ConfigurationSnapshot {
+function configurationOf(limit: number, shards: number, domains: readonly string[]): ConfigurationSnapshot {
     const origin = "cell.yaml:1";
     const queues = Object.values(WorkClass).map(name =>
         [name, { name, workClass: name, open: false, origin }] as const
@@ -342,7 +372,9 @@
         teams: { alder: { name: "alder", share: 1, upperLimit: limit, origin } },
         keys: {},
         queues: Object.fromEntries(queues),
-        failureDomains: { north: { name: "north", region: "west", state: "active", shards, origin } },
+        failureDomains: Object.fromEntries(
+            domains.map(name => [name, { name, region: "west", state: "active" as const, shards, origin }]),
+        ),
         services: {},
         policy: { urgentReserve: 0, agingSeconds: 600, workerFailureLimit: 5, jobFailureLimit: 3 },
     };
--- a/packages/scheduler/src/jobAccess.ts
+++ b/packages/scheduler/src/jobAccess.ts
@@ -10,7 +10,7 @@
 import { type JobStatus, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
 
 /** Longest wait for the status of one part from its owner, and then from the table, in milliseconds. */
-const PART_MILLISECONDS = 1_500;
+const PART_MILLISECONDS = 1_000;
 
 /** What jobs are reached through. */
 export interface JobAccessDependencies {
