fix(scheduler): keep a moved part from starting where its arrival is confirmed late

Cause: a part may be loaded by a new owner before its arrival is confirmed and may be moved on; the arrival, read before the move, was then taken in again. Jobs that were moved once could not meet this, since they move only once. Change: an arrival of a job that is a pointer, or was moved away by this owner, is not taken in, and a pointer stays known while its target is looked up. Conclusion: arrivals and moves of one job no longer cross.

--- a/packages/scheduler/__tests__/serviceParts.spec.ts
+++ b/packages/scheduler/__tests__/serviceParts.spec.ts
@@ -108,6 +108,39 @@
         expect(domainsOf(cell, job)).to.deep.equal([]);
     });
 
+    it("does not start a part that was moved on while its arrival was being confirmed", async () => {
+        const cell = new SchedulerCell({ domains: ["north", "west"] });
+        ["north", "west"].forEach(domain => cell.addWorkers(2, undefined, {}, domain));
+        const north = cell.addProcess({}, "north");
+        await cell.timers.advance(7_000);
+        const part = await cell.submitTo("north/0", { ...SERVICE, tasks: 1, failureDomains: ["west", "north"] });
+        await cell.settle(north.service.cancel(part));
+        const { record } = cell.table.rows().find(({ key }) => key === `job/north/0/${part}`)!.value as {
+            record: JobRecord;
+        };
+        const id = "west.0.whole-p1";
+        const moving = { ...record, id, shard: "west/0", acceptedEpoch: 0, state: JobState.Queued, partOf: part };
+        const writes = [
+            { key: `job/west/0/${id}`, expectedVersion: 0, value: { record: moving } },
+            { key: `arrival/west/0/${id}`, expectedVersion: 0, value: {} },
+        ];
+        await cell.table.transact({ id: "split", conditions: [], writes });
+        takeOut(cell, "west", FailureDomainState.Out);
+        cell.addProcess({}, "west");
+        while (cell.ownerOf("west/0") === undefined) {
+            await cell.timers.advance(100);
+        }
+        await cell.timers.advance(1_000);
+        // The arrival is read before the move takes effect and confirmed after it.
+        cell.table.faults.delayMilliseconds = 1_500;
+        await cell.timers.advance(4_500);
+        takeOut(cell, "west", FailureDomainState.Active);
+        await cell.timers.advance(20_000);
+        expect(cell.attempts(id).map(({ worker }) => cell.vms.find(vm => vm.id === worker)?.failureDomain))
+            .to.deep.equal(["north"]);
+        cell.check();
+    });
+
     it("delivers a cancellation to a part that could not be reached, also after an owner change", async () => {
         const { cell, north, south, west } = await domainCell();
         cell.addProcess({}, "north");
--- a/packages/scheduler/src/jobMoves.ts
+++ b/packages/scheduler/src/jobMoves.ts
@@ -113,12 +113,15 @@
     }
 
     private takeIn(record: JobRecord): void {
-        if (this.disposed || this.context.book.get(record.id) !== undefined || isFinished(record.state)) {
+        const { book } = this.context;
+        // A part may have been loaded and moved on before its arrival was confirmed.
+        const isElsewhere = record.movedTo !== undefined || book.moved.has(record.id);
+        if (this.disposed || isElsewhere || book.get(record.id) !== undefined || isFinished(record.state)) {
             return;
         }
         const { timers } = this.context.dependencies;
         const entry = createJobEntry(record, timers.now(), timers.wallClock(), false);
-        this.context.book.add(entry);
+        book.add(entry);
         this.lifecycle.enqueue(entry);
     }
 
@@ -130,8 +133,8 @@
             return;
         }
         const [job, target] = oldest;
-        moved.delete(job);
         const record = await this.context.dependencies.jobs.read(target, job);
+        moved.delete(job);
         if (record.isOk() && record.value === undefined && !this.context.writes.pending) {
             this.context.dependencies.jobs.remove(this.context.shard, job);
         }
