--- a/packages/scheduler/src/jobRetention.ts
+++ b/packages/scheduler/src/jobRetention.ts
@@ -4,7 +4,7 @@
 import { shardOfJob } from "./submission.ts";
 
 /** Parts whose job is looked up in one period, which bounds the reads of the table. */
-const LOOKED_UP_AT_ONCE = 20;
+const LOOKED_UP_AT_ONCE = 10;
 
 /** Retention of the ended jobs of one shard. */
 export class JobRetention {
--- a/packages/scheduler/src/splitJobs.ts
+++ b/packages/scheduler/src/splitJobs.ts
@@ -13,8 +13,8 @@
 /** Period of looking at the parts of split jobs, in milliseconds. */
 const PERIOD_MILLISECONDS = 2_000;
 
-/** Jobs looked at in a period, which bounds the reads of the table. A running one mostly takes one read. */
-const RUNNING_AT_ONCE = 4;
+/** Jobs looked at in a period, which bounds the reads of the table. A running one mostly takes one read, and waits long. */
+const RUNNING_AT_ONCE = 1;
 const CANCELLED_AT_ONCE = 20;
 
 /** Split jobs of one shard. */
