--- a/packages/scheduler/__tests__/serviceParts.spec.ts
+++ b/packages/scheduler/__tests__/serviceParts.spec.ts
@@ -164,7 +164,9 @@
 
     it("cancels a part that has not arrived yet as soon as it arrives", async () => {
         const { cell, north } = await domainCell();
-        const job = await cell.submit(north, SERVICE);
+        const { id: job, parts } = (await cell.settle(cell.submission(north, SERVICE)))._unsafeUnwrap();
+        const early = (await cell.settle(north.service.cancel(parts![1]!.id)))._unsafeUnwrapErr();
+        expect(early.kind, "the part exists, so it is not answered as unknown").to.equal(ErrorKind.ShardNotReady);
         expect((await cell.settle(north.service.cancel(job)))._unsafeUnwrap().state).to.equal(JobState.Cancelled);
         await cell.timers.advance(15_000);
         expect(domainsOf(cell, job)).to.deep.equal([]);
