--- a/packages/scheduler/__tests__/serviceParts.spec.ts
+++ b/packages/scheduler/__tests__/serviceParts.spec.ts
@@ -170,7 +170,9 @@
         expect((await cell.settle(north.service.cancel(job)))._unsafeUnwrap().state).to.equal(JobState.Cancelled);
         await cell.timers.advance(15_000);
         expect(domainsOf(cell, job)).to.deep.equal([]);
-        expect((await cell.status(north, job)).parts?.map(({ state }) => state))
+        const status = await cell.status(north, job);
+        expect(status.finishedAt).to.be.a("number");
+        expect(status.parts?.map(({ state }) => state))
             .to.deep.equal(Array.from({ length: 3 }, () => JobState.Cancelled));
     });
 
--- a/packages/scheduler/src/splitStatus.ts
+++ b/packages/scheduler/src/splitStatus.ts
@@ -40,6 +40,7 @@
     });
     return {
         ...job,
+        ...endOfParts(known),
         state: isFinished(job.state) ? job.state : stateOfParts(parts.map(({ state }) => state)),
         tasks: sumOfTasks(parts),
         parts,
@@ -47,6 +48,12 @@
     };
 }
 
+/** Time of the last end, once all parts have ended; the owner of the job records it later. */
+function endOfParts(known: readonly (KnownPart | undefined)[]): Pick<JobStatus, "finishedAt"> {
+    const ends = known.flatMap(part => part?.status.finishedAt ?? []);
+    return ends.length === known.length && ends.length > 0 ? { finishedAt: Math.max(...ends) } : {};
+}
+
 function sumOfTasks(parts: readonly PartStatus[]): JobStatus["tasks"] {
     const counted = Object.values(TaskState).map(state =>
         [state, parts.reduce((sum, { tasks }) => sum + (tasks[state] ?? 0), 0)] as const
