--- a/packages/scenarios/src/scenarioPool.ts
+++ b/packages/scenarios/src/scenarioPool.ts
@@ -5,7 +5,7 @@
 import { runScenario, type ScenarioResult } from "./runScenario.ts";
 
 /** Runs at the same time. A cell has 4 to 6 entry processes. */
-const CONCURRENT_RUNS = 2;
+const CONCURRENT_RUNS = 3;
 
 const SCENARIO_FILE = /^(.+)\.yaml$/;
 const KNOWN_RED_LINE = /^scenario (\S+) seed (\d+|any)\b/;
--- a/packages/scheduler/__tests__/adoption.spec.ts
+++ b/packages/scheduler/__tests__/adoption.spec.ts
@@ -9,7 +9,7 @@
 
 /** A failure domain with three workers and one process, and another one with one process and as many workers as given. */
 async function cellOfTwo(southWorkers = 0): Promise<{ cell: SchedulerCell; north: CellProcess; south: CellProcess; }> {
-    const cell = new SchedulerCell({ south: true });
+    const cell = new SchedulerCell({ domains: ["north", "south"] });
     cell.addWorkers(3, size(2_000));
     cell.addWorkers(southWorkers, size(64_000), {}, "south");
     const north = cell.addProcess();
--- a/packages/scheduler/__tests__/support/schedulerCell.ts
+++ b/packages/scheduler/__tests__/support/schedulerCell.ts
@@ -1,5 +1,5 @@
 /**
- * Several processes of one failure domain with their schedulers, on one table and one set of simulated workers, in
+ * Several processes of one or more failure domains with their schedulers, on one table and one set of simulated workers, in
  * virtual time. The checks use the workers' own record, not the account of the schedulers.
  */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
@@ -62,6 +62,8 @@
 /** Calls between the processes of a cell, without links. */
 class CellPeers {
     readonly handlers = new Map<string, (request: unknown) => Promise<Result<unknown, ServiceError>>>();
+    /** Set while no call and no heartbeat passes between this process and others. */
+    cutOff = false;
     private readonly find: (process: string) => CellProcess | undefined;
 
     constructor(find: (process: string) => CellProcess | undefined) {
@@ -81,7 +83,9 @@
         request: unknown,
     ): Promise<Result<unknown, ServiceError>> {
         const target = this.find(owner);
-        const handler = target?.process.isRunning === true ? target.peers.handlers.get(method.name) : undefined;
+        const reached = target !== undefined && target.process.isRunning
+            && (target.peers === this || !(this.cutOff || target.peers.cutOff));
+        const handler = reached ? target.peers.handlers.get(method.name) : undefined;
         return handler?.(request) ?? err(serviceError(ErrorKind.PeerUnreachable, `${owner} does not answer`));
     }
 }
@@ -112,16 +116,14 @@
     private readonly progress = new Map<string, number>();
     private transactions = 0;
 
-    /** With several shards, worker N belongs to shard N modulo their number. `south` adds a second failure domain. */
-    constructor(options: { readonly limit?: number; readonly shards?: number; readonly south?: boolean; } = {}) {
-        this.limit = options.limit ?? 1_000;
-        this.shards = Array.from({ length: options.shards ?? 1 }, (_, index) => `north/${index}`);
-        this.configuration = configurationOf(this.limit, this.shards.length);
-        if (options.south === true) {
-            const { north } = this.configuration.failureDomains;
-            const south = { ...north!, name: "south", shards: 1 };
-            this.configuration = { ...this.configuration, failureDomains: { north: north!, south } };
-        }
+    /** With several shards in a failure domain, its worker N belongs to shard N modulo their number. */
+    constructor(
+        options: { readonly limit?: number; readonly shards?: number; readonly domains?: readonly string[]; } = {},
+    ) {
+        const { limit = 1_000, shards = 1, domains = ["north"] } = options;
+        this.limit = limit;
+        this.shards = domains.flatMap(domain => Array.from({ length: shards }, (_, index) => `${domain}/${index}`));
+        this.configuration = configurationOf(limit, shards, domains);
     }
 
     /** Processes that membership knows as live. */
@@ -184,7 +186,7 @@
             rendezvous,
             durations: defaultOwnershipDurations,
             liveMembers: name => this.members(name),
-            adoption: { delayMilliseconds: 15_000, mayHaveLiveProcess: name => this.members(name).length > 0 },
+            adoption: { delayMilliseconds: 8_000, mayHaveLiveProcess: name => this.members(name).length > 0 },
             nextTransactionId,
         });
         const ledger = new TableGrantLedger({ timers: process, table, nextTransactionId, ...defaultGrantDurations });
@@ -218,7 +220,9 @@
         this.processes.push(cellProcess);
         process.every(HEARTBEAT_MILLISECONDS, () => {
             const payload = service.heartbeat();
-            this.processes.filter(other => other.process.isRunning).forEach(other => other.service.learn(payload));
+            this.processes.filter(other => other.process.isRunning)
+                .filter(other => other === cellProcess || !(other.peers.cutOff || peers.cutOff))
+                .forEach(other => other.service.learn(payload));
         });
         ownership.start(service);
         return cellProcess;
@@ -232,6 +236,15 @@
         return process;
     }
 
+    /** A cell with one process and so many workers in each failure domain, all of them attached. */
+    async beginEverywhere(workers: number, settings: Partial<ShardSettings> = {}): Promise<CellProcess[]> {
+        const domains = Object.keys(this.configuration.failureDomains);
+        domains.forEach(domain => this.addWorkers(workers, size(4_000), {}, domain));
+        const processes = domains.map(domain => this.addProcess(settings, domain));
+        await this.timers.advance(7_000);
+        return processes;
+    }
+
     configure(change: Partial<ConfigurationSnapshot>): void {
         this.configuration = { ...this.configuration, ...change, version: this.configuration.version + 1 };
         this.processes.forEach(({ ledger, service }) => {
@@ -373,7 +386,7 @@
     [Symbol.asyncDispose]: () => Promise.resolve(),
 };
 
-function configurationOf(limit: number, shards: number): ConfigurationSnapshot {
+function configurationOf(limit: number, shards: number, domains: readonly string[]): ConfigurationSnapshot {
     const origin = "cell.yaml:1";
     const queues = Object.values(WorkClass).map(name =>
         [name, { name, workClass: name, open: false, origin }] as const
@@ -383,7 +396,9 @@
         teams: { alder: { name: "alder", share: 1, upperLimit: limit, origin } },
         keys: {},
         queues: Object.fromEntries(queues),
-        failureDomains: { north: { name: "north", region: "west", state: "active", shards, origin } },
+        failureDomains: Object.fromEntries(
+            domains.map(name => [name, { name, region: "west", state: "active" as const, shards, origin }]),
+        ),
         services: {},
         policy: { urgentReserve: 0, agingSeconds: 600, workerFailureLimit: 5, jobFailureLimit: 3 },
     };
--- a/packages/scheduler/src/jobMoves.ts
+++ b/packages/scheduler/src/jobMoves.ts
@@ -180,7 +180,7 @@
 function isMovable(entry: JobEntry, leave: boolean): boolean {
     const { record } = entry;
     const movable = entry.pendingWrites === 0 && !isFinished(record.state) && record.intents.length === 0
-        && (record.movedFrom?.length ?? 0) < (leave ? MAXIMUM_MOVES : 1);
+        && record.parts === undefined && (record.movedFrom?.length ?? 0) < (leave ? MAXIMUM_MOVES : 1);
     if (!movable) {
         return false;
     }
--- a/packages/scheduler/src/schedulerService.ts
+++ b/packages/scheduler/src/schedulerService.ts
@@ -19,7 +19,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetView } from "./fleetView.ts";
-import { JobLookup } from "./jobLookup.ts";
+import { JobAccess } from "./jobAccess.ts";
 import { JobRouter } from "./jobRouter.ts";
 import { cancelMethod, requestMethod, statusMethod, submitMethod } from "./peerMethods.ts";
 import { RequestRouter } from "./requestRouter.ts";
@@ -63,8 +63,8 @@
     private readonly closingShards = new Map<string, Promise<void>>();
     private readonly feed: SummaryFeed;
     private readonly access: ShardAccess;
-    private readonly lookup: JobLookup;
     private readonly jobRouter: JobRouter;
+    private readonly jobAccess: JobAccess;
     private readonly requestRouter: RequestRouter;
     private readonly subscription: Subscription;
 
@@ -80,7 +80,6 @@
             fleet: this.fleet,
             local: shard => this.shards.get(shard),
         });
-        this.lookup = new JobLookup(this.access, dependencies.jobs);
         const generator = xoroshiro128plus(randomInt(SEED_BOUND));
         const random = (): number => uniformFloat64(generator);
         this.jobRouter = new JobRouter({
@@ -92,6 +91,12 @@
             submitTo: submission => this.access.submit(submission),
             identify: shard => jobIdentifier(shard, randomUUID().replaceAll("-", "")),
         });
+        this.jobAccess = new JobAccess({
+            router: this.jobRouter,
+            access: this.access,
+            jobs: dependencies.jobs,
+            timers: dependencies.timers,
+        });
         this.requestRouter = new RequestRouter({
             node,
             failureDomain,
@@ -117,6 +122,10 @@
             ...this.options.dependencies,
             moveTarget: (record, leave) => this.jobRouter.moveTarget(record, leave),
             ...(adopted ? { adopter: { node, failureDomain } } : {}),
+            parts: {
+                plan: submission => this.jobRouter.planParts(submission),
+                cancel: part => this.jobAccess.cancelOne(part),
+            },
         });
         this.shards.set(owned.shard, scheduler);
         if (adopted) {
@@ -193,16 +202,16 @@
     }
 
     submit(draft: Omit<Submission, "id" | "shard">): Promise<Result<JobStatus, ServiceError>> {
-        return this.jobRouter.submit(draft);
+        return this.jobAccess.submit(draft);
     }
 
     /** Status of a job from its owner, or from the table when the owner can't be asked. */
     status(job: string): Promise<Result<JobStatus, ServiceError>> {
-        return this.lookup.status(job);
+        return this.jobAccess.status(job);
     }
 
     cancel(job: string): Promise<Result<JobStatus, ServiceError>> {
-        return this.lookup.cancel(job);
+        return this.jobAccess.cancel(job);
     }
 
     dispatch(request: ServiceRequest): Promise<Result<ServiceAnswer, ServiceError>> {
--- a/packages/settings/src/settingsTable.ts
+++ b/packages/settings/src/settingsTable.ts
@@ -181,7 +181,7 @@
     adoptionDelayMilliseconds: number(
         "adoption-delay-milliseconds",
         "milliseconds",
-        [1_000, 15_000, 3_600_000],
+        [1_000, 8_000, 3_600_000],
         "Time without a known live entry process after which other failure domains adopt the shards of a failure domain.",
     ),
     confirmationWindowMilliseconds: number(
