test(scenarios): compare outcomes after the jobs that are to finish have finished

Cause: outcomes were compared in the order in which a scenario lists them, and only 'finished' waits; 'started' and 'stopped', listed before it, were compared while urgent tasks were still waiting. Change: first wait for all 'finished' outcomes, then compare all. No bound is changed, and checks such as 'never-ran' look at more.

--- a/packages/scenarios/src/outcomes.ts
+++ b/packages/scenarios/src/outcomes.ts
@@ -19,18 +19,20 @@
 /** Drain timeout of all processes of scenarios, in milliseconds. */
 const DRAIN_MILLISECONDS = 10_000;
 
-/** Waits for each outcome of the scenario; returns one line for each, and whether it was reached. */
+/**
+ * Waits until all jobs that are to finish have done so, and then compares each outcome of the scenario. Returns one line for
+ * each, and whether it was reached.
+ */
 export async function findOutcomes(scenario: Scenario, run: CheckedRun): Promise<Finding[]> {
     const until = performance.now() + scenario["outcome-wait"];
-    const findings: Finding[] = [];
-    for (const outcome of scenario.outcomes) {
-        let finding = find(outcome, run);
-        while (!finding.reached && "finished" in outcome && performance.now() < until) {
-            await pause(LOOK_MILLISECONDS);
-            finding = find(outcome, run);
-        }
-        findings.push({ ...finding, observed: `${JSON.stringify(outcome)}: ${finding.observed}` });
+    const awaited = scenario.outcomes.filter(outcome => "finished" in outcome);
+    while (performance.now() < until && !awaited.every(outcome => find(outcome, run).reached)) {
+        await pause(LOOK_MILLISECONDS);
     }
+    const findings = scenario.outcomes.map(outcome => {
+        const finding = find(outcome, run);
+        return { ...finding, observed: `${JSON.stringify(outcome)}: ${finding.observed}` };
+    });
     findings.push(...run.facts.unreached.map(observed => ({ reached: false, observed: `not reached: ${observed}` })));
     return findings;
 }
