--- a/packages/scenarios/src/scenarioRun.ts
+++ b/packages/scenarios/src/scenarioRun.ts
@@ -6,11 +6,10 @@
 import { adoptedShards, readyShards } from "./cellStatus.ts";
 import type { EntryProcess } from "./entryProcess.ts";
 import { Facts } from "./facts.ts";
-import { jobs, type ProcessesStep, type Scenario, type Step, type TargetStep } from "./language.ts";
+import { jobs, type ProcessesStep, type Scenario, type Step } from "./language.ts";
 import { Operators } from "./operators.ts";
 import { RandomChoices } from "./random.ts";
-import { PathState } from "./relay.ts";
-import { setExecutorFault, setWorkerFault } from "./targetFaults.ts";
+import { Surroundings } from "./surroundings.ts";
 import { Trace } from "./trace.ts";
 import { WorkLog } from "./work.ts";
 
@@ -50,6 +49,7 @@
     private readonly random: RandomChoices;
     private readonly callers: Callers;
     private readonly operators: Operators;
+    private readonly surroundings: Surroundings;
     private readonly background = new Set<Promise<void>>();
     private readonly gone = new Set<string>();
     private readonly failures: unknown[] = [];
@@ -70,6 +70,8 @@
         });
         const { trace, facts, random } = this;
         this.operators = new Operators({ cell, random, trace, facts, entries }, folder);
+        const inBackground = (work: Promise<void>): void => this.inBackground(work);
+        this.surroundings = new Surroundings({ cell, random, trace, facts, inBackground });
         const at = performance.now();
         Object.entries(scenario.teams).forEach(([team, units]) => this.facts.limits.push({ team, units, at }));
     }
@@ -195,104 +197,7 @@
             await this.operators.halfWritten(step["half-written"].via);
         }
         else {
-            this.disturbSurroundings(step);
-        }
-    }
-
-    /** Faults of the platform, the network and the targets. */
-    private disturbSurroundings(step: Step): void {
-        const { faults } = this.cell.platform;
-        if ("store" in step) {
-            const { store } = step;
-            if (typeof store === "string") {
-                faults.setDown(store === "down");
-                faults.setSilent(store === "silent");
-                faults.setDelay(0);
-            }
-            else if ("slow" in store) {
-                faults.setDelay(store.slow);
-            }
-            else {
-                faults.loseAnswers(store["lose-answers"]);
-            }
-        }
-        else if ("platform" in step) {
-            const { cut, heal } = step.platform;
-            [cut].filter(name => name !== undefined).forEach(name => faults.setPartitioned(name, true));
-            [heal].filter(name => name !== undefined).forEach(name => faults.setPartitioned(name, false));
-        }
-        else if ("links" in step) {
-            const { cut, heal } = step.links;
-            [cut].filter(pair => pair !== undefined).forEach(pair => this.cell.relays.setLinks(...pair, PathState.Cut));
-            [heal].filter(pair => pair !== undefined).forEach(pair =>
-                this.cell.relays.setLinks(...pair, PathState.Open)
-            );
-        }
-        else if ("silence" in step) {
-            this.trace.note(`${this.cell.relays.silence(step.silence)} connections go silent`);
-        }
-        else if ("workers" in step) {
-            this.disturbTargets(step.workers, this.cell.workers.workers.keys(), (id, on) => {
-                setWorkerFault(this.cell.workers.worker(id), step.workers.fault, on);
-            });
-        }
-        else if ("executors" in step) {
-            this.disturbTargets(step.executors, this.cell.executors.keys(), (id, on) => {
-                const { executors, relays } = this.cell;
-                setExecutorFault(executors.get(id), relays.target(id), step.executors.fault, on);
-            });
-        }
-        else if ("leaving" in step) {
-            this.leave(step.leaving);
-        }
-        else if ("lose" in step) {
-            this.lose(step.lose);
-        }
-    }
-
-    private disturbTargets(
-        step: TargetStep,
-        ids: Iterable<string>,
-        set: (id: string, on: boolean) => void,
-    ): void {
-        const members = [...ids].filter(id => step.in === undefined || id.startsWith(`${step.in}-`));
-        const chosen = this.random.some(members, step.count === "all" ? members.length : step.count);
-        for (const id of chosen) {
-            this.trace.note(`${id}: ${step.fault}`);
-            set(id, true);
-            if (step.for !== undefined) {
-                this.inBackground(
-                    pause(this.random.within(step.for)).then(() => {
-                        this.trace.note(`${id}: ${step.fault} ends`);
-                        set(id, false);
-                    }),
-                );
-            }
-        }
-    }
-
-    private leave(
-        step: { readonly role: "worker" | "executor"; readonly count: number; readonly in?: string | undefined; },
-    ): void {
-        const ids = step.role === "worker" ? this.cell.workers.workers.keys() : this.cell.executors.keys();
-        const members = [...ids].filter(id => step.in === undefined || id.startsWith(`${step.in}-`));
-        for (const id of this.random.some(members, step.count)) {
-            this.trace.note(`${id} is leaving`);
-            const target = step.role === "worker" ? this.cell.workers.worker(id) : this.cell.executors.get(id);
-            if (target !== undefined) {
-                target.leaving = true;
-            }
-            this.cell.changeTarget(id, { state: "leaving" });
-            this.facts.leavings.push({ target: id, at: performance.now() });
-        }
-    }
-
-    private lose(step: { readonly workers: number | "all"; readonly in: string; }): void {
-        const members = this.cell.workersOf(step.in);
-        for (const id of this.random.some(members, step.workers === "all" ? members.length : step.workers)) {
-            this.trace.note(`${id} is lost`);
-            setWorkerFault(this.cell.workers.worker(id), "unreachable", true);
-            this.cell.changeTarget(id, undefined);
+            this.surroundings.disturb(step);
         }
     }
 
