fix(scheduler): follow all pointers when the parts of a split job are read

Cause: jobs may move several times since the adoption of lost failure domains, but split jobs followed one pointer; a part moved twice was seen as queued for ever, so that its job never ended. Change: one function reads the record where the job is now, for status, cancellation and split jobs. Conclusion: one place knows how pointers are followed.

--- a/packages/scheduler/src/jobAccess.ts
+++ b/packages/scheduler/src/jobAccess.ts
@@ -5,6 +5,7 @@
 import { type Timers, withDeadline } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import type { JobRouter } from "./jobRouter.ts";
+import { readMovedRecord } from "./movedRecord.ts";
 import type { ShardAccess } from "./shardAccess.ts";
 import { type KnownPart, withParts } from "./splitStatus.ts";
 import { type JobStatus, shardOfJob, statusOfRecord, type Submission } from "./submission.ts";
@@ -47,7 +48,7 @@
 
     /** Cancels a job without looking at its parts. */
     async cancelOne(job: string): Promise<Result<JobStatus, ServiceError>> {
-        const { access } = this.dependencies;
+        const { access, jobs } = this.dependencies;
         const shard = shardOfJob(job);
         if (shard === undefined) {
             return err(notAJob(job));
@@ -56,7 +57,7 @@
         if (answer.isOk()) {
             return answer;
         }
-        const record = await this.locate(shard, job);
+        const record = await readMovedRecord(jobs, shard, job);
         const holder = record.isOk() ? record.value?.shard : undefined;
         if (holder === undefined) {
             return answer;
@@ -70,16 +71,8 @@
         );
     }
 
-    /** Reads the record of a job in the table, in the shard to which it was moved last. */
-    private async locate(shard: string, job: string): Promise<Result<JobRecord | undefined, ServiceError>> {
-        const record = await this.dependencies.jobs.read(shard, job);
-        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        // Each pointer names where the job went when it left the shard last, so following them ends at the job.
-        return movedTo === undefined ? record : this.locate(movedTo, job);
-    }
-
     private async find(job: string): Promise<Result<KnownPart, ServiceError>> {
-        const { access } = this.dependencies;
+        const { access, jobs } = this.dependencies;
         const shard = shardOfJob(job);
         if (shard === undefined) {
             return err(notAJob(job));
@@ -88,7 +81,7 @@
         if (answer.isOk()) {
             return ok({ status: answer.value, unreachable: false });
         }
-        const record = await this.locate(shard, job);
+        const record = await readMovedRecord(jobs, shard, job);
         const holder = record.isOk() ? record.value?.shard : undefined;
         if (holder === undefined || holder === shard) {
             return ofRow(job, record);
@@ -110,7 +103,7 @@
         if (found !== undefined) {
             return found.unwrapOr(undefined);
         }
-        const read = await withDeadline(timers, PART_MILLISECONDS, jobs.read(shardOfJob(part) ?? "", part));
+        const read = await withDeadline(timers, PART_MILLISECONDS, readMovedRecord(jobs, shardOfJob(part) ?? "", part));
         return read === undefined ? undefined : ofRow(part, read).unwrapOr(undefined);
     }
 }
--- a/packages/scheduler/src/splitJobs.ts
+++ b/packages/scheduler/src/splitJobs.ts
@@ -6,6 +6,7 @@
 import { isFinished, type JobPart, type JobRecord, JobState, Reason } from "@tanagerlink/model";
 import type { Result } from "neverthrow";
 import type { JobEntry } from "./jobEntry.ts";
+import { readMovedRecord } from "./movedRecord.ts";
 import { decide, type ShardContext } from "./shardContext.ts";
 import { stateOfParts } from "./splitStatus.ts";
 import type { TaskLifecycle } from "./taskLifecycle.ts";
@@ -131,10 +132,7 @@
     }
 
     /** Reads a part where it is now. A part without a record was removed after its end. */
-    private async read(part: JobPart): Promise<Result<JobRecord | undefined, ServiceError>> {
-        const { jobs } = this.context.dependencies;
-        const record = await jobs.read(part.shard, part.id);
-        const movedTo = record.isOk() ? record.value?.movedTo : undefined;
-        return movedTo === undefined ? record : jobs.read(movedTo, part.id);
+    private read(part: JobPart): Promise<Result<JobRecord | undefined, ServiceError>> {
+        return readMovedRecord(this.context.dependencies.jobs, part.shard, part.id);
     }
 }
