fix(membership): tell subscribers when a failure domain is known to have no targets

The answer changed no record, so nobody was told that the targets are known, and the adopted shards waited for them for ever (ready 0 of 2). Change: a failure domain that becomes known counts as a change of targets.

--- a/packages/membership/__tests__/membership.spec.ts
+++ b/packages/membership/__tests__/membership.spec.ts
@@ -96,6 +96,27 @@
         expect(asked).to.deep.equal([["north"], ["north", "south"]]);
     });
 
+    it("tells subscribers when a failure domain is known to have no targets, or its shards would wait for them", async () => {
+        const records = [vm("a"), vm("w", "worker")];
+        await using scoped = new Membership({
+            ...vm("a"),
+            vmList: { read: () => Promise.resolve(ok(records)) },
+            network: { links: () => [] },
+            timers,
+            pollMilliseconds: 1_000,
+            byFailureDomain: true,
+        });
+        await scoped.start(0);
+        await timers.settle();
+        let known: boolean | undefined;
+        using _subscription = scoped.subscribe(({ targets }) => {
+            known = targets && scoped.knowsTargets("south");
+        });
+        expect(scoped.knowsTargets("south")).to.equal(false);
+        await timers.advance(1_000);
+        expect(known).to.equal(true);
+    });
+
     it("keeps a silent process as suspect while a peer reaches it, so that one cut does not count as a death", async () => {
         links = [heard("b", 9_000), heard("c", 0)];
         membership.learn("c", { reachable: ["b"] });
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -216,6 +216,7 @@
             return;
         }
         this.listReadAt = this.timers.now();
+        const isNewlyKnown = targetsOf?.some(failureDomain => !this.knownDomains.has(failureDomain)) === true;
         this.knownDomains = new Set(targetsOf);
         // Most reads find no change; rebuilding the index each second would cost more than reading.
         if (read.value !== this.records) {
@@ -223,11 +224,12 @@
             this.list = new Map(read.value.map(record => [record.id, record]));
             this.listedEntryProcesses = read.value.filter(record => record.role === VmRole.Entry);
         }
-        else if (this.marks.isEmpty) {
+        else if (this.marks.isEmpty && !isNewlyKnown) {
             return;
         }
         this.marks.update(this.list, this.listReadAt);
-        this.refresh(this.rebuildTargets());
+        // A failure domain without targets changes no record, but now it is known that it has none.
+        this.refresh(this.rebuildTargets() || isNewlyKnown);
     }
 
     private wantTargets(failureDomain: string): void {
