--- a/packages/membership/__tests__/membership.spec.ts
+++ b/packages/membership/__tests__/membership.spec.ts
@@ -109,11 +109,12 @@
         await scoped.start(0);
         await timers.settle();
         let known: boolean | undefined;
-        using _subscription = scoped.subscribe(({ targets }) => {
+        const subscription = scoped.subscribe(({ targets }) => {
             known = targets && scoped.knowsTargets("south");
         });
         expect(scoped.knowsTargets("south")).to.equal(false);
         await timers.advance(1_000);
+        subscription[Symbol.dispose]();
         expect(known).to.equal(true);
     });
 
