test(scheduler): one fixture for what other processes know of a shard

Change: support/shardHeadline.ts; each spec states what differs. Conclusion: a new field is added in one place.

--- a/packages/scheduler/__tests__/jobRouter.spec.ts
+++ b/packages/scheduler/__tests__/jobRouter.spec.ts
@@ -9,29 +9,20 @@
 import { expect } from "chai";
 import { err, ok } from "neverthrow";
 import { FleetView, JobRouter, type JobStatus, type ShardHeadline, type Submission } from "../src/index.ts";
+import { shardHeadline } from "./support/shardHeadline.ts";
 
 const half = { processorMillis: 80_000, memoryMebibytes: 0, accelerators: 0 };
 const CAPACITY = { processorMillis: 160_000, memoryMebibytes: 655_360, accelerators: 0 };
 
 function headline(shard: string, changes: Partial<ShardHeadline> = {}): ShardHeadline {
-    return {
-        shard,
-        owner: `owner of ${shard}`,
-        epoch: 1,
-        ready: true,
+    return shardHeadline(shard, {
         freeProcessorMillis: CAPACITY.processorMillis,
         freeMemoryMebibytes: CAPACITY.memoryMebibytes,
-        freeAccelerators: 0,
         largestProcessorMillis: 16_000,
         largestMemoryMebibytes: 65_536,
-        largestAccelerators: 0,
         capacity: CAPACITY,
-        queuedTasks: 0,
-        waiting: { processorMillis: 0, memoryMebibytes: 0, accelerators: 0 },
-        services: [],
-        ageMilliseconds: 0,
         ...changes,
-    };
+    });
 }
 
 function specification(changes: Partial<JobSpecification> = {}): JobSpecification {
--- a/packages/scheduler/__tests__/moveTarget.spec.ts
+++ b/packages/scheduler/__tests__/moveTarget.spec.ts
@@ -4,27 +4,21 @@
 import { expect } from "chai";
 import { FleetView, JobRouter } from "../src/index.ts";
 import { SchedulerCell, size } from "./support/schedulerCell.ts";
+import { shardHeadline } from "./support/shardHeadline.ts";
 
 /** A router that knows shards by their free processors; all workers have 4,000. */
 function routerOf(free: Readonly<Record<string, number>>, out: string): JobRouter {
     const fleet = new FleetView(new ManualTimers());
-    const shards = Object.entries(free).map(([shard, processorMillis]) => ({
-        shard,
-        owner: "process0",
-        epoch: 1,
-        ready: true,
-        freeProcessorMillis: processorMillis,
-        freeMemoryMebibytes: processorMillis,
-        freeAccelerators: 0,
-        largestProcessorMillis: 4_000,
-        largestMemoryMebibytes: 4_000,
-        largestAccelerators: 0,
-        capacity: size(4_000),
-        queuedTasks: 0,
-        waiting: size(0),
-        services: [],
-        ageMilliseconds: 0,
-    }));
+    const shards = Object.entries(free).map(([shard, processorMillis]) =>
+        shardHeadline(shard, {
+            owner: "process0",
+            freeProcessorMillis: processorMillis,
+            freeMemoryMebibytes: processorMillis,
+            largestProcessorMillis: 4_000,
+            largestMemoryMebibytes: 4_000,
+            capacity: size(4_000),
+        })
+    );
     fleet.learn({ shards, teams: [] });
     const { configuration } = new SchedulerCell();
     const { north } = configuration.failureDomains;
--- a/packages/scheduler/__tests__/requestRouter.spec.ts
+++ b/packages/scheduler/__tests__/requestRouter.spec.ts
@@ -5,28 +5,11 @@
 import { expect } from "chai";
 import { err, ok } from "neverthrow";
 import { FleetView, RequestRouter, type ShardHeadline } from "../src/index.ts";
-
-const none = { processorMillis: 0, memoryMebibytes: 0, accelerators: 0 };
+import { shardHeadline } from "./support/shardHeadline.ts";
 
 function headline(shard: string, changes: Partial<ShardHeadline> = {}): ShardHeadline {
-    return {
-        shard,
-        owner: `owner of ${shard}`,
-        epoch: 1,
-        ready: true,
-        freeProcessorMillis: 0,
-        freeMemoryMebibytes: 0,
-        freeAccelerators: 0,
-        largestProcessorMillis: 0,
-        largestMemoryMebibytes: 0,
-        largestAccelerators: 0,
-        capacity: none,
-        queuedTasks: 0,
-        waiting: none,
-        services: [{ service: "records", slots: 8, freeSlots: 8, latencyMilliseconds: 1 }],
-        ageMilliseconds: 0,
-        ...changes,
-    };
+    const services = [{ service: "records", slots: 8, freeSlots: 8, latencyMilliseconds: 1 }];
+    return shardHeadline(shard, { services, ...changes });
 }
 
 const request: ServiceRequest = {
