--- /dev/null
+++ b/packages/workflow/src/progressRecord.ts
@@ -0,0 +1,76 @@
+/**
+ * The durable record of a job's progress. It is written before any start that it names is sent, so that a new owner
+ * knows every worker on which a task may run, and before ended tasks are acknowledged to their workers.
+ */
+import { z } from "zod";
+import { type JobRun, JobState } from "./jobRun.ts";
+import { Attempt, AttemptStatus, type TaskRun } from "./taskRun.ts";
+
+const taskSchema = z.tuple([
+    z.int().describe("occurrence"),
+    z.int().describe("step"),
+    z.int().describe("index"),
+    z.int().describe("1 if done"),
+    z.int().describe("last attempt"),
+    z.int().describe("failed ends"),
+    z.string().describe("checkpoint"),
+    z.string().describe("worker of the live attempt, or empty"),
+    z.number().describe("boot of that worker"),
+]);
+
+export const progressRecordSchema = z.object({
+    state: z.enum([JobState.Queued, JobState.Running, JobState.Completed, JobState.Failed, JobState.Cancelled]),
+    /** Tasks that were started at least once; left out for jobs that have ended without live attempts. */
+    tasks: z.array(taskSchema),
+});
+
+export type ProgressRecord = z.infer<typeof progressRecordSchema>;
+
+/** The record of a job as it is now. */
+export function progressOf(job: JobRun): ProgressRecord {
+    const tasks = [...job.tasks()].filter(task => job.open ? task.lastAttempt > 0 : task.current !== undefined);
+    return { state: job.state, tasks: tasks.map(taskEntry) };
+}
+
+function taskEntry(task: TaskRun): ProgressRecord["tasks"][number] {
+    const { step, current } = task;
+    return [
+        step.occurrence,
+        step.index,
+        task.index,
+        task.done ? 1 : 0,
+        task.lastAttempt,
+        task.failures,
+        task.done ? "" : task.checkpoint,
+        current?.workerId ?? "",
+        current?.workerBoot ?? 0,
+    ];
+}
+
+/** Brings a job that was read from the store to the state of its record. Returns the attempts that may be live. */
+export function restoreProgress(job: JobRun, record: ProgressRecord, now: number): Attempt[] {
+    job.state = record.state;
+    job.storedState = record.state;
+    if (!job.open) {
+        job.endedAt = now;
+    }
+    const live: Attempt[] = [];
+    for (const [occurrence, step, index, done, lastAttempt, failures, checkpoint, worker, boot] of record.tasks) {
+        const task = job.task(occurrence, step, index);
+        if (task === undefined) {
+            continue;
+        }
+        task.done = done === 1;
+        task.lastAttempt = lastAttempt;
+        task.failures = failures;
+        task.checkpoint = checkpoint;
+        job.firstStartAt = now;
+        if (worker !== "") {
+            const attempt = new Attempt(task, lastAttempt, worker, boot, now);
+            attempt.status = AttemptStatus.Unknown;
+            task.current = attempt;
+            live.push(attempt);
+        }
+    }
+    return live;
+}
