--- /dev/null
+++ b/packages/hints/src/hintMethods.ts
@@ -0,0 +1,19 @@
+/** Lets another process make hint calls for the one that places tasks. */
+import type { PeerMethod } from "@tanagerlink/peer";
+import { z } from "zod";
+import type { HintAnswer } from "./hintService.ts";
+
+export interface HintRequest {
+    readonly step: string;
+    readonly workers: readonly string[];
+}
+
+export const askHintMethod: PeerMethod<HintRequest, HintAnswer> = {
+    name: "hints/ask",
+    request: z.object({ step: z.string(), workers: z.array(z.string()) }),
+    answer: z.object({
+        allowed: z.array(z.object({ worker: z.string(), ticket: z.string() })),
+        validityMilliseconds: z.number(),
+    }),
+    idempotent: true,
+};
