--- a/packages/platform/src/httpPlatformClient.ts
+++ b/packages/platform/src/httpPlatformClient.ts
@@ -38,8 +38,6 @@
 
 /**
  * Outcome of one HTTP exchange. `sent: false` guarantees that the platform did not see the request.
- *
- * @internal
  */
 export type HttpExchange =
     | {
@@ -50,7 +48,7 @@
     }
     | { readonly answered: false; readonly sent: boolean; readonly reason: string; };
 
-/** @internal */
+/** Calls of one outside system. */
 export class HttpPlatformClient implements AsyncDisposable {
     private readonly timers: Timers;
     private readonly timeout: number;
@@ -81,12 +79,14 @@
         path: string,
         body?: Uint8Array,
         headers: Readonly<Record<string, string>> = {},
+        /** Limit of this call in place of the client's. */
+        timeoutMilliseconds = this.timeout,
     ): Promise<HttpExchange> {
         if (this.pending >= MAXIMUM_PENDING_CALLS) {
             return { answered: false, sent: false, reason: "too many calls to the platform are pending" };
         }
         const abort = new AbortController();
-        const limit = this.timers.after(this.timeout, () => abort.abort(new Error("the call timed out")));
+        const limit = this.timers.after(timeoutMilliseconds, () => abort.abort(new Error("the call timed out")));
         this.pending++;
         try {
             const answer = await this.pool.request({
@@ -110,8 +110,13 @@
     }
 
     /** Sends `request` as JSON. */
-    post(path: string, request: unknown): Promise<HttpExchange> {
-        return this.exchange("POST", path, Buffer.from(JSON.stringify(request)));
+    post(
+        path: string,
+        request: unknown,
+        headers: Readonly<Record<string, string>> = {},
+        timeoutMilliseconds = this.timeout,
+    ): Promise<HttpExchange> {
+        return this.exchange("POST", path, Buffer.from(JSON.stringify(request)), headers, timeoutMilliseconds);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,12 +4,18 @@
  * tests.
  */
 export * from "./httpObjectStore.ts";
-export { DEFAULT_PLATFORM_CONNECTIONS, type HttpPlatformOptions } from "./httpPlatformClient.ts";
+export {
+    DEFAULT_PLATFORM_CONNECTIONS,
+    type HttpExchange,
+    HttpPlatformClient,
+    type HttpPlatformOptions,
+} from "./httpPlatformClient.ts";
 export * from "./httpTableService.ts";
 export * from "./httpVmList.ts";
 export * from "./memoryObjectStore.ts";
 export * from "./memoryTableService.ts";
 export * from "./objectStore.ts";
+export * from "./recordStore.ts";
 export * from "./settledTable.ts";
 export * from "./tableService.ts";
 export * from "./vmList.ts";
