--- /dev/null
+++ b/packages/coordinator/src/placement.ts
@@ -0,0 +1,180 @@
+/** Chooses workers for the waiting tasks of one step. */
+import type { StepHints } from "@tanagerlink/hints";
+import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
+import type { StepRun, TaskRun } from "@tanagerlink/workflow";
+import { occupied, type WorkerSession } from "./workerSession.ts";
+
+/** One task, the worker chosen for it and the ticket for the start. */
+export interface Placement {
+    readonly task: TaskRun;
+    readonly worker: WorkerSession;
+    readonly ticket: string | undefined;
+}
+
+/** What a step found. */
+export interface PlacementResult {
+    readonly placements: readonly Placement[];
+    /** Workers with room for which a ticket is missing, best first. */
+    readonly unticketed: readonly WorkerSession[];
+    /** Whether tasks are left that found no worker. */
+    readonly incomplete: boolean;
+}
+
+export interface PlacementRequest {
+    readonly step: StepRun;
+    readonly tasks: readonly TaskRun[];
+    /** Workers of the step's service. */
+    readonly workers: readonly WorkerSession[];
+    readonly evacuated: ReadonlySet<string>;
+    readonly hints: StepHints | undefined;
+    /** Workers whose room is kept for others. */
+    readonly reserved: ReadonlySet<WorkerSession>;
+    readonly now: number;
+    /** Takes the limit of the team for one task; false when it is reached. */
+    readonly takeLimit: () => boolean;
+}
+
+/** Costs of a choice; a lower sum is better. Each is compared with 1, the cost of an empty or a full worker. */
+const COST = {
+    /** Work takes half as long again on another rack than that of its data. */
+    otherRack: 3,
+    /** A worker whose last task failed. */
+    doubtful: 4,
+    /** Tasks that fill next to tasks that serve users. */
+    besideServing: 2,
+} as const;
+
+/** A worker and its room as this round leaves it. */
+interface Candidate {
+    readonly worker: WorkerSession;
+    room: Resources;
+    ofStep: number;
+}
+
+/** Whether the step may run on the worker at all. */
+export function isEligible(step: StepRun, worker: WorkerSession, evacuated: ReadonlySet<string>, now: number): boolean {
+    const { requiredLabel } = step.specification;
+    return worker.isUsable(now) && !evacuated.has(worker.entry.failureDomain)
+        && (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel));
+}
+
+/** Places as many tasks as possible, or a gang as a whole. */
+export function placeTasks(request: PlacementRequest): PlacementResult {
+    const { step, workers, evacuated, hints, reserved, now } = request;
+    const candidates: Candidate[] = [];
+    const unticketed: Candidate[] = [];
+    for (const worker of workers) {
+        if (!isEligible(step, worker, evacuated, now) || reserved.has(worker) || !worker.fits(step)) {
+            continue;
+        }
+        const candidate = { worker, room: worker.room, ofStep: worker.countOf(step) };
+        if (hints === undefined || hints.ticket({ id: worker.id, boot: worker.life }, now) !== undefined) {
+            candidates.push(candidate);
+        }
+        else if (!hints.isRefused(worker.id)) {
+            unticketed.push(candidate);
+        }
+    }
+    const chosen = step.specification.gang
+        ? placeGang(request, candidates)
+        : placeSingly(request, candidates);
+    const rest = unticketed.sort((left, right) => costOf(step, undefined, left) - costOf(step, undefined, right));
+    return {
+        placements: chosen,
+        unticketed: rest.map(({ worker }) => worker),
+        incomplete: chosen.length < request.tasks.length,
+    };
+}
+
+function placeSingly(request: PlacementRequest, candidates: Candidate[]): Placement[] {
+    const placements: Placement[] = [];
+    for (const task of request.tasks) {
+        const candidate = best(request.step, task, candidates);
+        if (candidate === undefined || !request.takeLimit()) {
+            break;
+        }
+        placements.push(place(request, task, candidate));
+    }
+    return placements;
+}
+
+function placeGang(request: PlacementRequest, candidates: readonly Candidate[]): Placement[] {
+    const { step } = request;
+    const racks = new Set(candidates.map(({ worker }) => worker.entry.rack));
+    const groups = step.specification.sameRack
+        ? [...[...racks].map(rack => candidates.filter(({ worker }) => worker.entry.rack === rack)), candidates]
+        : [candidates];
+    for (const group of groups) {
+        const placed = placeWhole(request, group.map(candidate => ({ ...candidate })));
+        if (placed !== undefined) {
+            return placed;
+        }
+    }
+    return [];
+}
+
+function placeWhole(request: PlacementRequest, candidates: Candidate[]): Placement[] | undefined {
+    const chosen: [TaskRun, Candidate][] = [];
+    for (const task of request.tasks) {
+        const candidate = best(request.step, task, candidates);
+        if (candidate === undefined) {
+            return undefined;
+        }
+        occupy(request.step, candidate);
+        chosen.push([task, candidate]);
+    }
+    // The limit is taken for the whole gang or not at all.
+    return request.takeLimit() ? chosen.map(([task, candidate]) => placementOf(request, task, candidate)) : [];
+}
+
+function place(request: PlacementRequest, task: TaskRun, candidate: Candidate): Placement {
+    occupy(request.step, candidate);
+    return placementOf(request, task, candidate);
+}
+
+function placementOf({ hints, now }: PlacementRequest, task: TaskRun, { worker }: Candidate): Placement {
+    return { task, worker, ticket: hints?.ticket({ id: worker.id, boot: worker.life }, now) };
+}
+
+function occupy(step: StepRun, candidate: Candidate): void {
+    candidate.room = subtractResources(candidate.room, occupied(step));
+    candidate.ofStep++;
+}
+
+function best(step: StepRun, task: TaskRun, candidates: readonly Candidate[]): Candidate | undefined {
+    const { maximumPerWorker } = step.specification;
+    let chosen: Candidate | undefined;
+    let lowest = Infinity;
+    for (const candidate of candidates) {
+        const allowed = maximumPerWorker === undefined || candidate.ofStep < maximumPerWorker;
+        if (allowed && fitsInto(occupied(step), candidate.room) && !task.failedOn.has(candidate.worker.id)) {
+            const cost = costOf(step, task, candidate);
+            if (cost < lowest) {
+                lowest = cost;
+                chosen = candidate;
+            }
+        }
+    }
+    return chosen;
+}
+
+/** Urgent and lasting work is spread; other work is packed, which keeps whole workers free for gangs. */
+function costOf(step: StepRun, task: TaskRun | undefined, { worker, room }: Candidate): number {
+    const { capacity, rack } = worker.entry;
+    const { specification, job } = step;
+    const spreads = job.specification.priority === 0 || specification.lasting;
+    const free = capacity.accelerators > 0 && specification.size.accelerators > 0
+        ? room.accelerators / capacity.accelerators
+        : room.processorMillis / Math.max(1, capacity.processorMillis);
+    let cost = spreads ? 1 - free : free;
+    if (specification.preferredRack !== undefined && specification.preferredRack !== rack) {
+        cost += COST.otherRack;
+    }
+    if (worker.health.doubtful && (task?.failures ?? 0) > 0) {
+        cost += COST.doubtful;
+    }
+    if (specification.fills && worker.servesUsers) {
+        cost += COST.besideServing;
+    }
+    return cost;
+}
--- /dev/null
+++ b/packages/coordinator/src/scheduler.ts
@@ -0,0 +1,220 @@
+/** Rounds of placement: which waiting tasks start now, where, and for which steps hints are asked. */
+import { type HintDispatcher, StepHints } from "@tanagerlink/hints";
+import { multiplyResources } from "@tanagerlink/model";
+import type { Logger } from "@tanagerlink/telemetry";
+import type { Timers } from "@tanagerlink/timers";
+import { Attempt, type JobRun, JobState, type StepRun } from "@tanagerlink/workflow";
+import type { CellPolicy, QueueRule } from "./cellPolicy.ts";
+import type { Fleet } from "./fleet.ts";
+import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
+import type { TeamUsage } from "./teamUsage.ts";
+import type { WorkerSession } from "./workerSession.ts";
+
+/** Workers named in one call beyond those that are wanted; a second call costs more than further names. */
+const NAMED_PER_WANTED_WORKER = 4;
+const FEWEST_NAMED = 12;
+/** The hint service takes at most this many. */
+const MOST_NAMED = 100;
+/** Pause after a hint call that failed. */
+const HINT_RETRY_MILLISECONDS = 300;
+/** Time for which a gang waits before room is kept for it. */
+const RESERVE_AFTER_MILLISECONDS = 400;
+
+export interface SchedulerOptions {
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly fleet: Fleet;
+    readonly usage: TeamUsage;
+    readonly hints: Pick<HintDispatcher, "ask">;
+    readonly policy: () => CellPolicy | undefined;
+    /** Records the attempts and sends their starts. */
+    readonly start: (placements: readonly StartedAttempt[]) => void;
+    /** Asks for a further round. */
+    readonly again: () => void;
+}
+
+/** An attempt that takes up room and is to be recorded and started. */
+export interface StartedAttempt {
+    readonly attempt: Attempt;
+    readonly worker: WorkerSession;
+    readonly ticket: string | undefined;
+}
+
+export class Scheduler {
+    private readonly options: SchedulerOptions;
+    private readonly active = new Set<StepRun>();
+    private readonly hints = new WeakMap<StepRun, StepHints>();
+
+    constructor(options: SchedulerOptions) {
+        this.options = options;
+    }
+
+    /** Adds the steps of a job that can start. */
+    activate(job: JobRun): void {
+        const { timers } = this.options;
+        for (const step of job.readySteps(timers.wallClock())) {
+            step.readyAt ??= timers.now();
+            this.active.add(step);
+        }
+    }
+
+    get activeSteps(): number {
+        return this.active.size;
+    }
+
+    /** Forgets a ticket that a worker refused. */
+    forgetTicket(step: StepRun, worker: string): void {
+        this.hints.get(step)?.forget(worker);
+    }
+
+    /** One round over all active steps. */
+    round(): void {
+        const policy = this.options.policy();
+        if (policy === undefined) {
+            return;
+        }
+        const reserved = new Set<WorkerSession>();
+        const started: StartedAttempt[] = [];
+        for (const step of this.inOrder(policy)) {
+            const tasks = step.waitingTasks();
+            if (tasks.length > 0) {
+                started.push(...this.serve(step, policy, reserved));
+            }
+        }
+        if (started.length > 0) {
+            this.options.start(started);
+        }
+    }
+
+    /** Active steps by priority, then by the use of their team against its share, then by age. */
+    private inOrder(policy: CellPolicy): StepRun[] {
+        const { fleet, usage } = this.options;
+        const ranked: { readonly step: StepRun; readonly priority: number; readonly rank: number; }[] = [];
+        const ranks = new Map<string, number>();
+        for (const step of this.active) {
+            const { job } = step;
+            if (!job.open || step.done) {
+                this.active.delete(step);
+                continue;
+            }
+            const { team, service } = job.specification;
+            const key = `${team ?? ""}/${service}`;
+            const rank = ranks.get(key) ?? usage.rank(team, fleet.capacityOf(service));
+            ranks.set(key, rank);
+            ranked.push({ step, priority: ruleOf(job, policy).priority, rank });
+        }
+        ranked.sort((left, right) =>
+            left.priority - right.priority || left.rank - right.rank
+            || (left.step.readyAt ?? 0) - (right.step.readyAt ?? 0)
+            || left.step.job.sequence - right.step.job.sequence
+        );
+        return ranked.map(({ step }) => step);
+    }
+
+    private serve(step: StepRun, policy: CellPolicy, reserved: Set<WorkerSession>): StartedAttempt[] {
+        const { fleet, usage, timers } = this.options;
+        const { job, specification } = step;
+        const { team } = job.specification;
+        const rule = ruleOf(job, policy);
+        const now = timers.now();
+        const tasks = step.waitingTasks();
+        const unit = specification.gang
+            ? multiplyResources(specification.size, tasks.length)
+            : specification.size;
+        if (!usage.allows(team, unit)) {
+            return [];
+        }
+        const hints = rule.hinted ? this.hintsOf(step) : undefined;
+        const workers = fleet.ofService(rule.service);
+        const result = placeTasks({
+            step,
+            tasks,
+            workers,
+            evacuated: policy.evacuated,
+            hints,
+            reserved,
+            now,
+            takeLimit: () => {
+                const allowed = usage.allows(team, unit);
+                if (allowed) {
+                    usage.add(team, unit);
+                }
+                return allowed;
+            },
+        });
+        if (result.incomplete && hints !== undefined) {
+            this.askHints(step, rule, hints, result);
+        }
+        if (result.incomplete && specification.gang && now - (step.readyAt ?? now) > RESERVE_AFTER_MILLISECONDS) {
+            this.reserve(step, workers, hints, reserved);
+        }
+        return this.begin(step, result.placements);
+    }
+
+    private begin(step: StepRun, placements: readonly Placement[]): StartedAttempt[] {
+        const { timers } = this.options;
+        const now = timers.now();
+        const gangAttempt = step.specification.gang ? step.nextGangAttempt() : undefined;
+        return placements.map(({ task, worker, ticket }) => {
+            const attempt = new Attempt(task, gangAttempt ?? task.lastAttempt + 1, worker.id, worker.life, now);
+            task.lastAttempt = attempt.number;
+            task.current = attempt;
+            worker.add(attempt);
+            step.job.firstStartAt ??= now;
+            step.job.state = JobState.Running;
+            return { attempt, worker, ticket };
+        });
+    }
+
+    /** Keeps the emptiest workers that a gang may use from work that comes after it. */
+    private reserve(
+        step: StepRun,
+        workers: readonly WorkerSession[],
+        hints: StepHints | undefined,
+        reserved: Set<WorkerSession>,
+    ): void {
+        const possible = workers.filter(worker => hints === undefined || hints.isPermitted(worker.id));
+        possible.sort((left, right) =>
+            right.room.accelerators - left.room.accelerators
+            || right.room.processorMillis - left.room.processorMillis
+        );
+        possible.slice(0, step.specification.count).forEach(worker => reserved.add(worker));
+    }
+
+    private hintsOf(step: StepRun): StepHints {
+        const known = this.hints.get(step) ?? new StepHints();
+        this.hints.set(step, known);
+        return known;
+    }
+
+    private askHints(step: StepRun, rule: QueueRule, hints: StepHints, result: PlacementResult): void {
+        const { timers, logger, again } = this.options;
+        if (hints.asking || timers.now() < hints.retryAt || result.unticketed.length === 0) {
+            return;
+        }
+        const wanted = step.waitingTasks().length;
+        const named = Math.min(MOST_NAMED, Math.max(FEWEST_NAMED, wanted * NAMED_PER_WANTED_WORKER));
+        const asked = result.unticketed.slice(0, named).map(worker => ({ id: worker.id, boot: worker.life }));
+        hints.asking = true;
+        void this.options.hints.ask({
+            step: step.name,
+            workers: asked.map(({ id }) => id),
+            priority: rule.priority,
+            expectedMilliseconds: rule.hintMilliseconds,
+        }).then(answer => {
+            hints.asking = false;
+            if (answer.isErr()) {
+                hints.retryAt = timers.now() + HINT_RETRY_MILLISECONDS;
+                logger.info({ step: step.name, error: answer.error.kind }, "placement hints failed");
+                return;
+            }
+            hints.learn(asked, answer.value, timers.now());
+            again();
+        });
+    }
+}
+
+/** The queue's rule in force, or the one at acceptance where the queue has been dropped since. */
+export function ruleOf(job: JobRun, policy: CellPolicy): QueueRule {
+    return policy.queues.get(job.specification.queue) ?? job.specification;
+}
