--- /dev/null
+++ b/packages/site/src/recordMap.ts
@@ -0,0 +1,42 @@
+/** The newest known version of each record of a followed table. Older ones, as after a stale listing, change nothing. */
+import type { RecordChange, StoredRecord } from "@tanagerlink/platform";
+
+interface Known {
+    /** `undefined` for a removed record. */
+    readonly value: Uint8Array | undefined;
+    readonly version: number;
+}
+
+export class RecordMap {
+    private readonly known = new Map<string, Known>();
+
+    /** Takes in a listing; known records that it lacks have been removed. */
+    replace(records: readonly StoredRecord[]): void {
+        const listed = new Set(records.map(({ key }) => key));
+        this.apply(records);
+        for (const key of [...this.known.keys()]) {
+            if (!listed.has(key)) {
+                this.known.delete(key);
+            }
+        }
+    }
+
+    apply(changes: readonly (RecordChange | StoredRecord)[]): void {
+        for (const { key, value, version } of changes) {
+            if (version >= (this.known.get(key)?.version ?? 0)) {
+                this.known.set(key, { value, version });
+            }
+        }
+    }
+
+    /** Present records by key. */
+    values(): Map<string, Uint8Array> {
+        const present = new Map<string, Uint8Array>();
+        for (const [key, { value }] of this.known) {
+            if (value !== undefined) {
+                present.set(key, value);
+            }
+        }
+        return present;
+    }
+}
--- /dev/null
+++ b/packages/site/src/relayedRecordStore.ts
@@ -0,0 +1,138 @@
+/**
+ * Access to the store that falls back on peers: the store may turn away single machines while it serves others. The
+ * own path is tried first, and again after a pause once it has failed.
+ */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import type { PeerMethod, PeerNetwork } from "@tanagerlink/peer";
+import type {
+    ChangeBatch,
+    ChangeRequest,
+    CommitOutcome,
+    ListRequest,
+    RecordPage,
+    RecordStore,
+    RecordTransaction,
+} from "@tanagerlink/platform";
+import type { Logger } from "@tanagerlink/telemetry";
+import type { Timers } from "@tanagerlink/timers";
+import { err, ok, type Result } from "neverthrow";
+import { relayChangesMethod, relayCommitMethod, relayListMethod } from "./relayMethods.ts";
+
+/** Time for which the own path is left alone after a failure. */
+const AVOID_OWN_MILLISECONDS = 800;
+/** Time for a relayed call beyond its own wait. */
+const RELAY_MILLISECONDS = 1_500;
+/** Peers that are tried for one call. */
+const MOST_RELAYS = 2;
+/** A peer whose store answered within this time is asked first. */
+const FRESH_MILLISECONDS = 2_500;
+
+export interface RelayedRecordStoreOptions {
+    readonly own: RecordStore;
+    readonly peers: Pick<PeerNetwork, "call" | "handle" | "links">;
+    readonly timers: Timers;
+    readonly logger: Logger;
+}
+
+export class RelayedRecordStore implements RecordStore {
+    private readonly options: RelayedRecordStoreOptions;
+    private avoidOwnUntil = -Infinity;
+    private failedSince: number | undefined;
+    private ownAnsweredAt = -Infinity;
+    private readonly storeAges = new Map<string, number>();
+
+    constructor(options: RelayedRecordStoreOptions) {
+        this.options = options;
+        const { own, peers } = options;
+        // Relayed calls use the own path only, so that they cannot go round in circles.
+        peers.handle(relayCommitMethod, async transaction => this.noteOwn(await own.commit(transaction)));
+        peers.handle(relayListMethod, async request => this.noteOwn(await own.list(request)));
+        peers.handle(relayChangesMethod, async request => this.noteOwn(await own.changes(request)));
+    }
+
+    /** Milliseconds since the store last answered this process directly. */
+    get ownAge(): number {
+        return this.options.timers.now() - this.ownAnsweredAt;
+    }
+
+    /** Notes what a peer says about its own access. */
+    notePeer(peer: string, ageMilliseconds: number): void {
+        this.storeAges.set(peer, ageMilliseconds);
+    }
+
+    commit(transaction: RecordTransaction): Promise<Result<CommitOutcome, ServiceError>> {
+        return this.through(own => own.commit(transaction), relayCommitMethod, transaction, 0);
+    }
+
+    list(request: ListRequest): Promise<Result<RecordPage, ServiceError>> {
+        return this.through(own => own.list(request), relayListMethod, request, 0);
+    }
+
+    changes(request: ChangeRequest): Promise<Result<ChangeBatch, ServiceError>> {
+        return this.through(own => own.changes(request), relayChangesMethod, request, request.waitMilliseconds);
+    }
+
+    private async through<Request, Answer>(
+        call: (own: RecordStore) => Promise<Result<Answer, ServiceError>>,
+        method: PeerMethod<Request, Answer>,
+        request: Request,
+        waitMilliseconds: number,
+    ): Promise<Result<Answer, ServiceError>> {
+        const { own, timers } = this.options;
+        let outcome: Result<Answer, ServiceError> | undefined;
+        if (timers.now() >= this.avoidOwnUntil || this.relays().length === 0) {
+            outcome = this.noteOwn(await call(own));
+            if (outcome.isOk()) {
+                return outcome;
+            }
+        }
+        let unknown = outcome?.isErr() === true && outcome.error.kind === ErrorKind.StoreOutcomeUnknown;
+        for (const peer of this.relays().slice(0, MOST_RELAYS)) {
+            const relayed = await this.options.peers.call(peer, method, request, waitMilliseconds + RELAY_MILLISECONDS);
+            if (relayed.isOk()) {
+                return ok(relayed.value);
+            }
+            const { kind } = relayed.error;
+            unknown ||= kind !== ErrorKind.StoreUnavailable && kind !== ErrorKind.PeerUnreachable;
+        }
+        return err(
+            unknown
+                ? serviceError(
+                    ErrorKind.StoreOutcomeUnknown,
+                    "the store did not answer, neither directly nor by a peer",
+                )
+                : serviceError(
+                    ErrorKind.StoreUnavailable,
+                    "the store is not available, neither directly nor by a peer",
+                ),
+        );
+    }
+
+    private noteOwn<Answer>(outcome: Result<Answer, ServiceError>): Result<Answer, ServiceError> {
+        const { timers, logger } = this.options;
+        const now = timers.now();
+        if (outcome.isErr()) {
+            if (this.failedSince === undefined) {
+                logger.warn({ error: outcome.error.kind }, "store lost");
+                this.failedSince = now;
+            }
+            this.avoidOwnUntil = now + AVOID_OWN_MILLISECONDS;
+        }
+        else {
+            if (this.failedSince !== undefined) {
+                logger.info({ milliseconds: Math.round(now - this.failedSince) }, "store regained");
+                this.failedSince = undefined;
+            }
+            this.avoidOwnUntil = -Infinity;
+            this.ownAnsweredAt = now;
+        }
+        return outcome;
+    }
+
+    /** Linked peers, those with recent access first. */
+    private relays(): string[] {
+        const linked = this.options.peers.links().filter(link => link.connected).map(link => link.peer.id);
+        const fresh = linked.filter(peer => (this.storeAges.get(peer) ?? Infinity) < FRESH_MILLISECONDS);
+        return fresh.length > 0 ? fresh : linked;
+    }
+}
--- /dev/null
+++ b/packages/site/src/siteMembers.ts
@@ -0,0 +1,123 @@
+/** The processes of the cell: each writes one record of itself, and links are kept to the owner and a few others. */
+import { CELL_TABLE, decodeRecord, encodeRecord } from "@tanagerlink/coordinator";
+import type { PeerAddress, PeerNetwork } from "@tanagerlink/peer";
+import type { RecordStore } from "@tanagerlink/platform";
+import type { Logger } from "@tanagerlink/telemetry";
+import { sleep, type Timers } from "@tanagerlink/timers";
+import { z } from "zod";
+
+export const MEMBERS_PARTITION = "members";
+
+/** Links of a process beside that to the owner: for access to the store and to elect an owner. */
+const FURTHER_LINKS = 3;
+const RETRY_MILLISECONDS = 200;
+
+const memberSchema = z.object({
+    address: z.string(),
+    failureDomain: z.string(),
+    incarnation: z.string(),
+    /** Processor share of its machine; larger machines are preferred as owners. */
+    processorShare: z.number(),
+});
+
+export type SiteMember = z.infer<typeof memberSchema>;
+
+export interface SiteMembersOptions {
+    readonly node: string;
+    readonly self: SiteMember;
+    readonly store: RecordStore;
+    readonly peers: Pick<PeerNetwork, "setPeers" | "links">;
+    readonly timers: Timers;
+    readonly logger: Logger;
+}
+
+export class SiteMembers implements Disposable {
+    private readonly options: SiteMembersOptions;
+    private readonly members = new Map<string, SiteMember>();
+    private readonly abort = new AbortController();
+    private owner: string | undefined;
+    private registering = false;
+
+    constructor(options: SiteMembersOptions) {
+        this.options = options;
+    }
+
+    /** Takes in the present records by node. The own record is written again if it is missing or old. */
+    update(records: ReadonlyMap<string, Uint8Array>): void {
+        const { logger, node, self } = this.options;
+        this.members.clear();
+        for (const [id, value] of records) {
+            const member = decodeRecord(memberSchema, value);
+            if (member.isErr()) {
+                logger.error({ member: id, reason: member.error }, "record of a process cannot be read");
+                continue;
+            }
+            this.members.set(id, member.value);
+        }
+        if (this.members.get(node)?.incarnation !== self.incarnation) {
+            void this.register();
+        }
+        this.connect();
+    }
+
+    setOwner(owner: string | undefined): void {
+        if (owner !== this.owner) {
+            this.owner = owner;
+            this.connect();
+        }
+    }
+
+    /** Position of this process among the linked ones: the largest machines come first, then by name. */
+    rank(): number {
+        const { node, peers } = this.options;
+        const linked = peers.links().filter(({ connected }) => connected).map(({ peer }) => peer.id);
+        const share = (id: string): number => this.members.get(id)?.processorShare ?? 0;
+        const ordered = [...new Set([...linked, node])].sort((left, right) =>
+            share(right) - share(left) || (left < right ? -1 : 1)
+        );
+        return ordered.indexOf(node);
+    }
+
+    [Symbol.dispose](): void {
+        this.abort.abort();
+    }
+
+    private connect(): void {
+        const { node, peers } = this.options;
+        const ids = [...this.members.keys()].sort();
+        const wanted = this.owner === node ? ids : this.neighbours(ids);
+        const addresses: PeerAddress[] = wanted.flatMap(id => {
+            const member = this.members.get(id);
+            return member === undefined || id === node
+                ? []
+                : [{ id, address: member.address, failureDomain: member.failureDomain }];
+        });
+        peers.setPeers(addresses);
+    }
+
+    /** The owner and the next processes in the order of names, around the end. */
+    private neighbours(ids: readonly string[]): string[] {
+        const after = [...ids.filter(id => id > this.options.node), ...ids.filter(id => id < this.options.node)];
+        return [...new Set([...(this.owner === undefined ? [] : [this.owner]), ...after.slice(0, FURTHER_LINKS)])];
+    }
+
+    private async register(): Promise<void> {
+        const { node, self, store, timers } = this.options;
+        if (this.registering) {
+            return;
+        }
+        this.registering = true;
+        while (!this.abort.signal.aborted) {
+            const written = await store.commit({
+                expectations: [],
+                writes: [{ table: CELL_TABLE, partition: MEMBERS_PARTITION, key: node, value: encodeRecord(self) }],
+                removals: [],
+            });
+            if (written.isOk()) {
+                break;
+            }
+            await sleep(timers, RETRY_MILLISECONDS, this.abort.signal);
+        }
+        this.registering = false;
+    }
+}
--- /dev/null
+++ b/packages/site/src/siteNode.ts
@@ -0,0 +1,403 @@
+/**
+ * One process of a cell on a platform that keeps all state: it serves callers, follows the operators' records, takes
+ * part in the election of the owner and runs the coordinator when it has won.
+ */
+import {
+    ACCEPTED_PARTITION,
+    CANCELLED_PARTITION,
+    CELL_TABLE,
+    Coordinator,
+    decodeOwner,
+    decodeRecord,
+    Election,
+    JOBS_TABLE,
+    OWNER_PARTITION,
+    type OwnerRecord,
+    type SeenOwner,
+    type WorkerEntry,
+    type WorkerPort,
+} from "@tanagerlink/coordinator";
+import { ErrorKind, serviceError } from "@tanagerlink/errors";
+import { askHintMethod, HintDispatcher, type HintService } from "@tanagerlink/hints";
+import type { PeerNetwork } from "@tanagerlink/peer";
+import type { RecordChange, RecordStore, StoredRecord } from "@tanagerlink/platform";
+import type { Logger } from "@tanagerlink/telemetry";
+import type { Timers } from "@tanagerlink/timers";
+import { jobSpecificationSchema } from "@tanagerlink/workflow";
+import { err, ok, type Result } from "neverthrow";
+import { type CellConfiguration, policyOf } from "./cellConfiguration.ts";
+import { CellEntry } from "./cellEntry.ts";
+import { RecordMap } from "./recordMap.ts";
+import { RelayedRecordStore } from "./relayedRecordStore.ts";
+import { acceptedMethod, cancelledMethod, pendingMethod, stateMethod } from "./relayMethods.ts";
+import { MEMBERS_PARTITION, SiteMembers } from "./siteMembers.ts";
+import { TableFollower } from "./tableFollower.ts";
+
+/** Wait of one poll. With the time for a lost answer it stays under the two seconds in which changes must be in force. */
+const POLL_MILLISECONDS = 1_000;
+/** Pause between polls of tables that change all the time. */
+const BUSY_TABLE_PAUSE_MILLISECONDS = 400;
+/** Period of renewals of the owner, and the ages at which others take the cell. */
+const RENEWAL_MILLISECONDS = 1_000;
+const EXPIRY_MILLISECONDS = 2_600;
+const UNLINKED_EXPIRY_MILLISECONDS = 1_200;
+const FRESHNESS_MILLISECONDS = 1_500;
+
+/** Records of the operators, in the platform's format. */
+export interface OperatorSource {
+    readonly table: string;
+    readonly partition: string;
+    /** `undefined` while the operators have written none. */
+    readConfiguration(records: ReadonlyMap<string, Uint8Array>): Result<CellConfiguration | undefined, string>;
+    readEvacuated(records: ReadonlyMap<string, Uint8Array>): ReadonlySet<string>;
+}
+
+/** The list of workers, in the platform's format. */
+export interface WorkerSource {
+    readonly table: string;
+    readonly partition: string;
+    /** The error is the reason why an entry names no worker. */
+    readEntry(id: string, value: Uint8Array): Result<WorkerEntry, string>;
+}
+
+export interface SiteNodeOptions {
+    readonly node: string;
+    readonly incarnation: string;
+    readonly failureDomain: string;
+    readonly processorShare: number;
+    /** `ip:port` for peers. */
+    readonly peerAddress: string;
+    readonly store: RecordStore;
+    readonly operators: OperatorSource;
+    readonly workers: WorkerSource;
+    readonly port: WorkerPort;
+    readonly hints: HintService;
+    readonly peers: PeerNetwork;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly leaseMilliseconds: number;
+    readonly stopMilliseconds: number;
+    readonly retentionMilliseconds: number;
+}
+
+export class SiteNode implements AsyncDisposable {
+    readonly entry: CellEntry;
+    private readonly options: SiteNodeOptions;
+    private readonly store: RelayedRecordStore;
+    private readonly members: SiteMembers;
+    private readonly election: Election;
+    private readonly hintDispatcher: HintDispatcher;
+    private readonly cellFollower: TableFollower;
+    private readonly operatorFollower: TableFollower;
+    private readonly operatorRecords = new RecordMap();
+    private readonly memberRecords = new RecordMap();
+    private configuration: CellConfiguration | undefined;
+    private evacuated: ReadonlySet<string> = new Set();
+    private coordinator: Coordinator | undefined;
+    private ownerFollowers: TableFollower[] = [];
+    private draining = false;
+
+    constructor(options: SiteNodeOptions) {
+        const { node, peers, timers, logger } = options;
+        this.options = options;
+        this.store = new RelayedRecordStore({ own: options.store, peers, timers, logger });
+        this.members = new SiteMembers({
+            node,
+            self: {
+                address: options.peerAddress,
+                failureDomain: options.failureDomain,
+                incarnation: options.incarnation,
+                processorShare: options.processorShare,
+            },
+            store: this.store,
+            peers,
+            timers,
+            logger,
+        });
+        this.hintDispatcher = new HintDispatcher({ node, own: options.hints, peers, timers });
+        this.entry = new CellEntry({
+            store: this.store,
+            peers,
+            timers,
+            logger,
+            configuration: () => this.configuration,
+            coordinator: () => this.coordinator?.isReady === true ? this.coordinator : undefined,
+            owner: () => this.ownerName(),
+        });
+        this.cellFollower = this.follower(CELL_TABLE, [OWNER_PARTITION, MEMBERS_PARTITION], 0, {
+            listed: records => {
+                this.memberRecords.replace(records.filter(({ partition }) => partition === MEMBERS_PARTITION));
+                this.cellChanged(records);
+            },
+            changed: changes => {
+                this.memberRecords.apply(changes.filter(({ partition }) => partition === MEMBERS_PARTITION));
+                this.cellChanged(changes);
+            },
+        });
+        const { operators } = options;
+        this.operatorFollower = this.follower(operators.table, [operators.partition], 0, {
+            listed: records => this.operatorsChanged(() => this.operatorRecords.replace(records)),
+            changed: changes => this.operatorsChanged(() => this.operatorRecords.apply(changes)),
+        });
+        this.election = new Election({
+            node,
+            incarnation: options.incarnation,
+            store: this.store,
+            timers,
+            logger,
+            durations: {
+                expiryMilliseconds: EXPIRY_MILLISECONDS,
+                unlinkedExpiryMilliseconds: UNLINKED_EXPIRY_MILLISECONDS,
+                freshnessMilliseconds: FRESHNESS_MILLISECONDS,
+            },
+            rank: () => this.members.rank(),
+            followedAt: () => this.cellFollower.answeredAt,
+            isLinked: peer => peers.links().some(link => link.peer.id === peer && link.connected),
+            eligible: () => !this.draining && this.coordinator === undefined && this.configuration !== undefined,
+            won: (claim, former) => void this.own(claim, former),
+        });
+        this.serveOwnerCalls();
+        this.serveHints();
+        peers.provideHeartbeat(() => ({ storeAge: this.store.ownAge }));
+        peers.onHeartbeat((peer, payload) => {
+            const age = (payload as { readonly storeAge?: unknown; } | undefined)?.storeAge;
+            if (typeof age === "number") {
+                this.store.notePeer(peer, age);
+            }
+        });
+    }
+
+    start(): void {
+        this.cellFollower.start();
+        this.operatorFollower.start();
+    }
+
+    /** Whether callers can be served. */
+    get ready(): boolean {
+        return !this.draining && this.configuration !== undefined;
+    }
+
+    /** Gives the cell back. Callers are still served, through the next owner. */
+    async drain(): Promise<void> {
+        this.draining = true;
+        const { coordinator } = this;
+        this.coordinator = undefined;
+        this.stopFollowingJobs();
+        await coordinator?.release();
+    }
+
+    describe(): unknown {
+        return {
+            node: this.options.node,
+            owner: this.election.owner?.record,
+            configuration: this.configuration?.version,
+            evacuated: [...this.evacuated],
+            storeAgeMilliseconds: Math.round(this.store.ownAge),
+            links: this.options.peers.links(),
+            coordinator: this.coordinator?.describe(),
+        };
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.election[Symbol.dispose]();
+        this.coordinator?.[Symbol.dispose]();
+        this.stopFollowingJobs();
+        this.cellFollower[Symbol.dispose]();
+        this.operatorFollower[Symbol.dispose]();
+        this.members[Symbol.dispose]();
+        await this.options.peers[Symbol.asyncDispose]();
+    }
+
+    private follower(
+        table: string,
+        partitions: readonly string[],
+        pauseMilliseconds: number,
+        handlers: {
+            readonly listed: (records: readonly StoredRecord[]) => void;
+            readonly changed: (changes: readonly RecordChange[]) => void;
+        },
+    ): TableFollower {
+        const { timers, logger } = this.options;
+        return new TableFollower({
+            store: this.store,
+            timers,
+            logger,
+            table,
+            partitions,
+            waitMilliseconds: POLL_MILLISECONDS,
+            pauseMilliseconds,
+            ...handlers,
+        });
+    }
+
+    private ownerName(): string | undefined {
+        const node = this.election.owner?.record.node;
+        return node === "" ? undefined : node;
+    }
+
+    private cellChanged(changes: readonly (RecordChange | StoredRecord)[]): void {
+        this.members.update(this.memberRecords.values());
+        for (const { partition, value, table, key, version } of changes) {
+            if (partition === OWNER_PARTITION && value !== undefined) {
+                const owner = decodeOwner({ table, partition, key, value, version });
+                owner.match(
+                    seen => this.election.observe(seen),
+                    reason => this.options.logger.error({ reason }, "owner record cannot be read"),
+                );
+            }
+        }
+        this.members.setOwner(this.ownerName());
+    }
+
+    private operatorsChanged(apply: () => void): void {
+        const { operators, logger } = this.options;
+        apply();
+        const records = this.operatorRecords.values();
+        this.evacuated = operators.readEvacuated(records);
+        const configuration = operators.readConfiguration(records);
+        if (configuration.isErr()) {
+            logger.error({ reason: configuration.error }, "configuration cannot be read; the last one stays in force");
+        }
+        else if (
+            configuration.value !== undefined && configuration.value.version > (this.configuration?.version ?? -1)
+        ) {
+            this.configuration = configuration.value;
+            logger.info({ version: configuration.value.version }, "configuration in force");
+        }
+        this.applyPolicy();
+    }
+
+    private applyPolicy(): void {
+        if (this.configuration !== undefined) {
+            this.coordinator?.setPolicy(policyOf(this.configuration, this.evacuated));
+        }
+    }
+
+    private async own(claim: SeenOwner, former: OwnerRecord | undefined): Promise<void> {
+        const { node, timers, logger, port, leaseMilliseconds, stopMilliseconds, retentionMilliseconds } = this.options;
+        logger.info({ epoch: claim.record.epoch, former: former?.node }, "cell taken");
+        const coordinator = new Coordinator({
+            claim,
+            former,
+            node,
+            store: this.store,
+            timers,
+            logger,
+            port,
+            hints: this.hintDispatcher,
+            renewalMilliseconds: RENEWAL_MILLISECONDS,
+            leaseMilliseconds,
+            stopMilliseconds,
+            retentionMilliseconds,
+            deposed: () => this.deposed(coordinator),
+        });
+        this.coordinator = coordinator;
+        this.members.setOwner(node);
+        this.applyPolicy();
+        this.followWorkers(coordinator);
+        await coordinator.recover();
+        if (this.coordinator === coordinator) {
+            this.followJobs(coordinator);
+        }
+    }
+
+    private deposed(coordinator: Coordinator): void {
+        if (this.coordinator === coordinator) {
+            this.coordinator = undefined;
+            this.stopFollowingJobs();
+        }
+    }
+
+    private followWorkers(coordinator: Coordinator): void {
+        const { workers, logger } = this.options;
+        const records = new RecordMap();
+        const unreadable = new Set<string>();
+        const apply = (): void => {
+            const entries = new Map<string, WorkerEntry>();
+            for (const [id, value] of records.values()) {
+                const entry = workers.readEntry(id, value);
+                if (entry.isOk()) {
+                    entries.set(id, entry.value);
+                    unreadable.delete(id);
+                }
+                else if (!unreadable.has(id)) {
+                    unreadable.add(id);
+                    logger.warn({ worker: id, reason: entry.error }, "entry names no worker");
+                }
+            }
+            coordinator.setWorkers(entries);
+        };
+        const follower = this.follower(workers.table, [workers.partition], BUSY_TABLE_PAUSE_MILLISECONDS, {
+            listed: listed => {
+                records.replace(listed);
+                apply();
+            },
+            changed: changes => {
+                records.apply(changes);
+                apply();
+            },
+        });
+        this.ownerFollowers.push(follower);
+        follower.start();
+    }
+
+    /** Finds acceptances and cancellations of which the owner was not told. */
+    private followJobs(coordinator: Coordinator): void {
+        const { logger } = this.options;
+        const take = (changes: readonly (RecordChange | StoredRecord)[]): void => {
+            for (const { partition, key, value } of changes) {
+                if (partition === CANCELLED_PARTITION && value !== undefined) {
+                    coordinator.cancel(key);
+                }
+                else if (partition === ACCEPTED_PARTITION && value !== undefined) {
+                    decodeRecord(jobSpecificationSchema, value).match(
+                        specification => coordinator.accept(specification),
+                        reason => logger.error({ job: key, reason }, "record of a job cannot be read"),
+                    );
+                }
+            }
+        };
+        const follower = this.follower(
+            JOBS_TABLE,
+            [ACCEPTED_PARTITION, CANCELLED_PARTITION],
+            BUSY_TABLE_PAUSE_MILLISECONDS,
+            { listed: take, changed: take },
+        );
+        this.ownerFollowers.push(follower);
+        follower.start();
+    }
+
+    private stopFollowingJobs(): void {
+        this.ownerFollowers.forEach(follower => follower[Symbol.dispose]());
+        this.ownerFollowers = [];
+    }
+
+    private serveOwnerCalls(): void {
+        const { peers } = this.options;
+        const owned = <Answer>(answer: (coordinator: Coordinator) => Answer) => {
+            const { coordinator } = this;
+            return Promise.resolve(
+                coordinator?.isReady === true
+                    ? ok(answer(coordinator))
+                    : err(serviceError(ErrorKind.NotOwner, "this process does not own the cell")),
+            );
+        };
+        peers.handle(acceptedMethod, specification =>
+            owned(coordinator => {
+                coordinator.accept(specification);
+                return {};
+            }));
+        peers.handle(cancelledMethod, ({ id }) =>
+            owned(coordinator => {
+                coordinator.cancel(id);
+                return {};
+            }));
+        peers.handle(stateMethod, ({ id }) => owned(coordinator => ({ state: coordinator.state(id) })));
+        peers.handle(pendingMethod, ({ queue }) => owned(coordinator => ({ count: coordinator.pending(queue) })));
+    }
+
+    private serveHints(): void {
+        const { peers, hints } = this.options;
+        peers.handle(askHintMethod, ({ step, workers }) => hints.ask(step, workers));
+    }
+}
