--- a/packages/cli/src/commands/serveCommand.ts
+++ b/packages/cli/src/commands/serveCommand.ts
@@ -3,9 +3,7 @@
 import { readSettings } from "@tanagerlink/settings";
 import { err, ok } from "neverthrow";
 import type { CommandContext, CommandResult } from "../commandContext.ts";
-
-/** Signals that begin a graceful shutdown. */
-const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
+import { stopSignal } from "../stopSignal.ts";
 
 /** Starts the process and waits for a stop signal, then drains. */
 export async function serveCommand(
@@ -30,12 +28,3 @@
     await node.value.drain();
     return ok(undefined);
 }
-
-/** Resolves at the first stop signal. Later ones change nothing: the drain is bounded by its own timeout. */
-function stopSignal(): Promise<void> {
-    return new Promise(resolve => {
-        for (const signal of STOP_SIGNALS) {
-            process.on(signal, () => resolve());
-        }
-    });
-}
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,14 +3,17 @@
 import { settingsTable } from "@tanagerlink/settings";
 import { type CAC, cac } from "cac";
 import type { CommandContext, CommandResult } from "./commandContext.ts";
-import { applyCommand, checkCommand, keyCommand, operatorTokenCommand } from "./commands/configurationCommands.ts";
-import { cancelCommand, explainCommand, jobStatusCommand, submitCommand } from "./commands/jobCommands.ts";
-import { dumpCommand, fleetStatusCommand } from "./commands/operatorCommands.ts";
-import { serveCommand } from "./commands/serveCommand.ts";
 import { flagTexts } from "./flagTexts.ts";
 import { AUTHORITY_VARIABLE, KEY_VARIABLE, OPERATOR_VARIABLE, SERVER_VARIABLE } from "./serverClient.ts";
 import { VERSION } from "./version.ts";
 
+// A process loads only what its command needs, since memory is dear on small VMs.
+const configurationCommands = () => import("./commands/configurationCommands.ts");
+const jobCommands = () => import("./commands/jobCommands.ts");
+const operatorCommands = () => import("./commands/operatorCommands.ts");
+const serveCommands = () => import("./commands/serveCommand.ts");
+const siteCommands = () => import("./commands/siteCommand.ts");
+
 const SERVER_HELP = `Address of an entry process or the balancer (${SERVER_VARIABLE})`;
 const AUTHORITY_HELP = `Authorities of an https server, PEM file (${AUTHORITY_VARIABLE})`;
 const JSON_HELP = "Print JSON for programs";
@@ -49,10 +52,19 @@
         <Arguments extends unknown[]>(run: (...values: Arguments) => Promise<CommandResult>) =>
         async (...values: Arguments): Promise<void> => finish(await run(...values));
 
-    addServe(program, action(flags => serveCommand(context, flags as Record<string, unknown>)));
+    addServe(
+        program,
+        action(async flags => (await serveCommands()).serveCommand(context, flags as Record<string, unknown>)),
+    );
+    program.command("site", "Run a process on the users' platform (settings file in TANAGERLINK_SETTINGS)")
+        .action(action(async () => (await siteCommands()).siteCommand(context)));
     program.command("check <folder>", "Validate a configuration folder; every fault with file, line and reason")
         .option("--json", JSON_HELP)
-        .action(action((folder: string, flags: object) => checkCommand(context, folder, flags)));
+        .action(
+            action(async (folder: string, flags: object) =>
+                (await configurationCommands()).checkCommand(context, folder, flags)
+            ),
+        );
     program.command("apply <folder>", `Apply a configuration folder as the next version (${OPERATOR_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
         .option("--authority <file>", AUTHORITY_HELP)
@@ -60,42 +72,56 @@
         .option("--operator <name>", "Name recorded with the version; the user name by default")
         .option("--wait-seconds <seconds>", "Longest wait until the version is in force everywhere; 15 by default")
         .option("--json", JSON_HELP)
-        .action(action((folder: string, flags: object) => applyCommand(context, folder, flags)));
+        .action(
+            action(async (folder: string, flags: object) =>
+                (await configurationCommands()).applyCommand(context, folder, flags)
+            ),
+        );
     program.command("key <team>", "Create a key and print its entry for the configuration folder")
         .option("--json", JSON_HELP)
-        .action(action((team: string, flags: object) => keyCommand(context, team, flags)));
+        .action(
+            action(async (team: string, flags: object) =>
+                (await configurationCommands()).keyCommand(context, team, flags)
+            ),
+        );
     program.command("operator-token", "Create an operator token and print its hash for the settings")
-        .action(action(() => operatorTokenCommand(context)));
+        .action(action(async () => (await configurationCommands()).operatorTokenCommand(context)));
     program.command("submit <file>", `Submit the job described by a YAML or JSON file (${KEY_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
         .option("--authority <file>", AUTHORITY_HELP)
         .option("--idempotency-key <key>", "Repeating a submission with the same key gives the first one's job")
         .option("--json", JSON_HELP)
-        .action(action((file: string, flags: object) => submitCommand(context, file, flags)));
+        .action(
+            action(async (file: string, flags: object) => (await jobCommands()).submitCommand(context, file, flags)),
+        );
     program.command("cancel <job>", `Cancel a job (${KEY_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
         .option("--authority <file>", AUTHORITY_HELP)
         .option("--json", JSON_HELP)
-        .action(action((job: string, flags: object) => cancelCommand(context, job, flags)));
+        .action(action(async (job: string, flags: object) => (await jobCommands()).cancelCommand(context, job, flags)));
     program.command("status [job]", `State of a job (${KEY_VARIABLE}), or of the fleet (${OPERATOR_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
         .option("--authority <file>", AUTHORITY_HELP)
         .option("--all", "List every team, not only those that need attention first")
         .option("--json", JSON_HELP)
         .action(
-            action((job: string | undefined, flags: object) =>
-                job === undefined ? fleetStatusCommand(context, flags) : jobStatusCommand(context, job, flags)
+            action(async (job: string | undefined, flags: object) =>
+                job === undefined
+                    ? (await operatorCommands()).fleetStatusCommand(context, flags)
+                    : (await jobCommands()).jobStatusCommand(context, job, flags)
             ),
         );
     program.command("explain <job>", `Decisions on a job, with reason and file (${KEY_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
         .option("--authority <file>", AUTHORITY_HELP)
         .option("--json", JSON_HELP)
-        .action(action((job: string, flags: object) => explainCommand(context, job, flags)));
+        .action(
+            action(async (job: string, flags: object) => (await jobCommands()).explainCommand(context, job, flags)),
+        );
     program.command("dump", `Whole state of one process as JSON (${OPERATOR_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
         .option("--authority <file>", AUTHORITY_HELP)
-        .action(action((flags: object) => dumpCommand(context, flags)));
+        .action(action(async (flags: object) => (await operatorCommands()).dumpCommand(context, flags)));
     program.help();
     program.version(VERSION);
     return program;
@@ -112,7 +138,7 @@
         );
     }
     // Unknown flags are reported by the settings together with all other faults.
-    command.allowUnknownOptions().action(({ "--": _rest, ...flags }: Record<string, unknown>) => run(flags));
+    command.allowUnknownOptions().action(async ({ "--": _rest, ...flags }: Record<string, unknown>) => run(flags));
 }
 
 function unknownCommand(program: CAC): ServiceError {
