--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -16,24 +16,43 @@
     },
 };
 
+const common = {
+    entryPoints: ["packages/cli/src/main.ts"],
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    // ts-results' main entry needs tslib, which it does not declare.
+    mainFields: ["module", "main"],
+    // Without these, ws and msgpackr look for optional native modules, which prints a warning in an executable.
+    define: {
+        "process.env.WS_NO_BUFFER_UTIL": '"1"',
+        "process.env.WS_NO_UTF_8_VALIDATE": '"1"',
+        "process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED": '"true"',
+    },
+    plugins: [absentModules],
+    logLevel: "warning",
+};
+
 /** Writes the bundle to `outfile`. */
 export async function bundle(outfile) {
+    await build({ ...common, outfile, format: "cjs" });
+}
+
+/** Writes `tanagerlink.mjs` and the modules that it loads on demand to `directory`. */
+export async function bundleModules(directory) {
     await build({
-        entryPoints: ["packages/cli/src/main.ts"],
-        outfile,
-        bundle: true,
-        platform: "node",
-        target: "node20",
-        format: "cjs",
-        // ts-results' main entry needs tslib, which it does not declare.
-        mainFields: ["module", "main"],
-        // Without these, ws and msgpackr look for optional native modules, which prints a warning in an executable.
-        define: {
-            "process.env.WS_NO_BUFFER_UTIL": '"1"',
-            "process.env.WS_NO_UTF_8_VALIDATE": '"1"',
-            "process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED": '"true"',
+        ...common,
+        entryPoints: { tanagerlink: "packages/cli/src/main.ts" },
+        outdir: directory,
+        outExtension: { ".js": ".mjs" },
+        format: "esm",
+        splitting: true,
+        minify: true,
+        keepNames: true,
+        // CommonJS libraries ask for Node's own modules by `require`.
+        banner: {
+            js: 'import { createRequire as createModuleRequire } from "node:module";'
+                + "const require = createModuleRequire(import.meta.url);",
         },
-        plugins: [absentModules],
-        logLevel: "warning",
     });
 }
