perf(coordinator): ask for hints only where tickets would let a task start

The first call now names workers without room too, since permissions do not change. Also: the wait of each step by reason is logged with its start.

--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -14,7 +14,10 @@
 /** What a step found. */
 export interface PlacementResult {
     readonly placements: readonly Placement[];
-    /** Workers with room for which a ticket is missing, best first. */
+    /**
+     * Workers to ask hints for, best first: those with room for which a ticket is missing, then those without room that
+     * were never asked. Empty if tickets for them would not help now.
+     */
     readonly unticketed: readonly WorkerSession[];
     /** Whether tasks are left that found no worker. */
     readonly incomplete: boolean;
@@ -63,8 +66,15 @@
     const { step, workers, evacuated, hints, reserved, now } = request;
     const candidates: Candidate[] = [];
     const unticketed: Candidate[] = [];
+    const unasked: WorkerSession[] = [];
     for (const worker of workers) {
-        if (!isEligible(step, worker, evacuated, now) || reserved.has(worker) || !worker.fits(step)) {
+        if (!isEligible(step, worker, evacuated, now) || reserved.has(worker)) {
+            continue;
+        }
+        if (!worker.fits(step)) {
+            if (hints?.isUnknown(worker.id) === true) {
+                unasked.push(worker);
+            }
             continue;
         }
         const candidate = { worker, room: worker.room, ofStep: worker.countOf(step) };
@@ -78,14 +88,22 @@
     const chosen = step.specification.gang
         ? placeGang(request, candidates)
         : placeSingly(request, candidates);
-    const rest = unticketed.sort((left, right) => costOf(step, undefined, left) - costOf(step, undefined, right));
+    const incomplete = chosen.length < request.tasks.length;
+    const helps = incomplete && unticketed.length > 0
+        && (!step.specification.gang || wholeFits(request, [...candidates, ...unticketed]));
+    unticketed.sort((left, right) => costOf(step, undefined, left) - costOf(step, undefined, right));
     return {
         placements: chosen,
-        unticketed: rest.map(({ worker }) => worker),
-        incomplete: chosen.length < request.tasks.length,
+        unticketed: helps ? [...unticketed.map(({ worker }) => worker), ...unasked] : [],
+        incomplete,
     };
 }
 
+/** Whether a gang would have room on these workers. */
+function wholeFits(request: PlacementRequest, candidates: readonly Candidate[]): boolean {
+    return chooseAll(request, candidates.map(candidate => ({ ...candidate }))) !== undefined;
+}
+
 function placeSingly(request: PlacementRequest, candidates: Candidate[]): Placement[] {
     const placements: Placement[] = [];
     for (const task of request.tasks) {
@@ -114,6 +132,16 @@
 }
 
 function placeWhole(request: PlacementRequest, candidates: Candidate[]): Placement[] | undefined {
+    const chosen = chooseAll(request, candidates);
+    if (chosen === undefined) {
+        return undefined;
+    }
+    // The limit is taken for the whole gang or not at all.
+    return request.takeLimit() ? chosen.map(([task, candidate]) => placementOf(request, task, candidate)) : [];
+}
+
+/** A worker for each task; `undefined` if one finds none. */
+function chooseAll(request: PlacementRequest, candidates: Candidate[]): [TaskRun, Candidate][] | undefined {
     const chosen: [TaskRun, Candidate][] = [];
     for (const task of request.tasks) {
         const candidate = best(request.step, task, candidates);
@@ -123,8 +151,7 @@
         occupy(request.step, candidate);
         chosen.push([task, candidate]);
     }
-    // The limit is taken for the whole gang or not at all.
-    return request.takeLimit() ? chosen.map(([task, candidate]) => placementOf(request, task, candidate)) : [];
+    return chosen;
 }
 
 function place(request: PlacementRequest, task: TaskRun, candidate: Candidate): Placement {
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -8,6 +8,7 @@
 import type { Fleet } from "./fleet.ts";
 import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
 import type { TeamUsage } from "./teamUsage.ts";
+import { WaitLedger, WaitReason } from "./waitLedger.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
 /** Workers named in one call beyond those that are wanted; a second call costs more than further names. */
@@ -44,6 +45,7 @@
     private readonly options: SchedulerOptions;
     private readonly active = new Set<StepRun>();
     private readonly hints = new WeakMap<StepRun, StepHints>();
+    private readonly waits = new WeakMap<StepRun, WaitLedger>();
 
     constructor(options: SchedulerOptions) {
         this.options = options;
@@ -122,6 +124,7 @@
             ? multiplyResources(specification.size, tasks.length)
             : specification.size;
         if (!usage.allows(team, unit)) {
+            this.waitsOf(step).waits(WaitReason.Limit, now);
             return [];
         }
         const hints = rule.hinted ? this.hintsOf(step) : undefined;
@@ -142,6 +145,10 @@
                 return allowed;
             },
         });
+        if (result.incomplete) {
+            const lacksTickets = hints?.asking === true || result.unticketed.length > 0;
+            this.waitsOf(step).waits(lacksTickets ? WaitReason.Hints : WaitReason.Room, now);
+        }
         if (result.incomplete && hints !== undefined) {
             this.askHints(step, rule, hints, result);
         }
@@ -152,8 +159,13 @@
     }
 
     private begin(step: StepRun, placements: readonly Placement[]): StartedAttempt[] {
-        const { timers } = this.options;
+        const { timers, logger } = this.options;
         const now = timers.now();
+        if (placements.length > 0) {
+            const waited = this.waitsOf(step).settle(now);
+            const left = step.waitingTasks().length - placements.length;
+            logger.info({ step: step.name, starts: placements.length, left, waitedMilliseconds: waited }, "tasks placed");
+        }
         const gangAttempt = step.specification.gang ? step.nextGangAttempt() : undefined;
         return placements.map(({ task, worker, ticket }) => {
             const attempt = new Attempt(task, gangAttempt ?? task.lastAttempt + 1, worker.id, worker.life, now);
@@ -181,6 +193,12 @@
         possible.slice(0, step.specification.count).forEach(worker => reserved.add(worker));
     }
 
+    private waitsOf(step: StepRun): WaitLedger {
+        const known = this.waits.get(step) ?? new WaitLedger();
+        this.waits.set(step, known);
+        return known;
+    }
+
     private hintsOf(step: StepRun): StepHints {
         const known = this.hints.get(step) ?? new StepHints();
         this.hints.set(step, known);
--- a/packages/hints/src/stepHints.ts
+++ b/packages/hints/src/stepHints.ts
@@ -62,7 +62,8 @@
         return this.refused.has(worker);
     }
 
-    get permittedCount(): number {
-        return this.permitted.size;
+    /** Whether no call has named the worker yet. */
+    isUnknown(worker: string): boolean {
+        return !this.permitted.has(worker) && !this.refused.has(worker);
     }
 }
