feat(coordinator): log of hints learned and of jobs that no present worker can run

Tried first: failing a job as soon as no set of workers could run it. It is now logged with the obstacle and keeps waiting.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -43,8 +43,6 @@
 const SLOWEST_CLOCK_FACTOR = 1.02;
 /** For orders on the way when the last owner stopped. */
 const LAPSE_ALLOWANCE_MILLISECONDS = 500;
-/** An infeasible job fails after this time, in which workers that could run it may appear. */
-const INFEASIBLE_AFTER_MILLISECONDS = 5_000;
 /** Work that is left on a leaving worker to finish by itself. */
 const FINISHES_BY_ITSELF_MILLISECONDS = 1_500;
 
@@ -448,9 +446,7 @@
                 if (job.specification.recurrence !== undefined) {
                     this.scheduler.activate(job);
                 }
-                if (job.firstStartAt === undefined && now - job.knownAt > INFEASIBLE_AFTER_MILLISECONDS) {
-                    this.failInfeasible(job);
-                }
+                this.reportInfeasible(job, now);
             }
         }
         const expired = this.jobs.takeExpired(now - retentionMilliseconds);
@@ -461,18 +457,17 @@
         this.askRound();
     }
 
-    /** Fails a job with a step that fits no worker that was ever seen. */
-    private failInfeasible(job: JobRun): void {
-        const largest = this.fleet.largestOf(job.specification.service);
-        const tooLarge = largest !== undefined &&
-            job.specification.steps.some(({ size, fills }) =>
-                size.processorMillis > largest.processorMillis && !fills
-                || size.memoryMebibytes > largest.memoryMebibytes
-                || size.accelerators > largest.accelerators
-            );
-        if (tooLarge) {
-            this.options.logger.info({ job: job.id, largest }, "job fits no worker");
-            this.finish(job, JobState.Failed);
+    /** Tells operators of a job that could not start even on empty workers; callers see it as waiting. */
+    private reportInfeasible(job: JobRun, now: number): void {
+        const obstacle = this.scheduler.obstacle(job);
+        if (obstacle === undefined) {
+            job.infeasibleSince = undefined;
+            return;
+        }
+        const known = job.infeasibleSince !== undefined;
+        job.infeasibleSince ??= now;
+        if (!known) {
+            this.options.logger.warn({ job: job.id, obstacle }, "job cannot start on the present workers");
         }
     }
 }
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -1,13 +1,12 @@
 /** The sessions of all workers that the owner knows, from the platform's list and from the records. */
 import type { Resources } from "@tanagerlink/model";
-import { addResources, maximumResources, noResources } from "@tanagerlink/model";
+import { addResources, noResources } from "@tanagerlink/model";
 import type { Attempt } from "@tanagerlink/workflow";
 import type { WorkerEntry } from "./workerPort.ts";
 import { type SessionOptions, WorkerSession } from "./workerSession.ts";
 
 export class Fleet implements Disposable {
     private readonly sessions = new Map<string, WorkerSession>();
-    private readonly largest = new Map<string, Resources>();
     private readonly sessionOptions: Omit<SessionOptions, "entry">;
 
     constructor(sessionOptions: Omit<SessionOptions, "entry">) {
@@ -36,19 +35,10 @@
             .reduce((sum, { entry }) => addResources(sum, entry.capacity), noResources);
     }
 
-    /** Largest capacity of a worker of the service that was ever listed, in each component. */
-    largestOf(service: string): Resources | undefined {
-        return this.largest.get(service);
-    }
-
     /** Takes in the platform's list. Returns the workers that have begun to leave. */
     setListed(entries: ReadonlyMap<string, WorkerEntry>): WorkerSession[] {
         const leaving: WorkerSession[] = [];
         for (const entry of entries.values()) {
-            this.largest.set(
-                entry.service,
-                maximumResources(this.largest.get(entry.service) ?? noResources, entry.capacity),
-            );
             const session = this.sessions.get(entry.id);
             if (session === undefined) {
                 this.open(entry);
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -1,10 +1,11 @@
 /** Rounds of placement: which waiting tasks start now, where, and for which steps hints are asked. */
 import { type HintDispatcher, StepHints } from "@tanagerlink/hints";
-import { multiplyResources } from "@tanagerlink/model";
+import { multiplyResources, type Resources } from "@tanagerlink/model";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
 import { Attempt, type JobRun, JobState, type StepRun } from "@tanagerlink/workflow";
 import type { CellPolicy, QueueRule } from "./cellPolicy.ts";
+import { type Obstacle, obstacleOf } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
 import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
 import type { TeamUsage } from "./teamUsage.ts";
@@ -69,6 +70,27 @@
         this.hints.get(step)?.forget(worker);
     }
 
+    /** Why a waiting step of the job can never start, as far as is known now. */
+    obstacle(job: JobRun): Obstacle | undefined {
+        const { fleet, usage } = this.options;
+        const policy = this.options.policy();
+        if (policy === undefined) {
+            return undefined;
+        }
+        const { service } = ruleOf(job, policy);
+        const workers = fleet.ofService(service).filter(({ listed }) => listed);
+        for (const step of this.active) {
+            if (step.job === job && step.waitingTasks().length > 0) {
+                const fitsLimit = (size: Resources): boolean => usage.couldAllow(job.specification.team, size);
+                const obstacle = obstacleOf(step, workers, this.hints.get(step), fitsLimit);
+                if (obstacle !== undefined) {
+                    return obstacle;
+                }
+            }
+        }
+        return undefined;
+    }
+
     /** One round over all active steps. */
     round(): void {
         const policy = this.options.policy();
@@ -213,6 +235,7 @@
         const wanted = step.waitingTasks().length;
         const named = Math.min(MOST_NAMED, Math.max(FEWEST_NAMED, wanted * NAMED_PER_WANTED_WORKER));
         const asked = result.unticketed.slice(0, named).map(worker => ({ id: worker.id, boot: worker.life }));
+        const askedAt = timers.now();
         hints.asking = true;
         void this.options.hints.ask({
             step: step.name,
@@ -227,6 +250,15 @@
                 return;
             }
             hints.learn(asked, answer.value, timers.now());
+            logger.info(
+                {
+                    step: step.name,
+                    asked: asked.length,
+                    allowed: answer.value.allowed.length,
+                    milliseconds: Math.round(timers.now() - askedAt),
+                },
+                "placement hints learned",
+            );
             again();
         });
     }
--- a/packages/coordinator/src/teamUsage.ts
+++ b/packages/coordinator/src/teamUsage.ts
@@ -31,14 +31,15 @@
 
     /** Whether the team may use `size` more. Work without a team has no limit. */
     allows(team: string | undefined, size: Resources): boolean {
+        return team === undefined || this.couldAllow(team, addResources(this.of(team), size));
+    }
+
+    /** Whether the team's limit allows `size` while nothing else of the team runs. */
+    couldAllow(team: string | undefined, size: Resources): boolean {
         const limit = team === undefined ? undefined : this.rules.get(team)?.limit;
-        if (team === undefined || limit === undefined) {
-            return true;
-        }
-        const after = addResources(this.of(team), size);
-        return within(after.processorMillis, limit.processorMillis)
-            && within(after.memoryMebibytes, limit.memoryMebibytes)
-            && within(after.accelerators, limit.accelerators);
+        return limit === undefined || within(size.processorMillis, limit.processorMillis)
+                && within(size.memoryMebibytes, limit.memoryMebibytes)
+                && within(size.accelerators, limit.accelerators);
     }
 
     /** Largest part of `capacity` that the team uses, divided by its weight. The lowest rank is served first. */
--- a/packages/workflow/src/jobRun.ts
+++ b/packages/workflow/src/jobRun.ts
@@ -35,6 +35,8 @@
     endedAt: number | undefined;
     /** Monotonic time of the first start of a task. */
     firstStartAt: number | undefined;
+    /** Monotonic time since which no set of workers could run it. */
+    infeasibleSince: number | undefined;
 
     constructor(specification: JobSpecification, sequence: number, now: number) {
         this.id = specification.id;
