perf(coordinator): hold room for steps that wait for tickets; spread jobs over partitions

Cause: steps that lacked tickets asked for room that others took before the answer came, gangs up to 18 times. They now hold the room they would take within a round. A third of the machines is kept from slow hint calls.

--- /dev/null
+++ b/packages/coordinator/__tests__/support/samples.ts
@@ -0,0 +1,41 @@
+/** Jobs and claims for tests of the coordinator. */
+import type { JobSpecification, StepSpecification } from "@tanagerlink/workflow";
+import type { SeenOwner } from "../../src/ownerRecord.ts";
+
+/** A step of one small task, changed by `overrides`. */
+export function sampleStep(overrides: Partial<StepSpecification> = {}): StepSpecification {
+    return {
+        count: 1,
+        size: { processorMillis: 1_000, memoryMebibytes: 100, accelerators: 0 },
+        estimateMilliseconds: 1_000,
+        after: [],
+        checkpoints: false,
+        gang: false,
+        sameRack: false,
+        speculative: false,
+        lasting: false,
+        fills: false,
+        ...overrides,
+    };
+}
+
+export function sampleJob(id: string, overrides: Partial<JobSpecification> = {}): JobSpecification {
+    return {
+        id,
+        queue: "urgent",
+        service: "records",
+        team: "red",
+        priority: 0,
+        maximumAttempts: 2,
+        hinted: false,
+        hintMilliseconds: 0,
+        payload: "work",
+        steps: [sampleStep()],
+        ...overrides,
+    };
+}
+
+export const sampleClaim: SeenOwner = {
+    record: { node: "one", incarnation: "first", epoch: 7, renewals: 0 },
+    version: 0,
+};
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -20,6 +20,7 @@
 import type { CellPolicy } from "./cellPolicy.ts";
 import { FillPacing } from "./fillPacing.ts";
 import { Fleet } from "./fleet.ts";
+import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE, partitionOf } from "./jobTables.ts";
 import { Journal, PROGRESS_TABLE } from "./journal.ts";
 import { decodeRecord, OWNER_PARTITION, type OwnerRecord, type SeenOwner } from "./ownerRecord.ts";
 import { Scheduler, type StartedAttempt } from "./scheduler.ts";
@@ -28,11 +29,6 @@
 import type { RunningReport, WorkerEntry, WorkerPort } from "./workerPort.ts";
 import type { SessionOwner, WorkerSession } from "./workerSession.ts";
 
-/** Table of accepted jobs and of cancellations, in a partition each. */
-export const JOBS_TABLE = "jobs";
-export const ACCEPTED_PARTITION = "accepted";
-export const CANCELLED_PARTITION = "cancelled";
-
 /** Period of rounds without an event, for tickets, rests and due times. */
 const ROUND_MILLISECONDS = 200;
 /** Pause before records are read again. */
@@ -123,9 +119,11 @@
     /** Reads all records, tried until it succeeds or the cell is lost, and begins to work. */
     async recover(): Promise<void> {
         const { logger, timers } = this.options;
-        const progress = await this.readAll(PROGRESS_TABLE, OWNER_PARTITION);
-        const accepted = await this.readAll(JOBS_TABLE, ACCEPTED_PARTITION);
-        const cancelled = await this.readAll(JOBS_TABLE, CANCELLED_PARTITION);
+        const [progress, accepted, cancelled] = await Promise.all([
+            this.readAll(PROGRESS_TABLE, [OWNER_PARTITION]),
+            this.readAll(JOBS_TABLE, JOB_PARTITIONS),
+            this.readAll(CANCELLATIONS_TABLE, JOB_PARTITIONS),
+        ]);
         if (this.ended) {
             return;
         }
@@ -310,7 +308,12 @@
         }
     }
 
-    private async readAll(table: string, partition: string): Promise<readonly StoredRecord[]> {
+    private async readAll(table: string, partitions: readonly string[]): Promise<readonly StoredRecord[]> {
+        const read = await Promise.all(partitions.map(partition => this.readPartition(table, partition)));
+        return read.flat();
+    }
+
+    private async readPartition(table: string, partition: string): Promise<readonly StoredRecord[]> {
         const { store, timers, logger, claim } = this.options;
         while (!this.ended) {
             const listing = await listAll(store, { table, partition });
@@ -450,13 +453,29 @@
             }
         }
         const expired = this.jobs.takeExpired(now - retentionMilliseconds);
-        this.journal.remove(
-            expired.map(({ id }) => ({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: id })),
-        );
+        if (expired.length > 0) {
+            this.journal.remove(
+                expired.map(({ id }) => ({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: id })),
+            );
+            void this.removeAccepted(expired);
+        }
         this.fleet.dropVacant();
         this.askRound();
     }
 
+    /** Removes the records of jobs that have expired; what is left after an error goes with a later owner. */
+    private async removeAccepted(expired: readonly JobRun[]): Promise<void> {
+        const { store, logger } = this.options;
+        for (const { id } of expired) {
+            const partition = partitionOf(id);
+            const removals = [JOBS_TABLE, CANCELLATIONS_TABLE].map(table => ({ table, partition, key: id }));
+            const removed = await store.commit({ expectations: [], writes: [], removals });
+            if (removed.isErr()) {
+                logger.info({ job: id, error: removed.error.kind }, "records of an expired job not removed");
+            }
+        }
+    }
+
     /** Tells operators of a job that could not start even on empty workers; callers see it as waiting. */
     private reportInfeasible(job: JobRun, now: number): void {
         const obstacle = this.scheduler.obstacle(job);
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./cellPolicy.ts";
 export * from "./coordinator.ts";
 export * from "./election.ts";
+export * from "./jobTables.ts";
 export { PROGRESS_TABLE } from "./journal.ts";
 export {
     CELL_TABLE,
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -37,6 +37,13 @@
     readonly deposed: () => void;
 }
 
+/** Changes of one job that are not stored yet. */
+interface Unstored {
+    /** No earlier change of the job is missing in the store. */
+    readonly oldest: number;
+    readonly latest: number;
+}
+
 interface Waiter {
     /** Number of the change that must be stored. */
     readonly change: number;
@@ -45,7 +52,7 @@
 
 export class Journal implements Disposable {
     private readonly options: JournalOptions;
-    private readonly dirty = new Map<JobRun, number>();
+    private readonly dirty = new Map<JobRun, Unstored>();
     private removals: RecordName[] = [];
     private waiters: Waiter[] = [];
     private owner: OwnerRecord;
@@ -74,7 +81,8 @@
 
     /** Notes that a job's progress has changed. */
     note(job: JobRun): void {
-        this.dirty.set(job, ++this.change);
+        const latest = ++this.change;
+        this.dirty.set(job, { oldest: this.dirty.get(job)?.oldest ?? latest, latest });
         this.write();
     }
 
@@ -191,28 +199,32 @@
         const jobs = new Map<JobRun, number>();
         const writes: RecordWrite[] = [];
         let bytes = 0;
-        for (const [job, change] of this.dirty) {
+        for (const [job, { latest }] of this.dirty) {
             const value = encodeRecord(progressOf(job));
             bytes += value.byteLength;
             if (writes.length >= MOST_ENTRIES || writes.length > 0 && bytes > MOST_BYTES) {
                 break;
             }
             writes.push({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: job.id, value });
-            jobs.set(job, change);
+            jobs.set(job, latest);
         }
         const removals = this.removals.slice(0, MOST_ENTRIES - writes.length);
         return { jobs, writes, removals, states: new Map([...jobs.keys()].map(job => [job, job.state])) };
     }
 
     private committed(batch: Batch): void {
-        for (const [job, change] of batch.jobs) {
-            if (this.dirty.get(job) === change) {
+        for (const [job, written] of batch.jobs) {
+            const latest = this.dirty.get(job)?.latest ?? written;
+            if (latest === written) {
                 this.dirty.delete(job);
             }
+            else {
+                this.dirty.set(job, { oldest: written + 1, latest });
+            }
             job.storedState = batch.states.get(job) ?? job.storedState;
         }
         this.removals = this.removals.slice(batch.removals.length);
-        this.storedChange = this.dirty.size === 0 ? this.change : Math.min(...this.dirty.values()) - 1;
+        this.storedChange = this.dirty.size === 0 ? this.change : Math.min(...[...this.dirty.values()].map(({ oldest }) => oldest)) - 1;
         const done = this.waiters.filter(({ change }) => change <= this.storedChange);
         this.waiters = this.waiters.filter(({ change }) => change > this.storedChange);
         done.forEach(({ resolve }) => resolve(true));
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -1,6 +1,6 @@
 /** Chooses workers for the waiting tasks of one step. */
 import type { StepHints } from "@tanagerlink/hints";
-import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
+import { addResources, fitsInto, noResources, type Resources, subtractResources } from "@tanagerlink/model";
 import type { StepRun, TaskRun } from "@tanagerlink/workflow";
 import { occupied, type WorkerSession } from "./workerSession.ts";
 
@@ -30,8 +30,10 @@
     readonly workers: readonly WorkerSession[];
     readonly evacuated: ReadonlySet<string>;
     readonly hints: StepHints | undefined;
-    /** Workers whose room is kept for others. */
+    /** Workers that are kept for a gang that comes first. */
     readonly reserved: ReadonlySet<WorkerSession>;
+    /** Room that steps which come first will use as soon as they have tickets. */
+    readonly held: HeldRoom;
     readonly now: number;
     /** Takes the limit of the team for one task; false when it is reached. */
     readonly takeLimit: () => boolean;
@@ -43,6 +45,8 @@
     otherRack: 3,
     /** A worker whose last task failed. */
     doubtful: 4,
+    /** A worker on which the task has failed; it may be the only one that is permitted. */
+    failedThere: 8,
     /** Tasks that fill next to tasks that serve users. */
     besideServing: 2,
 } as const;
@@ -61,6 +65,20 @@
         && (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel));
 }
 
+/** Room set aside within one round. */
+export class HeldRoom {
+    private readonly sizes = new Map<WorkerSession, Resources>();
+
+    hold(worker: WorkerSession, size: Resources): void {
+        this.sizes.set(worker, addResources(this.sizes.get(worker) ?? noResources, size));
+    }
+
+    roomOf(worker: WorkerSession): Resources {
+        const held = this.sizes.get(worker);
+        return held === undefined ? worker.room : subtractResources(worker.room, held);
+    }
+}
+
 /** Places as many tasks as possible, or a gang as a whole. */
 export function placeTasks(request: PlacementRequest): PlacementResult {
     const { step, workers, evacuated, hints, reserved, now } = request;
@@ -71,13 +89,14 @@
         if (!isEligible(step, worker, evacuated, now) || reserved.has(worker)) {
             continue;
         }
-        if (!worker.fits(step)) {
+        const room = request.held.roomOf(worker);
+        if (!fitsInto(occupied(step), room)) {
             if (hints?.isUnknown(worker.id) === true) {
                 unasked.push(worker);
             }
             continue;
         }
-        const candidate = { worker, room: worker.room, ofStep: worker.countOf(step) };
+        const candidate = { worker, room, ofStep: worker.countOf(step) };
         if (hints === undefined || hints.ticket({ id: worker.id, boot: worker.life }, now) !== undefined) {
             candidates.push(candidate);
         }
@@ -89,8 +108,7 @@
         ? placeGang(request, candidates)
         : placeSingly(request, candidates);
     const incomplete = chosen.length < request.tasks.length;
-    const helps = incomplete && unticketed.length > 0
-        && (!step.specification.gang || wholeFits(request, [...candidates, ...unticketed]));
+    const helps = incomplete && holdRest(request, chosen.length, candidates, unticketed);
     unticketed.sort((left, right) => costOf(step, undefined, left) - costOf(step, undefined, right));
     return {
         placements: chosen,
@@ -99,9 +117,39 @@
     };
 }
 
-/** Whether a gang would have room on these workers. */
-function wholeFits(request: PlacementRequest, candidates: readonly Candidate[]): boolean {
-    return chooseAll(request, candidates.map(candidate => ({ ...candidate }))) !== undefined;
+/**
+ * Holds the room that the remaining tasks would take with tickets, so that what comes later neither takes it nor asks
+ * hints for it. Returns whether tickets would let any of them start.
+ */
+function holdRest(
+    request: PlacementRequest,
+    placed: number,
+    candidates: readonly Candidate[],
+    unticketed: readonly Candidate[],
+): boolean {
+    if (unticketed.length === 0) {
+        return false;
+    }
+    const tasks = request.tasks.slice(placed);
+    const copies = [...candidates, ...unticketed].map(candidate => ({ ...candidate }));
+    const rest = { ...request, tasks };
+    const chosen = request.step.specification.gang ? chooseAll(rest, copies) : chooseSome(rest, copies);
+    chosen?.forEach(([, { worker }]) => request.held.hold(worker, occupied(request.step)));
+    return (chosen?.length ?? 0) > 0;
+}
+
+/** Workers for as many tasks as possible. */
+function chooseSome(request: PlacementRequest, candidates: Candidate[]): [TaskRun, Candidate][] {
+    const chosen: [TaskRun, Candidate][] = [];
+    for (const task of request.tasks) {
+        const candidate = best(request.step, task, candidates);
+        if (candidate === undefined) {
+            break;
+        }
+        occupy(request.step, candidate);
+        chosen.push([task, candidate]);
+    }
+    return chosen;
 }
 
 function placeSingly(request: PlacementRequest, candidates: Candidate[]): Placement[] {
@@ -174,7 +222,7 @@
     let lowest = Infinity;
     for (const candidate of candidates) {
         const allowed = maximumPerWorker === undefined || candidate.ofStep < maximumPerWorker;
-        if (allowed && fitsInto(occupied(step), candidate.room) && !task.failedOn.has(candidate.worker.id)) {
+        if (allowed && fitsInto(occupied(step), candidate.room)) {
             const cost = costOf(step, task, candidate);
             if (cost < lowest) {
                 lowest = cost;
@@ -200,6 +248,9 @@
     if (worker.health.doubtful && (task?.failures ?? 0) > 0) {
         cost += COST.doubtful;
     }
+    if (task?.failedOn.has(worker.id) === true) {
+        cost += COST.failedThere;
+    }
     if (specification.fills && worker.servesUsers) {
         cost += COST.besideServing;
     }
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -7,7 +7,7 @@
 import type { CellPolicy, QueueRule } from "./cellPolicy.ts";
 import { type Obstacle, obstacleOf } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
-import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
+import { HeldRoom, type Placement, type PlacementResult, placeTasks } from "./placement.ts";
 import type { TeamUsage } from "./teamUsage.ts";
 import { WaitLedger, WaitReason } from "./waitLedger.ts";
 import type { WorkerSession } from "./workerSession.ts";
@@ -98,11 +98,12 @@
             return;
         }
         const reserved = new Set<WorkerSession>();
+        const held = new HeldRoom();
         const started: StartedAttempt[] = [];
         for (const step of this.inOrder(policy)) {
             const tasks = step.waitingTasks();
             if (tasks.length > 0) {
-                started.push(...this.serve(step, policy, reserved));
+                started.push(...this.serve(step, policy, reserved, held));
             }
         }
         if (started.length > 0) {
@@ -135,7 +136,12 @@
         return ranked.map(({ step }) => step);
     }
 
-    private serve(step: StepRun, policy: CellPolicy, reserved: Set<WorkerSession>): StartedAttempt[] {
+    private serve(
+        step: StepRun,
+        policy: CellPolicy,
+        reserved: Set<WorkerSession>,
+        held: HeldRoom,
+    ): StartedAttempt[] {
         const { fleet, usage, timers } = this.options;
         const { job, specification } = step;
         const { team } = job.specification;
@@ -158,6 +164,7 @@
             evacuated: policy.evacuated,
             hints,
             reserved,
+            held,
             now,
             takeLimit: () => {
                 const allowed = usage.allows(team, unit);
@@ -186,7 +193,10 @@
         if (placements.length > 0) {
             const waited = this.waitsOf(step).settle(now);
             const left = step.waitingTasks().length - placements.length;
-            logger.info({ step: step.name, starts: placements.length, left, waitedMilliseconds: waited }, "tasks placed");
+            logger.info(
+                { step: step.name, starts: placements.length, left, waitedMilliseconds: waited },
+                "tasks placed",
+            );
         }
         const gangAttempt = step.specification.gang ? step.nextGangAttempt() : undefined;
         return placements.map(({ task, worker, ticket }) => {
--- a/packages/hints/src/hintDispatcher.ts
+++ b/packages/hints/src/hintDispatcher.ts
@@ -1,6 +1,6 @@
 /**
  * Spreads hint calls over the machines of the cell. Each machine makes one call at a time; the most urgent call that
- * waits goes to the next free machine, and slow calls leave one machine free for fast ones.
+ * waits goes to the next free machine, and slow calls leave machines free for fast ones.
  */
 import type { ServiceError } from "@tanagerlink/errors";
 import { ErrorKind, serviceError } from "@tanagerlink/errors";
@@ -10,10 +10,10 @@
 import { askHintMethod } from "./hintMethods.ts";
 import type { HintAnswer, HintService } from "./hintService.ts";
 
-/** Calls that are expected to take longer leave one machine free; the fast queues of both sites answer in 30 ms. */
+/** Calls that are expected to take longer leave machines free; the fast queues of both sites answer in 30 ms. */
 const SLOW_CALL_MILLISECONDS = 120;
-/** With fewer machines than this, none is kept free. */
-const FEWEST_MACHINES_FOR_RESERVE = 3;
+/** One machine of so many is kept free of slow calls: bursts of fast ones need two or three machines. */
+const MACHINES_PER_RESERVED_ONE = 3;
 /** Time that a call may take beyond its expected duration, for the line of calls at the service. */
 const CALL_ALLOWANCE_MILLISECONDS = 1_500;
 /** A machine whose call failed is not used again for this time. */
@@ -88,7 +88,7 @@
     }
 
     private reserve(): number {
-        return this.machines().length >= FEWEST_MACHINES_FOR_RESERVE ? 1 : 0;
+        return Math.floor(this.machines().length / MACHINES_PER_RESERVED_ONE);
     }
 
     private machines(): string[] {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./httpTableService.ts";
 export * from "./httpVmList.ts";
 export * from "./memoryObjectStore.ts";
+export * from "./memoryRecordStore.ts";
 export * from "./memoryTableService.ts";
 export * from "./objectStore.ts";
 export * from "./recordStore.ts";
--- a/packages/site/src/cellEntry.ts
+++ b/packages/site/src/cellEntry.ts
@@ -3,13 +3,13 @@
  * process that the caller reached; the owner is told at once and finds them in the store otherwise.
  */
 import {
-    ACCEPTED_PARTITION,
-    CANCELLED_PARTITION,
+    CANCELLATIONS_TABLE,
     type Coordinator,
     decodeRecord,
     encodeRecord,
     JOBS_TABLE,
     OWNER_PARTITION,
+    partitionOf,
     PROGRESS_TABLE,
 } from "@tanagerlink/coordinator";
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
@@ -96,7 +96,7 @@
         if (value.byteLength > MOST_RECORD_BYTES) {
             return err(serviceError(ErrorKind.BodyTooLarge, "the job does not fit into one record"));
         }
-        const name = { table: JOBS_TABLE, partition: ACCEPTED_PARTITION, key: request.id };
+        const name = { table: JOBS_TABLE, partition: partitionOf(request.id), key: request.id };
         const written = await this.writeOnce(name, value);
         if (written.isErr()) {
             logger.warn({ job: request.id, queue: queue.name, error: written.error.kind }, "job not accepted");
@@ -120,7 +120,7 @@
             return ok(undefined);
         }
         const written = await this.writeOnce(
-            { table: JOBS_TABLE, partition: CANCELLED_PARTITION, key: id },
+            { table: CANCELLATIONS_TABLE, partition: partitionOf(id), key: id },
             encodeRecord({}),
         );
         if (written.isErr()) {
@@ -207,8 +207,8 @@
 
     /** State from the store, for jobs that the owner has not heard of and while there is no owner. */
     private async storedState(id: string): Promise<Result<JobState, ServiceError>> {
-        const accepted = await this.read({ table: JOBS_TABLE, partition: ACCEPTED_PARTITION, key: id });
-        const cancelled = await this.read({ table: JOBS_TABLE, partition: CANCELLED_PARTITION, key: id });
+        const accepted = await this.read({ table: JOBS_TABLE, partition: partitionOf(id), key: id });
+        const cancelled = await this.read({ table: CANCELLATIONS_TABLE, partition: partitionOf(id), key: id });
         const progress = await this.read({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: id });
         if (accepted.isErr() || cancelled.isErr() || progress.isErr()) {
             return err(serviceError(ErrorKind.StoreUnavailable, "the state of the job cannot be read at the moment"));
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -3,13 +3,13 @@
  * part in the election of the owner and runs the coordinator when it has won.
  */
 import {
-    ACCEPTED_PARTITION,
-    CANCELLED_PARTITION,
+    CANCELLATIONS_TABLE,
     CELL_TABLE,
     Coordinator,
     decodeOwner,
     decodeRecord,
     Election,
+    JOB_PARTITIONS,
     JOBS_TABLE,
     OWNER_PARTITION,
     type OwnerRecord,
@@ -344,12 +344,9 @@
     /** Finds acceptances and cancellations of which the owner was not told. */
     private followJobs(coordinator: Coordinator): void {
         const { logger } = this.options;
-        const take = (changes: readonly (RecordChange | StoredRecord)[]): void => {
-            for (const { partition, key, value } of changes) {
-                if (partition === CANCELLED_PARTITION && value !== undefined) {
-                    coordinator.cancel(key);
-                }
-                else if (partition === ACCEPTED_PARTITION && value !== undefined) {
+        const accept = (changes: readonly (RecordChange | StoredRecord)[]): void => {
+            for (const { key, value } of changes) {
+                if (value !== undefined) {
                     decodeRecord(jobSpecificationSchema, value).match(
                         specification => coordinator.accept(specification),
                         reason => logger.error({ job: key, reason }, "record of a job cannot be read"),
@@ -357,14 +354,15 @@
                 }
             }
         };
-        const follower = this.follower(
-            JOBS_TABLE,
-            [ACCEPTED_PARTITION, CANCELLED_PARTITION],
-            BUSY_TABLE_PAUSE_MILLISECONDS,
-            { listed: take, changed: take },
-        );
-        this.ownerFollowers.push(follower);
-        follower.start();
+        const cancel = (changes: readonly (RecordChange | StoredRecord)[]): void => {
+            changes.filter(({ value }) => value !== undefined).forEach(({ key }) => coordinator.cancel(key));
+        };
+        for (const [table, take] of [[JOBS_TABLE, accept], [CANCELLATIONS_TABLE, cancel]] as const) {
+            const handlers = { listed: take, changed: take };
+            const follower = this.follower(table, JOB_PARTITIONS, BUSY_TABLE_PAUSE_MILLISECONDS, handlers);
+            this.ownerFollowers.push(follower);
+            follower.start();
+        }
     }
 
     private stopFollowingJobs(): void {
