fix(coordinator): tell an idle worker which ends are stored

Cause: the last ends of a worker were stored, but a worker without live attempts got no further report call, so that it never learned of it.

--- /dev/null
+++ b/packages/coordinator/__tests__/support/fakeWorkers.ts
@@ -0,0 +1,242 @@
+/**
+ * Workers in memory that follow the platform's protocol: epochs, leases on their own clock, attempts that are refused
+ * after a stop, and ends that are kept until they are acknowledged. Faults are switched on for each worker.
+ */
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import { sleep, type Timers } from "@tanagerlink/timers";
+import { EndKind } from "@tanagerlink/workflow";
+import { err, ok, type Result } from "neverthrow";
+import {
+    type AttemptOrder,
+    type EndReport,
+    type HoldOrder,
+    type OrderOutcome,
+    RefusalReason,
+    type StartOrder,
+    type WorkerEntry,
+    type WorkerPort,
+    type WorkerReport,
+    type WorkerTarget,
+} from "../../src/workerPort.ts";
+
+const POLL_MILLISECONDS = 10;
+
+/** What happens to starts. */
+export const StartFault = {
+    None: "none",
+    /** Carried out, but the answer is lost. */
+    AnswerLost: "answer_lost",
+    /** Neither carried out nor answered; `deliverLate` carries it out. */
+    Late: "late",
+} as const;
+export type StartFault = (typeof StartFault)[keyof typeof StartFault];
+
+interface Running {
+    readonly order: StartOrder;
+    readonly startedAt: number;
+}
+
+/** One start that a worker carried out. */
+export interface StartRecord {
+    readonly worker: string;
+    readonly task: string;
+    readonly attempt: number;
+    readonly epoch: number;
+    readonly checkpoint: string;
+}
+
+export class FakeWorker {
+    readonly entry: WorkerEntry;
+    reachable = true;
+    startFault: StartFault = StartFault.None;
+    /** Duration of tasks; `undefined` for tasks that run until they are stopped. */
+    duration: number | undefined = 300;
+    /** How tasks end. */
+    endKind: EndKind = EndKind.Done;
+    acknowledged = 0;
+    readonly running = new Map<string, Running>();
+    private readonly ends: EndReport[] = [];
+    private readonly barred = new Map<string, number>();
+    private readonly late: StartOrder[] = [];
+    private epoch = 0;
+    private leaseUntil = -Infinity;
+    private lastEnd = 0;
+    private readonly timers: Timers;
+    private readonly starts: StartRecord[];
+
+    constructor(entry: WorkerEntry, timers: Timers, starts: StartRecord[]) {
+        this.entry = entry;
+        this.timers = timers;
+        this.starts = starts;
+    }
+
+    /** The worker's own clock. */
+    get clock(): number {
+        return Math.round(this.timers.now()) + 5_000;
+    }
+
+    get pendingEnds(): number {
+        return this.ends.length;
+    }
+
+    deliverLate(): void {
+        this.late.splice(0).forEach(order => this.carryOut(order));
+    }
+
+    /** Ends what is due and what has lost its lease. */
+    tick(): void {
+        for (const [task, { order, startedAt }] of this.running) {
+            if (this.clock > this.leaseUntil) {
+                this.end(task, order.attempt, EndKind.Lapsed, "");
+            }
+            else if (this.duration !== undefined && this.timers.now() - startedAt >= this.duration) {
+                this.end(task, order.attempt, this.endKind, "");
+            }
+        }
+    }
+
+    carryOut(order: StartOrder): OrderOutcome {
+        if (order.epoch < this.epoch) {
+            return { kind: "refused", reason: RefusalReason.Epoch };
+        }
+        this.epoch = order.epoch;
+        if (order.attempt <= (this.barred.get(order.task) ?? 0)) {
+            return { kind: "refused", reason: RefusalReason.OldAttempt };
+        }
+        if (order.leaseUntil < this.clock) {
+            return { kind: "refused", reason: RefusalReason.Late };
+        }
+        this.leaseUntil = Math.max(this.leaseUntil, order.leaseUntil);
+        if (!this.running.has(order.task)) {
+            this.running.set(order.task, { order, startedAt: this.timers.now() });
+            this.starts.push({
+                worker: this.entry.id,
+                task: order.task,
+                attempt: order.attempt,
+                epoch: order.epoch,
+                checkpoint: order.checkpoint,
+            });
+        }
+        return { kind: "done", clock: this.clock };
+    }
+
+    start(order: StartOrder): OrderOutcome {
+        switch (this.startFault) {
+            case StartFault.AnswerLost:
+                this.carryOut(order);
+                return { kind: "unanswered" };
+            case StartFault.Late:
+                this.late.push(order);
+                return { kind: "unanswered" };
+            default:
+                return this.carryOut(order);
+        }
+    }
+
+    stop(order: AttemptOrder): OrderOutcome {
+        if (order.epoch < this.epoch) {
+            return { kind: "refused", reason: RefusalReason.Epoch };
+        }
+        this.epoch = order.epoch;
+        this.barred.set(order.task, Math.max(order.attempt, this.barred.get(order.task) ?? 0));
+        const running = this.running.get(order.task);
+        if (running !== undefined && running.order.attempt <= order.attempt) {
+            this.end(order.task, running.order.attempt, EndKind.Stopped, "saved");
+        }
+        return { kind: "done", clock: this.clock };
+    }
+
+    hold(order: HoldOrder): Result<WorkerReport, ServiceError> {
+        if (order.epoch < this.epoch) {
+            return err(serviceError(ErrorKind.StaleEpoch, "a higher epoch was seen"));
+        }
+        this.epoch = order.epoch;
+        this.leaseUntil = Math.max(this.leaseUntil, order.leaseUntil ?? -Infinity);
+        this.acknowledged = Math.max(this.acknowledged, order.acknowledgedEnd);
+        while ((this.ends[0]?.number ?? Infinity) <= order.acknowledgedEnd) {
+            this.ends.shift();
+        }
+        this.tick();
+        return ok({
+            clock: this.clock,
+            boot: this.entry.boot,
+            running: [...this.running.values()].map(({ order: { task, attempt }, startedAt }) => ({
+                task,
+                attempt,
+                checkpoint: "",
+                percent: Math.round(this.timers.now() - startedAt),
+                load: 0,
+            })),
+            ended: [...this.ends],
+        });
+    }
+
+    private end(task: string, attempt: number, kind: EndKind, checkpoint: string): void {
+        this.running.delete(task);
+        this.barred.set(task, Math.max(attempt, this.barred.get(task) ?? 0));
+        this.ends.push({ number: ++this.lastEnd, task, attempt, kind, checkpoint });
+    }
+}
+
+/** All workers of a test. */
+export class FakeWorkers implements WorkerPort {
+    readonly starts: StartRecord[] = [];
+    readonly workers = new Map<string, FakeWorker>();
+    private readonly timers: Timers;
+
+    constructor(timers: Timers) {
+        this.timers = timers;
+    }
+
+    add(id: string, overrides: Partial<WorkerEntry> = {}): FakeWorker {
+        const entry: WorkerEntry = {
+            id,
+            address: "192.0.2.1:1",
+            service: "records",
+            failureDomain: "north",
+            rack: "r1-1",
+            labels: ["a", "r1-1"],
+            capacity: { processorMillis: 4_000, memoryMebibytes: 4_000, accelerators: 0 },
+            leaving: false,
+            boot: 1,
+            ...overrides,
+        };
+        const worker = new FakeWorker(entry, this.timers, this.starts);
+        this.workers.set(id, worker);
+        return worker;
+    }
+
+    get entries(): Map<string, WorkerEntry> {
+        return new Map([...this.workers.values()].map(({ entry }) => [entry.id, entry]));
+    }
+
+    async hold(worker: WorkerTarget, order: HoldOrder): Promise<Result<WorkerReport, ServiceError>> {
+        const target = this.workers.get(worker.id);
+        const deadline = this.timers.now() + order.waitMilliseconds;
+        while (target?.reachable === true && target.pendingEnds === 0 && this.timers.now() < deadline) {
+            await sleep(this.timers, POLL_MILLISECONDS);
+            target.tick();
+        }
+        return target?.reachable === true
+            ? target.hold(order)
+            : err(serviceError(ErrorKind.TargetUnreachable, "no answer"));
+    }
+
+    start(worker: WorkerTarget, order: StartOrder): Promise<OrderOutcome> {
+        const target = this.workers.get(worker.id);
+        return Promise.resolve(target?.reachable === true ? target.start(order) : { kind: "unanswered" });
+    }
+
+    stop(worker: WorkerTarget, order: AttemptOrder): Promise<OrderOutcome> {
+        const target = this.workers.get(worker.id);
+        return Promise.resolve(target?.reachable === true ? target.stop(order) : { kind: "unanswered" });
+    }
+
+    pace(): Promise<OrderOutcome> {
+        return Promise.resolve({ kind: "done", clock: undefined });
+    }
+
+    release(): void {
+        // Nothing is held open.
+    }
+}
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -224,7 +224,9 @@
             job.storedState = batch.states.get(job) ?? job.storedState;
         }
         this.removals = this.removals.slice(batch.removals.length);
-        this.storedChange = this.dirty.size === 0 ? this.change : Math.min(...[...this.dirty.values()].map(({ oldest }) => oldest)) - 1;
+        this.storedChange = this.dirty.size === 0
+            ? this.change
+            : Math.min(...[...this.dirty.values()].map(({ oldest }) => oldest)) - 1;
         const done = this.waiters.filter(({ change }) => change <= this.storedChange);
         this.waiters = this.waiters.filter(({ change }) => change > this.storedChange);
         done.forEach(({ resolve }) => resolve(true));
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -181,7 +181,9 @@
         if (result.incomplete && hints !== undefined) {
             this.askHints(step, rule, hints, result);
         }
-        if (result.incomplete && specification.gang && now - (step.readyAt ?? now) > RESERVE_AFTER_MILLISECONDS) {
+        // One gang of a service at a time, or waiting gangs would keep all workers empty.
+        const reservesRoom = specification.gang && !workers.some(worker => reserved.has(worker));
+        if (result.incomplete && reservesRoom && now - (step.readyAt ?? now) > RESERVE_AFTER_MILLISECONDS) {
             this.reserve(step, workers, hints, reserved);
         }
         return this.begin(step, result.placements);
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -74,7 +74,9 @@
     private strays = 0;
     private boot: number;
     private lastEnd = 0;
+    /** Ends up to this number are stored, and the same as the worker was last told. */
     private acknowledgedEnd = 0;
+    private toldEnd = 0;
     private closed = false;
     private wake = new AbortController();
     private readonly stopsInFlight = new Set<Attempt>();
@@ -294,7 +296,7 @@
     /** Nothing runs, nothing is to be acknowledged and the worker answered last. */
     private isIdle(): boolean {
         return this.fenced && this.reachable && this.attempts.size === 0 && this.strays === 0
-            && this.acknowledgedEnd === this.lastEnd;
+            && this.toldEnd === this.lastEnd;
     }
 
     private nudge(): void {
@@ -315,9 +317,10 @@
         const sentAt = timers.now();
         const renews = this.reachable && owner.mayRenewLeases();
         const leaseUntil = renews ? this.lease.until(sentAt, leaseMilliseconds) : undefined;
+        const acknowledgedEnd = this.acknowledgedEnd;
         const report = await port.hold(this.entry, {
             epoch: owner.epoch,
-            acknowledgedEnd: this.acknowledgedEnd,
+            acknowledgedEnd,
             ...(leaseUntil === undefined ? {} : { leaseUntil }),
             waitMilliseconds: this.waitMilliseconds(),
         });
@@ -328,6 +331,7 @@
             await this.reportFailed(report.error);
             return;
         }
+        this.toldEnd = acknowledgedEnd;
         this.takeIn(report.value, sentAt);
         if (this.lastEnd !== this.acknowledgedEnd) {
             const upTo = this.lastEnd;
@@ -445,6 +449,7 @@
         this.lease.restart();
         this.lastEnd = 0;
         this.acknowledgedEnd = 0;
+        this.toldEnd = 0;
         for (const attempt of [...this.attempts.values()]) {
             // A start whose answer is missing may have reached the new life.
             const open = attempt.status === AttemptStatus.Starting || attempt.status === AttemptStatus.Unsettled;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,6 +3,7 @@
  * with one HTTP adapter each, so that another platform needs only another adapter, and implementations in memory for
  * tests.
  */
+export * from "./adaptiveTimeout.ts";
 export * from "./httpObjectStore.ts";
 export {
     DEFAULT_PLATFORM_CONNECTIONS,
--- a/packages/site/src/relayedRecordStore.ts
+++ b/packages/site/src/relayedRecordStore.ts
@@ -22,6 +22,8 @@
 const AVOID_OWN_MILLISECONDS = 800;
 /** Time for a relayed call beyond its own wait. */
 const RELAY_MILLISECONDS = 1_500;
+/** Failing for this long counts as a lost store; single calls fail on slow days too. */
+const LOST_AFTER_MILLISECONDS = 500;
 /** Peers that are tried for one call. */
 const MOST_RELAYS = 2;
 /** A peer whose store answered within this time is asked first. */
@@ -38,6 +40,7 @@
     private readonly options: RelayedRecordStoreOptions;
     private avoidOwnUntil = -Infinity;
     private failedSince: number | undefined;
+    private lost = false;
     private ownAnsweredAt = -Infinity;
     private readonly storeAges = new Map<string, number>();
 
@@ -112,17 +115,19 @@
         const { timers, logger } = this.options;
         const now = timers.now();
         if (outcome.isErr()) {
-            if (this.failedSince === undefined) {
+            this.failedSince ??= now;
+            if (!this.lost && now - this.failedSince >= LOST_AFTER_MILLISECONDS) {
+                this.lost = true;
                 logger.warn({ error: outcome.error.kind }, "store lost");
-                this.failedSince = now;
             }
             this.avoidOwnUntil = now + AVOID_OWN_MILLISECONDS;
         }
         else {
-            if (this.failedSince !== undefined) {
-                logger.info({ milliseconds: Math.round(now - this.failedSince) }, "store regained");
-                this.failedSince = undefined;
+            if (this.lost) {
+                logger.info({ milliseconds: Math.round(now - (this.failedSince ?? now)) }, "store regained");
             }
+            this.lost = false;
+            this.failedSince = undefined;
             this.avoidOwnUntil = -Infinity;
             this.ownAnsweredAt = now;
         }
