--- /dev/null
+++ b/packages/coordinator/__tests__/election.spec.ts
@@ -0,0 +1,107 @@
+import { CommitFault, MemoryRecordStore } from "@tanagerlink/platform";
+import { silentLogger } from "@tanagerlink/telemetry";
+import { ManualTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import { Election } from "../src/election.ts";
+import { decodeOwner, encodeRecord, ownerRecordName, type SeenOwner } from "../src/ownerRecord.ts";
+
+const timers = { expiry: 2_600, unlinked: 1_200, freshness: 1_500 };
+
+class Candidate {
+    readonly won: SeenOwner[] = [];
+    linked = true;
+    fresh = true;
+    readonly election: Election;
+
+    constructor(node: string, store: MemoryRecordStore, clock: ManualTimers, rank = 0) {
+        this.election = new Election({
+            node,
+            incarnation: `${node}-1`,
+            store,
+            timers: clock,
+            logger: silentLogger,
+            durations: {
+                expiryMilliseconds: timers.expiry,
+                unlinkedExpiryMilliseconds: timers.unlinked,
+                freshnessMilliseconds: timers.freshness,
+            },
+            rank: () => rank,
+            followedAt: () => this.fresh ? clock.now() : -Infinity,
+            isLinked: () => this.linked,
+            eligible: () => this.won.length === 0,
+            won: claim => this.won.push(claim),
+        });
+    }
+
+    /** Takes in the owner record as a follower does. */
+    follow(store: MemoryRecordStore): void {
+        const record = store.read(ownerRecordName);
+        if (record !== undefined) {
+            this.election.observe(decodeOwner(record)._unsafeUnwrap());
+        }
+    }
+}
+
+describe("election of the owner", () => {
+    let store: MemoryRecordStore;
+    let clock: ManualTimers;
+
+    beforeEach(async () => {
+        store = new MemoryRecordStore();
+        clock = new ManualTimers();
+        const record = { node: "other", incarnation: "other-1", epoch: 3, renewals: 0 };
+        await store.commit({
+            expectations: [],
+            writes: [{ ...ownerRecordName, value: encodeRecord(record) }],
+            removals: [],
+        });
+    });
+
+    it("leaves the cell to an owner that renews its claim", async () => {
+        const candidate = new Candidate("one", store, clock);
+        candidate.follow(store);
+        await clock.advance(2_500);
+        expect(candidate.won).to.have.length(0);
+        await clock.advance(300);
+        expect(candidate.won.map(({ record }) => record.epoch)).to.deep.equal([4]);
+        candidate.election[Symbol.dispose]();
+    });
+
+    it("takes the cell earlier when the link to the owner is down too", async () => {
+        const candidate = new Candidate("one", store, clock);
+        candidate.follow(store);
+        candidate.linked = false;
+        await clock.advance(1_500);
+        expect(candidate.won).to.have.length(1);
+        candidate.election[Symbol.dispose]();
+    });
+
+    it("does not take the age of a claim for silence while it cannot follow the records itself", async () => {
+        const candidate = new Candidate("one", store, clock);
+        candidate.follow(store);
+        candidate.fresh = false;
+        candidate.linked = false;
+        await clock.advance(10_000);
+        expect(candidate.won).to.have.length(0);
+        candidate.election[Symbol.dispose]();
+    });
+
+    it("lets one process win when several try", async () => {
+        const candidates = ["one", "two", "three"].map(node => new Candidate(node, store, clock));
+        candidates.forEach(candidate => candidate.follow(store));
+        await clock.advance(3_000);
+        expect(candidates.flatMap(({ won }) => won)).to.have.length(1);
+        candidates.forEach(({ election }) => election[Symbol.dispose]());
+    });
+
+    it("finds that it has won when the answer was lost", async () => {
+        const candidate = new Candidate("one", store, clock);
+        candidate.follow(store);
+        store.fault = CommitFault.AnswerLost;
+        await clock.advance(2_800);
+        store.fault = CommitFault.None;
+        await clock.advance(1_000);
+        expect(candidate.won.map(({ record }) => [record.node, record.epoch])).to.deep.equal([["one", 4]]);
+        candidate.election[Symbol.dispose]();
+    });
+});
--- /dev/null
+++ b/packages/hints/__tests__/hintDispatcher.spec.ts
@@ -0,0 +1,108 @@
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import type { PeerLinkState, PeerMethod } from "@tanagerlink/peer";
+import { ManualTimers } from "@tanagerlink/timers";
+import { expect } from "chai";
+import { err, ok, type Result } from "neverthrow";
+import { type HintCall, HintDispatcher } from "../src/hintDispatcher.ts";
+import type { HintAnswer, HintService } from "../src/hintService.ts";
+
+const FAST_MILLISECONDS = 30;
+const SLOW_MILLISECONDS = 600;
+
+/** Machines that answer hint calls when the test says so. */
+class Machines {
+    readonly timers = new ManualTimers();
+    readonly running = new Map<string, string>();
+    mostAtOnce = 0;
+    readonly broken = new Set<string>();
+    private readonly finish = new Map<string, () => void>();
+    private readonly names: readonly string[];
+
+    constructor(names: readonly string[]) {
+        this.names = names;
+    }
+
+    dispatcher(): HintDispatcher {
+        const own: HintService = { ask: step => this.ask("own", step) };
+        return new HintDispatcher({
+            node: "own",
+            own,
+            timers: this.timers,
+            peers: {
+                links: () => this.names.map(name => linkTo(name)),
+                call: <Request, Answer>(peer: string, _method: PeerMethod<Request, Answer>, request: Request) =>
+                    this.ask(peer, (request as { readonly step: string; }).step) as Promise<
+                        Result<Answer, ServiceError>
+                    >,
+            },
+        });
+    }
+
+    answer(machine: string): void {
+        this.finish.get(machine)?.();
+    }
+
+    private async ask(machine: string, step: string): Promise<Result<HintAnswer, ServiceError>> {
+        if (this.broken.has(machine)) {
+            return err(serviceError(ErrorKind.PeerUnreachable, "no answer"));
+        }
+        expect(this.running.has(machine), `${machine} makes one call at a time`).to.equal(false);
+        this.running.set(machine, step);
+        this.mostAtOnce = Math.max(this.mostAtOnce, this.running.size);
+        await new Promise<void>(resolve => this.finish.set(machine, resolve));
+        this.running.delete(machine);
+        return ok({ allowed: [], validityMilliseconds: 2_000 });
+    }
+}
+
+function linkTo(id: string): PeerLinkState {
+    return {
+        peer: { id, address: "192.0.2.1:1", failureDomain: "north" },
+        connected: true,
+        silentMilliseconds: 0,
+        roundTripMilliseconds: 1,
+    };
+}
+
+function call(step: string, expectedMilliseconds: number, priority = 0): HintCall {
+    return { step, workers: ["w1"], priority, expectedMilliseconds };
+}
+
+describe("hint dispatcher", () => {
+    it("keeps a third of the machines free of slow calls, so that fast ones never wait behind them", () => {
+        const machines = new Machines(["a", "b"]);
+        const dispatcher = machines.dispatcher();
+        for (let index = 0; index < 5; index++) {
+            void dispatcher.ask(call(`slow-${index}`, SLOW_MILLISECONDS, 1));
+        }
+        expect(machines.running.size).to.equal(2);
+        void dispatcher.ask(call("fast", FAST_MILLISECONDS));
+        expect([...machines.running.values()]).to.include("fast");
+        expect(dispatcher.waitingCalls).to.equal(3);
+    });
+
+    it("gives a free machine to the most urgent call that waits", async () => {
+        const machines = new Machines(["a"]);
+        const dispatcher = machines.dispatcher();
+        ["first", "second"].forEach(step => void dispatcher.ask(call(step, FAST_MILLISECONDS)));
+        void dispatcher.ask(call("later", FAST_MILLISECONDS, 2));
+        void dispatcher.ask(call("urgent", FAST_MILLISECONDS, 0));
+        machines.answer("a");
+        await machines.timers.settle();
+        expect([...machines.running.values()]).to.include("urgent");
+        expect([...machines.running.values()]).not.to.include("later");
+    });
+
+    it("makes a call on another machine when one fails, and reports the error when all do", async () => {
+        const machines = new Machines(["a"]);
+        machines.broken.add("a");
+        machines.broken.add("own");
+        const result = await machines.dispatcher().ask(call("step", FAST_MILLISECONDS));
+        expect(result.isErr()).to.equal(true);
+        machines.broken.delete("own");
+        const answered = machines.dispatcher().ask(call("step", SLOW_MILLISECONDS));
+        await machines.timers.settle();
+        machines.answer("own");
+        expect((await answered).isOk()).to.equal(true);
+    });
+});
