--- a/packages/coordinator/__tests__/coordinator.spec.ts
+++ b/packages/coordinator/__tests__/coordinator.spec.ts
@@ -199,22 +199,6 @@
         expect(new Set(cell.workers.starts.map(({ attempt }) => attempt))).to.deep.equal(new Set([1]));
     });
 
-    it("stops less urgent tasks with a checkpoint for urgent ones, and no more of them than needed", async () => {
-        const worker = cell.workers.add("w1");
-        worker.duration = undefined;
-        const batch = { service: "records", priority: 2, maximumAttempts: 2, hinted: false, hintMilliseconds: 0 };
-        cell.policy = { ...cell.policy, queues: new Map([...cell.policy.queues, ["batch", batch]]) };
-        const coordinator = await cell.take("one");
-        const steps = [sampleStep({ count: 3, checkpoints: true }), sampleStep({ count: 1 })];
-        await cell.submit(coordinator, sampleJob("00a1", { queue: "batch", priority: 2, steps }));
-        await cell.run(1_500);
-        await cell.submit(coordinator, sampleJob("00b2", { steps: [sampleStep({ count: 2 })] }));
-        await cell.run(1_500);
-        expect([...worker.running.keys()].filter(task => task.startsWith("00b2"))).to.have.length(2);
-        expect([...worker.running.keys()]).to.include("00a1.0.1.0");
-        expect(worker.running.size).to.equal(4);
-    });
-
     it("stops what a cancelled job runs and starts nothing more of it", async () => {
         const worker = cell.workers.add("w1");
         worker.duration = undefined;
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -8,8 +8,6 @@
 import { type Obstacle, obstacleOf } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
 import { HeldRoom, type Placement, type PlacementResult, placeTasks } from "./placement.ts";
-import { chooseVictims } from "./preemption.ts";
-import { ruleOf } from "./queueRule.ts";
 import type { TeamUsage } from "./teamUsage.ts";
 import { WaitLedger, WaitReason } from "./waitLedger.ts";
 import type { WorkerSession } from "./workerSession.ts";
@@ -21,10 +19,6 @@
 const MOST_NAMED = 100;
 /** Pause after a hint call that failed. */
 const HINT_RETRY_MILLISECONDS = 300;
-/** Time for which an urgent step waits for room before less urgent work is stopped. */
-const PREEMPT_AFTER_MILLISECONDS = 150;
-/** Priority of urgent queues. */
-const URGENT = 0;
 /** Time for which a gang waits before room is kept for it. */
 const RESERVE_AFTER_MILLISECONDS = 400;
 
@@ -187,9 +181,6 @@
         if (result.incomplete && hints !== undefined) {
             this.askHints(step, rule, hints, result);
         }
-        if (result.incomplete && result.unticketed.length === 0 && rule.priority === URGENT) {
-            this.preempt(step, tasks.length - result.placements.length, workers, policy, hints);
-        }
         // One gang of a service at a time, or waiting gangs would keep all workers empty.
         const reservesRoom = specification.gang && !workers.some(worker => reserved.has(worker));
         if (result.incomplete && reservesRoom && now - (step.readyAt ?? now) > RESERVE_AFTER_MILLISECONDS) {
@@ -221,29 +212,6 @@
         });
     }
 
-    /** Stops less urgent work for tasks that have waited for room. */
-    private preempt(
-        step: StepRun,
-        tasks: number,
-        workers: readonly WorkerSession[],
-        policy: CellPolicy,
-        hints: StepHints | undefined,
-    ): void {
-        const { timers, logger } = this.options;
-        const now = timers.now();
-        const waitedSince = Math.max(step.readyAt ?? now, ...step.waitingTasks().map(task => task.waitingSince));
-        if (step.specification.gang || now - waitedSince < PREEMPT_AFTER_MILLISECONDS) {
-            return;
-        }
-        for (const { attempt, worker } of chooseVictims({ step, tasks, workers, policy, hints, now })) {
-            logger.info(
-                { task: attempt.task.name, attempt: attempt.number, worker: worker.id, for: step.name },
-                "task preempted",
-            );
-            worker.stop(attempt);
-        }
-    }
-
     /** Keeps the emptiest workers that a gang may use from work that comes after it. */
     private reserve(
         step: StepRun,
@@ -307,3 +275,8 @@
         });
     }
 }
+
+/** The queue's rule in force, or the one at acceptance where the queue has been dropped since. */
+export function ruleOf(job: JobRun, policy: CellPolicy): QueueRule {
+    return policy.queues.get(job.specification.queue) ?? job.specification;
+}
