--- a/packages/scenarios/src/cellCertificates.ts
+++ b/packages/scenarios/src/cellCertificates.ts
@@ -1,4 +1,4 @@
-/** Certificates of the processes of a cell, and their rotation as docs/operations.md tells operators to do it. */
+/** Certificates of the processes of a cell, and their rotation as docs/OPERATIONS.md tells operators to do it. */
 import { peerIdentity } from "@tanagerlink/certificates";
 import { AuthorityStandIn, type CertificatePaths, writeCertificate } from "@tanagerlink/stand-ins";
 import { mkdtemp, rm } from "node:fs/promises";
--- a/scripts/documentTables.ts
+++ b/scripts/documentTables.ts
@@ -1,10 +1,10 @@
-/** Writes the generated tables of docs/operations.md: settings and error kinds. A test compares the page with them. */
+/** Writes the generated tables of docs/OPERATIONS.md: settings and error kinds. A test compares the page with them. */
 import { errorAnswers, ErrorKind } from "@tanagerlink/errors";
 import { settingsTable } from "@tanagerlink/settings";
 import { readFile, writeFile } from "node:fs/promises";
 import { pathToFileURL } from "node:url";
 
-const PAGE = "docs/operations.md";
+const PAGE = "docs/OPERATIONS.md";
 
 /** Meaning of each kind and what to do. */
 const advice: Readonly<Record<ErrorKind, readonly [meaning: string, action: string]>> = {
