fix(site): a listing that lags behind removes no newer record

Cause: after the history was dropped, a listing may be seconds old (platform_compact); a newer evacuation would have been forgotten. Also: work is moved off a worker that was already leaving when the owner changed.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -278,6 +278,9 @@
                 session.stop(attempt);
             }
         }
+        if (session.entry.leaving) {
+            this.clear(session);
+        }
         this.pacing.adjust(session);
         this.askRound();
     }
--- a/packages/site/__tests__/tableFollower.spec.ts
+++ b/packages/site/__tests__/tableFollower.spec.ts
@@ -25,9 +25,9 @@
             partitions: [""],
             waitMilliseconds: 1_000,
             pauseMilliseconds: 100,
-            listed: listed => {
+            listed: (listed, version) => {
                 listings++;
-                records.replace(listed);
+                records.replace(listed, version);
             },
             changed: changes => records.apply(changes),
         });
@@ -72,7 +72,21 @@
 
     it("never goes back to an older version of a record", () => {
         records.apply([{ table: "op", partition: "", key: "a", value: Buffer.from("2"), version: 5 }]);
-        records.replace([{ table: "op", partition: "", key: "a", value: Buffer.from("1"), version: 3 }]);
+        records.replace([{ table: "op", partition: "", key: "a", value: Buffer.from("1"), version: 3 }], 4);
         expect(Buffer.from(records.values().get("a") ?? []).toString()).to.equal("2");
     });
+
+    it("keeps a record that is newer than a listing which lacks it", () => {
+        records.apply([{ table: "op", partition: "", key: "evacuate/north", value: Buffer.from("{}"), version: 5 }]);
+        records.replace([], 4);
+        expect(records.values().has("evacuate/north")).to.equal(true);
+        records.replace([], 6);
+        expect(records.values().has("evacuate/north")).to.equal(false);
+    });
+
+    it("does not bring back a removed record from an older listing", () => {
+        records.apply([{ table: "op", partition: "", key: "a", value: undefined, version: 5 }]);
+        records.replace([{ table: "op", partition: "", key: "a", value: Buffer.from("1"), version: 3 }], 4);
+        expect(records.values().has("a")).to.equal(false);
+    });
 });
--- a/packages/site/src/recordMap.ts
+++ b/packages/site/src/recordMap.ts
@@ -10,12 +10,12 @@
 export class RecordMap {
     private readonly known = new Map<string, Known>();
 
-    /** Takes in a listing; known records that it lacks have been removed. */
-    replace(records: readonly StoredRecord[]): void {
+    /** Takes in a listing of `version`. Known records that it lacks have been removed, unless they are newer than it. */
+    replace(records: readonly StoredRecord[], version: number): void {
         const listed = new Set(records.map(({ key }) => key));
         this.apply(records);
-        for (const key of [...this.known.keys()]) {
-            if (!listed.has(key)) {
+        for (const [key, known] of [...this.known]) {
+            if (!listed.has(key) && known.version <= version) {
                 this.known.delete(key);
             }
         }
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -125,8 +125,11 @@
             owner: () => this.ownerName(),
         });
         this.cellFollower = this.follower(CELL_TABLE, [OWNER_PARTITION, MEMBERS_PARTITION], 0, {
-            listed: records => {
-                this.memberRecords.replace(records.filter(({ partition }) => partition === MEMBERS_PARTITION));
+            listed: (records, version) => {
+                this.memberRecords.replace(
+                    records.filter(({ partition }) => partition === MEMBERS_PARTITION),
+                    version,
+                );
                 this.cellChanged(records);
             },
             changed: changes => {
@@ -136,7 +139,7 @@
         });
         const { operators } = options;
         this.operatorFollower = this.follower(operators.table, [operators.partition], 0, {
-            listed: records => this.operatorsChanged(() => this.operatorRecords.replace(records)),
+            listed: (records, version) => this.operatorsChanged(() => this.operatorRecords.replace(records, version)),
             changed: changes => this.operatorsChanged(() => this.operatorRecords.apply(changes)),
         });
         this.election = new Election({
@@ -213,7 +216,7 @@
         partitions: readonly string[],
         pauseMilliseconds: number,
         handlers: {
-            readonly listed: (records: readonly StoredRecord[]) => void;
+            readonly listed: (records: readonly StoredRecord[], version: number) => void;
             readonly changed: (changes: readonly RecordChange[]) => void;
         },
     ): TableFollower {
@@ -328,8 +331,8 @@
             coordinator.setWorkers(entries);
         };
         const follower = this.follower(workers.table, [workers.partition], BUSY_TABLE_PAUSE_MILLISECONDS, {
-            listed: listed => {
-                records.replace(listed);
+            listed: (listed, version) => {
+                records.replace(listed, version);
                 apply();
             },
             changed: changes => {
--- a/packages/site/src/tableFollower.ts
+++ b/packages/site/src/tableFollower.ts
@@ -19,8 +19,8 @@
     readonly waitMilliseconds: number;
     /** Pause between calls, in which changes gather; for tables that change all the time. */
     readonly pauseMilliseconds: number;
-    /** Receives all records after a listing. */
-    readonly listed: (records: readonly StoredRecord[]) => void;
+    /** Receives all records after a listing, and the version of the store that it shows. */
+    readonly listed: (records: readonly StoredRecord[], version: number) => void;
     readonly changed: (changes: readonly RecordChange[]) => void;
 }
 
@@ -70,7 +70,7 @@
         if (!this.abort.signal.aborted) {
             this.note(undefined);
             this.after = version;
-            this.options.listed(records);
+            this.options.listed(records, version);
         }
         return true;
     }
