perf(site): refuse callers at once while the store is known to be lost

Refusals of a lost store are certain, since nothing is sent; the process finds out by itself when the store is back. An outcome that is not known is now told within 1.3 s.

--- a/packages/site/__tests__/relayedRecordStore.spec.ts
+++ b/packages/site/__tests__/relayedRecordStore.spec.ts
@@ -26,7 +26,9 @@
             silentMilliseconds: 0,
             roundTripMilliseconds: 1,
         };
-        return this.open(this.own, () => this.linked ? [link] : [], remote);
+        const store = this.open(this.own, () => this.linked ? [link] : [], remote);
+        store.notePeer("peer", 0);
+        return store;
     }
 
     private open(
@@ -79,6 +81,31 @@
         expect((await store.commit(write))._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreOutcomeUnknown);
     });
 
+    it("does not wait for peers that have lost the store too", async () => {
+        const pair = new Pair();
+        const store = pair.store();
+        store.notePeer("peer", 10_000);
+        pair.own.fault = CommitFault.Unavailable;
+        expect((await store.commit(write))._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreUnavailable);
+        expect(pair.peers.read({ table: "t", partition: "p", key: "k" })).to.equal(undefined);
+    });
+
+    it("knows when the store is lost on every path, and finds out by itself that it is back", async () => {
+        const pair = new Pair();
+        const store = pair.store();
+        store.notePeer("peer", 10_000);
+        pair.own.fault = CommitFault.Unavailable;
+        await store.commit(write);
+        expect(store.isLost).to.equal(false);
+        await pair.timers.advance(900);
+        await store.commit(write);
+        expect(store.isLost).to.equal(true);
+        pair.own.fault = CommitFault.None;
+        await pair.timers.advance(400);
+        expect(store.isLost).to.equal(false);
+        store[Symbol.dispose]();
+    });
+
     it("returns to its own path after a pause", async () => {
         const pair = new Pair();
         const store = pair.store();
--- a/packages/site/src/cellEntry.ts
+++ b/packages/site/src/cellEntry.ts
@@ -24,8 +24,8 @@
 
 /** Time for one call to the owner. */
 const OWNER_CALL_MILLISECONDS = 700;
-/** Time within which a write is tried again while its outcome is not known; callers wait three seconds. */
-const SETTLE_MILLISECONDS = 2_400;
+/** Time within which a write is tried again while its outcome is not known; under half of the callers' three seconds. */
+const SETTLE_MILLISECONDS = 1_300;
 /** The same while it is certain that nothing was written; the caller is better served by an early refusal. */
 const REFUSE_MILLISECONDS = 250;
 const RETRY_MILLISECONDS = 60;
@@ -37,6 +37,8 @@
 
 export interface CellEntryOptions {
     readonly store: RecordStore;
+    /** Whether the store is known not to answer at the moment. */
+    readonly storeLost: () => boolean;
     readonly peers: Pick<PeerNetwork, "call">;
     readonly timers: Timers;
     readonly logger: Logger;
@@ -184,6 +186,9 @@
     private async writeOnce(name: RecordName, value: Uint8Array): Promise<Result<boolean, ServiceError>> {
         const { store, timers } = this.options;
         const startedAt = timers.now();
+        if (this.options.storeLost()) {
+            return err(serviceError(ErrorKind.StoreUnavailable, "the store does not answer at the moment"));
+        }
         let unknown = false;
         for (;;) {
             const outcome = await store.commit({
--- a/packages/site/src/relayedRecordStore.ts
+++ b/packages/site/src/relayedRecordStore.ts
@@ -14,21 +14,26 @@
     RecordTransaction,
 } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
-import type { Timers } from "@tanagerlink/timers";
+import type { Subscription, Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { relayChangesMethod, relayCommitMethod, relayListMethod } from "./relayMethods.ts";
 
 /** Time for which the own path is left alone after a failure. */
 const AVOID_OWN_MILLISECONDS = 800;
 /** Time for a relayed call beyond its own wait. */
-const RELAY_MILLISECONDS = 1_500;
+const RELAY_MILLISECONDS = 900;
 /** Failing for this long counts as a lost store; single calls fail on slow days too. */
 const LOST_AFTER_MILLISECONDS = 500;
+/** Period of calls that find out whether a lost store is back. They do not wait for each other. */
+const PROBE_MILLISECONDS = 300;
 /** Peers that are tried for one call. */
 const MOST_RELAYS = 2;
-/** A peer whose store answered within this time is asked first. */
+/** Only peers whose store answered within this time are asked. */
 const FRESH_MILLISECONDS = 2_500;
 
+/** Any small partition serves to find out whether the store answers. */
+const PROBE_REQUEST: ListRequest = { table: "cell", partition: "owner" };
+
 export interface RelayedRecordStoreOptions {
     readonly own: RecordStore;
     readonly peers: Pick<PeerNetwork, "call" | "handle" | "links">;
@@ -36,11 +41,12 @@
     readonly logger: Logger;
 }
 
-export class RelayedRecordStore implements RecordStore {
+export class RelayedRecordStore implements RecordStore, Disposable {
     private readonly options: RelayedRecordStoreOptions;
     private avoidOwnUntil = -Infinity;
     private failedSince: number | undefined;
     private lost = false;
+    private probe: Subscription | undefined;
     private ownAnsweredAt = -Infinity;
     private readonly storeAges = new Map<string, number>();
 
@@ -58,6 +64,15 @@
         return this.options.timers.now() - this.ownAnsweredAt;
     }
 
+    /** Whether the store is lost on every path, so that a call would only wait for its time limit. */
+    get isLost(): boolean {
+        return this.lost && this.relays().length === 0;
+    }
+
+    [Symbol.dispose](): void {
+        this.probe?.[Symbol.dispose]();
+    }
+
     /** Notes what a peer says about its own access. */
     notePeer(peer: string, ageMilliseconds: number): void {
         this.storeAges.set(peer, ageMilliseconds);
@@ -118,6 +133,7 @@
             this.failedSince ??= now;
             if (!this.lost && now - this.failedSince >= LOST_AFTER_MILLISECONDS) {
                 this.lost = true;
+                this.probe = timers.every(PROBE_MILLISECONDS, () => void this.probeOwn());
                 logger.warn({ error: outcome.error.kind }, "store lost");
             }
             this.avoidOwnUntil = now + AVOID_OWN_MILLISECONDS;
@@ -127,6 +143,7 @@
                 logger.info({ milliseconds: Math.round(now - (this.failedSince ?? now)) }, "store regained");
             }
             this.lost = false;
+            this.probe?.[Symbol.dispose]();
             this.failedSince = undefined;
             this.avoidOwnUntil = -Infinity;
             this.ownAnsweredAt = now;
@@ -134,10 +151,17 @@
         return outcome;
     }
 
-    /** Linked peers, those with recent access first. */
+    private async probeOwn(): Promise<void> {
+        const { own } = this.options;
+        const answered = await own.list(PROBE_REQUEST);
+        if (answered.isOk()) {
+            this.noteOwn(answered);
+        }
+    }
+
+    /** Linked peers with recent access. */
     private relays(): string[] {
         const linked = this.options.peers.links().filter(link => link.connected).map(link => link.peer.id);
-        const fresh = linked.filter(peer => (this.storeAges.get(peer) ?? Infinity) < FRESH_MILLISECONDS);
-        return fresh.length > 0 ? fresh : linked;
+        return linked.filter(peer => (this.storeAges.get(peer) ?? Infinity) < FRESH_MILLISECONDS);
     }
 }
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -117,6 +117,7 @@
         this.hintDispatcher = new HintDispatcher({ node, own: options.hints, peers, timers });
         this.entry = new CellEntry({
             store: this.store,
+            storeLost: () => this.store.isLost,
             peers,
             timers,
             logger,
@@ -208,6 +209,7 @@
         this.cellFollower[Symbol.dispose]();
         this.operatorFollower[Symbol.dispose]();
         this.members[Symbol.dispose]();
+        this.store[Symbol.dispose]();
         await this.options.peers[Symbol.asyncDispose]();
     }
 
