perf(coordinator): gangs keep room for themselves only after two seconds

Gangs are placed first whenever room appears, and their queues allow more than twice their run time.

--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -20,7 +20,7 @@
 /** Pause after a hint call that failed. */
 const HINT_RETRY_MILLISECONDS = 300;
 /** Time for which a gang waits before room is kept for it. */
-const RESERVE_AFTER_MILLISECONDS = 400;
+const RESERVE_AFTER_MILLISECONDS = 2_000;
 
 export interface SchedulerOptions {
     readonly timers: Timers;
