refactor(coordinator): split the owner's parts, one reader of JSON, tickets that were refused are forgotten

Room and attempts of a worker, reading of records, followers of the owner and the session's interface have files of their own. Unused members are removed. A refused ticket was kept until it ran out and the worker set aside for half a second; now the ticket is asked for again.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -3,9 +3,9 @@
  * only process that gives orders to workers. A new owner first reads all records and then fences each worker.
  */
 import type { HintDispatcher } from "@tanagerlink/hints";
-import { listAll, type RecordStore, type StoredRecord } from "@tanagerlink/platform";
+import { decodeJson, type RecordStore, type StoredRecord } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
-import { sleep, type Subscription, type Timers } from "@tanagerlink/timers";
+import type { Subscription, Timers } from "@tanagerlink/timers";
 import {
     type Attempt,
     EndKind,
@@ -22,17 +22,17 @@
 import { Fleet } from "./fleet.ts";
 import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE, partitionOf } from "./jobTables.ts";
 import { Journal, PROGRESS_TABLE } from "./journal.ts";
-import { decodeRecord, OWNER_PARTITION, type OwnerRecord, type SeenOwner } from "./ownerRecord.ts";
+import { OWNER_PARTITION, type OwnerRecord, type SeenOwner } from "./ownerRecord.ts";
+import { RecordReader } from "./recordReader.ts";
 import { Scheduler, type StartedAttempt } from "./scheduler.ts";
+import type { SessionOwner } from "./sessionOwner.ts";
 import { isStalled } from "./stalls.ts";
 import { TeamUsage } from "./teamUsage.ts";
 import type { RunningReport, WorkerEntry, WorkerPort } from "./workerPort.ts";
-import type { SessionOwner, WorkerSession } from "./workerSession.ts";
+import type { WorkerSession } from "./workerSession.ts";
 
 /** Period of rounds without an event, for tickets, rests and due times. */
 const ROUND_MILLISECONDS = 200;
-/** Pause before records are read again. */
-const READ_RETRY_MILLISECONDS = 100;
 /** An owner without confirmation from the store for this long renews no leases, so that a successor can rely on it. */
 const BLIND_MILLISECONDS = 8_000;
 /** A worker's clock may lose two hundredths. */
@@ -70,6 +70,7 @@
     private readonly scheduler: Scheduler;
     private readonly pacing: FillPacing;
     private readonly ticker: Subscription;
+    private readonly reportedInfeasible = new WeakSet<JobRun>();
     private policy: CellPolicy | undefined;
     private ready = false;
     private ended = false;
@@ -118,11 +119,18 @@
 
     /** Reads all records, tried until it succeeds or the cell is lost, and begins to work. */
     async recover(): Promise<void> {
-        const { logger, timers } = this.options;
+        const { logger, timers, store, claim } = this.options;
+        const reader = new RecordReader({
+            store,
+            timers,
+            logger,
+            minimumVersion: claim.version,
+            abandoned: () => this.ended,
+        });
         const [progress, accepted, cancelled] = await Promise.all([
-            this.readAll(PROGRESS_TABLE, [OWNER_PARTITION]),
-            this.readAll(JOBS_TABLE, JOB_PARTITIONS),
-            this.readAll(CANCELLATIONS_TABLE, JOB_PARTITIONS),
+            reader.read(PROGRESS_TABLE, [OWNER_PARTITION]),
+            reader.read(JOBS_TABLE, JOB_PARTITIONS),
+            reader.read(CANCELLATIONS_TABLE, JOB_PARTITIONS),
         ]);
         if (this.ended) {
             return;
@@ -231,7 +239,6 @@
         }
         if (task.current === attempt) {
             task.current = undefined;
-            task.waitingSince = now;
         }
         logger.info(
             { task: task.name, attempt: attempt.number, worker: attempt.workerId, end: kind },
@@ -304,6 +311,10 @@
         this.journal.confirm();
     }
 
+    ticketRefused(attempt: Attempt): void {
+        this.scheduler.forgetTicket(attempt.task.step, attempt.workerId);
+    }
+
     private lose(): void {
         if (!this.ended) {
             this[Symbol.dispose]();
@@ -311,27 +322,9 @@
         }
     }
 
-    private async readAll(table: string, partitions: readonly string[]): Promise<readonly StoredRecord[]> {
-        const read = await Promise.all(partitions.map(partition => this.readPartition(table, partition)));
-        return read.flat();
-    }
-
-    private async readPartition(table: string, partition: string): Promise<readonly StoredRecord[]> {
-        const { store, timers, logger, claim } = this.options;
-        while (!this.ended) {
-            const listing = await listAll(store, { table, partition });
-            if (listing.isOk() && listing.value.version >= claim.version) {
-                return listing.value.records;
-            }
-            logger.info({ table, error: listing.isErr() ? listing.error.kind : "stale" }, "records not read yet");
-            await sleep(timers, READ_RETRY_MILLISECONDS);
-        }
-        return [];
-    }
-
     private restore(stored: StoredRecord, progress: StoredRecord | undefined): void {
         const { logger, timers } = this.options;
-        const specification = decodeRecord(jobSpecificationSchema, stored.value);
+        const specification = decodeJson(jobSpecificationSchema, stored.value);
         const job = specification.isOk() ? this.jobs.add(specification.value) : undefined;
         if (specification.isErr()) {
             logger.error({ job: stored.key, reason: specification.error }, "record of a job cannot be read");
@@ -339,7 +332,7 @@
         if (job === undefined || progress === undefined) {
             return;
         }
-        const record = decodeRecord(progressRecordSchema, progress.value);
+        const record = decodeJson(progressRecordSchema, progress.value);
         if (record.isErr()) {
             // Without its progress, the job must not be started again.
             logger.error({ job: stored.key, reason: record.error }, "progress of a job cannot be read");
@@ -452,7 +445,7 @@
                 if (job.specification.recurrence !== undefined) {
                     this.scheduler.activate(job);
                 }
-                this.reportInfeasible(job, now);
+                this.reportInfeasible(job);
             }
         }
         const expired = this.jobs.takeExpired(now - retentionMilliseconds);
@@ -480,15 +473,13 @@
     }
 
     /** Tells operators of a job that could not start even on empty workers; callers see it as waiting. */
-    private reportInfeasible(job: JobRun, now: number): void {
+    private reportInfeasible(job: JobRun): void {
         const obstacle = this.scheduler.obstacle(job);
         if (obstacle === undefined) {
-            job.infeasibleSince = undefined;
-            return;
+            this.reportedInfeasible.delete(job);
         }
-        const known = job.infeasibleSince !== undefined;
-        job.infeasibleSince ??= now;
-        if (!known) {
+        else if (!this.reportedInfeasible.has(job)) {
+            this.reportedInfeasible.add(job);
             this.options.logger.warn({ job: job.id, obstacle }, "job cannot start on the present workers");
         }
     }
--- a/packages/coordinator/src/feasibility.ts
+++ b/packages/coordinator/src/feasibility.ts
@@ -2,7 +2,8 @@
 import type { StepHints } from "@tanagerlink/hints";
 import { fitsInto, multiplyResources, type Resources, subtractResources } from "@tanagerlink/model";
 import type { StepRun } from "@tanagerlink/workflow";
-import { occupied, type WorkerSession } from "./workerSession.ts";
+import { occupied } from "./workerAttempts.ts";
+import type { WorkerSession } from "./workerSession.ts";
 
 /** Why a step can never start. */
 export const Obstacle = {
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -2,12 +2,14 @@
 import type { Resources } from "@tanagerlink/model";
 import { addResources, noResources } from "@tanagerlink/model";
 import type { Attempt } from "@tanagerlink/workflow";
+import type { SessionOptions } from "./sessionOwner.ts";
 import type { WorkerEntry } from "./workerPort.ts";
-import { type SessionOptions, WorkerSession } from "./workerSession.ts";
+import { WorkerSession } from "./workerSession.ts";
 
 export class Fleet implements Disposable {
     private readonly sessions = new Map<string, WorkerSession>();
     private readonly sessionOptions: Omit<SessionOptions, "entry">;
+    private started = false;
 
     constructor(sessionOptions: Omit<SessionOptions, "entry">) {
         this.sessionOptions = sessionOptions;
@@ -21,10 +23,6 @@
         return this.sessions.values();
     }
 
-    get size(): number {
-        return this.sessions.size;
-    }
-
     ofService(service: string): WorkerSession[] {
         return [...this.sessions.values()].filter(({ entry }) => entry.service === service);
     }
@@ -88,8 +86,6 @@
         }
     }
 
-    private started = false;
-
     private open(entry: WorkerEntry): WorkerSession {
         const session = new WorkerSession({ ...this.sessionOptions, entry });
         this.sessions.set(entry.id, session);
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -10,7 +10,6 @@
 export {
     CELL_TABLE,
     decodeOwner,
-    decodeRecord,
     encodeRecord,
     OWNER_PARTITION,
     type OwnerRecord,
--- a/packages/coordinator/src/ownerRecord.ts
+++ b/packages/coordinator/src/ownerRecord.ts
@@ -2,8 +2,8 @@
  * The record that names the process which owns the cell. Its owner rewrites it to renew its claim; every transaction of
  * the owner expects the version that it wrote, so that a process that lost the claim cannot record anything.
  */
-import type { RecordName, StoredRecord } from "@tanagerlink/platform";
-import { err, ok, type Result } from "neverthrow";
+import { decodeJson, type RecordName, type StoredRecord } from "@tanagerlink/platform";
+import type { Result } from "neverthrow";
 import { z } from "zod";
 
 export const CELL_TABLE = "cell";
@@ -35,21 +35,8 @@
     return Buffer.from(JSON.stringify(value));
 }
 
-/** Reads a record of our own tables; the error is the reason. */
-export function decodeRecord<Value>(schema: z.ZodType<Value>, value: Uint8Array): Result<Value, string> {
-    let json: unknown;
-    try {
-        json = JSON.parse(Buffer.from(value).toString("utf8"));
-    }
-    catch (failure) {
-        return err(String(failure));
-    }
-    const parsed = schema.safeParse(json);
-    return parsed.success ? ok(parsed.data) : err(z.prettifyError(parsed.error));
-}
-
 export function decodeOwner(stored: StoredRecord): Result<SeenOwner, string> {
-    return decodeRecord(ownerRecordSchema, stored.value).map(record => ({ record, version: stored.version }));
+    return decodeJson(ownerRecordSchema, stored.value).map(record => ({ record, version: stored.version }));
 }
 
 /** Whether two records name the same claim, apart from its renewals. */
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -2,7 +2,8 @@
 import type { StepHints } from "@tanagerlink/hints";
 import { addResources, fitsInto, noResources, type Resources, subtractResources } from "@tanagerlink/model";
 import type { StepRun, TaskRun } from "@tanagerlink/workflow";
-import { occupied, type WorkerSession } from "./workerSession.ts";
+import { occupied } from "./workerAttempts.ts";
+import type { WorkerSession } from "./workerSession.ts";
 
 /** One task, the worker chosen for it and the ticket for the start. */
 export interface Placement {
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -3,10 +3,11 @@
  * whose answers were lost. The first report under an epoch fences earlier owners out.
  */
 import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
-import { addResources, fitsInto, noResources, type Resources, subtractResources } from "@tanagerlink/model";
-import type { Logger } from "@tanagerlink/telemetry";
-import { sleep, type Timers } from "@tanagerlink/timers";
+import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
+import { sleep } from "@tanagerlink/timers";
 import { type Attempt, AttemptStatus, EndKind, type StepRun } from "@tanagerlink/workflow";
+import type { SessionOptions } from "./sessionOwner.ts";
+import { attemptKey, occupied, WorkerAttempts } from "./workerAttempts.ts";
 import { WorkerHealth } from "./workerHealth.ts";
 import { WorkerLease } from "./workerLease.ts";
 import {
@@ -14,7 +15,6 @@
     RefusalReason,
     type RunningReport,
     type WorkerEntry,
-    type WorkerPort,
     type WorkerReport,
 } from "./workerPort.ts";
 
@@ -32,43 +32,14 @@
 /** A report lists at most this many ends, so that live attempts may be missing from a full one. */
 const FULL_REPORT_ENDS = 500;
 
-/** What the session tells the owner, and asks of it. */
-export interface SessionOwner {
-    readonly epoch: number;
-    attemptEnded(attempt: Attempt, kind: EndKind, checkpoint: string): void;
-    /** The worker runs something that the records do not have there. */
-    strayAttempt(session: WorkerSession, report: RunningReport): void;
-    reported(session: WorkerSession): void;
-    /** Resolves when all that is known has been stored; false when this process no longer owns the cell. */
-    stored(): Promise<boolean>;
-    /** Whether leases may be renewed, which needs a recent confirmation of ownership. */
-    mayRenewLeases(): boolean;
-    /** Time after which nothing that an earlier owner started runs on a worker that never answered. */
-    earlierLeasesLapseAt(): number;
-    suspectDeposed(): void;
-}
-
-export interface SessionOptions {
-    readonly entry: WorkerEntry;
-    readonly owner: SessionOwner;
-    readonly port: WorkerPort;
-    readonly timers: Timers;
-    readonly logger: Logger;
-    /** Longest lease that a worker grants. */
-    readonly leaseMilliseconds: number;
-    /** Time that a stop takes at most. */
-    readonly stopMilliseconds: number;
-}
-
 export class WorkerSession {
     entry: WorkerEntry;
     /** Whether the platform's list has the worker. */
     listed = true;
     readonly health = new WorkerHealth();
     private readonly options: SessionOptions;
-    private readonly attempts = new Map<string, Attempt>();
+    private readonly attempts = new WorkerAttempts();
     private readonly lease = new WorkerLease();
-    private used: Resources = noResources;
     private fenced = false;
     private reachable = false;
     private strays = 0;
@@ -97,7 +68,7 @@
     }
 
     get liveAttempts(): IterableIterator<Attempt> {
-        return this.attempts.values();
+        return this.attempts.all();
     }
 
     get attemptCount(): number {
@@ -106,11 +77,7 @@
 
     /** Room for further tasks. */
     get room(): Resources {
-        return subtractResources(this.entry.capacity, this.used);
-    }
-
-    get isReachable(): boolean {
-        return this.reachable;
+        return subtractResources(this.entry.capacity, this.attempts.occupiedRoom);
     }
 
     /** Whether the worker takes new tasks. */
@@ -125,26 +92,16 @@
 
     /** Whether a task runs here whose response times are bounded. */
     get servesUsers(): boolean {
-        for (const { task } of this.attempts.values()) {
-            if (task.step.specification.targetMilliseconds !== undefined) {
-                return true;
-            }
-        }
-        return false;
+        return this.attempts.servesUsers;
     }
 
     countOf(step: StepRun): number {
-        let count = 0;
-        for (const attempt of this.attempts.values()) {
-            count += attempt.task.step === step ? 1 : 0;
-        }
-        return count;
+        return this.attempts.countOf(step);
     }
 
     /** Takes the room of an attempt. */
     add(attempt: Attempt): void {
-        this.attempts.set(keyOf(attempt.task.name, attempt.number), attempt);
-        this.used = addResources(this.used, occupied(attempt.task.step));
+        this.attempts.add(attempt);
     }
 
     run(): void {
@@ -235,7 +192,7 @@
             fenced: this.fenced,
             leaving: this.entry.leaving,
             room: this.room,
-            attempts: [...this.attempts.values()].map(({ task, number, status, percent, pace }) => ({
+            attempts: [...this.attempts.all()].map(({ task, number, status, percent, pace }) => ({
                 task: task.name,
                 attempt: number,
                 status,
@@ -273,7 +230,12 @@
         if (reason === RefusalReason.Epoch) {
             owner.suspectDeposed();
         }
-        this.health.declined(now);
+        if (reason === RefusalReason.Ticket) {
+            owner.ticketRefused(attempt);
+        }
+        else {
+            this.health.declined(now);
+        }
         this.end(attempt, EndKind.Lost, "");
         if (outcome.kind === "not_sent" || reason === RefusalReason.OtherWorker) {
             this.reachable = false;
@@ -345,7 +307,7 @@
         if (!this.reachable || !this.fenced || this.attempts.size === 0) {
             return 0;
         }
-        const settling = [...this.attempts.values()].some(attempt =>
+        const settling = [...this.attempts.all()].some(attempt =>
             attempt.status === AttemptStatus.Stopping || attempt.status === AttemptStatus.Unsettled
         );
         return settling ? SETTLING_WAIT_MILLISECONDS : REPORT_WAIT_MILLISECONDS;
@@ -383,9 +345,8 @@
         const running = new Set<string>();
         this.strays = 0;
         for (const entry of report.running) {
-            const key = keyOf(entry.task, entry.attempt);
-            running.add(key);
-            const attempt = this.attempts.get(key);
+            running.add(attemptKey(entry.task, entry.attempt));
+            const attempt = this.attempts.get(entry.task, entry.attempt);
             if (attempt === undefined) {
                 this.strays++;
                 owner.strayAttempt(this, entry);
@@ -397,7 +358,7 @@
         for (const end of report.ended) {
             if (end.number > this.lastEnd) {
                 this.lastEnd = end.number;
-                const attempt = this.attempts.get(keyOf(end.task, end.attempt));
+                const attempt = this.attempts.get(end.task, end.attempt);
                 if (attempt !== undefined) {
                     this.end(attempt, end.kind, end.checkpoint);
                 }
@@ -412,8 +373,8 @@
     /** Decides on attempts that a report sent after their last change does not list. */
     private settle(running: ReadonlySet<string>, sentAt: number): void {
         const { logger, stopMilliseconds } = this.options;
-        for (const [key, attempt] of [...this.attempts]) {
-            const isListed = running.has(key);
+        for (const attempt of [...this.attempts.all()]) {
+            const isListed = running.has(attemptKey(attempt.task.name, attempt.number));
             const { status, changedAt, stopConfirmedAt } = attempt;
             if (status === AttemptStatus.Stopping) {
                 if (stopConfirmedAt === undefined) {
@@ -450,7 +411,7 @@
         this.lastEnd = 0;
         this.acknowledgedEnd = 0;
         this.toldEnd = 0;
-        for (const attempt of [...this.attempts.values()]) {
+        for (const attempt of [...this.attempts.all()]) {
             // A start whose answer is missing may have reached the new life.
             const open = attempt.status === AttemptStatus.Starting || attempt.status === AttemptStatus.Unsettled;
             if (!open && attempt.workerBoot !== boot) {
@@ -477,31 +438,19 @@
     }
 
     private endAll(kind: EndKind): void {
-        for (const attempt of [...this.attempts.values()]) {
+        for (const attempt of [...this.attempts.all()]) {
             this.end(attempt, kind, "");
         }
     }
 
     private end(attempt: Attempt, kind: EndKind, checkpoint: string): void {
-        const key = keyOf(attempt.task.name, attempt.number);
-        if (this.attempts.delete(key)) {
-            this.used = subtractResources(this.used, occupied(attempt.task.step));
+        if (this.attempts.remove(attempt)) {
             attempt.become(AttemptStatus.Ended, this.options.timers.now());
             this.options.owner.attemptEnded(attempt, kind, checkpoint);
         }
     }
 }
 
-/** Room that one task of the step takes up; tasks that fill use processor time that others leave. */
-export function occupied(step: StepRun): Resources {
-    const { size, fills } = step.specification;
-    return fills ? { ...size, processorMillis: 0 } : size;
-}
-
-function keyOf(task: string, attempt: number): string {
-    return `${task}#${attempt}`;
-}
-
 function observe(attempt: Attempt, entry: RunningReport, now: number): void {
     const { status, task } = attempt;
     if (status === AttemptStatus.Starting || status === AttemptStatus.Unsettled || status === AttemptStatus.Unknown) {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,6 +4,7 @@
  * tests.
  */
 export * from "./adaptiveTimeout.ts";
+export * from "./decodeJson.ts";
 export * from "./httpObjectStore.ts";
 export {
     DEFAULT_PLATFORM_CONNECTIONS,
--- a/packages/site/src/cellEntry.ts
+++ b/packages/site/src/cellEntry.ts
@@ -5,7 +5,6 @@
 import {
     CANCELLATIONS_TABLE,
     type Coordinator,
-    decodeRecord,
     encodeRecord,
     JOBS_TABLE,
     OWNER_PARTITION,
@@ -14,7 +13,7 @@
 } from "@tanagerlink/coordinator";
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { PeerMethod, PeerNetwork } from "@tanagerlink/peer";
-import type { RecordName, RecordStore, StoredRecord } from "@tanagerlink/platform";
+import { decodeJson, type RecordName, type RecordStore, type StoredRecord } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { type JobSpecification, JobState, progressRecordSchema, specificationFault } from "@tanagerlink/workflow";
@@ -222,7 +221,7 @@
             return err(serviceError(ErrorKind.JobNotFound, "there is no such job"));
         }
         if (progress.value !== undefined) {
-            const record = decodeRecord(progressRecordSchema, progress.value.value);
+            const record = decodeJson(progressRecordSchema, progress.value.value);
             const state = record.map(({ state }) => state).unwrapOr(JobState.Running);
             if (state === JobState.Completed || state === JobState.Failed || cancelled.value === undefined) {
                 return ok(state);
--- /dev/null
+++ b/packages/site/src/ownerFollowers.ts
@@ -0,0 +1,109 @@
+/** What the owner of the cell follows in the store: the list of workers, and jobs of which it was not told. */
+import {
+    CANCELLATIONS_TABLE,
+    type Coordinator,
+    JOB_PARTITIONS,
+    JOBS_TABLE,
+    type WorkerEntry,
+} from "@tanagerlink/coordinator";
+import { decodeJson, type RecordChange, type StoredRecord } from "@tanagerlink/platform";
+import type { Logger } from "@tanagerlink/telemetry";
+import { jobSpecificationSchema } from "@tanagerlink/workflow";
+import type { Result } from "neverthrow";
+import { RecordMap } from "./recordMap.ts";
+import type { TableFollower, TableFollowerOptions } from "./tableFollower.ts";
+
+/** The list of workers, in the platform's format. */
+export interface WorkerSource {
+    readonly table: string;
+    readonly partition: string;
+    /** The error is the reason why an entry names no worker. */
+    readEntry(id: string, value: Uint8Array): Result<WorkerEntry, string>;
+}
+
+export type FollowHandlers = Pick<TableFollowerOptions, "listed" | "changed">;
+
+export interface OwnerFollowersOptions {
+    readonly coordinator: Coordinator;
+    readonly workers: WorkerSource;
+    readonly logger: Logger;
+    /** Makes a follower of a table that changes all the time. */
+    readonly follow: (table: string, partitions: readonly string[], handlers: FollowHandlers) => TableFollower;
+}
+
+export class OwnerFollowers implements Disposable {
+    private readonly options: OwnerFollowersOptions;
+    private readonly followers: TableFollower[] = [];
+    private ended = false;
+
+    constructor(options: OwnerFollowersOptions) {
+        this.options = options;
+    }
+
+    /** Follows the list of workers. */
+    followWorkers(): void {
+        const { coordinator, workers, logger } = this.options;
+        const records = new RecordMap();
+        const unreadable = new Set<string>();
+        const apply = (): void => {
+            const entries = new Map<string, WorkerEntry>();
+            for (const [id, value] of records.values()) {
+                const entry = workers.readEntry(id, value);
+                if (entry.isOk()) {
+                    entries.set(id, entry.value);
+                    unreadable.delete(id);
+                }
+                else if (!unreadable.has(id)) {
+                    unreadable.add(id);
+                    logger.warn({ worker: id, reason: entry.error }, "entry names no worker");
+                }
+            }
+            coordinator.setWorkers(entries);
+        };
+        this.start(workers.table, [workers.partition], {
+            listed: (listed, version) => {
+                records.replace(listed, version);
+                apply();
+            },
+            changed: changes => {
+                records.apply(changes);
+                apply();
+            },
+        });
+    }
+
+    /** Finds acceptances and cancellations of which the owner was not told. */
+    followJobs(): void {
+        const { coordinator, logger } = this.options;
+        const accept = (changes: readonly (RecordChange | StoredRecord)[]): void => {
+            for (const { key, value } of changes) {
+                if (value !== undefined) {
+                    decodeJson(jobSpecificationSchema, value).match(
+                        specification => coordinator.accept(specification),
+                        reason => logger.error({ job: key, reason }, "record of a job cannot be read"),
+                    );
+                }
+            }
+        };
+        const cancel = (changes: readonly (RecordChange | StoredRecord)[]): void => {
+            changes.filter(({ value }) => value !== undefined).forEach(({ key }) => coordinator.cancel(key));
+        };
+        for (const [table, take] of [[JOBS_TABLE, accept], [CANCELLATIONS_TABLE, cancel]] as const) {
+            const handlers = { listed: take, changed: take };
+            this.start(table, JOB_PARTITIONS, handlers);
+        }
+    }
+
+    [Symbol.dispose](): void {
+        this.ended = true;
+        this.followers.forEach(follower => follower[Symbol.dispose]());
+    }
+
+    private start(table: string, partitions: readonly string[], handlers: FollowHandlers): void {
+        if (!this.ended) {
+            const follower = this.options.follow(table, partitions, handlers);
+            this.followers.push(follower);
+            follower.start();
+        }
+    }
+}
--- a/packages/site/src/siteMembers.ts
+++ b/packages/site/src/siteMembers.ts
@@ -1,7 +1,7 @@
 /** The processes of the cell: each writes one record of itself, and links are kept to the owner and a few others. */
-import { CELL_TABLE, decodeRecord, encodeRecord } from "@tanagerlink/coordinator";
+import { CELL_TABLE, encodeRecord } from "@tanagerlink/coordinator";
 import type { PeerAddress, PeerNetwork } from "@tanagerlink/peer";
-import type { RecordStore } from "@tanagerlink/platform";
+import { decodeJson, type RecordStore } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { z } from "zod";
@@ -47,7 +47,7 @@
         const { logger, node, self } = this.options;
         this.members.clear();
         for (const [id, value] of records) {
-            const member = decodeRecord(memberSchema, value);
+            const member = decodeJson(memberSchema, value);
             if (member.isErr()) {
                 logger.error({ member: id, reason: member.error }, "record of a process cannot be read");
                 continue;
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -3,18 +3,13 @@
  * part in the election of the owner and runs the coordinator when it has won.
  */
 import {
-    CANCELLATIONS_TABLE,
     CELL_TABLE,
     Coordinator,
     decodeOwner,
-    decodeRecord,
     Election,
-    JOB_PARTITIONS,
-    JOBS_TABLE,
     OWNER_PARTITION,
     type OwnerRecord,
     type SeenOwner,
-    type WorkerEntry,
     type WorkerPort,
 } from "@tanagerlink/coordinator";
 import { ErrorKind, serviceError } from "@tanagerlink/errors";
@@ -23,10 +18,10 @@
 import type { RecordChange, RecordStore, StoredRecord } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
-import { jobSpecificationSchema } from "@tanagerlink/workflow";
 import { err, ok, type Result } from "neverthrow";
 import { type CellConfiguration, policyOf } from "./cellConfiguration.ts";
 import { CellEntry } from "./cellEntry.ts";
+import { type FollowHandlers, OwnerFollowers, type WorkerSource } from "./ownerFollowers.ts";
 import { RecordMap } from "./recordMap.ts";
 import { RelayedRecordStore } from "./relayedRecordStore.ts";
 import { acceptedMethod, cancelledMethod, pendingMethod, stateMethod } from "./relayMethods.ts";
@@ -52,14 +47,6 @@
     readEvacuated(records: ReadonlyMap<string, Uint8Array>): ReadonlySet<string>;
 }
 
-/** The list of workers, in the platform's format. */
-export interface WorkerSource {
-    readonly table: string;
-    readonly partition: string;
-    /** The error is the reason why an entry names no worker. */
-    readEntry(id: string, value: Uint8Array): Result<WorkerEntry, string>;
-}
-
 export interface SiteNodeOptions {
     readonly node: string;
     readonly incarnation: string;
@@ -94,7 +81,7 @@
     private configuration: CellConfiguration | undefined;
     private evacuated: ReadonlySet<string> = new Set();
     private coordinator: Coordinator | undefined;
-    private ownerFollowers: TableFollower[] = [];
+    private ownerFollowers: OwnerFollowers | undefined;
     private draining = false;
 
     constructor(options: SiteNodeOptions) {
@@ -186,7 +173,7 @@
         this.draining = true;
         const { coordinator } = this;
         this.coordinator = undefined;
-        this.stopFollowingJobs();
+        this.ownerFollowers?.[Symbol.dispose]();
         await coordinator?.release();
     }
 
@@ -205,7 +192,7 @@
     async [Symbol.asyncDispose](): Promise<void> {
         this.election[Symbol.dispose]();
         this.coordinator?.[Symbol.dispose]();
-        this.stopFollowingJobs();
+        this.ownerFollowers?.[Symbol.dispose]();
         this.cellFollower[Symbol.dispose]();
         this.operatorFollower[Symbol.dispose]();
         this.members[Symbol.dispose]();
@@ -217,10 +204,7 @@
         table: string,
         partitions: readonly string[],
         pauseMilliseconds: number,
-        handlers: {
-            readonly listed: (records: readonly StoredRecord[], version: number) => void;
-            readonly changed: (changes: readonly RecordChange[]) => void;
-        },
+        handlers: FollowHandlers,
     ): TableFollower {
         const { timers, logger } = this.options;
         return new TableFollower({
@@ -299,82 +283,28 @@
         this.coordinator = coordinator;
         this.members.setOwner(node);
         this.applyPolicy();
-        this.followWorkers(coordinator);
+        const followers = new OwnerFollowers({
+            coordinator,
+            workers: this.options.workers,
+            logger,
+            follow: (table, partitions, handlers) =>
+                this.follower(table, partitions, BUSY_TABLE_PAUSE_MILLISECONDS, handlers),
+        });
+        this.ownerFollowers = followers;
+        followers.followWorkers();
         await coordinator.recover();
         if (this.coordinator === coordinator) {
-            this.followJobs(coordinator);
+            followers.followJobs();
         }
     }
 
     private deposed(coordinator: Coordinator): void {
         if (this.coordinator === coordinator) {
             this.coordinator = undefined;
-            this.stopFollowingJobs();
-        }
-    }
-
-    private followWorkers(coordinator: Coordinator): void {
-        const { workers, logger } = this.options;
-        const records = new RecordMap();
-        const unreadable = new Set<string>();
-        const apply = (): void => {
-            const entries = new Map<string, WorkerEntry>();
-            for (const [id, value] of records.values()) {
-                const entry = workers.readEntry(id, value);
-                if (entry.isOk()) {
-                    entries.set(id, entry.value);
-                    unreadable.delete(id);
-                }
-                else if (!unreadable.has(id)) {
-                    unreadable.add(id);
-                    logger.warn({ worker: id, reason: entry.error }, "entry names no worker");
-                }
-            }
-            coordinator.setWorkers(entries);
-        };
-        const follower = this.follower(workers.table, [workers.partition], BUSY_TABLE_PAUSE_MILLISECONDS, {
-            listed: (listed, version) => {
-                records.replace(listed, version);
-                apply();
-            },
-            changed: changes => {
-                records.apply(changes);
-                apply();
-            },
-        });
-        this.ownerFollowers.push(follower);
-        follower.start();
-    }
-
-    /** Finds acceptances and cancellations of which the owner was not told. */
-    private followJobs(coordinator: Coordinator): void {
-        const { logger } = this.options;
-        const accept = (changes: readonly (RecordChange | StoredRecord)[]): void => {
-            for (const { key, value } of changes) {
-                if (value !== undefined) {
-                    decodeRecord(jobSpecificationSchema, value).match(
-                        specification => coordinator.accept(specification),
-                        reason => logger.error({ job: key, reason }, "record of a job cannot be read"),
-                    );
-                }
-            }
-        };
-        const cancel = (changes: readonly (RecordChange | StoredRecord)[]): void => {
-            changes.filter(({ value }) => value !== undefined).forEach(({ key }) => coordinator.cancel(key));
-        };
-        for (const [table, take] of [[JOBS_TABLE, accept], [CANCELLATIONS_TABLE, cancel]] as const) {
-            const handlers = { listed: take, changed: take };
-            const follower = this.follower(table, JOB_PARTITIONS, BUSY_TABLE_PAUSE_MILLISECONDS, handlers);
-            this.ownerFollowers.push(follower);
-            follower.start();
+            this.ownerFollowers?.[Symbol.dispose]();
         }
     }
 
-    private stopFollowingJobs(): void {
-        this.ownerFollowers.forEach(follower => follower[Symbol.dispose]());
-        this.ownerFollowers = [];
-    }
-
     private serveOwnerCalls(): void {
         const { peers } = this.options;
         const owned = <Answer>(answer: (coordinator: Coordinator) => Answer) => {
--- a/packages/workflow/src/jobRun.ts
+++ b/packages/workflow/src/jobRun.ts
@@ -35,8 +35,6 @@
     endedAt: number | undefined;
     /** Monotonic time of the first start of a task. */
     firstStartAt: number | undefined;
-    /** Monotonic time since which no set of workers could run it. */
-    infeasibleSince: number | undefined;
 
     constructor(specification: JobSpecification, sequence: number, now: number) {
         this.id = specification.id;
@@ -62,11 +60,6 @@
         );
     }
 
-    /** Time of the next occurrence that is not due yet. */
-    nextDueAt(wallClock: number): number | undefined {
-        return this.occurrences.find(({ dueAt }) => dueAt > wallClock)?.dueAt;
-    }
-
     get allDone(): boolean {
         return this.occurrences.every(({ steps }) => steps.every(step => step.done));
     }
--- a/packages/workflow/src/taskRun.ts
+++ b/packages/workflow/src/taskRun.ts
@@ -91,8 +91,6 @@
     current: Attempt | undefined;
     /** Workers on which an attempt failed. */
     readonly failedOn = new Set<string>();
-    /** Monotonic time since which the task waits. */
-    waitingSince = 0;
 
     constructor(step: StepRun, index: number) {
         this.step = step;
