--- a/packages/coordinator/__tests__/coordinator.spec.ts
+++ b/packages/coordinator/__tests__/coordinator.spec.ts
@@ -199,6 +199,35 @@
         expect(new Set(cell.workers.starts.map(({ attempt }) => attempt))).to.deep.equal(new Set([1]));
     });
 
+    it("runs each occurrence of a job at its time, also while an earlier one still runs", async () => {
+        const worker = cell.workers.add("w1");
+        worker.duration = 3_000;
+        const coordinator = await cell.take("one");
+        const recurrence = { times: 3, firstAt: cell.timers.wallClock() + 1_000, intervalMilliseconds: 1_000 };
+        await cell.submit(coordinator, sampleJob("00a1", { recurrence }));
+        await cell.run(900);
+        expect(cell.workers.starts).to.have.length(0);
+        await cell.run(600);
+        expect(cell.workers.starts.map(({ task }) => task)).to.deep.equal(["00a1.0.0.0"]);
+        await cell.run(2_000);
+        expect(cell.workers.starts.map(({ task }) => task)).to.deep.equal(["00a1.0.0.0", "00a1.1.0.0", "00a1.2.0.0"]);
+        await cell.run(4_000);
+        expect(coordinator.state("00a1")).to.equal(JobState.Completed);
+    });
+
+    it("keeps to required labels, and to the most tasks of a step on one worker", async () => {
+        cell.workers.add("w1").duration = undefined;
+        cell.workers.add("w2", { labels: ["b", "r1-1"] }).duration = undefined;
+        const coordinator = await cell.take("one");
+        const labelled = sampleStep({ requiredLabel: "b" });
+        const apart = sampleStep({ count: 4, maximumPerWorker: 1 });
+        await cell.submit(coordinator, sampleJob("00a1", { steps: [labelled, apart] }));
+        await cell.run(500);
+        expect(cell.startsOf("00a1.0.0.0").map(({ worker }) => worker)).to.deep.equal(["w2"]);
+        const spread = cell.workers.starts.filter(({ task }) => task.startsWith("00a1.0.1."));
+        expect(spread.map(({ worker }) => worker)).to.have.members(["w1", "w2"]);
+    });
+
     it("stops what a cancelled job runs and starts nothing more of it", async () => {
         const worker = cell.workers.add("w1");
         worker.duration = undefined;
