--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -3,11 +3,9 @@
  * the epoch that comes with it fences the former owner out at the workers and in the store. A needless change of owner
  * therefore costs a short pause and breaks no promise.
  */
-import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
 import type { RecordStore } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Subscription, Timers } from "@tanagerlink/timers";
-import type { Result } from "neverthrow";
 import { decodeOwner, encodeRecord, type OwnerRecord, ownerRecordName, type SeenOwner } from "./ownerRecord.ts";
 
 /** Period of the decision. */
@@ -113,7 +111,7 @@
             removals: [],
         });
         if (outcome.isErr()) {
-            this.failed(outcome);
+            logger.info({ error: outcome.error.kind }, "cell could not be taken");
             return;
         }
         if (outcome.value.committed) {
@@ -135,9 +133,4 @@
             }
         }
     }
-
-    private failed(outcome: Result<unknown, ServiceError>): void {
-        const kind = outcome.isErr() ? outcome.error.kind : ErrorKind.Internal;
-        this.options.logger.info({ error: kind }, "cell could not be taken");
-    }
 }
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -191,16 +191,8 @@
 
 /** A worker for each task; `undefined` if one finds none. */
 function chooseAll(request: PlacementRequest, candidates: Candidate[]): [TaskRun, Candidate][] | undefined {
-    const chosen: [TaskRun, Candidate][] = [];
-    for (const task of request.tasks) {
-        const candidate = best(request.step, task, candidates);
-        if (candidate === undefined) {
-            return undefined;
-        }
-        occupy(request.step, candidate);
-        chosen.push([task, candidate]);
-    }
-    return chosen;
+    const chosen = chooseSome(request, candidates);
+    return chosen.length < request.tasks.length ? undefined : chosen;
 }
 
 function place(request: PlacementRequest, task: TaskRun, candidate: Candidate): Placement {
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -3,7 +3,7 @@
 import { multiplyResources, type Resources } from "@tanagerlink/model";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
-import { Attempt, type JobRun, JobState, type StepRun } from "@tanagerlink/workflow";
+import { Attempt, type JobRun, JobState, type StepRun, type TaskRun } from "@tanagerlink/workflow";
 import type { CellPolicy, QueueRule } from "./cellPolicy.ts";
 import { type Obstacle, obstacleOf } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
@@ -74,18 +74,17 @@
     obstacle(job: JobRun): Obstacle | undefined {
         const { fleet, usage } = this.options;
         const policy = this.options.policy();
-        if (policy === undefined) {
+        const steps = [...this.active].filter(step => step.job === job && step.waitingTasks().length > 0);
+        if (policy === undefined || steps.length === 0) {
             return undefined;
         }
         const { service } = ruleOf(job, policy);
         const workers = fleet.ofService(service).filter(({ listed }) => listed);
-        for (const step of this.active) {
-            if (step.job === job && step.waitingTasks().length > 0) {
-                const fitsLimit = (size: Resources): boolean => usage.couldAllow(job.specification.team, size);
-                const obstacle = obstacleOf(step, workers, this.hints.get(step), fitsLimit);
-                if (obstacle !== undefined) {
-                    return obstacle;
-                }
+        const fitsLimit = (size: Resources): boolean => usage.couldAllow(job.specification.team, size);
+        for (const step of steps) {
+            const obstacle = obstacleOf(step, workers, this.hints.get(step), fitsLimit);
+            if (obstacle !== undefined) {
+                return obstacle;
             }
         }
         return undefined;
@@ -103,7 +102,7 @@
         for (const step of this.inOrder(policy)) {
             const tasks = step.waitingTasks();
             if (tasks.length > 0) {
-                started.push(...this.serve(step, policy, reserved, held));
+                started.push(...this.serve(step, tasks, policy, reserved, held));
             }
         }
         if (started.length > 0) {
@@ -138,6 +137,7 @@
 
     private serve(
         step: StepRun,
+        tasks: readonly TaskRun[],
         policy: CellPolicy,
         reserved: Set<WorkerSession>,
         held: HeldRoom,
@@ -147,7 +147,6 @@
         const { team } = job.specification;
         const rule = ruleOf(job, policy);
         const now = timers.now();
-        const tasks = step.waitingTasks();
         const unit = specification.gang
             ? multiplyResources(specification.size, tasks.length)
             : specification.size;
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -3,11 +3,11 @@
  * whose answers were lost. The first report under an epoch fences earlier owners out.
  */
 import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
-import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
+import { type Resources, subtractResources } from "@tanagerlink/model";
 import { sleep } from "@tanagerlink/timers";
 import { type Attempt, AttemptStatus, EndKind, type StepRun } from "@tanagerlink/workflow";
 import type { SessionOptions } from "./sessionOwner.ts";
-import { attemptKey, occupied, WorkerAttempts } from "./workerAttempts.ts";
+import { attemptKey, WorkerAttempts } from "./workerAttempts.ts";
 import { WorkerHealth } from "./workerHealth.ts";
 import { WorkerLease } from "./workerLease.ts";
 import {
@@ -86,10 +86,6 @@
             && !this.health.isResting(now);
     }
 
-    fits(step: StepRun): boolean {
-        return fitsInto(occupied(step), this.room);
-    }
-
     /** Whether a task runs here whose response times are bounded. */
     get servesUsers(): boolean {
         return this.attempts.servesUsers;
@@ -129,11 +125,8 @@
     async start(attempt: Attempt, ticket: string | undefined): Promise<void> {
         const { owner, port, timers } = this.options;
         const leaseUntil = this.lease.until(timers.now(), START_LEASE_MILLISECONDS);
-        if (!attempt.live || attempt.status === AttemptStatus.Stopping) {
-            this.end(attempt, EndKind.Lost, "");
-            return;
-        }
-        if (leaseUntil === undefined || this.closed) {
+        const isWanted = attempt.live && attempt.status !== AttemptStatus.Stopping;
+        if (!isWanted || leaseUntil === undefined || this.closed) {
             this.end(attempt, EndKind.Lost, "");
             return;
         }
