fix(peer): let calls wait for a link through one handshake that goes silent

Cause: a handshake on a silent connection was given up after the permitted silence, and calls waited for a link just as long, so that such a call ended as peer_unreachable although the next handshake would have succeeded. Ruled out: the execution at the receiver (the refusals are true, nothing was sent) and the speed of the machine alone.

--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -175,6 +175,16 @@
         expect(repeated).to.deep.equal(["read"]);
     });
 
+    it("keeps a call that waits for a link while the first handshake goes silent", async () => {
+        const { first, second, relay } = await relayed();
+        second.handle(append, request => Promise.resolve(ok(request)));
+        relay.silentConnections = 1;
+        relay.breakOff();
+        await until(() => !isLinked(first, "b"));
+        const result = await first.call("b", append, message, 5_000);
+        expect(result.match(() => "ok", error => error.kind)).to.equal("ok");
+    });
+
     it("executes each call at most once and never mixes answers while connections keep going silent", async () => {
         const { first, second, relay } = await relayed();
         const executed = new Map<string, number>();
@@ -183,7 +193,8 @@
             await sleep(timers, request.bytes[0] ?? 0);
             return ok(request);
         });
-        // A fixed seed, so that the verdict is the same in each run; this one has missed once on a busy machine.
+        // A fixed seed, so that the verdict is the same in each run. It missed on a busy machine when a connection went
+        // silent during its handshake, which took all of the time for which calls waited for a link.
         const seed = 20_595;
         const delays = fc.sample(fc.integer({ min: 0, max: 60 }), { numRuns: 400, seed });
         const calls = delays.map(async (delay, index) => {
--- a/packages/peer/__tests__/tcpRelay.ts
+++ b/packages/peer/__tests__/tcpRelay.ts
@@ -4,6 +4,8 @@
 /** A TCP relay that can stop forwarding on its open connections without closing them, while new ones work. */
 export class TcpRelay implements AsyncDisposable {
     accepted = 0;
+    /** Number of next connections that are accepted and on which nothing is forwarded. */
+    silentConnections = 0;
     private target: string;
     private readonly server: Server;
     private readonly pairs = new Set<readonly [Socket, Socket]>();
@@ -79,6 +81,11 @@
                 this.pairs.delete(pair);
             });
         }
+        if (this.silentConnections > 0) {
+            this.silentConnections--;
+            pair.forEach(socket => socket.resume());
+            return;
+        }
         client.pipe(upstream);
         upstream.pipe(client);
     }
--- a/packages/peer/src/peerOptions.ts
+++ b/packages/peer/src/peerOptions.ts
@@ -10,7 +10,7 @@
 /** Bounds of memory and time. All are per process unless said otherwise. */
 export interface PeerNetworkLimits {
     readonly heartbeatMilliseconds: number;
-    /** Silence after which a link is closed and replaced. Also the longest wait of a call for a first link. */
+    /** Silence after which a link, or a handshake, is given up and replaced. Calls wait for a link twice as long. */
     readonly silenceMilliseconds: number;
     readonly shortestBackoffMilliseconds: number;
     readonly longestBackoffMilliseconds: number;
--- a/packages/peer/src/peerSession.ts
+++ b/packages/peer/src/peerSession.ts
@@ -12,6 +12,12 @@
 import type { PeerNetworkLimits } from "./peerOptions.ts";
 import { callFrame, type CallOrder, FRAME_OVERHEAD_BYTES, type PendingCall } from "./pendingCall.ts";
 
+/**
+ * Longest wait of a call for a link, in units of the permitted silence. A handshake on a connection that goes silent
+ * takes one of them, and the next handshake must still find the call waiting.
+ */
+const LINK_WAIT_SILENCES = 2;
+
 export class PeerSession {
     peer: PeerAddress;
     /** Whether `setPeers` names this peer. Other sessions exist because the peer opened a link. */
@@ -142,12 +148,14 @@
      * called with each heartbeat.
      */
     tick(): void {
-        const waitLimit = this.timers.now() - this.limits.silenceMilliseconds;
+        const now = this.timers.now();
+        const { silenceMilliseconds } = this.limits;
+        const waitLimit = now - silenceMilliseconds * LINK_WAIT_SILENCES;
         for (const call of this.pending.values()) {
             if (call.firstSentAt === undefined && call.startedAt <= waitLimit && this.link === undefined) {
                 this.settle(call, err(this.unreachable()));
             }
-            else if (this.hasStopped(call.link, waitLimit)) {
+            else if (this.hasStopped(call.link, now - silenceMilliseconds)) {
                 this.settle(call, err(this.unknownOutcome(call, "stopped")));
             }
         }
