--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,12 +1,12 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "**/node_modules/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "**/node_modules/**"] },
     ...tseslint.configs.recommended,
     {
         languageOptions: {
             parserOptions: {
-                projectService: { allowDefaultProject: ["*.mjs", "scripts/*.mjs"] },
+                projectService: { allowDefaultProject: ["*.mjs", "scripts/*.mjs", "scripts/*.cjs"] },
                 tsconfigRootDir: import.meta.dirname,
             },
         },
--- a/packages/benchmarks/src/peerBenchmark.ts
+++ b/packages/benchmarks/src/peerBenchmark.ts
@@ -13,7 +13,7 @@
 import { build } from "hdr-histogram-js";
 import { ok } from "neverthrow";
 import { pathToFileURL } from "node:url";
-import { z } from "zod";
+import * as z from "zod";
 import { cpuSeconds, startGroup, timers } from "./peerGroup.ts";
 
 /** One idle link end, which sends and receives the payload twice a second. */
--- a/packages/cli/src/commands/configurationCommands.ts
+++ b/packages/cli/src/commands/configurationCommands.ts
@@ -10,7 +10,7 @@
 import { userInfo } from "node:os";
 import { join } from "node:path";
 import { stringify } from "yaml";
-import { z } from "zod";
+import * as z from "zod";
 import type { CommandContext, CommandResult } from "../commandContext.ts";
 import { renderJson, renderTable } from "../output.ts";
 import { createClient, OPERATOR_VARIABLE, type ServerClient, type ServerFlags } from "../serverClient.ts";
--- a/packages/cli/src/commands/operatorCommands.ts
+++ b/packages/cli/src/commands/operatorCommands.ts
@@ -1,6 +1,6 @@
 /** Commands that read the state of the system: status of the fleet and dump of one process. */
 import { err } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { CommandContext, CommandResult } from "../commandContext.ts";
 import { renderJson, renderTable } from "../output.ts";
 import { createClient, OPERATOR_VARIABLE, type ServerFlags } from "../serverClient.ts";
--- a/packages/cli/src/serverClient.ts
+++ b/packages/cli/src/serverClient.ts
@@ -3,7 +3,7 @@
 import { describeUnknown, ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import type { CommandContext } from "./commandContext.ts";
 
 /** Environment variable with the address of an entry process or of the balancer. */
--- a/packages/configuration/src/entrySchemas.ts
+++ b/packages/configuration/src/entrySchemas.ts
@@ -2,7 +2,7 @@
  * Schemas of the fields of each section as operators write them. Durations carry their unit in the name.
  */
 import { FailureDomainState, LimitEnforcement, WorkClass } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Shards of a failure domain whose entry does not say otherwise. */
 export const DEFAULT_SHARDS = 2;
--- a/packages/configuration/src/peerSpread.ts
+++ b/packages/configuration/src/peerSpread.ts
@@ -4,7 +4,7 @@
  */
 import type { ConfigurationSnapshot } from "@tanagerlink/model";
 import type { PeerMethod } from "@tanagerlink/peer";
-import { z } from "zod";
+import * as z from "zod";
 import { type ConfigurationDifference, configurationDifferenceSchema, snapshotSchema } from "./snapshotSchema.ts";
 
 /** Differences kept by each process; a peer that lacks more gets the whole configuration. */
--- a/packages/configuration/src/snapshotSchema.ts
+++ b/packages/configuration/src/snapshotSchema.ts
@@ -3,7 +3,7 @@
  * Unknown fields are dropped, so that a process of the previous release can follow a newer one.
  */
 import { type ConfigurationSnapshot, FailureDomainState, LimitEnforcement, WorkClass } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 import { entryRecord } from "./entryRecord.ts";
 
 const text = z.string().min(1).max(256);
--- a/packages/configuration/src/tableRows.ts
+++ b/packages/configuration/src/tableRows.ts
@@ -1,7 +1,7 @@
 /**
  * Rows and objects that hold the configuration on the platform.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Key of the row that names the newest version. */
 export const CONFIGURATION_HEAD_KEY = "config/head";
--- a/packages/coordinator/src/ownerRecord.ts
+++ b/packages/coordinator/src/ownerRecord.ts
@@ -4,7 +4,7 @@
  */
 import { decodeJson, type RecordName, type StoredRecord } from "@tanagerlink/platform";
 import type { Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 
 export const CELL_TABLE = "cell";
 /** Partition of all that the owner writes, since a transaction keeps to one. */
--- a/packages/entry/src/configurationOperations.ts
+++ b/packages/entry/src/configurationOperations.ts
@@ -1,7 +1,7 @@
 /** Operations on the configuration that operators reach through any entry process. */
 import type { ServiceError } from "@tanagerlink/errors";
 import type { Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Longest content of one file, in characters. */
 const MAXIMUM_FILE_CHARACTERS = 4_000_000;
--- a/packages/hints/src/hintMethods.ts
+++ b/packages/hints/src/hintMethods.ts
@@ -1,6 +1,6 @@
 /** Lets another process make hint calls for the one that places tasks. */
 import type { PeerMethod } from "@tanagerlink/peer";
-import { z } from "zod";
+import * as z from "zod";
 import type { HintAnswer } from "./hintService.ts";
 
 export interface HintRequest {
--- a/packages/jobs/src/jobRow.ts
+++ b/packages/jobs/src/jobRow.ts
@@ -9,7 +9,7 @@
 } from "@tanagerlink/model";
 import type { TableRow } from "@tanagerlink/platform";
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 const decisionSchema = z.object({
     at: z.number(),
--- a/packages/jobs/src/requestRow.ts
+++ b/packages/jobs/src/requestRow.ts
@@ -1,6 +1,6 @@
 /** Rows of non-idempotent requests with an idempotency key. */
 import type { ServiceAnswer } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 
 const answerSchema = z.object({
     requestId: z.string(),
--- a/packages/jobs/src/tableJobStore.ts
+++ b/packages/jobs/src/tableJobStore.ts
@@ -4,7 +4,7 @@
 import type { TableRow, TableService } from "@tanagerlink/platform";
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { err, ok, Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { JobMove } from "./jobMove.ts";
 import { arrivalPrefix, jobKey, jobPrefix, parseJobRow, submissionKeyOfRow } from "./jobRow.ts";
 import type { AcceptedJob, JobStore } from "./jobStore.ts";
--- a/packages/limits/src/grantRow.ts
+++ b/packages/limits/src/grantRow.ts
@@ -1,6 +1,6 @@
 /** The row `grant/<team>`. In every version of it the units of all shards and the free units add up to the limit. */
 import type { ShardId } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 
 const unitsByShard = z.record(z.string(), z.int().min(0));
 
--- a/packages/limits/src/grantWants.ts
+++ b/packages/limits/src/grantWants.ts
@@ -8,7 +8,7 @@
 import type { ShardId } from "@tanagerlink/model";
 import type { ConditionalWrite, TableRow, TableService, TransactionAnswer } from "@tanagerlink/platform";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 
 const wantsPrefix = "grant-wants/";
 const PAGE_ROWS = 500;
--- a/packages/limits/src/shardEpoch.ts
+++ b/packages/limits/src/shardEpoch.ts
@@ -6,7 +6,7 @@
 import type { ShardId } from "@tanagerlink/model";
 import type { RowCondition, TableRow, TableService } from "@tanagerlink/platform";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 
 const epochRowSchema = z.object({ epoch: z.int().min(0) });
 
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { Decision } from "./decision.ts";
 import { resourcesSchema } from "./resources.ts";
 import type { WorkClass } from "./workClass.ts";
--- a/packages/model/src/resources.ts
+++ b/packages/model/src/resources.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A size in the three resources that packing considers together. All three are whole numbers. */
 export interface Resources {
--- a/packages/model/src/target.ts
+++ b/packages/model/src/target.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { resourcesSchema } from "./resources.ts";
 
 /** Role of a VM in the platform's list. */
--- a/packages/node/src/configurationSpread.ts
+++ b/packages/node/src/configurationSpread.ts
@@ -15,7 +15,7 @@
 import type { Membership } from "@tanagerlink/membership";
 import type { PeerMethod, PeerNetwork } from "@tanagerlink/peer";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerVersions } from "./heartbeatPayload.ts";
 
 /** Longest wait for the view of another failure domain, in milliseconds. */
--- a/packages/node/src/heartbeatPayload.ts
+++ b/packages/node/src/heartbeatPayload.ts
@@ -5,7 +5,7 @@
 import { type SchedulerService, summaryPayloadSchema } from "@tanagerlink/scheduler";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
-import { z } from "zod";
+import * as z from "zod";
 
 const heartbeatSchema = z.strictObject({
     configuration: z.strictObject({ version: z.int().min(0), ageMilliseconds: z.number().min(0) }),
--- a/packages/ownership/src/shardRow.ts
+++ b/packages/ownership/src/shardRow.ts
@@ -10,7 +10,7 @@
  */
 import type { ShardId } from "@tanagerlink/model";
 import type { TableRow } from "@tanagerlink/platform";
-import { z } from "zod";
+import * as z from "zod";
 
 export const ShardRowState = { Held: "held", Released: "released" } as const;
 export type ShardRowState = (typeof ShardRowState)[keyof typeof ShardRowState];
--- a/packages/peer/__tests__/peerFixture.ts
+++ b/packages/peer/__tests__/peerFixture.ts
@@ -4,7 +4,7 @@
 import { sleep, SystemTimers } from "@tanagerlink/timers";
 import { once } from "node:events";
 import { WebSocket } from "ws";
-import { z } from "zod";
+import * as z from "zod";
 import { decodeFrame, encodeFrame, type Frame, FrameKind, type HelloFrame, PROTOCOL_VERSION } from "../src/frames.ts";
 import {
     type PeerMethod,
--- a/packages/peer/src/frames.ts
+++ b/packages/peer/src/frames.ts
@@ -4,7 +4,7 @@
  */
 import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
 import { Packr } from "msgpackr";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Changes with each incompatible change of the frames. */
 export const PROTOCOL_VERSION = 1;
--- a/packages/peer/src/webSocketPeerNetwork.ts
+++ b/packages/peer/src/webSocketPeerNetwork.ts
@@ -11,7 +11,7 @@
 import { randomUUID } from "node:crypto";
 import type { Socket } from "node:net";
 import type { WebSocket } from "ws";
-import { z } from "zod";
+import * as z from "zod";
 import { decodeAnswer, encodeRequest } from "./callCodec.ts";
 import { CallMemory } from "./callMemory.ts";
 import { CallReceiver } from "./callReceiver.ts";
--- a/packages/platform/src/wireFormat.ts
+++ b/packages/platform/src/wireFormat.ts
@@ -3,7 +3,7 @@
  * stand-in platform checks every request.
  */
 import { vmRecordSchema } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Paths of the platform's HTTP interface below its base URL. */
 export const PlatformPath = {
--- a/packages/replay/src/trace.ts
+++ b/packages/replay/src/trace.ts
@@ -6,7 +6,7 @@
 import { FailureDomainState, resourcesSchema, WorkClass } from "@tanagerlink/model";
 import { err, ok, type Result } from "neverthrow";
 import { readFile } from "node:fs/promises";
-import { z } from "zod";
+import * as z from "zod";
 
 const workersSchema = z.strictObject({
     failureDomain: z.string(),
--- a/packages/scenarios/src/callers.ts
+++ b/packages/scenarios/src/callers.ts
@@ -1,7 +1,7 @@
 /** Callers of a test cell: they submit jobs and send requests, and note each answer. */
 import { errorAnswers, ErrorKind } from "@tanagerlink/errors";
 import type { Resources } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 import { cellRequest } from "./cellCertificates.ts";
 import type { EntryProcess } from "./entryProcess.ts";
 import type { JobsStep, RequestsStep } from "./language.ts";
--- a/packages/scenarios/src/cellCertificates.ts
+++ b/packages/scenarios/src/cellCertificates.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { OPERATOR_TOKEN } from "./cell.ts";
 import type { EntryProcess } from "./entryProcess.ts";
 
--- a/packages/scenarios/src/cellConfiguration.ts
+++ b/packages/scenarios/src/cellConfiguration.ts
@@ -1,6 +1,6 @@
 /** The configuration folder of a test cell, and operators who apply changes of it. */
 import { generateKey } from "@tanagerlink/admission";
-import { z } from "zod";
+import * as z from "zod";
 import { OPERATOR_TOKEN } from "./cell.ts";
 import { cellRequest } from "./cellCertificates.ts";
 import type { OperatorChange, Scenario } from "./language.ts";
--- a/packages/scenarios/src/cellStatus.ts
+++ b/packages/scenarios/src/cellStatus.ts
@@ -1,5 +1,5 @@
 /** Reads of an entry process's status, used only to know when a cell is ready. */
-import { z } from "zod";
+import * as z from "zod";
 import { OPERATOR_TOKEN } from "./cell.ts";
 import { cellRequest } from "./cellCertificates.ts";
 import type { EntryProcess } from "./entryProcess.ts";
--- a/packages/scenarios/src/entryProcess.ts
+++ b/packages/scenarios/src/entryProcess.ts
@@ -1,7 +1,7 @@
 /** One entry process of a test cell, started as a real process from the bundled command line. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { createInterface } from "node:readline";
-import { z } from "zod";
+import * as z from "zod";
 import { cellRequest } from "./cellCertificates.ts";
 
 /** Longest wait for the start of a process, in milliseconds. */
--- a/packages/scenarios/src/language.ts
+++ b/packages/scenarios/src/language.ts
@@ -4,7 +4,7 @@
  */
 import { FailureDomainState, LimitEnforcement } from "@tanagerlink/model";
 import { parse } from "yaml";
-import { z } from "zod";
+import * as z from "zod";
 import { CertificateStep } from "./cellCertificates.ts";
 
 const milliseconds = z.number().min(0).max(120_000);
--- a/packages/scheduler/src/peerMethods.ts
+++ b/packages/scheduler/src/peerMethods.ts
@@ -1,7 +1,7 @@
 /** Methods that the owner of a shard offers to other processes. */
 import { WorkClass } from "@tanagerlink/model";
 import type { PeerMethod } from "@tanagerlink/peer";
-import { z } from "zod";
+import * as z from "zod";
 import { type JobStatus, jobStatusSchema, type Submission, submissionSchema } from "./submission.ts";
 
 const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array, "must be bytes");
--- a/packages/scheduler/src/submission.ts
+++ b/packages/scheduler/src/submission.ts
@@ -9,7 +9,7 @@
     TaskState,
     WorkClass,
 } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The entry process chooses the identifier, so that the same submission sent twice is accepted once. */
 export const submissionSchema = z.strictObject({
--- a/packages/scheduler/src/summaryPayload.ts
+++ b/packages/scheduler/src/summaryPayload.ts
@@ -4,7 +4,7 @@
  * with the fleet.
  */
 import { failureDomainOfShard, resourcesSchema, type ShardSummary, type TeamSummary } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 
 const serviceSummarySchema = z.strictObject({
     service: z.string(),
--- a/packages/settings/src/schemas.ts
+++ b/packages/settings/src/schemas.ts
@@ -3,7 +3,7 @@
  * and converts it to the value that the process uses.
  */
 import { isIP } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 
 const HIGHEST_PORT = 65_535;
 
--- a/packages/site/src/relayMethods.ts
+++ b/packages/site/src/relayMethods.ts
@@ -9,7 +9,7 @@
     RecordTransaction,
 } from "@tanagerlink/platform";
 import { type JobSpecification, jobSpecificationSchema, JobState } from "@tanagerlink/workflow";
-import { z } from "zod";
+import * as z from "zod";
 
 const nameFields = { table: z.string(), partition: z.string(), key: z.string() };
 const bytesSchema = z.instanceof(Uint8Array);
--- a/packages/site/src/siteMembers.ts
+++ b/packages/site/src/siteMembers.ts
@@ -4,7 +4,7 @@
 import { decodeJson, type RecordStore } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Timers } from "@tanagerlink/timers";
-import { z } from "zod";
+import * as z from "zod";
 
 export const MEMBERS_PARTITION = "members";
 
--- a/packages/stand-ins/src/executorStandIn.ts
+++ b/packages/stand-ins/src/executorStandIn.ts
@@ -7,7 +7,7 @@
 import type { ExecutorReport } from "@tanagerlink/targets";
 import { sleep, SystemTimers, type Timers } from "@tanagerlink/timers";
 import { type Context, Hono } from "hono";
-import { z } from "zod";
+import * as z from "zod";
 import { ExecutorRecord, type RequestRun } from "./executorRecord.ts";
 import { type LoopbackServer, type StandInEnvironment, startLoopbackServer } from "./workerLoopbackServer.ts";
 
--- a/packages/stand-ins/src/workerProtocol.ts
+++ b/packages/stand-ins/src/workerProtocol.ts
@@ -3,7 +3,7 @@
  * simulated worker how a task behaves.
  */
 import { resourcesSchema } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 
 const epoch = z.int().min(0);
 const attempt = z.object({ job: z.string(), task: z.int().min(0), attempt: z.int().min(0) });
--- a/packages/targets/src/httpExecutorClient.ts
+++ b/packages/targets/src/httpExecutorClient.ts
@@ -8,7 +8,7 @@
 import type { Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { controlFailure, requestFailure, unknownOutcome } from "./callFailure.ts";
 import type { ExecutorAnswer, ExecutorClient, ExecutorClientFactory, ExecutorReport } from "./executorClient.ts";
 import { requestHeaders, responseHeaders, TargetHeader } from "./executorHeaders.ts";
--- a/packages/targets/src/httpWorkerClient.ts
+++ b/packages/targets/src/httpWorkerClient.ts
@@ -5,7 +5,7 @@
 import type { Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { controlFailure, unknownOutcome } from "./callFailure.ts";
 import { TargetConnections } from "./targetConnections.ts";
 import { CallEnd, type CallOptions, wholeCall } from "./wholeCall.ts";
--- a/packages/targets/src/workerSchemas.ts
+++ b/packages/targets/src/workerSchemas.ts
@@ -2,7 +2,7 @@
  * Schemas of the answers of workers.
  */
 import { resourcesSchema } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 import { type TaskAttempt, type WorkerReport, type WorkerTask, WorkerTaskState } from "./workerClient.ts";
 
 export const workerTaskSchema: z.ZodType<WorkerTask> = z.object({
--- a/packages/workflow/src/jobSpecification.ts
+++ b/packages/workflow/src/jobSpecification.ts
@@ -1,6 +1,6 @@
 /** What a caller has handed in: a job of steps, each with a number of equal tasks. */
 import { resourcesSchema } from "@tanagerlink/model";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Most steps, tasks and occurrences of one job; larger ones would not fit into one record. */
 const MOST_STEPS = 200;
--- a/packages/workflow/src/progressRecord.ts
+++ b/packages/workflow/src/progressRecord.ts
@@ -2,7 +2,7 @@
  * The durable record of a job's progress. It is written before any start that it names is sent, so that a new owner
  * knows every worker on which a task may run, and before ended tasks are acknowledged to their workers.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { type JobRun, JobState } from "./jobRun.ts";
 import { Attempt, AttemptStatus, type TaskRun } from "./taskRun.ts";
 
