perf(site): use peers for the store until a probe of the own path is answered

Ruled out: the relays (each relayed call took a few milliseconds) and the owner's processor time. Change: after a failure, calls go through the linked peer that had an answer last, until a probe is answered. The test of the return after a pause is replaced by one that also counts the calls on the own path.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,6 +25,10 @@
             "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_" }],
         },
     },
+    {
+        files: ["**/*.cjs"],
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
     {
         files: ["**/__tests__/**"],
         rules: { "@typescript-eslint/no-unused-expressions": "off" },
--- a/packages/site/__tests__/relayedRecordStore.spec.ts
+++ b/packages/site/__tests__/relayedRecordStore.spec.ts
@@ -17,17 +17,18 @@
     linked = true;
     readonly handlers = new Map<string, Handler>();
 
-    store(): RelayedRecordStore {
+    /** `asked` gets the name of each peer that is called. */
+    store(names: readonly string[] = ["peer"], asked: string[] = []): RelayedRecordStore {
         this.open(this.peers, () => []);
         const remote = new Map(this.handlers);
-        const link: PeerLinkState = {
-            peer: { id: "peer", address: "192.0.2.1:1", failureDomain: "north" },
+        const links: PeerLinkState[] = names.map(id => ({
+            peer: { id, address: "192.0.2.1:1", failureDomain: "north" },
             connected: true,
             silentMilliseconds: 0,
             roundTripMilliseconds: 1,
-        };
-        const store = this.open(this.own, () => this.linked ? [link] : [], remote);
-        store.notePeer("peer", 0);
+        }));
+        const store = this.open(this.own, () => this.linked ? links : [], remote, asked);
+        names.forEach(name => store.notePeer(name, 0));
         return store;
     }
 
@@ -35,6 +36,7 @@
         own: MemoryRecordStore,
         links: () => PeerLinkState[],
         remote: ReadonlyMap<string, Handler> = new Map(),
+        asked: string[] = [],
     ): RelayedRecordStore {
         return new RelayedRecordStore({
             own,
@@ -45,11 +47,13 @@
                 handle: (method, handler) => {
                     this.handlers.set(method.name, request => handler(request as never, "one", 0));
                 },
-                call: <Request, Answer>(_peer: string, method: PeerMethod<Request, Answer>, request: Request) =>
-                    (remote.get(method.name)?.(request)
+                call: <Request, Answer>(peer: string, method: PeerMethod<Request, Answer>, request: Request) => {
+                    asked.push(peer);
+                    return (remote.get(method.name)?.(request)
                         ?? Promise.resolve(err(serviceError(ErrorKind.PeerUnreachable, "none")))) as Promise<
                             Result<Answer, ServiceError>
-                        >,
+                        >;
+                },
             },
         });
     }
@@ -106,14 +110,37 @@
         store[Symbol.dispose]();
     });
 
-    it("returns to its own path after a pause", async () => {
+    it("leaves its own path alone until a probe of it has been answered", async () => {
         const pair = new Pair();
         const store = pair.store();
+        let commits = 0;
+        const commit = pair.own.commit.bind(pair.own);
+        pair.own.commit = transaction => {
+            commits++;
+            return commit(transaction);
+        };
         pair.own.fault = CommitFault.Unavailable;
-        await store.commit(write);
+        for (let second = 0; second < 5; second++) {
+            await store.commit(write);
+            await pair.timers.advance(1_000);
+        }
+        expect(commits, "a silent store would cost its time limit each time").to.equal(1);
         pair.own.fault = CommitFault.None;
-        await pair.timers.advance(1_000);
+        await pair.timers.advance(400);
+        await store.commit(write);
+        expect(commits).to.equal(2);
+        store[Symbol.dispose]();
+    });
+
+    it("asks the peer first that had an answer of the store last", async () => {
+        const pair = new Pair();
+        const asked: string[] = [];
+        const store = pair.store(["far", "near"], asked);
+        store.notePeer("far", 2_000);
+        store.notePeer("near", 100);
+        pair.own.fault = CommitFault.Unavailable;
         await store.commit(write);
-        expect(pair.own.read({ table: "t", partition: "p", key: "k" })).not.to.equal(undefined);
+        expect(asked).to.deep.equal(["near"]);
+        store[Symbol.dispose]();
     });
 });
--- a/packages/site/src/relayedRecordStore.ts
+++ b/packages/site/src/relayedRecordStore.ts
@@ -1,6 +1,7 @@
 /**
- * Access to the store that falls back on peers: the store may turn away single machines while it serves others. The
- * own path is tried first, and again after a pause once it has failed.
+ * Access to the store that falls back on peers: the store may turn away single machines while it serves others. Once a
+ * call on the own path has failed, calls go through peers until a probe of the own path has been answered, since each
+ * further try would wait for its time limit.
  */
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { PeerMethod, PeerNetwork } from "@tanagerlink/peer";
@@ -18,13 +19,11 @@
 import { err, ok, type Result } from "neverthrow";
 import { relayChangesMethod, relayCommitMethod, relayListMethod } from "./relayMethods.ts";
 
-/** Time for which the own path is left alone after a failure. */
-const AVOID_OWN_MILLISECONDS = 800;
 /** Time for a relayed call beyond its own wait. */
 const RELAY_MILLISECONDS = 900;
 /** Failing for this long counts as a lost store; single calls fail on slow days too. */
 const LOST_AFTER_MILLISECONDS = 500;
-/** Period of calls that find out whether a lost store is back. They do not wait for each other. */
+/** Period of calls that find out whether the own path works again. They do not wait for each other. */
 const PROBE_MILLISECONDS = 300;
 /** Peers that are tried for one call. */
 const MOST_RELAYS = 2;
@@ -43,7 +42,7 @@
 
 export class RelayedRecordStore implements RecordStore, Disposable {
     private readonly options: RelayedRecordStoreOptions;
-    private avoidOwnUntil = -Infinity;
+    /** Monotonic time of the first failure since the last answer on the own path. */
     private failedSince: number | undefined;
     private lost = false;
     private probe: Subscription | undefined;
@@ -96,9 +95,9 @@
         request: Request,
         waitMilliseconds: number,
     ): Promise<Result<Answer, ServiceError>> {
-        const { own, timers } = this.options;
+        const { own } = this.options;
         let outcome: Result<Answer, ServiceError> | undefined;
-        if (timers.now() >= this.avoidOwnUntil || this.relays().length === 0) {
+        if (this.failedSince === undefined || this.relays().length === 0) {
             outcome = this.noteOwn(await call(own));
             if (outcome.isOk()) {
                 return outcome;
@@ -131,12 +130,11 @@
         const now = timers.now();
         if (outcome.isErr()) {
             this.failedSince ??= now;
+            this.probe ??= timers.every(PROBE_MILLISECONDS, () => void this.probeOwn());
             if (!this.lost && now - this.failedSince >= LOST_AFTER_MILLISECONDS) {
                 this.lost = true;
-                this.probe = timers.every(PROBE_MILLISECONDS, () => void this.probeOwn());
                 logger.warn({ error: outcome.error.kind }, "store lost");
             }
-            this.avoidOwnUntil = now + AVOID_OWN_MILLISECONDS;
         }
         else {
             if (this.lost) {
@@ -144,8 +142,8 @@
             }
             this.lost = false;
             this.probe?.[Symbol.dispose]();
+            this.probe = undefined;
             this.failedSince = undefined;
-            this.avoidOwnUntil = -Infinity;
             this.ownAnsweredAt = now;
         }
         return outcome;
@@ -153,15 +151,13 @@
 
     private async probeOwn(): Promise<void> {
         const { own } = this.options;
-        const answered = await own.list(PROBE_REQUEST);
-        if (answered.isOk()) {
-            this.noteOwn(answered);
-        }
+        this.noteOwn(await own.list(PROBE_REQUEST));
     }
 
-    /** Linked peers with recent access. */
+    /** Linked peers with recent access, the most recent first. */
     private relays(): string[] {
         const linked = this.options.peers.links().filter(link => link.connected).map(link => link.peer.id);
-        return linked.filter(peer => (this.storeAges.get(peer) ?? Infinity) < FRESH_MILLISECONDS);
+        const age = (peer: string): number => this.storeAges.get(peer) ?? Infinity;
+        return linked.filter(peer => age(peer) < FRESH_MILLISECONDS).sort((left, right) => age(left) - age(right));
     }
 }
