--- a/packages/coordinator/__tests__/election.spec.ts
+++ b/packages/coordinator/__tests__/election.spec.ts
@@ -67,6 +67,21 @@
         candidate.election[Symbol.dispose]();
     });
 
+    it("leaves the cell to an owner whose renewals arrive late, as long as it says that they are confirmed", async () => {
+        const candidate = new Candidate("one", store, clock);
+        candidate.follow(store);
+        for (let second = 0; second < 6; second++) {
+            await clock.advance(1_000);
+            candidate.election.confirm(3, clock.now() - 900);
+        }
+        expect(candidate.won).to.have.length(0);
+        await clock.advance(1_000);
+        candidate.election.confirm(2, clock.now());
+        await clock.advance(900);
+        expect(candidate.won, "the word of an earlier owner").to.have.length(1);
+        candidate.election[Symbol.dispose]();
+    });
+
     it("takes the cell earlier when the link to the owner is down too", async () => {
         const candidate = new Candidate("one", store, clock);
         candidate.follow(store);
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -117,6 +117,11 @@
         return this.ready && !this.ended;
     }
 
+    /** Monotonic time at which the store last confirmed the claim on the cell. */
+    get confirmedAt(): number {
+        return this.journal.confirmedAt;
+    }
+
     /** Reads all records, tried until it succeeds or the cell is lost, and begins to work. */
     async recover(): Promise<void> {
         const { logger, timers, store, claim } = this.options;
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -44,7 +44,7 @@
     private readonly options: ElectionOptions;
     private readonly ticker: Subscription;
     private seen: SeenOwner | undefined;
-    /** Monotonic time of the last observed change of the owner record. */
+    /** Monotonic time of the last observed change of the owner record, or of its last confirmation. */
     private changedAt: number;
     private wantedSince: number | undefined;
     private trying = false;
@@ -68,6 +68,16 @@
         }
     }
 
+    /**
+     * Takes in that the owner itself has said over its link when the store last confirmed its claim. A slow store delays
+     * the news of its renewals by seconds.
+     */
+    confirm(epoch: number, confirmedAt: number): void {
+        if (epoch === this.seen?.record.epoch) {
+            this.changedAt = Math.max(this.changedAt, confirmedAt);
+        }
+    }
+
     [Symbol.dispose](): void {
         this.ticker[Symbol.dispose]();
     }
--- a/packages/site/__tests__/relayedRecordStore.spec.ts
+++ b/packages/site/__tests__/relayedRecordStore.spec.ts
@@ -121,6 +121,7 @@
         };
         pair.own.fault = CommitFault.Unavailable;
         for (let second = 0; second < 5; second++) {
+            store.notePeer("peer", 0);
             await store.commit(write);
             await pair.timers.advance(1_000);
         }
--- a/packages/site/src/relayedRecordStore.ts
+++ b/packages/site/src/relayedRecordStore.ts
@@ -28,7 +28,7 @@
 /** Peers that are tried for one call. */
 const MOST_RELAYS = 2;
 /** Only peers whose store answered within this time are asked. */
-const FRESH_MILLISECONDS = 2_500;
+const FRESH_MILLISECONDS = 2_000;
 
 /** Any small partition serves to find out whether the store answers. */
 const PROBE_REQUEST: ListRequest = { table: "cell", partition: "owner" };
@@ -47,7 +47,8 @@
     private lost = false;
     private probe: Subscription | undefined;
     private ownAnsweredAt = -Infinity;
-    private readonly storeAges = new Map<string, number>();
+    /** Monotonic times at which the store last answered the peers. */
+    private readonly peersAnsweredAt = new Map<string, number>();
 
     constructor(options: RelayedRecordStoreOptions) {
         this.options = options;
@@ -74,7 +75,7 @@
 
     /** Notes what a peer says about its own access. */
     notePeer(peer: string, ageMilliseconds: number): void {
-        this.storeAges.set(peer, ageMilliseconds);
+        this.peersAnsweredAt.set(peer, this.options.timers.now() - ageMilliseconds);
     }
 
     commit(transaction: RecordTransaction): Promise<Result<CommitOutcome, ServiceError>> {
@@ -157,7 +158,9 @@
     /** Linked peers with recent access, the most recent first. */
     private relays(): string[] {
         const linked = this.options.peers.links().filter(link => link.connected).map(link => link.peer.id);
-        const age = (peer: string): number => this.storeAges.get(peer) ?? Infinity;
-        return linked.filter(peer => age(peer) < FRESH_MILLISECONDS).sort((left, right) => age(left) - age(right));
+        const answeredAt = (peer: string): number => this.peersAnsweredAt.get(peer) ?? -Infinity;
+        const oldest = this.options.timers.now() - FRESH_MILLISECONDS;
+        return linked.filter(peer => answeredAt(peer) > oldest)
+            .sort((left, right) => answeredAt(right) - answeredAt(left));
     }
 }
--- a/packages/site/src/siteMembers.ts
+++ b/packages/site/src/siteMembers.ts
@@ -78,6 +78,16 @@
         return ordered.indexOf(node);
     }
 
+    /** Whether no process of another failure domain is linked; in a cell of one failure domain, no process at all. */
+    isCutOff(): boolean {
+        const { node, self, peers } = this.options;
+        const others = [...this.members].filter(([id]) => id !== node);
+        const elsewhere = others.filter(([, { failureDomain }]) => failureDomain !== self.failureDomain);
+        const reachedBy = new Set((elsewhere.length > 0 ? elsewhere : others).map(([id]) => id));
+        return reachedBy.size > 0
+            && !peers.links().some(({ connected, peer }) => connected && reachedBy.has(peer.id));
+    }
+
     [Symbol.dispose](): void {
         this.abort.abort();
     }
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -25,6 +25,7 @@
 import { RecordMap } from "./recordMap.ts";
 import { RelayedRecordStore } from "./relayedRecordStore.ts";
 import { acceptedMethod, cancelledMethod, pendingMethod, stateMethod } from "./relayMethods.ts";
+import { type SiteHeartbeat, siteHeartbeatSchema } from "./siteHeartbeat.ts";
 import { MEMBERS_PARTITION, SiteMembers } from "./siteMembers.ts";
 import { TableFollower } from "./tableFollower.ts";
 
@@ -83,6 +84,7 @@
     private coordinator: Coordinator | undefined;
     private ownerFollowers: OwnerFollowers | undefined;
     private draining = false;
+    private readonly unreadablePeers = new Set<string>();
 
     constructor(options: SiteNodeOptions) {
         const { node, peers, timers, logger } = options;
@@ -149,13 +151,8 @@
         });
         this.serveOwnerCalls();
         this.serveHints();
-        peers.provideHeartbeat(() => ({ storeAge: this.store.ownAge }));
-        peers.onHeartbeat((peer, payload) => {
-            const age = (payload as { readonly storeAge?: unknown; } | undefined)?.storeAge;
-            if (typeof age === "number") {
-                this.store.notePeer(peer, age);
-            }
-        });
+        peers.provideHeartbeat(() => this.heartbeat());
+        peers.onHeartbeat((peer, payload) => this.heartbeatOf(peer, payload));
     }
 
     start(): void {
@@ -163,9 +160,13 @@
         this.operatorFollower.start();
     }
 
-    /** Whether callers can be served. */
+    /**
+     * Whether callers can be served. A process that is cut off turns callers away, since those of other failure domains
+     * can still accept jobs; while the store is lost for all of them, each may as well answer.
+     */
     get ready(): boolean {
-        return !this.draining && this.configuration !== undefined;
+        const cutOff = this.store.isLost && this.members.isCutOff();
+        return !this.draining && this.configuration !== undefined && !cutOff;
     }
 
     /** Gives the cell back. Callers are still served, through the next owner. */
@@ -219,6 +220,35 @@
         });
     }
 
+    private heartbeat(): SiteHeartbeat {
+        const { coordinator, store } = this;
+        const now = this.options.timers.now();
+        return {
+            storeAge: store.ownAge,
+            ...(coordinator === undefined
+                ? {}
+                : { claim: { epoch: coordinator.epoch, age: now - coordinator.confirmedAt } }),
+        };
+    }
+
+    private heartbeatOf(peer: string, payload: unknown): void {
+        const { logger, timers } = this.options;
+        const heartbeat = siteHeartbeatSchema.safeParse(payload);
+        if (!heartbeat.success) {
+            if (!this.unreadablePeers.has(peer)) {
+                this.unreadablePeers.add(peer);
+                logger.warn({ peer }, "heartbeats of a peer cannot be read");
+            }
+            return;
+        }
+        this.unreadablePeers.delete(peer);
+        const { storeAge, claim } = heartbeat.data;
+        this.store.notePeer(peer, storeAge);
+        if (claim !== undefined) {
+            this.election.confirm(claim.epoch, timers.now() - claim.age);
+        }
+    }
+
     private ownerName(): string | undefined {
         const node = this.election.owner?.record.node;
         return node === "" ? undefined : node;
