fix(site): hedge store calls over peers, and rewrite the claim after a transaction that may be repeated

Cause: (1) a transaction that got no answer on the own path and succeeded through a peer could be carried out a second time seconds later, and then replace newer progress of its jobs, since nothing had changed its condition meanwhile. (2) A silent path was noticed only after a time limit of 0.5 s, and a slow store passed that limit, so that working calls were given up and made again. Ruled out: the relays themselves, which answer in milliseconds; shorter limits, which a store that is 60 times slower exceeds. Callers' writes are settled for up to 2.5 s while the store answers other calls, else 1.3 s as before. Also: a change noted in the turn in which a transaction is answered no longer waits for the next renewal.

--- a/packages/coordinator/__tests__/journal.spec.ts
+++ b/packages/coordinator/__tests__/journal.spec.ts
@@ -90,6 +90,33 @@
         journal[Symbol.dispose]();
     });
 
+    it("keeps a second copy of a transaction from replacing a newer record", async () => {
+        const { store, timers, journal, wasDeposed } = await openJournal();
+        const changed = job("a");
+        store.fault = CommitFault.Repeated;
+        journal.note(changed);
+        await settle();
+        store.fault = CommitFault.None;
+        changed.state = JobState.Completed;
+        journal.note(changed);
+        await settle(timers);
+        store.deliverLate();
+        const record = store.read({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: "a" });
+        expect(JSON.parse(Buffer.from(record?.value ?? []).toString())).to.have.property("state", JobState.Completed);
+        expect(wasDeposed()).to.equal(false);
+        journal[Symbol.dispose]();
+    });
+
+    it("writes a change at once that is noted in the turn in which a transaction is answered", async () => {
+        const { store, journal } = await openJournal();
+        journal.note(job("a"));
+        await journal.stored();
+        journal.note(job("b"));
+        await settle();
+        expect(store.read({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: "b" })).not.to.equal(undefined);
+        journal[Symbol.dispose]();
+    });
+
     it("recognizes its own owner record when the answer to a renewal was lost", async () => {
         const { store, timers, journal, wasDeposed } = await openJournal();
         store.fault = CommitFault.AnswerLost;
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -1,6 +1,7 @@
 /**
  * Writes the progress of jobs and renews the claim on the cell, one transaction after another. A transaction whose
- * answer was lost may still be carried out; the next one rewrites the owner record and so makes its condition fail.
+ * answer was lost, or that was sent more than once, may still be carried out; the next one rewrites the owner record and
+ * so makes its condition fail.
  */
 import { ErrorKind } from "@tanagerlink/errors";
 import type { RecordName, RecordStore, RecordTransaction, RecordWrite } from "@tanagerlink/platform";
@@ -128,13 +129,21 @@
         if (!this.writing && !this.ended) {
             this.writing = true;
             // Changes of the same turn share a transaction.
-            setImmediate(() => void this.writeAll().finally(() => this.writing = false));
+            setImmediate(() => void this.writeAll());
         }
     }
 
     private async writeAll(): Promise<void> {
-        while (!this.ended && (this.dirty.size > 0 || this.removals.length > 0 || this.renewalDue || this.released)) {
-            await this.writeBatch();
+        try {
+            while (
+                !this.ended && (this.dirty.size > 0 || this.removals.length > 0 || this.renewalDue || this.released)
+            ) {
+                await this.writeBatch();
+            }
+        }
+        finally {
+            // In the turn of the last check, so that a change that is noted after it starts the next series.
+            this.writing = false;
         }
     }
 
@@ -189,6 +198,9 @@
             this.renewalDue = false;
             this.mustRewriteOwner = false;
         }
+        else if (outcome.value.mayRepeat === true) {
+            this.mustRewriteOwner = true;
+        }
         this.committed(batch);
         if (releases) {
             this.finish();
--- a/packages/platform/src/memoryRecordStore.ts
+++ b/packages/platform/src/memoryRecordStore.ts
@@ -23,6 +23,8 @@
     AnswerLost: "answer_lost",
     /** The answer is lost; `deliverLate` carries them out. */
     Late: "late",
+    /** Done and answered; `deliverLate` carries them out once more. */
+    Repeated: "repeated",
 } as const;
 export type CommitFault = (typeof CommitFault)[keyof typeof CommitFault];
 
@@ -74,6 +76,11 @@
             case CommitFault.Late:
                 this.late.push(transaction);
                 return err(serviceError(ErrorKind.StoreOutcomeUnknown, "the answer was lost"));
+            case CommitFault.Repeated: {
+                this.late.push(transaction);
+                const outcome = this.apply(transaction);
+                return ok(outcome.committed ? { ...outcome, mayRepeat: true } : outcome);
+            }
             default:
                 return ok(this.apply(transaction));
         }
--- a/packages/platform/src/recordStore.ts
+++ b/packages/platform/src/recordStore.ts
@@ -37,7 +37,15 @@
 
 /** Outcome of a transaction that the store has answered. */
 export type CommitOutcome =
-    | { readonly committed: true; readonly version: number; }
+    | {
+        readonly committed: true;
+        readonly version: number;
+        /**
+         * Set if the transaction was sent more than once, so that it may be carried out again while its expectations
+         * hold.
+         */
+        readonly mayRepeat?: boolean;
+    }
     /** `current` holds the records named by the expectations as they are now; missing ones are left out. */
     | { readonly committed: false; readonly current: readonly StoredRecord[]; };
 
--- a/packages/site/__tests__/cellEntry.spec.ts
+++ b/packages/site/__tests__/cellEntry.spec.ts
@@ -45,14 +45,17 @@
     let timers: ManualTimers;
     let entry: CellEntry;
     let lost = false;
+    let answers: boolean;
 
     beforeEach(() => {
         lost = false;
+        answers = false;
         store = new MemoryRecordStore();
         timers = new ManualTimers();
         entry = new CellEntry({
             store,
             storeLost: () => lost,
+            storeAnswers: () => answers,
             timers,
             logger: silentLogger,
             peers: { call: () => Promise.resolve(err(serviceError(ErrorKind.PeerUnreachable, "none"))) },
@@ -98,6 +101,18 @@
         expect((await submit()).result.isOk()).to.equal(true);
     });
 
+    it("goes on settling a write while the store answers other calls, within the callers' three seconds", async () => {
+        answers = true;
+        store.fault = CommitFault.Late;
+        timers.after(2_000, () => {
+            store.fault = CommitFault.None;
+            store.deliverLate();
+        });
+        const { result, milliseconds } = await submit();
+        expect(result.isOk()).to.equal(true);
+        expect(milliseconds).to.be.within(2_000, 2_700);
+    });
+
     it("refuses at once, and truly, while the store is known to be lost", async () => {
         lost = true;
         const { result, milliseconds } = await submit();
--- a/packages/site/__tests__/relayedRecordStore.spec.ts
+++ b/packages/site/__tests__/relayedRecordStore.spec.ts
@@ -133,6 +133,32 @@
         store[Symbol.dispose]();
     });
 
+    it("says when a transaction may be carried out twice, since a late copy can undo a later one", async () => {
+        const pair = new Pair();
+        const store = pair.store();
+        pair.own.fault = CommitFault.Late;
+        expect((await store.commit(write))._unsafeUnwrap()).to.include({ committed: true, mayRepeat: true });
+        pair.own.fault = CommitFault.Unavailable;
+        const other = { ...write, expectations: [] };
+        expect((await store.commit(other))._unsafeUnwrap()).not.to.have.property("mayRepeat");
+        store[Symbol.dispose]();
+    });
+
+    it("makes a call through a peer too when its own path is silent, and the next one only there", async () => {
+        const pair = new Pair();
+        const store = pair.store();
+        pair.own.holdCommits();
+        const committed = store.commit(write);
+        await pair.timers.advance(200);
+        expect((await committed)._unsafeUnwrap()).to.include({ committed: true, mayRepeat: true });
+        const startedAt = pair.timers.now();
+        const next = await store.commit({ ...write, expectations: [] });
+        expect(next._unsafeUnwrap()).not.to.have.property("mayRepeat");
+        expect(pair.timers.now() - startedAt).to.equal(0);
+        pair.own.releaseCommits();
+        store[Symbol.dispose]();
+    });
+
     it("asks the peer first that had an answer of the store last", async () => {
         const pair = new Pair();
         const asked: string[] = [];
--- a/packages/site/src/cellEntry.ts
+++ b/packages/site/src/cellEntry.ts
@@ -25,6 +25,8 @@
 const OWNER_CALL_MILLISECONDS = 700;
 /** Time within which a write is tried again while its outcome is not known; under half of the callers' three seconds. */
 const SETTLE_MILLISECONDS = 1_300;
+/** The same while the store answers other calls, so that the outcome will be known soon. */
+const SETTLE_SLOW_MILLISECONDS = 2_500;
 /** The same while it is certain that nothing was written; the caller is better served by an early refusal. */
 const REFUSE_MILLISECONDS = 250;
 const RETRY_MILLISECONDS = 60;
@@ -38,6 +40,8 @@
     readonly store: RecordStore;
     /** Whether the store is known not to answer at the moment. */
     readonly storeLost: () => boolean;
+    /** Whether the store has answered this process lately, however slowly. */
+    readonly storeAnswers: () => boolean;
     readonly peers: Pick<PeerNetwork, "call">;
     readonly timers: Timers;
     readonly logger: Logger;
@@ -199,7 +203,8 @@
                 return ok(outcome.value.committed || unknown);
             }
             unknown ||= outcome.error.kind === ErrorKind.StoreOutcomeUnknown;
-            const limit = unknown ? SETTLE_MILLISECONDS : REFUSE_MILLISECONDS;
+            const settleLimit = this.options.storeAnswers() ? SETTLE_SLOW_MILLISECONDS : SETTLE_MILLISECONDS;
+            const limit = unknown ? settleLimit : REFUSE_MILLISECONDS;
             if (timers.now() + RETRY_MILLISECONDS - startedAt > limit) {
                 return err(
                     unknown ? serviceError(ErrorKind.StoreOutcomeUnknown, outcome.error.message) : outcome.error,
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -39,6 +39,9 @@
 const UNLINKED_EXPIRY_MILLISECONDS = 1_200;
 const FRESHNESS_MILLISECONDS = 1_500;
 
+/** The followed tables are answered each second or so while the store is there. */
+const STORE_ANSWERS_MILLISECONDS = 1_800;
+
 /** Records of the operators, in the platform's format. */
 export interface OperatorSource {
     readonly table: string;
@@ -107,6 +110,7 @@
         this.entry = new CellEntry({
             store: this.store,
             storeLost: () => this.store.isLost,
+            storeAnswers: () => this.store.ownAge < STORE_ANSWERS_MILLISECONDS,
             peers,
             timers,
             logger,
