--- a/packages/site/__tests__/siteMembers.spec.ts
+++ b/packages/site/__tests__/siteMembers.spec.ts
@@ -5,9 +5,19 @@
 import { expect } from "chai";
 import { SiteMembers } from "../src/siteMembers.ts";
 
-/** Members by name with their failure domain, as seen by "self" in "north". */
-function membersOf(records: Readonly<Record<string, string>>, linked: ReadonlySet<string>): SiteMembers {
-    const self = { address: "192.0.2.1:1", failureDomain: "north", incarnation: "self-1", processorShare: 1 };
+/** Members by name with their failure domain, as seen by "self" in "north", which started at 5. */
+function membersOf(
+    records: Readonly<Record<string, string>>,
+    linked: ReadonlySet<string>,
+    startedAt = 0,
+): SiteMembers {
+    const self = {
+        address: "192.0.2.1:1",
+        failureDomain: "north",
+        incarnation: "self-1",
+        processorShare: 1,
+        startedAt: 5,
+    };
     const members = new SiteMembers({
         node: "self",
         self,
@@ -26,7 +36,7 @@
         logger: silentLogger,
     });
     const encode = (failureDomain: string): Uint8Array =>
-        encodeRecord({ address: "192.0.2.2:1", failureDomain, incarnation: "1", processorShare: 1 });
+        encodeRecord({ address: "192.0.2.2:1", failureDomain, incarnation: "1", processorShare: 1, startedAt });
     members.update(
         new Map([
             ["self", encodeRecord(self)],
@@ -48,4 +58,11 @@
         expect(membersOf({ near: "north" }, new Set(["near"])).isCutOff()).to.equal(false);
         expect(membersOf({}, new Set()).isCutOff()).to.equal(false);
     });
+
+    it("rank the latest started first, since they have been restarted already when others are restarted in turn", () => {
+        const records = { alpha: "north", beta: "south" };
+        expect(membersOf(records, new Set(["alpha", "beta"]), 1).rank()).to.equal(0);
+        expect(membersOf(records, new Set(["alpha", "beta"]), 9).rank()).to.equal(2);
+        expect(membersOf(records, new Set(["alpha"]), 9).rank()).to.equal(1);
+    });
 });
--- a/packages/site/src/siteMembers.ts
+++ b/packages/site/src/siteMembers.ts
@@ -18,6 +18,8 @@
     incarnation: z.string(),
     /** Processor share of its machine; larger machines are preferred as owners. */
     processorShare: z.number(),
+    /** Start of the process by its own clock, milliseconds since 1970. */
+    startedAt: z.number().default(0),
 });
 
 export type SiteMember = z.infer<typeof memberSchema>;
@@ -67,13 +69,17 @@
         }
     }
 
-    /** Position of this process among the linked ones: the largest machines come first, then by name. */
+    /**
+     * Position of this process among the linked ones. The largest machines come first, then the latest started
+     * processes: where processes are restarted in turn, those are not restarted once more.
+     */
     rank(): number {
         const { node, peers } = this.options;
         const linked = peers.links().filter(({ connected }) => connected).map(({ peer }) => peer.id);
         const share = (id: string): number => this.members.get(id)?.processorShare ?? 0;
+        const startedAt = (id: string): number => this.members.get(id)?.startedAt ?? 0;
         const ordered = [...new Set([...linked, node])].sort((left, right) =>
-            share(right) - share(left) || (left < right ? -1 : 1)
+            share(right) - share(left) || startedAt(right) - startedAt(left) || (left < right ? -1 : 1)
         );
         return ordered.indexOf(node);
     }
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -100,6 +100,7 @@
                 failureDomain: options.failureDomain,
                 incarnation: options.incarnation,
                 processorShare: options.processorShare,
+                startedAt: timers.wallClock(),
             },
             store: this.store,
             peers,
