fix(hints): take the validity of tickets from the operators' records

Cause: the hint service does not tell for how long a ticket holds, so that two seconds were assumed; a queue may say less, and its starts would then be refused over and over. Ruled out: learning it from refusals, which costs a start each time.

--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -19,6 +19,7 @@
     maximumAttempts: 2,
     hinted: false,
     hintMilliseconds: 0,
+    hintValidityMilliseconds: 2_000,
 };
 
 const unlimited: TeamRule = {
@@ -104,6 +105,6 @@
     private hint(workers: readonly string[]): HintAnswer {
         this.hintCalls++;
         const allowed = workers.filter(this.allowed).map(worker => ({ worker, ticket: `ticket-${worker}` }));
-        return { allowed, validityMilliseconds: 2_000 };
+        return { allowed };
     }
 }
--- a/packages/coordinator/__tests__/support/samples.ts
+++ b/packages/coordinator/__tests__/support/samples.ts
@@ -29,6 +29,7 @@
         maximumAttempts: 2,
         hinted: false,
         hintMilliseconds: 0,
+        hintValidityMilliseconds: 2_000,
         payload: "work",
         steps: [sampleStep()],
         ...overrides,
--- a/packages/coordinator/src/cellPolicy.ts
+++ b/packages/coordinator/src/cellPolicy.ts
@@ -8,6 +8,7 @@
     readonly maximumAttempts: number;
     readonly hinted: boolean;
     readonly hintMilliseconds: number;
+    readonly hintValidityMilliseconds: number;
 }
 
 export interface TeamRule {
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -260,7 +260,7 @@
                 logger.info({ step: step.name, error: answer.error.kind }, "placement hints failed");
                 return;
             }
-            hints.learn(asked, answer.value, timers.now());
+            hints.learn(asked, answer.value, rule.hintValidityMilliseconds, timers.now());
             logger.info(
                 {
                     step: step.name,
--- a/packages/hints/__tests__/hintDispatcher.spec.ts
+++ b/packages/hints/__tests__/hintDispatcher.spec.ts
@@ -51,7 +51,7 @@
         this.mostAtOnce = Math.max(this.mostAtOnce, this.running.size);
         await new Promise<void>(resolve => this.finish.set(machine, resolve));
         this.running.delete(machine);
-        return ok({ allowed: [], validityMilliseconds: 2_000 });
+        return ok({ allowed: [] });
     }
 }
 
--- a/packages/hints/src/hintMethods.ts
+++ b/packages/hints/src/hintMethods.ts
@@ -13,7 +13,6 @@
     request: z.object({ step: z.string(), workers: z.array(z.string()) }),
     answer: z.object({
         allowed: z.array(z.object({ worker: z.string(), ticket: z.string() })),
-        validityMilliseconds: z.number(),
     }),
     idempotent: true,
 };
--- a/packages/hints/src/hintService.ts
+++ b/packages/hints/src/hintService.ts
@@ -12,7 +12,6 @@
 export interface HintAnswer {
     /** Asked workers that are missing here may not run the step. */
     readonly allowed: readonly HintTicket[];
-    readonly validityMilliseconds: number;
 }
 
 /** Errors: `overloaded` when too many calls wait, `target_unreachable` without an answer. */
--- a/packages/hints/src/stepHints.ts
+++ b/packages/hints/src/stepHints.ts
@@ -27,10 +27,10 @@
     /** Monotonic time before which no further call is made after a failed one. */
     retryAt = 0;
 
-    /** Takes in the answer to a call that named `asked`. */
-    learn(asked: readonly HintedWorker[], answer: HintAnswer, now: number): void {
+    /** Takes in the answer to a call that named `asked`; its tickets are valid for the time given. */
+    learn(asked: readonly HintedWorker[], answer: HintAnswer, validityMilliseconds: number, now: number): void {
         const tickets = new Map(answer.allowed.map(({ worker, ticket }) => [worker, ticket]));
-        const expiresAt = now + answer.validityMilliseconds - TICKET_MARGIN_MILLISECONDS;
+        const expiresAt = now + validityMilliseconds - TICKET_MARGIN_MILLISECONDS;
         for (const { id, boot } of asked) {
             const ticket = tickets.get(id);
             if (ticket === undefined) {
--- a/packages/site/__tests__/cellEntry.spec.ts
+++ b/packages/site/__tests__/cellEntry.spec.ts
@@ -21,6 +21,7 @@
     maximumAttempts: 2,
     hinted: false,
     hintMilliseconds: 0,
+    hintValidityMilliseconds: 2_000,
 };
 
 const job: JobRequest = {
--- a/packages/site/src/cellEntry.ts
+++ b/packages/site/src/cellEntry.ts
@@ -92,6 +92,7 @@
             maximumAttempts: queue.maximumAttempts,
             hinted: queue.hinted,
             hintMilliseconds: queue.hintMilliseconds,
+            hintValidityMilliseconds: queue.hintValidityMilliseconds,
         };
         const fault = specificationFault(specification);
         if (fault !== undefined) {
--- a/packages/workflow/src/jobSpecification.ts
+++ b/packages/workflow/src/jobSpecification.ts
@@ -7,6 +7,8 @@
 const MOST_TASKS = 5_000;
 const MOST_OCCURRENCES = 10_000;
 
+const DEFAULT_HINT_VALIDITY_MILLISECONDS = 2_000;
+
 const stepSchema = z.object({
     /** Number of tasks. */
     count: z.int().min(1).max(MOST_TASKS),
@@ -58,6 +60,8 @@
     hinted: z.boolean(),
     /** Expected duration of a hint call for one worker; orders calls by their cost. */
     hintMilliseconds: z.number(),
+    /** Time for which a ticket of the hint service is accepted. */
+    hintValidityMilliseconds: z.number().default(DEFAULT_HINT_VALIDITY_MILLISECONDS),
     /** Opaque text for the workers. */
     payload: z.string(),
     steps: z.array(stepSchema).min(1).max(MOST_STEPS),
