fix(site): probe nothing after the end of a process

Cause: a call that failed after the disposal of the store access began a new series of probes, which kept the process alive; a test run without a forced exit never ended. Ruled out: links and servers, which are closed in the same order. Test: relayedRecordStore.spec.ts, no call after the end.

--- a/packages/site/__tests__/relayedRecordStore.spec.ts
+++ b/packages/site/__tests__/relayedRecordStore.spec.ts
@@ -159,6 +159,23 @@
         store[Symbol.dispose]();
     });
 
+    it("probes nothing after its end, also when a call fails then", async () => {
+        const pair = new Pair();
+        const store = pair.store();
+        pair.own.fault = CommitFault.Unavailable;
+        pair.peers.fault = CommitFault.Unavailable;
+        let lists = 0;
+        const list = pair.own.list.bind(pair.own);
+        pair.own.list = request => {
+            lists++;
+            return list(request);
+        };
+        store[Symbol.dispose]();
+        await store.commit(write);
+        await pair.timers.advance(2_000);
+        expect(lists).to.equal(0);
+    });
+
     it("asks the peer first that had an answer of the store last", async () => {
         const pair = new Pair();
         const asked: string[] = [];
--- a/packages/site/src/relayedRecordStore.ts
+++ b/packages/site/src/relayedRecordStore.ts
@@ -54,6 +54,7 @@
     private failedSince: number | undefined;
     private lost = false;
     private probe: Subscription | undefined;
+    private disposed = false;
     private ownAnsweredAt = -Infinity;
     /** Smoothed duration of calls on the own path that do not wait for changes. */
     private typicalMilliseconds = 0;
@@ -80,6 +81,7 @@
     }
 
     [Symbol.dispose](): void {
+        this.disposed = true;
         this.probe?.[Symbol.dispose]();
     }
 
@@ -174,6 +176,9 @@
         const { timers, logger } = this.options;
         const now = timers.now();
         this.failedSince ??= now;
+        if (this.disposed) {
+            return;
+        }
         this.probe ??= timers.every(PROBE_MILLISECONDS, () => void this.probeOwn());
         if (!this.lost && now - this.failedSince >= LOST_AFTER_MILLISECONDS) {
             this.lost = true;
