feat(telemetry): bounded logs that never hold up a process; histograms of calls and counters of decisions

The metrics of the site command were those of peer links only. Change: lines are written in groups of a tenth of a second, at most 1 MiB waits, events below warnings are limited to 1,000 lines a second, a quarter of the buffer is kept for warnings; what is dropped is counted by event, reported and exported. Level and limits are settings. New series: calls to the store, workers and the hint service by outcome, time to the first start, time until ends are stored, ended attempts and jobs. Ruled out: asynchronous writes by the file system module, which take a thread and a wake-up for each write.

--- a/packages/cli/src/commands/siteCommand.ts
+++ b/packages/cli/src/commands/siteCommand.ts
@@ -7,7 +7,7 @@
 /** Starts the process from the platform's settings file and waits for a stop signal, then drains. */
 export async function siteCommand(context: CommandContext): Promise<CommandResult> {
     const stopped = stopSignal();
-    const site = await startSite(context.environment[SETTINGS_VARIABLE]);
+    const site = await startSite(context.environment[SETTINGS_VARIABLE], context.environment);
     if (site.isErr()) {
         return err(site.error);
     }
--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -1,12 +1,13 @@
 /** A cell in memory: a store, workers, and coordinators that take it one after another. */
 import type { HintAnswer } from "@tanagerlink/hints";
 import { MemoryRecordStore } from "@tanagerlink/platform";
-import { silentLogger } from "@tanagerlink/telemetry";
+import { Metrics, silentLogger } from "@tanagerlink/telemetry";
 import { ManualTimers } from "@tanagerlink/timers";
 import type { JobSpecification } from "@tanagerlink/workflow";
 import { ok } from "neverthrow";
 import type { CellPolicy, QueueRule, TeamRule } from "../../src/cellPolicy.ts";
 import { Coordinator } from "../../src/coordinator.ts";
+import { CoordinatorMetrics } from "../../src/coordinatorMetrics.ts";
 import { JOBS_TABLE, partitionOf } from "../../src/jobTables.ts";
 import { decodeOwner, encodeRecord, type OwnerRecord, ownerRecordName } from "../../src/ownerRecord.ts";
 import { FakeWorkers } from "./fakeWorkers.ts";
@@ -60,6 +61,7 @@
             store: this.store,
             timers: this.timers,
             logger: silentLogger,
+            metrics: new CoordinatorMetrics(new Metrics()),
             port: this.workers,
             hints: { ask: ({ workers }) => Promise.resolve(ok(this.hint(workers))) },
             renewalMilliseconds: 1_000,
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -19,6 +19,7 @@
 } from "@tanagerlink/workflow";
 import { CellJobs } from "./cellJobs.ts";
 import type { CellPolicy } from "./cellPolicy.ts";
+import type { CoordinatorMetrics } from "./coordinatorMetrics.ts";
 import { FillPacing } from "./fillPacing.ts";
 import { Fleet } from "./fleet.ts";
 import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE, partitionOf } from "./jobTables.ts";
@@ -50,6 +51,7 @@
     readonly store: RecordStore;
     readonly timers: Timers;
     readonly logger: Logger;
+    readonly metrics: CoordinatorMetrics;
     readonly port: WorkerPort;
     readonly hints: Pick<HintDispatcher, "ask">;
     readonly renewalMilliseconds: number;
@@ -103,6 +105,7 @@
         this.scheduler = new Scheduler({
             timers,
             logger,
+            metrics: options.metrics,
             fleet: this.fleet,
             usage: this.usage,
             hints: options.hints,
@@ -234,7 +237,7 @@
     }
 
     attemptEnded(attempt: Attempt, kind: EndKind, checkpoint: string): void {
-        const { timers, logger } = this.options;
+        const { timers, logger, metrics } = this.options;
         const { task } = attempt;
         const { step } = task;
         const { job, specification } = step;
@@ -246,6 +249,7 @@
         if (task.current === attempt) {
             task.current = undefined;
         }
+        metrics.attemptEnded(kind);
         logger.info(
             { task: task.name, attempt: attempt.number, worker: attempt.workerId, end: kind },
             "attempt ended",
@@ -298,8 +302,12 @@
         this.askRound();
     }
 
-    stored(): Promise<boolean> {
-        return this.journal.stored();
+    async stored(): Promise<boolean> {
+        const { timers, metrics } = this.options;
+        const startedAt = timers.now();
+        const stored = await this.journal.stored();
+        metrics.endsStored(timers.now() - startedAt);
+        return stored;
     }
 
     mayRenewLeases(): boolean {
@@ -374,7 +382,8 @@
     }
 
     private finish(job: JobRun, state: JobState): void {
-        const { timers, logger } = this.options;
+        const { timers, logger, metrics } = this.options;
+        metrics.jobEnded(state);
         job.state = state;
         job.endedAt = timers.now();
         logger.info({ job: job.id, state }, "job ended");
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./cellPolicy.ts";
 export * from "./coordinator.ts";
+export * from "./coordinatorMetrics.ts";
 export * from "./election.ts";
 export * from "./jobTables.ts";
 export { PROGRESS_TABLE } from "./journal.ts";
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -5,6 +5,7 @@
 import type { Timers } from "@tanagerlink/timers";
 import { Attempt, type JobRun, JobState, type StepRun, type TaskRun } from "@tanagerlink/workflow";
 import type { CellPolicy, QueueRule } from "./cellPolicy.ts";
+import type { CoordinatorMetrics } from "./coordinatorMetrics.ts";
 import { type Obstacle, obstacleOf } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
 import { HeldRoom, type Placement, type PlacementResult, placeTasks } from "./placement.ts";
@@ -25,6 +26,7 @@
 export interface SchedulerOptions {
     readonly timers: Timers;
     readonly logger: Logger;
+    readonly metrics: CoordinatorMetrics;
     readonly fleet: Fleet;
     readonly usage: TeamUsage;
     readonly hints: Pick<HintDispatcher, "ask">;
@@ -189,7 +191,7 @@
     }
 
     private begin(step: StepRun, placements: readonly Placement[]): StartedAttempt[] {
-        const { timers, logger } = this.options;
+        const { timers, logger, metrics } = this.options;
         const now = timers.now();
         if (placements.length > 0) {
             const waited = this.waitsOf(step).settle(now);
@@ -205,7 +207,10 @@
             task.lastAttempt = attempt.number;
             task.current = attempt;
             worker.add(attempt);
-            step.job.firstStartAt ??= now;
+            if (step.job.firstStartAt === undefined) {
+                step.job.firstStartAt = now;
+                metrics.firstStart(step.job.specification.queue, now - step.job.knownAt);
+            }
             step.job.state = JobState.Running;
             return { attempt, worker, ticket };
         });
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -12,7 +12,7 @@
 import { createSchedulerMetrics, type FleetView, SchedulerService } from "@tanagerlink/scheduler";
 import type { Settings } from "@tanagerlink/settings";
 import { HttpExecutorClientFactory, HttpWorkerClientFactory } from "@tanagerlink/targets";
-import { createLogger, type Logger, Metrics } from "@tanagerlink/telemetry";
+import { type Logger, Metrics, openProcessLog } from "@tanagerlink/telemetry";
 import { SystemTimers, type Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
@@ -43,18 +43,33 @@
     settings: Settings,
     overrides: NodeOverrides = {},
 ): Promise<Result<Node, ServiceError>> {
-    const logger = overrides.logger ?? createLogger({
+    const metrics = new Metrics();
+    const timers = overrides.timers
+        ?? new SystemTimers(failure => log.logger.error({ failure: String(failure) }, "timed action failed"));
+    const log = openProcessLog({
         name: "tanagerlink",
         level: settings.logLevel,
+        limits: { bufferedBytes: settings.logBufferBytes, linesPerEvent: settings.logLinesPerEvent },
         fields: { node: settings.nodeId, failureDomain: settings.failureDomain },
+        timers,
+        metrics,
     });
-    const timers = overrides.timers
-        ?? new SystemTimers(failure => logger.error({ failure: String(failure) }, "timed action failed"));
+    const logger = overrides.logger ?? log.logger;
+    const node = await startParts({ settings, timers, logger, metrics }, log);
+    if (node.isErr()) {
+        log[Symbol.dispose]();
+    }
+    return node;
+}
+
+async function startParts(
+    { settings, timers, logger, metrics }: Pick<Foundations, "settings" | "timers" | "logger" | "metrics">,
+    log: Disposable,
+): Promise<Result<Node, ServiceError>> {
     const operators = await readOperators(settings);
     if (operators.isErr()) {
         return err(operators.error);
     }
-    const metrics = new Metrics();
     const opened = openCertificates({ settings, timers, logger, metrics });
     if (opened.isErr()) {
         return err(opened.error);
@@ -100,7 +115,15 @@
     const node = new Node({
         ...parts.node,
         server: server.value,
-        disposables: [server.value, ...parts.disposables, peers.value, platform, certificates],
+        disposables: [
+            server.value,
+            ...parts.disposables,
+            peers.value,
+            platform,
+            certificates,
+            // Last, so that the lines of the others are written.
+            { [Symbol.asyncDispose]: () => Promise.resolve(log[Symbol.dispose]()) },
+        ],
     });
     await node.start();
     return ok(node);
--- a/packages/settings/__tests__/readSettings.spec.ts
+++ b/packages/settings/__tests__/readSettings.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { readSettings, settingsTable } from "../src/index.ts";
+import { readLogSettings, readSettings, settingsTable } from "../src/index.ts";
 
 const minimal = {
     "node-id": "entry-1",
@@ -53,4 +53,16 @@
             }
         }
     });
+
+    it("reads the settings of logs alone, and names every fault of them", () => {
+        const read = readLogSettings({ TANAGERLINK_LOG_LEVEL: "warn", TANAGERLINK_NODE_ID: "" });
+        expect(read._unsafeUnwrap()).to.deep.equal({
+            logLevel: "warn",
+            logBufferBytes: 1_048_576,
+            logLinesPerEvent: 1_000,
+        });
+        const faults = readLogSettings({ TANAGERLINK_LOG_LEVEL: "loud", TANAGERLINK_LOG_BUFFER_BYTES: "1" })
+            ._unsafeUnwrapErr().faults;
+        expect(faults.map(({ flag }) => flag)).to.deep.equal(["--log-level", "--log-buffer-bytes"]);
+    });
 });
--- a/packages/settings/src/readSettings.ts
+++ b/packages/settings/src/readSettings.ts
@@ -25,29 +25,57 @@
 
 type SettingName = keyof Settings;
 
+const logSettingNames = ["logLevel", "logBufferBytes", "logLinesPerEvent"] as const;
+
+/** What decides on the volume of logs. */
+export type LogSettings = Pick<Settings, (typeof logSettingNames)[number]>;
+
 const settingNames = Object.keys(settingsTable) as SettingName[];
 const knownFlags = new Set<string>(settingNames.map(name => settingsTable[name].flag));
 
 /** Reads and checks all settings. Unknown flags are refused; other environment variables are ignored. */
 export function readSettings(flags: OutsideValues, environment: OutsideValues): Result<Settings, SettingsError> {
     const given = normalizeFlags(flags);
-    const faults = unknownFlagFaults(given);
-    const invalid = new Set<SettingName>();
+    const read = readEach(settingNames, given, environment);
+    const faults = [...unknownFlagFaults(given), ...read.faults];
+    const settings = read.values as Settings;
+    const invalid = new Set(read.invalid);
+    faults.push(...brokenRules(settings, invalid).map(rule => faultOf(rule.name, rule.reason)));
+    faults.push(...certificateFaults(settings, invalid).map(fault => faultOf(fault.name, fault.reason)));
+    return faults.length === 0 ? ok(settings) : err(settingsError(faults));
+}
+
+/** Reads the settings of logs alone, for processes that get their other settings elsewhere. */
+export function readLogSettings(environment: OutsideValues): Result<LogSettings, SettingsError> {
+    const { values, faults } = readEach(logSettingNames, new Map(), environment);
+    return faults.length === 0 ? ok(values as LogSettings) : err(settingsError(faults));
+}
+
+interface ReadValues {
+    readonly values: Partial<Record<SettingName, unknown>>;
+    readonly invalid: readonly SettingName[];
+    readonly faults: readonly SettingFault[];
+}
+
+function readEach(
+    names: readonly SettingName[],
+    given: ReadonlyMap<string, unknown>,
+    environment: OutsideValues,
+): ReadValues {
     const values: Partial<Record<SettingName, unknown>> = {};
-    for (const name of settingNames) {
+    const invalid: SettingName[] = [];
+    const faults: SettingFault[] = [];
+    for (const name of names) {
         const parsed = readOne(settingsTable[name], given, environment);
         if (parsed.isErr()) {
-            invalid.add(name);
+            invalid.push(name);
             faults.push(faultOf(name, parsed.error));
         }
         else {
             values[name] = parsed.value;
         }
     }
-    const settings = values as Settings;
-    faults.push(...brokenRules(settings, invalid).map(rule => faultOf(rule.name, rule.reason)));
-    faults.push(...certificateFaults(settings, invalid).map(fault => faultOf(fault.name, fault.reason)));
-    return faults.length === 0 ? ok(settings) : err(settingsError(faults));
+    return { values, invalid, faults };
 }
 
 /** Argument parsers report `--node-id` as `nodeId`, and `--` as an empty list of further arguments. */
--- a/packages/settings/src/settingsTable.ts
+++ b/packages/settings/src/settingsTable.ts
@@ -166,6 +166,18 @@
         schema: oneOf(LOG_LEVELS),
         description: "Lowest level that is logged.",
     }),
+    logBufferBytes: number(
+        "log-buffer-bytes",
+        "bytes",
+        [65_536, 1_048_576, 16_777_216],
+        "Log lines that may wait for their reader; further ones are dropped and counted.",
+    ),
+    logLinesPerEvent: number(
+        "log-lines-per-event",
+        "lines per second",
+        [10, 1_000, 100_000],
+        "Log lines of one event below the level of warnings; further ones are dropped and counted.",
+    ),
     shardLeaseMilliseconds: number(
         "shard-lease-milliseconds",
         "milliseconds",
--- /dev/null
+++ b/packages/site/src/measuredCalls.ts
@@ -0,0 +1,81 @@
+/** Measures the calls of a process to the outside systems: the store, workers and the hint service. */
+import type { OrderOutcome, WorkerPort } from "@tanagerlink/coordinator";
+import type { ServiceError } from "@tanagerlink/errors";
+import type { HintService } from "@tanagerlink/hints";
+import type { RecordStore } from "@tanagerlink/platform";
+import type { Histogram, Metrics } from "@tanagerlink/telemetry";
+import type { Timers } from "@tanagerlink/timers";
+import type { Result } from "neverthrow";
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+export class MeasuredCalls {
+    private readonly timers: Timers;
+    private readonly storeCalls: Histogram;
+    private readonly workerCalls: Histogram;
+    private readonly hintCalls: Histogram;
+
+    constructor(timers: Timers, metrics: Metrics) {
+        this.timers = timers;
+        this.storeCalls = metrics.histogram({
+            name: "tanagerlink_store_call_seconds",
+            help: "Calls to the platform's store that do not wait for changes, by outcome.",
+            labels: ["call", "outcome"],
+        });
+        this.workerCalls = metrics.histogram({
+            name: "tanagerlink_worker_call_seconds",
+            help: "Orders to workers, and reports with their wait for an end, by outcome.",
+            labels: ["call", "outcome"],
+        });
+        this.hintCalls = metrics.histogram({
+            name: "tanagerlink_hint_call_seconds",
+            help: "Calls of this machine to the hint service, by outcome.",
+            labels: ["outcome"],
+        });
+    }
+
+    store(store: RecordStore): RecordStore {
+        return {
+            commit: transaction => this.call(this.storeCalls, "commit", store.commit(transaction)),
+            list: request => this.call(this.storeCalls, "list", store.list(request)),
+            // Long polls last as long as nothing changes.
+            changes: request => store.changes(request),
+        };
+    }
+
+    workers(port: WorkerPort): WorkerPort {
+        return {
+            hold: (worker, order) => this.call(this.workerCalls, "hold", port.hold(worker, order)),
+            start: (worker, order) => this.order("start", port.start(worker, order)),
+            stop: (worker, order) => this.order("stop", port.stop(worker, order)),
+            pace: (worker, order) => this.order("pace", port.pace(worker, order)),
+            release: worker => port.release(worker),
+        };
+    }
+
+    hints(service: HintService): HintService {
+        return { ask: (step, workers) => this.call(this.hintCalls, "ask", service.ask(step, workers)) };
+    }
+
+    private async call<Answer>(
+        histogram: Histogram,
+        call: string,
+        answer: Promise<Result<Answer, ServiceError>>,
+    ): Promise<Result<Answer, ServiceError>> {
+        const startedAt = this.timers.now();
+        const result = await answer;
+        this.observe(histogram, call, startedAt, result.match(() => "ok", error => error.kind));
+        return result;
+    }
+
+    private async order(call: string, answer: Promise<OrderOutcome>): Promise<OrderOutcome> {
+        const startedAt = this.timers.now();
+        const outcome = await answer;
+        this.observe(this.workerCalls, call, startedAt, outcome.kind === "refused" ? outcome.reason : outcome.kind);
+        return outcome;
+    }
+
+    private observe(histogram: Histogram, call: string, startedAt: number, outcome: string): void {
+        histogram.observe((this.timers.now() - startedAt) / MILLISECONDS_PER_SECOND, { call, outcome });
+    }
+}
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -5,6 +5,7 @@
 import {
     CELL_TABLE,
     Coordinator,
+    CoordinatorMetrics,
     decodeOwner,
     Election,
     OWNER_PARTITION,
@@ -16,11 +17,12 @@
 import { askHintMethod, HintDispatcher, type HintService } from "@tanagerlink/hints";
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { RecordChange, RecordStore, StoredRecord } from "@tanagerlink/platform";
-import type { Logger } from "@tanagerlink/telemetry";
+import type { Logger, Metrics } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
 import { err, ok, type Result } from "neverthrow";
 import { type CellConfiguration, policyOf } from "./cellConfiguration.ts";
 import { CellEntry } from "./cellEntry.ts";
+import { MeasuredCalls } from "./measuredCalls.ts";
 import { type FollowHandlers, OwnerFollowers, type WorkerSource } from "./ownerFollowers.ts";
 import { RecordMap } from "./recordMap.ts";
 import { RelayedRecordStore } from "./relayedRecordStore.ts";
@@ -66,6 +68,7 @@
     readonly peers: PeerNetwork;
     readonly timers: Timers;
     readonly logger: Logger;
+    readonly metrics: Metrics;
     readonly leaseMilliseconds: number;
     readonly stopMilliseconds: number;
     readonly retentionMilliseconds: number;
@@ -75,6 +78,9 @@
     readonly entry: CellEntry;
     private readonly options: SiteNodeOptions;
     private readonly store: RelayedRecordStore;
+    private readonly port: WorkerPort;
+    private readonly hints: HintService;
+    private readonly coordinatorMetrics: CoordinatorMetrics;
     private readonly members: SiteMembers;
     private readonly election: Election;
     private readonly hintDispatcher: HintDispatcher;
@@ -90,9 +96,13 @@
     private readonly unreadablePeers = new Set<string>();
 
     constructor(options: SiteNodeOptions) {
-        const { node, peers, timers, logger } = options;
+        const { node, peers, timers, logger, metrics } = options;
         this.options = options;
-        this.store = new RelayedRecordStore({ own: options.store, peers, timers, logger });
+        const calls = new MeasuredCalls(timers, metrics);
+        this.port = calls.workers(options.port);
+        this.hints = calls.hints(options.hints);
+        this.coordinatorMetrics = new CoordinatorMetrics(metrics);
+        this.store = new RelayedRecordStore({ own: calls.store(options.store), peers, timers, logger });
         this.members = new SiteMembers({
             node,
             self: {
@@ -107,7 +117,7 @@
             timers,
             logger,
         });
-        this.hintDispatcher = new HintDispatcher({ node, own: options.hints, peers, timers });
+        this.hintDispatcher = new HintDispatcher({ node, own: this.hints, peers, timers });
         this.entry = new CellEntry({
             store: this.store,
             storeLost: () => this.store.isLost,
@@ -298,7 +308,8 @@
     }
 
     private async own(claim: SeenOwner, former: OwnerRecord | undefined): Promise<void> {
-        const { node, timers, logger, port, leaseMilliseconds, stopMilliseconds, retentionMilliseconds } = this.options;
+        const { port, coordinatorMetrics: metrics } = this;
+        const { node, timers, logger, leaseMilliseconds, stopMilliseconds, retentionMilliseconds } = this.options;
         logger.info({ epoch: claim.record.epoch, former: former?.node }, "cell taken");
         const coordinator = new Coordinator({
             claim,
@@ -307,6 +318,7 @@
             store: this.store,
             timers,
             logger,
+            metrics,
             port,
             hints: this.hintDispatcher,
             renewalMilliseconds: RENEWAL_MILLISECONDS,
@@ -365,7 +377,7 @@
     }
 
     private serveHints(): void {
-        const { peers, hints } = this.options;
-        peers.handle(askHintMethod, ({ step, workers }) => hints.ask(step, workers));
+        const { peers } = this.options;
+        peers.handle(askHintMethod, ({ step, workers }) => this.hints.ask(step, workers));
     }
 }
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -2,8 +2,25 @@
  * Structured logs and metrics. Log fields that may hold secrets are removed before they are written; metrics follow
  * the Prometheus naming rules and are bounded in the number of their series.
  */
+export {
+    BoundedLogOutput,
+    type BoundedLogOutputOptions,
+    defaultLogLimits,
+    DROPPED_EVENT,
+    type LogLimits,
+    type LogStream,
+} from "./boundedLogOutput.ts";
 export { filterFields } from "./fieldFilter.ts";
-export { createLogger, type LogFields, type Logger, type LoggerOptions, LogLevel, silentLogger } from "./logger.ts";
+export {
+    createLogger,
+    type LogFields,
+    type Logger,
+    type LoggerOptions,
+    LogLevel,
+    type LogRecord,
+    type LogSink,
+    silentLogger,
+} from "./logger.ts";
 export {
     type Counter,
     type CounterName,
@@ -14,3 +31,4 @@
     type MetricDefinition,
     Metrics,
 } from "./metrics.ts";
+export { openProcessLog, type ProcessLog, type ProcessLogOptions } from "./processLog.ts";
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -28,6 +28,19 @@
     child(fields: LogFields): Logger;
 }
 
+/** One line before it is encoded. */
+export interface LogRecord {
+    readonly level: number;
+    /** Name of the event. */
+    readonly msg: string;
+    readonly [field: string]: unknown;
+}
+
+/** Takes the lines of a logger in place of a stream. */
+export interface LogSink {
+    write(record: LogRecord): void;
+}
+
 export interface LoggerOptions {
     readonly name: string;
     readonly level: LogLevel;
@@ -35,6 +48,8 @@
     readonly fields?: LogFields;
     /** Where lines are written; standard output by default. */
     readonly stream?: Writable;
+    /** Replaces `stream`. */
+    readonly sink?: LogSink;
 }
 
 class BunyanLogger implements Logger {
@@ -67,10 +82,15 @@
 
 /** Creates the logger of a process. */
 export function createLogger(options: LoggerOptions): Logger {
+    const { level, sink } = options;
+    const output: bunyan.Stream = sink === undefined
+        ? { level, stream: options.stream ?? process.stdout }
+        // The library declares a whole stream, and calls only this method of it.
+        : { level, type: "raw", stream: { write: (record: LogRecord) => sink.write(record) } as unknown as Writable };
     return new BunyanLogger(bunyan.createLogger({
         ...filterFields(options.fields ?? {}),
         name: options.name,
-        streams: [{ level: options.level, stream: options.stream ?? process.stdout }],
+        streams: [output],
     }));
 }
 
--- /dev/null
+++ b/packages/telemetry/src/processLog.ts
@@ -0,0 +1,39 @@
+/** The log of one process: a logger on standard output whose volume and memory are bounded. */
+import type { Timers } from "@tanagerlink/timers";
+import { BoundedLogOutput, type LogLimits, type LogStream } from "./boundedLogOutput.ts";
+import { createLogger, type LogFields, type Logger, type LogLevel } from "./logger.ts";
+import type { Metrics } from "./metrics.ts";
+
+export interface ProcessLogOptions {
+    readonly name: string;
+    readonly level: LogLevel;
+    readonly limits: LogLimits;
+    readonly fields: LogFields;
+    readonly timers: Timers;
+    readonly metrics: Metrics;
+    /** Standard output by default. */
+    readonly stream?: LogStream;
+}
+
+export interface ProcessLog extends Disposable {
+    readonly logger: Logger;
+}
+
+/** Opens the log. Its disposal writes what waits. */
+export function openProcessLog(options: ProcessLogOptions): ProcessLog {
+    const { name, level, limits, fields, timers, metrics } = options;
+    const output = new BoundedLogOutput({
+        stream: options.stream ?? process.stdout,
+        timers,
+        limits,
+        dropped: metrics.counter({
+            name: "tanagerlink_log_lines_dropped_total",
+            help: "Log lines that were dropped, by event.",
+            labels: ["event"],
+        }),
+    });
+    return {
+        logger: createLogger({ name, level, fields, sink: output }),
+        [Symbol.dispose]: () => output[Symbol.dispose](),
+    };
+}
