feat(cli): explain a job from the collected logs of all processes

Cause: an engineer had to search the logs of nine processes by hand and to know which lines of owners, store and workers bear on a job.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,6 +3,7 @@
 import { settingsTable } from "@tanagerlink/settings";
 import { type CAC, cac } from "cac";
 import type { CommandContext, CommandResult } from "./commandContext.ts";
+import type { LogFlags } from "./commands/logCommands.ts";
 import { flagTexts } from "./flagTexts.ts";
 import { AUTHORITY_VARIABLE, KEY_VARIABLE, OPERATOR_VARIABLE, SERVER_VARIABLE } from "./serverClient.ts";
 import { VERSION } from "./version.ts";
@@ -10,6 +11,7 @@
 // A process loads only what its command needs, since memory is dear on small VMs.
 const configurationCommands = () => import("./commands/configurationCommands.ts");
 const jobCommands = () => import("./commands/jobCommands.ts");
+const logCommands = () => import("./commands/logCommands.ts");
 const operatorCommands = () => import("./commands/operatorCommands.ts");
 const serveCommands = () => import("./commands/serveCommand.ts");
 const siteCommands = () => import("./commands/siteCommand.ts");
@@ -114,9 +116,17 @@
     program.command("explain <job>", `Decisions on a job, with reason and file (${KEY_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
         .option("--authority <file>", AUTHORITY_HELP)
+        .option(
+            "--logs <file>",
+            "Explain from the collected logs of all processes instead of a server; - for standard input",
+        )
         .option("--json", JSON_HELP)
         .action(
-            action(async (job: string, flags: object) => (await jobCommands()).explainCommand(context, job, flags)),
+            action(async (job: string, flags: Partial<LogFlags>) =>
+                flags.logs === undefined
+                    ? (await jobCommands()).explainCommand(context, job, flags)
+                    : (await logCommands()).explainFromLogsCommand(context, job, { ...flags, logs: flags.logs })
+            ),
         );
     program.command("dump", `Whole state of one process as JSON (${OPERATOR_VARIABLE})`)
         .option("--server <url>", SERVER_HELP)
