perf(coordinator): look only at steps whose chances have changed

Cause: a round ran after every report and walked all waiting steps and all workers; each 200 ms every open job was checked against every active step. With hundreds of waiting steps the owner fell behind and never caught up.

Change: steps wait for capacity, their team's limit or hints, and a round looks only at those whose obstacle has moved. Held and reserved capacity lasts over rounds and yields to more urgent steps. Workers are grouped by service, free capacity and counts per step are cached, and a round has a time budget.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -22,6 +22,7 @@
 import { CellJobs } from "./cellJobs.ts";
 import type { CellPolicy } from "./cellPolicy.ts";
 import type { CoordinatorMetrics } from "./coordinatorMetrics.ts";
+import type { Obstacle } from "./feasibility.ts";
 import { Fleet } from "./fleet.ts";
 import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE, partitionOf } from "./jobTables.ts";
 import { Journal, PROGRESS_TABLE } from "./journal.ts";
@@ -78,6 +79,10 @@
     private readonly pacing: BestEffortPacing;
     private readonly ticker: Subscription;
     private readonly reportedInfeasible = new WeakSet<JobRun>();
+    /** Open jobs whose occurrences become due over time. */
+    private readonly recurringJobs = new Set<JobRun>();
+    /** Workers that accepted tasks when they last reported. */
+    private readonly acceptingWorkers = new WeakSet<WorkerSession>();
     private policy: CellPolicy | undefined;
     private hasRecovered = false;
     private isStopped = false;
@@ -178,6 +183,9 @@
             this.endJob(job, JobState.Cancelled);
             return;
         }
+        if (job.specification.recurrence !== undefined) {
+            this.recurringJobs.add(job);
+        }
         this.advanceJob(job);
         this.requestRound();
     }
@@ -205,6 +213,7 @@
     setPolicy(policy: CellPolicy): void {
         this.policy = policy;
         this.usage.setRules(policy.teams);
+        this.scheduler.markAllDue();
         this.requestRound();
     }
 
@@ -212,7 +221,6 @@
         for (const session of this.fleet.setWorkers(entries)) {
             this.drainWorker(session);
         }
-        this.requestRound();
     }
 
     /** Stops sending orders and releases ownership of the cell. */
@@ -270,6 +278,7 @@
             task.failedOn.add(attempt.workerId);
         }
         this.journal.recordChange(job);
+        this.scheduler.recordAttemptEnded(attempt, this.fleet.get(attempt.workerId));
         this.advanceJob(job);
         this.requestRound();
     }
@@ -303,6 +312,11 @@
             this.drainWorker(session);
         }
         this.pacing.adjust(session);
+        this.recordAvailability(session, now);
+    }
+
+    onEntryChanged(session: WorkerSession): void {
+        this.scheduler.recordGrowth(session);
         this.requestRound();
     }
 
@@ -336,6 +350,18 @@
         this.scheduler.discardTicket(attempt.task.step, attempt.workerId);
     }
 
+    /** Requests a round if the worker accepts tasks again. Other reports do not change what can be placed. */
+    private recordAvailability(session: WorkerSession, now: number): void {
+        if (!session.canAcceptTasks(now)) {
+            this.acceptingWorkers.delete(session);
+        }
+        else if (!this.acceptingWorkers.has(session)) {
+            this.acceptingWorkers.add(session);
+            this.scheduler.recordGrowth(session);
+            this.requestRound();
+        }
+    }
+
     private handleOwnershipLost(): void {
         if (!this.isStopped) {
             this[Symbol.dispose]();
@@ -369,7 +395,13 @@
             return;
         }
         const job = this.jobs.add(specification.value);
-        if (job === undefined || restored === undefined) {
+        if (job === undefined) {
+            return;
+        }
+        if (job.specification.recurrence !== undefined) {
+            this.recurringJobs.add(job);
+        }
+        if (restored === undefined) {
             return;
         }
         for (const attempt of restoreProgress(job, restored, timers.now())) {
@@ -400,6 +432,8 @@
         job.state = state;
         job.endedAt = timers.now();
         logger.info({ job: job.id, state }, "job ended");
+        this.recurringJobs.delete(job);
+        this.scheduler.deactivate(job);
         for (const task of job.tasks()) {
             if (task.current !== undefined && !task.isDone) {
                 this.fleet.get(task.current.workerId)?.stop(task.current);
@@ -476,13 +510,9 @@
         }
         const { timers, retentionMilliseconds } = this.options;
         const now = timers.now();
-        for (const job of this.jobs.all()) {
-            if (job.isOpen) {
-                if (job.specification.recurrence !== undefined) {
-                    this.scheduler.activate(job);
-                }
-                this.reportInfeasible(job);
-            }
+        this.recurringJobs.forEach(job => this.scheduler.activate(job));
+        for (const { job, obstacle } of this.scheduler.findObstacles()) {
+            this.reportInfeasible(job, obstacle);
         }
         this.jobs.compactEndedJobs();
         const expired = this.jobs.removeExpired(now - retentionMilliseconds);
@@ -493,7 +523,10 @@
             void this.removeJobRecords(expired);
         }
         this.fleet.closeUnusedSessions();
-        this.requestRound();
+        this.scheduler.markRechecks();
+        if (this.scheduler.hasWork) {
+            this.requestRound();
+        }
     }
 
     /** Removes the records of expired jobs. Records left after an error are removed by a later owner. */
@@ -510,8 +543,7 @@
     }
 
     /** Logs once that a job could not start even on empty workers. Callers see the job as queued. */
-    private reportInfeasible(job: JobRun): void {
-        const obstacle = this.scheduler.findObstacle(job);
+    private reportInfeasible(job: JobRun, obstacle: Obstacle | undefined): void {
         if (obstacle === undefined) {
             this.reportedInfeasible.delete(job);
         }
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -9,6 +9,8 @@
 export class Fleet implements Disposable {
     private readonly sessions = new Map<string, WorkerSession>();
     private readonly sessionOptions: Omit<SessionOptions, "entry">;
+    /** Cached until a session is opened, closed or updated. */
+    private services: ReadonlyMap<string, ServiceWorkers> | undefined;
     private isStarted = false;
 
     constructor(sessionOptions: Omit<SessionOptions, "entry">) {
@@ -23,18 +25,18 @@
         return this.sessions.values();
     }
 
-    workersOfService(service: string): WorkerSession[] {
-        return [...this.sessions.values()].filter(({ entry }) => entry.service === service);
+    workersOfService(service: string): readonly WorkerSession[] {
+        return this.serviceOf(service).workers;
     }
 
     /** Total capacity of the listed workers of a service. */
     capacityOf(service: string): Resources {
-        return this.workersOfService(service).filter(({ isListed }) => isListed)
-            .reduce((sum, { entry }) => addResources(sum, entry.capacity), noResources);
+        return this.serviceOf(service).capacity;
     }
 
     /** Updates the sessions from the platform's list. Returns the workers that have started to leave. */
     setWorkers(entries: ReadonlyMap<string, WorkerEntry>): WorkerSession[] {
+        this.services = undefined;
         const leaving: WorkerSession[] = [];
         for (const entry of entries.values()) {
             const session = this.sessions.get(entry.id);
@@ -69,6 +71,7 @@
             if (!session.isListed && session.attemptCount === 0) {
                 session.close();
                 this.sessions.delete(id);
+                this.services = undefined;
             }
         }
     }
@@ -86,9 +89,15 @@
         }
     }
 
+    private serviceOf(service: string): ServiceWorkers {
+        this.services ??= groupByService(this.sessions.values());
+        return this.services.get(service) ?? noWorkers;
+    }
+
     private openSession(entry: WorkerEntry): WorkerSession {
         const session = new WorkerSession({ ...this.sessionOptions, entry });
         this.sessions.set(entry.id, session);
+        this.services = undefined;
         if (this.isStarted) {
             session.startPolling();
         }
@@ -96,6 +105,27 @@
     }
 }
 
+interface ServiceWorkers {
+    readonly workers: readonly WorkerSession[];
+    readonly capacity: Resources;
+}
+
+const noWorkers: ServiceWorkers = { workers: [], capacity: noResources };
+
+function groupByService(sessions: Iterable<WorkerSession>): Map<string, ServiceWorkers> {
+    const services = new Map<string, { workers: WorkerSession[]; capacity: Resources; }>();
+    for (const session of sessions) {
+        const { service, capacity } = session.entry;
+        const group = services.get(service) ?? { workers: [], capacity: noResources };
+        services.set(service, group);
+        group.workers.push(session);
+        if (session.isListed) {
+            group.capacity = addResources(group.capacity, capacity);
+        }
+    }
+    return services;
+}
+
 /** Address of unlisted workers. Nothing listens on the discard port, so every call fails. */
 const UNREACHABLE_ADDRESS = "127.0.0.1:9";
 
--- /dev/null
+++ b/packages/coordinator/src/gangReservations.ts
@@ -0,0 +1,74 @@
+/**
+ * Workers reserved for gangs that have waited long, so that later steps of the same or a lower priority do not occupy
+ * them one by one. Only one gang of a service reserves workers at a time; several waiting gangs would keep all workers
+ * idle.
+ */
+import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
+import type { WaitingStep } from "./waitingSteps.ts";
+import type { WorkerSession } from "./workerSession.ts";
+
+/** Waiting time of a gang before workers are reserved for it. */
+const RESERVATION_DELAY_MILLISECONDS = 2_000;
+
+interface Reservation {
+    readonly holder: WaitingStep;
+    readonly workers: ReadonlySet<WorkerSession>;
+}
+
+export class GangReservations {
+    private readonly byService = new Map<string, Reservation>();
+
+    /** Whether the worker is reserved for a gang that precedes the step. */
+    isReserved(worker: WorkerSession, entry: WaitingStep): boolean {
+        const reservation = this.byService.get(entry.service);
+        return reservation !== undefined && reservation.holder !== entry && reservation.workers.has(worker)
+            && reservation.holder.priority <= entry.priority;
+    }
+
+    /** Reserves the emptiest workers that the gang may use, as many as it needs when they are empty. */
+    reserve(holder: WaitingStep, workers: readonly WorkerSession[], now: number): void {
+        const { step, service, isHinted, hints } = holder;
+        const current = this.byService.get(service);
+        const hasWaitedLong = now - (step.readyAt ?? now) > RESERVATION_DELAY_MILLISECONDS;
+        if (!step.specification.gang || !hasWaitedLong || current !== undefined && current.holder !== holder) {
+            return;
+        }
+        const candidates = workers.filter(worker => !isHinted || hints.isAllowed(worker.id));
+        candidates.sort((left, right) =>
+            right.freeCapacity.accelerators - left.freeCapacity.accelerators
+            || right.freeCapacity.processorMillis - left.freeCapacity.processorMillis
+        );
+        const reserved = new Set<WorkerSession>();
+        let placeable = 0;
+        for (const worker of candidates) {
+            if (placeable >= step.specification.count) {
+                break;
+            }
+            reserved.add(worker);
+            placeable += countPlaceable(holder, worker.entry.capacity);
+        }
+        this.byService.set(service, { holder, workers: reserved });
+    }
+
+    /** Ends the reservation of a step and returns its workers. */
+    release(holder: WaitingStep): readonly WorkerSession[] {
+        const reservation = this.byService.get(holder.service);
+        if (reservation?.holder !== holder) {
+            return [];
+        }
+        this.byService.delete(holder.service);
+        return [...reservation.workers];
+    }
+}
+
+/** Number of the step's tasks that fit on an empty worker. */
+function countPlaceable({ step, taskSize }: WaitingStep, capacity: Resources): number {
+    const { count, maximumPerWorker = count } = step.specification;
+    let freeCapacity = capacity;
+    let placeable = 0;
+    while (placeable < maximumPerWorker && fitsInto(taskSize, freeCapacity)) {
+        freeCapacity = subtractResources(freeCapacity, taskSize);
+        placeable++;
+    }
+    return placeable;
+}
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -1,8 +1,7 @@
 /** Chooses workers for the waiting tasks of one step. */
 import type { StepHints } from "@tanagerlink/hints";
-import { addResources, fitsInto, noResources, type Resources, subtractResources } from "@tanagerlink/model";
+import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
 import type { StepRun, TaskRun } from "@tanagerlink/workflow";
-import { occupiedResources } from "./workerAttempts.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
 /** A task, the worker chosen for it, and the ticket that the start presents, if the queue needs one. */
@@ -19,6 +18,8 @@
      * without free capacity for which no hint is known yet. Empty if no ticket would let a task start now.
      */
     readonly workersWithoutTicket: readonly WorkerSession[];
+    /** Workers that the remaining tasks would use with tickets, one entry for each task. */
+    readonly workersToHold: readonly WorkerSession[];
     /** Whether some tasks could not be placed. */
     readonly isIncomplete: boolean;
 }
@@ -26,14 +27,16 @@
 export interface PlacementRequest {
     readonly step: StepRun;
     readonly tasks: readonly TaskRun[];
+    /** Resources that one of the tasks occupies. */
+    readonly taskSize: Resources;
     /** Workers of the step's service. */
     readonly workers: readonly WorkerSession[];
     readonly evacuated: ReadonlySet<string>;
     readonly hints: StepHints | undefined;
-    /** Workers reserved for a gang that is placed earlier in the order of steps. */
-    readonly reserved: ReadonlySet<WorkerSession>;
-    /** Capacity that earlier steps of the round use as soon as they have tickets. */
-    readonly heldCapacity: HeldCapacity;
+    /** Whether the worker is reserved for a gang that precedes the step. */
+    readonly isReserved: (worker: WorkerSession) => boolean;
+    /** Free capacity of a worker less what is held for other steps. */
+    readonly freeCapacityOf: (worker: WorkerSession) => Resources;
     readonly now: number;
     /** Adds a task, or a whole gang, to the team's usage. Returns false if this would exceed the team's limit. */
     readonly acquireTeamCapacity: () => boolean;
@@ -65,32 +68,18 @@
         && (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel));
 }
 
-/** Capacity held during one round for steps that wait for tickets. */
-export class HeldCapacity {
-    private readonly sizes = new Map<WorkerSession, Resources>();
-
-    hold(worker: WorkerSession, size: Resources): void {
-        this.sizes.set(worker, addResources(this.sizes.get(worker) ?? noResources, size));
-    }
-
-    freeCapacityOf(worker: WorkerSession): Resources {
-        const held = this.sizes.get(worker);
-        return held === undefined ? worker.freeCapacity : subtractResources(worker.freeCapacity, held);
-    }
-}
-
 /** Places as many tasks as possible, or a gang as a whole. */
 export function placeTasks(request: PlacementRequest): PlacementResult {
-    const { step, workers, evacuated, hints, reserved, now } = request;
+    const { step, taskSize, workers, evacuated, hints, now } = request;
     const candidates: Candidate[] = [];
     const withoutTicket: Candidate[] = [];
     const withoutHint: WorkerSession[] = [];
     for (const worker of workers) {
-        if (!isEligible(step, worker, evacuated, now) || reserved.has(worker)) {
+        if (!isEligible(step, worker, evacuated, now) || request.isReserved(worker)) {
             continue;
         }
-        const freeCapacity = request.heldCapacity.freeCapacityOf(worker);
-        if (!fitsInto(occupiedResources(step), freeCapacity)) {
+        const freeCapacity = request.freeCapacityOf(worker);
+        if (!fitsInto(taskSize, freeCapacity)) {
             if (hints?.isUnknown(worker.id) === true) {
                 withoutHint.push(worker);
             }
@@ -108,47 +97,47 @@
         ? placeGang(request, candidates)
         : placeIndividually(request, candidates);
     const isIncomplete = chosen.length < request.tasks.length;
-    const canTicketsHelp = isIncomplete && holdCapacityForRemaining(request, chosen.length, candidates, withoutTicket);
+    const workersToHold = isIncomplete
+        ? chooseWorkersForRemaining(request, chosen.length, candidates, withoutTicket)
+        : [];
     withoutTicket.sort((left, right) => costOf(step, undefined, left) - costOf(step, undefined, right));
     return {
         placements: chosen,
-        workersWithoutTicket: canTicketsHelp ? [...withoutTicket.map(({ worker }) => worker), ...withoutHint] : [],
+        workersWithoutTicket: workersToHold.length > 0
+            ? [...withoutTicket.map(({ worker }) => worker), ...withoutHint]
+            : [],
+        workersToHold,
         isIncomplete,
     };
 }
 
-/**
- * Holds the capacity that the remaining tasks would use with tickets, so that later steps neither use it nor make
- * hint calls for it. Returns whether any of the remaining tasks could start with tickets.
- */
-function holdCapacityForRemaining(
+/** Chooses the workers that the remaining tasks would use with tickets; none if tickets let no task start. */
+function chooseWorkersForRemaining(
     request: PlacementRequest,
     placedCount: number,
     candidates: readonly Candidate[],
     withoutTicket: readonly Candidate[],
-): boolean {
+): WorkerSession[] {
     if (withoutTicket.length === 0) {
-        return false;
+        return [];
     }
-    const tasks = request.tasks.slice(placedCount);
+    const remaining = { ...request, tasks: request.tasks.slice(placedCount) };
     const copies = [...candidates, ...withoutTicket].map(candidate => ({ ...candidate }));
-    const remaining = { ...request, tasks };
     const chosen = request.step.specification.gang
         ? chooseWorkersForAll(remaining, copies)
         : chooseWorkers(remaining, copies);
-    chosen?.forEach(([, { worker }]) => request.heldCapacity.hold(worker, occupiedResources(request.step)));
-    return (chosen?.length ?? 0) > 0;
+    return chosen?.map(([, { worker }]) => worker) ?? [];
 }
 
 /** Chooses workers for as many tasks as possible. */
 function chooseWorkers(request: PlacementRequest, candidates: Candidate[]): [TaskRun, Candidate][] {
     const chosen: [TaskRun, Candidate][] = [];
     for (const task of request.tasks) {
-        const candidate = chooseBestCandidate(request.step, task, candidates);
+        const candidate = chooseBestCandidate(request, task, candidates);
         if (candidate === undefined) {
             break;
         }
-        consumeCapacity(request.step, candidate);
+        consumeCapacity(request, candidate);
         chosen.push([task, candidate]);
     }
     return chosen;
@@ -157,7 +146,7 @@
 function placeIndividually(request: PlacementRequest, candidates: Candidate[]): Placement[] {
     const placements: Placement[] = [];
     for (const task of request.tasks) {
-        const candidate = chooseBestCandidate(request.step, task, candidates);
+        const candidate = chooseBestCandidate(request, task, candidates);
         if (candidate === undefined || !request.acquireTeamCapacity()) {
             break;
         }
@@ -199,7 +188,7 @@
 }
 
 function placeTask(request: PlacementRequest, task: TaskRun, candidate: Candidate): Placement {
-    consumeCapacity(request.step, candidate);
+    consumeCapacity(request, candidate);
     return createPlacement(request, task, candidate);
 }
 
@@ -207,18 +196,22 @@
     return { task, worker, ticket: hints?.ticket({ id: worker.id, boot: worker.currentBoot }, now) };
 }
 
-function consumeCapacity(step: StepRun, candidate: Candidate): void {
-    candidate.freeCapacity = subtractResources(candidate.freeCapacity, occupiedResources(step));
+function consumeCapacity({ taskSize }: PlacementRequest, candidate: Candidate): void {
+    candidate.freeCapacity = subtractResources(candidate.freeCapacity, taskSize);
     candidate.stepTaskCount++;
 }
 
-function chooseBestCandidate(step: StepRun, task: TaskRun, candidates: readonly Candidate[]): Candidate | undefined {
+function chooseBestCandidate(
+    { step, taskSize }: PlacementRequest,
+    task: TaskRun,
+    candidates: readonly Candidate[],
+): Candidate | undefined {
     const { maximumPerWorker } = step.specification;
     let chosen: Candidate | undefined;
     let lowestCost = Infinity;
     for (const candidate of candidates) {
         const isBelowMaximum = maximumPerWorker === undefined || candidate.stepTaskCount < maximumPerWorker;
-        if (isBelowMaximum && fitsInto(occupiedResources(step), candidate.freeCapacity)) {
+        if (isBelowMaximum && fitsInto(taskSize, candidate.freeCapacity)) {
             const cost = costOf(step, task, candidate);
             if (cost < lowestCost) {
                 lowestCost = cost;
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -1,16 +1,19 @@
 /** Decides in rounds which waiting tasks start on which workers, and for which steps hint calls are made. */
-import { type HintDispatcher, StepHints } from "@tanagerlink/hints";
-import { multiplyResources, type Resources } from "@tanagerlink/model";
+import type { HintDispatcher } from "@tanagerlink/hints";
+import { multiplyResources } from "@tanagerlink/model";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
-import { Attempt, type JobRun, JobState, type StepRun, type TaskRun } from "@tanagerlink/workflow";
+import { Attempt, type JobRun, JobState, type StepRun } from "@tanagerlink/workflow";
 import type { CellPolicy, QueueRule } from "./cellPolicy.ts";
 import type { CoordinatorMetrics } from "./coordinatorMetrics.ts";
 import { findObstacle, type Obstacle } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
-import { HeldCapacity, type Placement, type PlacementResult, placeTasks } from "./placement.ts";
+import { GangReservations } from "./gangReservations.ts";
+import { HeldCapacity } from "./heldCapacity.ts";
+import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
 import type { TeamUsage } from "./teamUsage.ts";
-import { WaitReason, WaitTimes } from "./waitTimes.ts";
+import { type WaitingStep, WaitingSteps } from "./waitingSteps.ts";
+import { WaitReason } from "./waitTimes.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
 /** A hint call names more workers than needed, since a second call costs more than further names in one. */
@@ -20,8 +23,10 @@
 const MAXIMUM_WORKERS_PER_HINT_CALL = 100;
 /** Delay of the next hint call of a step after a failed one. */
 const HINT_RETRY_DELAY_MILLISECONDS = 300;
-/** Waiting time of a gang before workers are reserved for it. */
-const GANG_RESERVATION_DELAY_MILLISECONDS = 2_000;
+/** A round that has taken this long continues after pending input has been processed. */
+const ROUND_BUDGET_MILLISECONDS = 10;
+/** Waiting time of a step before it is checked whether it could start on empty workers, and between such checks. */
+const FEASIBILITY_CHECK_INTERVAL_MILLISECONDS = 2_000;
 
 export interface SchedulerOptions {
     readonly timers: Timers;
@@ -46,9 +51,10 @@
 
 export class Scheduler {
     private readonly options: SchedulerOptions;
-    private readonly activeSteps = new Set<StepRun>();
-    private readonly hintsByStep = new WeakMap<StepRun, StepHints>();
-    private readonly waitTimesByStep = new WeakMap<StepRun, WaitTimes>();
+    private readonly steps = new WaitingSteps();
+    private readonly heldCapacity = new HeldCapacity();
+    private readonly reservations = new GangReservations();
+    private readonly feasibilityCheckedAt = new WeakMap<WaitingStep, number>();
 
     constructor(options: SchedulerOptions) {
         this.options = options;
@@ -59,145 +65,245 @@
         const { timers } = this.options;
         for (const step of job.readySteps(timers.wallClock())) {
             step.readyAt ??= timers.now();
-            this.activeSteps.add(step);
+            this.steps.add(step);
+        }
+    }
+
+    /** Removes the steps of a job that has ended. */
+    deactivate(job: JobRun): void {
+        for (const { steps } of job.occurrences) {
+            for (const step of steps) {
+                const entry = this.steps.get(step);
+                if (entry !== undefined) {
+                    this.releaseCapacity(entry);
+                    this.steps.remove(entry);
+                }
+            }
         }
     }
 
     get activeStepCount(): number {
-        return this.activeSteps.size;
+        return this.steps.size;
+    }
+
+    /** Whether a round has anything to look at. */
+    get hasWork(): boolean {
+        return this.steps.hasWork;
     }
 
     /** Discards a ticket that a worker has rejected. */
     discardTicket(step: StepRun, worker: string): void {
-        this.hintsByStep.get(step)?.discardTicket(worker);
+        this.steps.get(step)?.hints.discardTicket(worker);
     }
 
-    /** The reason why a waiting step of the job could not start even on empty workers, as far as known. */
-    findObstacle(job: JobRun): Obstacle | undefined {
-        const { fleet, usage } = this.options;
-        const policy = this.options.policy();
-        const steps = [...this.activeSteps].filter(step => step.job === job && step.waitingTasks().length > 0);
-        if (policy === undefined || steps.length === 0) {
-            return undefined;
+    /** Records that an attempt has ended: its step may wait again, and its capacity is free. */
+    recordAttemptEnded({ task }: Attempt, worker: WorkerSession | undefined): void {
+        const entry = this.steps.get(task.step);
+        if (entry !== undefined) {
+            this.steps.markDue(entry);
         }
-        const { service } = queueRuleOf(job, policy);
-        const workers = fleet.workersOfService(service).filter(({ isListed }) => isListed);
-        const fitsLimit = (size: Resources): boolean => usage.fitsLimit(job.specification.team, size);
-        for (const step of steps) {
-            const obstacle = findObstacle(step, workers, this.hintsByStep.get(step), fitsLimit);
-            if (obstacle !== undefined) {
-                return obstacle;
+        if (worker !== undefined) {
+            this.steps.recordGrowth(worker);
+        }
+        this.steps.recordRelease(task.step.job.specification.team);
+    }
+
+    /** Records that a worker has more free capacity or accepts tasks again. */
+    recordGrowth(worker: WorkerSession): void {
+        this.steps.recordGrowth(worker);
+    }
+
+    /** Lets the next round look at all steps, after a change of the policy. */
+    markAllDue(): void {
+        this.steps.markAllDue();
+    }
+
+    /** Lets the next round look at the steps whose recheck is due. */
+    markRechecks(): void {
+        this.steps.markRechecks(this.options.timers.now());
+    }
+
+    /** The steps that have waited long and could not start even on empty workers, as far as known. */
+    findObstacles(): { readonly job: JobRun; readonly obstacle: Obstacle | undefined; }[] {
+        const now = this.options.timers.now();
+        const found: { readonly job: JobRun; readonly obstacle: Obstacle | undefined; }[] = [];
+        for (const entry of this.steps.all()) {
+            const checkedAt = this.feasibilityCheckedAt.get(entry) ?? entry.step.readyAt ?? now;
+            if (entry.blockedBy !== undefined && now - checkedAt >= FEASIBILITY_CHECK_INTERVAL_MILLISECONDS) {
+                this.feasibilityCheckedAt.set(entry, now);
+                found.push({ job: entry.step.job, obstacle: this.findObstacle(entry) });
             }
         }
-        return undefined;
+        return found;
     }
 
-    /** Runs one round over all active steps. */
+    /** Looks at the steps whose chances have changed, and places as many of their tasks as possible. */
     runRound(): void {
         const policy = this.options.policy();
         if (policy === undefined) {
             return;
         }
-        const reserved = new Set<WorkerSession>();
-        const heldCapacity = new HeldCapacity();
+        const { timers } = this.options;
+        const startedAt = timers.now();
+        const due = this.steps.takeDue(
+            startedAt,
+            (worker, entry) => this.heldCapacity.freeCapacityFor(worker, entry),
+        );
         const placed: PlacedAttempt[] = [];
-        for (const step of this.orderActiveSteps(policy)) {
-            const tasks = step.waitingTasks();
-            if (tasks.length > 0) {
-                placed.push(...this.placeStep(step, tasks, policy, reserved, heldCapacity));
+        for (const entry of this.orderSteps(due, policy)) {
+            if (timers.now() - startedAt > ROUND_BUDGET_MILLISECONDS) {
+                this.steps.markDue(entry);
+            }
+            else {
+                placed.push(...this.placeStep(entry, policy));
             }
         }
         if (placed.length > 0) {
             this.options.startAttempts(placed);
         }
+        if (this.steps.hasWork) {
+            this.options.requestRound();
+        }
+    }
+
+    private findObstacle({ step, hints, service }: WaitingStep): Obstacle | undefined {
+        const { fleet, usage } = this.options;
+        const workers = fleet.workersOfService(service).filter(({ isListed }) => isListed);
+        return findObstacle(step, workers, hints, size => usage.fitsLimit(step.job.specification.team, size));
     }
 
     /**
      * Removes the steps that are done or whose jobs have ended. Returns the others by priority, then by the weighted
      * dominant share of their team, then by age.
      */
-    private orderActiveSteps(policy: CellPolicy): StepRun[] {
+    private orderSteps(due: readonly WaitingStep[], policy: CellPolicy): WaitingStep[] {
         const { fleet, usage } = this.options;
-        const ordered: { readonly step: StepRun; readonly priority: number; readonly share: number; }[] = [];
+        const ordered: { readonly entry: WaitingStep; readonly share: number; }[] = [];
         const shares = new Map<string, number>();
-        for (const step of this.activeSteps) {
-            const { job } = step;
-            if (!job.isOpen || step.isDone) {
-                this.activeSteps.delete(step);
+        for (const entry of due) {
+            const { step } = entry;
+            if (!step.job.isOpen || step.isDone) {
+                this.releaseCapacity(entry);
+                this.steps.remove(entry);
                 continue;
             }
-            const { team, service } = job.specification;
-            const key = `${team ?? ""}/${service}`;
-            const share = shares.get(key) ?? usage.weightedDominantShare(team, fleet.capacityOf(service));
+            this.applyRule(entry, policy);
+            const { team } = step.job.specification;
+            const key = `${team ?? ""}/${entry.service}`;
+            const share = shares.get(key) ?? usage.weightedDominantShare(team, fleet.capacityOf(entry.service));
             shares.set(key, share);
-            ordered.push({ step, priority: queueRuleOf(job, policy).priority, share });
+            ordered.push({ entry, share });
         }
         ordered.sort((left, right) =>
-            left.priority - right.priority || left.share - right.share
-            || (left.step.readyAt ?? 0) - (right.step.readyAt ?? 0)
-            || left.step.job.sequence - right.step.job.sequence
+            left.entry.priority - right.entry.priority || left.share - right.share
+            || (left.entry.step.readyAt ?? 0) - (right.entry.step.readyAt ?? 0)
+            || left.entry.step.job.sequence - right.entry.step.job.sequence
         );
-        return ordered.map(({ step }) => step);
+        return ordered.map(({ entry }) => entry);
     }
 
-    private placeStep(
-        step: StepRun,
-        tasks: readonly TaskRun[],
-        policy: CellPolicy,
-        reserved: Set<WorkerSession>,
-        heldCapacity: HeldCapacity,
-    ): PlacedAttempt[] {
+    private applyRule(entry: WaitingStep, policy: CellPolicy): void {
+        const rule = queueRuleOf(entry.step.job, policy);
+        if (rule.service !== entry.service) {
+            this.releaseCapacity(entry);
+            this.steps.unblock(entry);
+        }
+        entry.priority = rule.priority;
+        entry.service = rule.service;
+        entry.isHinted = rule.hinted;
+    }
+
+    /** Releases the capacity that is held or reserved for a step, for which other steps may wait. */
+    private releaseCapacity(entry: WaitingStep): void {
+        for (const workers of [this.heldCapacity.release(entry), this.reservations.release(entry)]) {
+            workers.forEach(worker => this.steps.recordGrowth(worker));
+        }
+    }
+
+    private placeStep(entry: WaitingStep, policy: CellPolicy): PlacedAttempt[] {
         const { fleet, usage, timers } = this.options;
-        const { job, specification } = step;
-        const { team } = job.specification;
-        const rule = queueRuleOf(job, policy);
+        const { step } = entry;
+        const tasks = step.waitingTasks();
+        if (tasks.length === 0) {
+            this.releaseCapacity(entry);
+            this.steps.unblock(entry);
+            return [];
+        }
+        const { team } = step.job.specification;
         const now = timers.now();
-        const unitSize = specification.gang
-            ? multiplyResources(specification.size, tasks.length)
-            : specification.size;
+        const unitSize = step.specification.gang
+            ? multiplyResources(step.specification.size, tasks.length)
+            : step.specification.size;
         if (!usage.allows(team, unitSize)) {
-            this.waitTimesOf(step).startWait(WaitReason.Limit, now);
+            this.releaseCapacity(entry);
+            entry.waitTimes.startWait(WaitReason.Limit, now);
+            this.steps.block(entry, WaitReason.Limit, now);
             return [];
         }
-        const hints = rule.hinted ? this.hintsOf(step) : undefined;
-        const workers = fleet.workersOfService(rule.service);
+        const formerlyHeld = this.heldCapacity.release(entry);
+        const workers = fleet.workersOfService(entry.service);
+        let isLimitReached = false;
         const result = placeTasks({
             step,
             tasks,
+            taskSize: entry.taskSize,
             workers,
             evacuated: policy.evacuated,
-            hints,
-            reserved,
-            heldCapacity,
+            hints: entry.isHinted ? entry.hints : undefined,
+            isReserved: worker => this.reservations.isReserved(worker, entry),
+            freeCapacityOf: worker => this.heldCapacity.freeCapacityFor(worker, entry),
             now,
             acquireTeamCapacity: () => {
                 const allowed = usage.allows(team, unitSize);
                 if (allowed) {
                     usage.add(team, unitSize);
                 }
+                isLimitReached ||= !allowed;
                 return allowed;
             },
         });
+        const workersToHold = isLimitReached ? [] : result.workersToHold;
+        this.heldCapacity.hold(entry, workersToHold);
+        for (const worker of formerlyHeld) {
+            if (!workersToHold.includes(worker)) {
+                this.steps.recordGrowth(worker);
+            }
+        }
+        const attempts = this.createAttempts(entry, result.placements);
         if (result.isIncomplete) {
-            const lacksTickets = hints?.isRequestPending === true || result.workersWithoutTicket.length > 0;
-            this.waitTimesOf(step).startWait(lacksTickets ? WaitReason.Hints : WaitReason.Capacity, now);
+            this.waitForChange(entry, policy, result, isLimitReached);
         }
-        if (result.isIncomplete && hints !== undefined) {
-            this.requestHints(step, rule, hints, result);
+        else {
+            this.reservations.release(entry).forEach(worker => this.steps.recordGrowth(worker));
+            this.steps.unblock(entry);
         }
-        // Only one gang of a service reserves workers at a time; several waiting gangs would keep all workers idle.
-        const canReserve = specification.gang && !workers.some(worker => reserved.has(worker));
-        if (result.isIncomplete && canReserve && now - (step.readyAt ?? now) > GANG_RESERVATION_DELAY_MILLISECONDS) {
-            this.reserveWorkersForGang(step, workers, hints, reserved);
+        return attempts;
+    }
+
+    /** Lets a step that could not be placed completely wait for what it lacks. */
+    private waitForChange(
+        entry: WaitingStep,
+        policy: CellPolicy,
+        result: PlacementResult,
+        isLimitReached: boolean,
+    ): void {
+        const { fleet, timers } = this.options;
+        const now = timers.now();
+        if (entry.isHinted && !isLimitReached) {
+            this.requestHints(entry, queueRuleOf(entry.step.job, policy), result);
         }
-        return this.createAttempts(step, result.placements);
+        const lacksTickets = entry.hints.isRequestPending || result.workersWithoutTicket.length > 0;
+        const reason = lacksTickets ? WaitReason.Hints : WaitReason.Capacity;
+        entry.waitTimes.startWait(isLimitReached ? WaitReason.Limit : reason, now);
+        this.steps.block(entry, isLimitReached ? WaitReason.Limit : reason, now);
+        this.reservations.reserve(entry, fleet.workersOfService(entry.service), now);
     }
 
-    private createAttempts(step: StepRun, placements: readonly Placement[]): PlacedAttempt[] {
+    private createAttempts({ step, waitTimes }: WaitingStep, placements: readonly Placement[]): PlacedAttempt[] {
         const { timers, logger, metrics } = this.options;
         const now = timers.now();
         if (placements.length > 0) {
-            const waitedMilliseconds = this.waitTimesOf(step).endWait(now);
+            const waitedMilliseconds = waitTimes.endWait(now);
             const left = step.waitingTasks().length - placements.length;
             logger.info(
                 { step: step.name, starts: placements.length, left, waitedMilliseconds },
@@ -219,35 +325,9 @@
         });
     }
 
-    /** Reserves the emptiest workers that the gang may use, so that later steps of the round do not occupy them. */
-    private reserveWorkersForGang(
-        step: StepRun,
-        workers: readonly WorkerSession[],
-        hints: StepHints | undefined,
-        reserved: Set<WorkerSession>,
-    ): void {
-        const candidates = workers.filter(worker => hints === undefined || hints.isAllowed(worker.id));
-        candidates.sort((left, right) =>
-            right.freeCapacity.accelerators - left.freeCapacity.accelerators
-            || right.freeCapacity.processorMillis - left.freeCapacity.processorMillis
-        );
-        candidates.slice(0, step.specification.count).forEach(worker => reserved.add(worker));
-    }
-
-    private waitTimesOf(step: StepRun): WaitTimes {
-        const waitTimes = this.waitTimesByStep.get(step) ?? new WaitTimes();
-        this.waitTimesByStep.set(step, waitTimes);
-        return waitTimes;
-    }
-
-    private hintsOf(step: StepRun): StepHints {
-        const hints = this.hintsByStep.get(step) ?? new StepHints();
-        this.hintsByStep.set(step, hints);
-        return hints;
-    }
-
-    private requestHints(step: StepRun, rule: QueueRule, hints: StepHints, result: PlacementResult): void {
+    private requestHints(entry: WaitingStep, rule: QueueRule, result: PlacementResult): void {
         const { timers, logger, requestRound } = this.options;
+        const { step, hints } = entry;
         if (hints.isRequestPending || timers.now() < hints.retryAt || result.workersWithoutTicket.length === 0) {
             return;
         }
@@ -271,6 +351,7 @@
             hints.isRequestPending = false;
             if (response.isErr()) {
                 hints.retryAt = timers.now() + HINT_RETRY_DELAY_MILLISECONDS;
+                entry.recheckAt = hints.retryAt;
                 logger.info({ step: step.name, error: response.error.kind }, "hint call failed");
                 return;
             }
@@ -284,6 +365,7 @@
                 },
                 "placement hints received",
             );
+            this.steps.markDue(entry);
             requestRound();
         });
     }
--- a/packages/coordinator/src/sessionOwner.ts
+++ b/packages/coordinator/src/sessionOwner.ts
@@ -12,6 +12,8 @@
     /** The worker runs an attempt that the owner has not recorded on it. */
     onUnexpectedAttempt(session: WorkerSession, report: RunningReport): void;
     onReport(session: WorkerSession): void;
+    /** The capacity, labels or location of the worker have changed. */
+    onEntryChanged(session: WorkerSession): void;
     /** Resolves to true when all changes so far are stored, or to false when ownership is lost first. */
     waitUntilStored(): Promise<boolean>;
     /** Whether leases may be renewed, which requires a recent confirmation of ownership. */
--- a/packages/coordinator/src/workerAttempts.ts
+++ b/packages/coordinator/src/workerAttempts.ts
@@ -4,6 +4,8 @@
 
 export class WorkerAttempts {
     private readonly attempts = new Map<string, Attempt>();
+    private readonly taskCounts = new Map<StepRun, number>();
+    private latencySensitiveCount = 0;
     private used: Resources = noResources;
 
     get size(): number {
@@ -26,6 +28,7 @@
     add(attempt: Attempt): void {
         this.attempts.set(attemptKey(attempt.task.name, attempt.number), attempt);
         this.used = addResources(this.used, occupiedResources(attempt.task.step));
+        this.count(attempt, 1);
     }
 
     /** Removes an attempt and releases its resources. Returns false if the attempt is unknown. */
@@ -33,26 +36,29 @@
         const removed = this.attempts.delete(attemptKey(attempt.task.name, attempt.number));
         if (removed) {
             this.used = subtractResources(this.used, occupiedResources(attempt.task.step));
+            this.count(attempt, -1);
         }
         return removed;
     }
 
     countTasksOf(step: StepRun): number {
-        let count = 0;
-        for (const attempt of this.attempts.values()) {
-            count += attempt.task.step === step ? 1 : 0;
-        }
-        return count;
+        return this.taskCounts.get(step) ?? 0;
     }
 
     /** Whether an attempt belongs to a task with a latency target. */
     get hasLatencySensitiveTask(): boolean {
-        for (const { task } of this.attempts.values()) {
-            if (task.step.specification.targetMilliseconds !== undefined) {
-                return true;
-            }
+        return this.latencySensitiveCount > 0;
+    }
+
+    private count({ task: { step } }: Attempt, change: number): void {
+        const count = this.countTasksOf(step) + change;
+        if (count === 0) {
+            this.taskCounts.delete(step);
+        }
+        else {
+            this.taskCounts.set(step, count);
         }
-        return false;
+        this.latencySensitiveCount += step.specification.targetMilliseconds === undefined ? 0 : change;
     }
 }
 
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -53,7 +53,11 @@
     /** Last end number that the worker has received as acknowledgement. */
     private acknowledgedEndNumber = 0;
     private isClosed = false;
-    private wakeController = new AbortController();
+    /** Ends the current wait of an idle poll loop. */
+    private endWait: (() => void) | undefined;
+    private isWakeUpPending = false;
+    /** Cached until the capacity or the attempts change. */
+    private cachedFreeCapacity: Resources | undefined;
     private readonly stopsInFlight = new Set<Attempt>();
 
     constructor(options: SessionOptions) {
@@ -81,7 +85,8 @@
 
     /** Capacity that is not occupied by attempts. */
     get freeCapacity(): Resources {
-        return subtractResources(this.entry.capacity, this.attempts.usedResources);
+        this.cachedFreeCapacity ??= subtractResources(this.entry.capacity, this.attempts.usedResources);
+        return this.cachedFreeCapacity;
     }
 
     /** Whether the worker may get new tasks. */
@@ -102,6 +107,7 @@
 
     /** Adds an attempt, which occupies capacity until it has ended. */
     addAttempt(attempt: Attempt): void {
+        this.cachedFreeCapacity = undefined;
         this.attempts.add(attempt);
     }
 
@@ -111,14 +117,19 @@
 
     close(): void {
         this.isClosed = true;
-        this.wakeController.abort();
+        this.wakeUp();
     }
 
     /** Updates the worker's entry from the platform's list. */
     updateEntry(entry: WorkerEntry): void {
         const hasRestarted = entry.boot > this.bootTime;
+        const hasChanged = entry !== this.entry || !this.isListed;
         this.entry = entry;
         this.isListed = true;
+        if (hasChanged) {
+            this.cachedFreeCapacity = undefined;
+            this.options.owner.onEntryChanged(this);
+        }
         if (hasRestarted) {
             // The new incarnation has another clock and does not know the epoch.
             this.isFenced = false;
@@ -266,15 +277,16 @@
     }
 
     private wakeUp(): void {
-        this.wakeController.abort();
+        this.isWakeUpPending = true;
+        this.endWait?.();
     }
 
     private async waitForWakeUp(): Promise<void> {
-        const { signal } = this.wakeController;
-        if (!signal.aborted) {
-            await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
+        if (!this.isWakeUpPending) {
+            await new Promise<void>(resolve => this.endWait = resolve);
         }
-        this.wakeController = new AbortController();
+        this.endWait = undefined;
+        this.isWakeUpPending = false;
     }
 
     /** Fetches and applies one report. */
@@ -311,10 +323,12 @@
         if (!this.isReachable || !this.isFenced || this.attempts.size === 0) {
             return 0;
         }
-        const mustReconcile = [...this.attempts.all()].some(attempt =>
-            attempt.status === AttemptStatus.Stopping || attempt.status === AttemptStatus.Unsettled
-        );
-        return mustReconcile ? RECONCILIATION_WAIT_MILLISECONDS : REPORT_WAIT_MILLISECONDS;
+        for (const { status } of this.attempts.all()) {
+            if (status === AttemptStatus.Stopping || status === AttemptStatus.Unsettled) {
+                return RECONCILIATION_WAIT_MILLISECONDS;
+            }
+        }
+        return REPORT_WAIT_MILLISECONDS;
     }
 
     private async handleReportFailure(error: ServiceError): Promise<void> {
@@ -451,6 +465,7 @@
     }
 
     private endAttempt(attempt: Attempt, kind: EndKind, checkpoint: string): void {
+        this.cachedFreeCapacity = undefined;
         if (this.attempts.remove(attempt)) {
             attempt.setStatus(AttemptStatus.Ended, this.options.timers.now());
             this.options.owner.onAttemptEnded(attempt, kind, checkpoint);
