--- a/packages/coordinator/src/cellJobs.ts
+++ b/packages/coordinator/src/cellJobs.ts
@@ -13,6 +13,8 @@
 export class CellJobs {
     private readonly jobs = new Map<string, JobRun>();
     private readonly endedJobs = new Map<string, EndedJob>();
+    /** Ended jobs of which more than the state is still needed. */
+    private readonly endingJobs = new Set<JobRun>();
     /** Cancellations that arrived before their job. */
     private readonly earlyCancellations = new Set<string>();
     private readonly timers: Timers;
@@ -83,14 +85,20 @@
         return count;
     }
 
+    /** Records that a job has ended, so that it is dropped once nothing of it is live. */
+    recordEnd(job: JobRun): void {
+        this.endingJobs.add(job);
+    }
+
     /** Drops all but the state of ended jobs whose state is stored and that have no live attempts. */
     compactEndedJobs(): void {
-        for (const [id, job] of this.jobs) {
-            const { endedAt, state } = job;
+        for (const job of this.endingJobs) {
+            const { id, endedAt, state } = job;
             if (
                 endedAt !== undefined && job.storedState === state
                 && [...job.tasks()].every(task => task.current === undefined)
             ) {
+                this.endingJobs.delete(job);
                 this.jobs.delete(id);
                 this.endedJobs.set(id, { state, endedAt });
             }
@@ -99,8 +107,13 @@
 
     /** Removes the jobs that ended before the given time and returns their identifiers. */
     removeExpired(endedBefore: number): string[] {
-        const expired = [...this.endedJobs].filter(([, { endedAt }]) => endedAt < endedBefore).map(([id]) => id);
-        expired.forEach(id => this.endedJobs.delete(id));
+        const expired: string[] = [];
+        for (const [id, { endedAt }] of this.endedJobs) {
+            if (endedAt < endedBefore) {
+                expired.push(id);
+                this.endedJobs.delete(id);
+            }
+        }
         return expired;
     }
 }
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -201,6 +201,11 @@
         }
     }
 
+    /** Whether the job has been accepted by this owner or was read from its record. */
+    isKnown(id: string): boolean {
+        return this.jobs.get(id) !== undefined || this.jobs.isEnded(id);
+    }
+
     /** State of a job as shown to callers; `undefined` if the job is unknown. */
     jobState(id: string): JobState | undefined {
         return this.jobs.visibleState(id);
@@ -404,7 +409,11 @@
         if (restored === undefined) {
             return;
         }
-        for (const attempt of restoreProgress(job, restored, timers.now())) {
+        const liveAttempts = restoreProgress(job, restored, timers.now());
+        if (!job.isOpen) {
+            this.jobs.recordEnd(job);
+        }
+        for (const attempt of liveAttempts) {
             this.usage.add(job.specification.team, attempt.task.size);
             this.fleet.restoreAttempt(attempt);
         }
@@ -432,6 +441,7 @@
         job.state = state;
         job.endedAt = timers.now();
         logger.info({ job: job.id, state }, "job ended");
+        this.jobs.recordEnd(job);
         this.recurringJobs.delete(job);
         this.scheduler.deactivate(job);
         for (const task of job.tasks()) {
--- a/packages/hints/src/hintDispatcher.ts
+++ b/packages/hints/src/hintDispatcher.ts
@@ -60,18 +60,24 @@
 
     request(call: HintCall): Promise<Result<HintResponse, ServiceError>> {
         return new Promise(resolve => {
-            this.waitingCalls.push({ ...call, sequence: this.nextSequence++, attempts: 0, resolve });
-            this.waitingCalls.sort((left, right) => left.priority - right.priority || left.sequence - right.sequence);
+            const waiting = { ...call, sequence: this.nextSequence++, attempts: 0, resolve };
+            const follower = this.waitingCalls.findIndex(({ priority }) => priority > call.priority);
+            this.waitingCalls.splice(follower === -1 ? this.waitingCalls.length : follower, 0, waiting);
             this.dispatch();
         });
     }
 
     private dispatch(): void {
-        const machines = this.freeMachines();
+        if (this.waitingCalls.length === 0) {
+            return;
+        }
+        const connected = this.connectedMachines();
+        const reservedCount = Math.floor(connected.length / MACHINES_PER_RESERVED_MACHINE);
+        const machines = this.freeMachines(connected);
         for (let index = 0; index < this.waitingCalls.length && machines.length > 0;) {
             const call = this.waitingCalls[index];
             const isSlow = (call?.expectedMilliseconds ?? 0) > SLOW_CALL_THRESHOLD_MILLISECONDS;
-            if (call === undefined || isSlow && machines.length <= this.reservedMachineCount()) {
+            if (call === undefined || isSlow && machines.length <= reservedCount) {
                 index++;
                 continue;
             }
@@ -84,10 +90,6 @@
         }
     }
 
-    private reservedMachineCount(): number {
-        return Math.floor(this.connectedMachines().length / MACHINES_PER_RESERVED_MACHINE);
-    }
-
     /** The machines that can make hint calls; the local one is last. */
     private connectedMachines(): string[] {
         const connected = this.options.peers.links().filter(link => link.connected).map(link => link.peer.id);
@@ -95,9 +97,9 @@
     }
 
     /** The machines without a call. Avoided machines are included only if no other machine is free. */
-    private freeMachines(): string[] {
+    private freeMachines(connected: readonly string[]): string[] {
         const now = this.options.timers.now();
-        const machines = this.connectedMachines().filter(machine => !this.busyMachines.has(machine));
+        const machines = connected.filter(machine => !this.busyMachines.has(machine));
         const available = machines.filter(machine => (this.avoidedUntil.get(machine) ?? 0) <= now);
         return available.length > 0 ? available : machines;
     }
--- a/packages/site/src/index.ts
+++ b/packages/site/src/index.ts
@@ -4,5 +4,5 @@
  */
 export * from "./cellConfiguration.ts";
 export { CellEntry, type JobRequest } from "./cellEntry.ts";
-export type { WorkerSource } from "./ownerFollowers.ts";
 export * from "./siteNode.ts";
+export type { WorkerSource } from "./workerEntries.ts";
--- a/packages/site/src/ownerFollowers.ts
+++ b/packages/site/src/ownerFollowers.ts
@@ -1,25 +1,11 @@
 /** The tables that the owner of the cell follows: the list of workers, and accepted and cancelled jobs. */
-import {
-    CANCELLATIONS_TABLE,
-    type Coordinator,
-    JOB_PARTITIONS,
-    JOBS_TABLE,
-    type WorkerEntry,
-} from "@tanagerlink/coordinator";
+import { CANCELLATIONS_TABLE, type Coordinator, JOB_PARTITIONS, JOBS_TABLE } from "@tanagerlink/coordinator";
 import { decodeJson, type RecordChange, type StoredRecord } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import { jobSpecificationSchema } from "@tanagerlink/workflow";
-import type { Result } from "neverthrow";
 import { RecordMap } from "./recordMap.ts";
 import type { TableFollower, TableFollowerOptions } from "./tableFollower.ts";
-
-/** Reads the list of workers in the platform's format. */
-export interface WorkerSource {
-    readonly table: string;
-    readonly partition: string;
-    /** The error is the reason why the entry describes no valid worker. */
-    readEntry(id: string, value: Uint8Array): Result<WorkerEntry, string>;
-}
+import { WorkerEntries, type WorkerSource } from "./workerEntries.ts";
 
 export type FollowHandlers = Pick<TableFollowerOptions, "onListing" | "onChanges">;
 
@@ -41,24 +27,10 @@
     }
 
     followWorkers(): void {
-        const { coordinator, workers, logger } = this.options;
+        const { coordinator, workers } = this.options;
         const records = new RecordMap();
-        const invalidEntries = new Set<string>();
-        const apply = (): void => {
-            const entries = new Map<string, WorkerEntry>();
-            for (const [id, value] of records.values()) {
-                const entry = workers.readEntry(id, value);
-                if (entry.isOk()) {
-                    entries.set(id, entry.value);
-                    invalidEntries.delete(id);
-                }
-                else if (!invalidEntries.has(id)) {
-                    invalidEntries.add(id);
-                    logger.warn({ worker: id, reason: entry.error }, "worker entry is invalid; the worker is not used");
-                }
-            }
-            coordinator.setWorkers(entries);
-        };
+        const entries = new WorkerEntries(this.options);
+        const apply = (): void => coordinator.setWorkers(entries.update(records.values()));
         this.startFollower(workers.table, [workers.partition], {
             onListing: (listed, version) => {
                 records.replace(listed, version);
@@ -76,7 +48,7 @@
         const { coordinator, logger } = this.options;
         const accept = (changes: readonly (RecordChange | StoredRecord)[]): void => {
             for (const { key, value } of changes) {
-                if (value !== undefined) {
+                if (value !== undefined && !coordinator.isKnown(key)) {
                     decodeJson(jobSpecificationSchema, value).match(
                         specification => coordinator.accept(specification),
                         reason => logger.error({ job: key, reason }, "job record is invalid; the job is skipped"),
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -23,7 +23,7 @@
 import { type CellConfiguration, toCellPolicy } from "./cellConfiguration.ts";
 import { CellEntry } from "./cellEntry.ts";
 import { MeasuredCalls } from "./measuredCalls.ts";
-import { type FollowHandlers, OwnerFollowers, type WorkerSource } from "./ownerFollowers.ts";
+import { type FollowHandlers, OwnerFollowers } from "./ownerFollowers.ts";
 import { RecordMap } from "./recordMap.ts";
 import { RelayedRecordStore } from "./relayedRecordStore.ts";
 import {
@@ -35,6 +35,7 @@
 import { type SiteHeartbeat, siteHeartbeatSchema } from "./siteHeartbeat.ts";
 import { MEMBERS_PARTITION, SiteMembers } from "./siteMembers.ts";
 import { TableFollower } from "./tableFollower.ts";
+import type { WorkerSource } from "./workerEntries.ts";
 
 /**
  * Wait of one long poll. Together with the time-out of a lost response it stays below the two seconds within which
