perf(site): open links from one side, and let the largest machine of the whole cell claim it

Cause: the owner and every other process dialled each other, so that each pair had two links with heartbeats, 97 machines opened over 1,200 links in the first second, and the owner handled twice the heartbeats it needed. The rank of a candidate counted only linked processes, so that after a failure a machine of a quarter of the largest one's speed could take the cell.

Change: only the other processes open links to the owner, besides three links to other failure domains. The rank counts all registered processes. The wait of a report grows with the fleet to at most 2 s.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -325,6 +325,10 @@
         this.requestRound();
     }
 
+    workerCount(): number {
+        return this.fleet.size;
+    }
+
     async waitUntilStored(): Promise<boolean> {
         const { timers, metrics } = this.options;
         const startedAt = timers.now();
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -18,6 +18,8 @@
 /** Processes delay their claims by rank, so that most claims do not conflict. */
 const CLAIM_DELAY_PER_RANK_MILLISECONDS = 120;
 const MAXIMUM_RANK = 8;
+/** Delay of the first claim of a new cell, until the records of most processes are known for their ranks. */
+const FIRST_CLAIM_DELAY_MILLISECONDS = 500;
 
 export interface ElectionDurations {
     /** Age of the last renewal after which the claim of the owner has expired. */
@@ -94,7 +96,9 @@
             return;
         }
         this.vacantSince ??= timers.now();
-        if (timers.now() - this.vacantSince >= Math.min(MAXIMUM_RANK, rank()) * CLAIM_DELAY_PER_RANK_MILLISECONDS) {
+        const delay = Math.min(MAXIMUM_RANK, rank()) * CLAIM_DELAY_PER_RANK_MILLISECONDS
+            + (this.knownOwner === undefined ? FIRST_CLAIM_DELAY_MILLISECONDS : 0);
+        if (timers.now() - this.vacantSince >= delay) {
             this.isClaiming = true;
             await this.claimCell().finally(() => this.isClaiming = false);
             this.vacantSince = undefined;
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -17,6 +17,10 @@
         this.sessionOptions = sessionOptions;
     }
 
+    get size(): number {
+        return this.sessions.size;
+    }
+
     get(id: string): WorkerSession | undefined {
         return this.sessions.get(id);
     }
--- a/packages/coordinator/src/sessionOwner.ts
+++ b/packages/coordinator/src/sessionOwner.ts
@@ -14,6 +14,8 @@
     onReport(session: WorkerSession): void;
     /** The capacity, labels or location of the worker have changed. */
     onEntryChanged(session: WorkerSession): void;
+    /** Number of workers with a session. */
+    workerCount(): number;
     /** Resolves to true when all changes so far are stored, or to false when ownership is lost first. */
     waitUntilStored(): Promise<boolean>;
     /** Whether leases may be renewed, which requires a recent confirmation of ownership. */
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -19,8 +19,13 @@
     type WorkerReport,
 } from "./workerPort.ts";
 
-/** Wait of a long poll for an ended attempt; also bounds the age of reported tail latencies. */
-const REPORT_WAIT_MILLISECONDS = 1_000;
+/**
+ * Wait of a long poll for an ended attempt; also bounds the age of reported tail latencies. It grows with the number of
+ * workers up to the platform's maximum, so that the reports of a large fleet take a bounded share of the owner's time.
+ */
+const MINIMUM_REPORT_WAIT_MILLISECONDS = 1_000;
+const MAXIMUM_REPORT_WAIT_MILLISECONDS = 2_000;
+const REPORT_WAIT_PER_WORKER_MILLISECONDS = 5;
 /** Wait of a long poll while attempts are to be reconciled; longer than a stop takes. */
 const RECONCILIATION_WAIT_MILLISECONDS = 250;
 /** Delay after a failed poll. */
@@ -328,7 +333,8 @@
                 return RECONCILIATION_WAIT_MILLISECONDS;
             }
         }
-        return REPORT_WAIT_MILLISECONDS;
+        const wait = this.options.owner.workerCount() * REPORT_WAIT_PER_WORKER_MILLISECONDS;
+        return Math.min(MAXIMUM_REPORT_WAIT_MILLISECONDS, Math.max(MINIMUM_REPORT_WAIT_MILLISECONDS, wait));
     }
 
     private async handleReportFailure(error: ServiceError): Promise<void> {
--- a/packages/site/src/siteMembers.ts
+++ b/packages/site/src/siteMembers.ts
@@ -5,11 +5,10 @@
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Timers } from "@tanagerlink/timers";
 import * as z from "zod";
+import { selectLinkedNodes } from "./linkSelection.ts";
 
 export const MEMBERS_PARTITION = "members";
 
-/** Links of a process besides the one to the owner, for relayed access to the store and the election of an owner. */
-const ADDITIONAL_PEER_LINKS = 3;
 const RETRY_DELAY_MILLISECONDS = 200;
 
 const memberSchema = z.object({
@@ -38,6 +37,8 @@
     private readonly members = new Map<string, SiteMember>();
     private readonly abort = new AbortController();
     private owner: string | undefined;
+    /** The processes to which this one keeps links open. */
+    private linkedNodes: ReadonlySet<string> = new Set();
     private isRegistering = false;
 
     constructor(options: SiteMembersOptions) {
@@ -73,15 +74,19 @@
     }
 
     /**
-     * Position of this process among the linked ones as a candidate for ownership. The largest machines come first,
-     * then the processes that started last: in a rolling restart, these will not be restarted again.
+     * Position of this process among the candidates for ownership. The largest machines come first, then the processes
+     * that started last: in a rolling restart, these will not be restarted again. The owner, whose claim has expired,
+     * and processes to which a link should be open but is not are left out.
      */
     rank(): number {
         const { node, peers } = this.options;
-        const linked = peers.links().filter(({ connected }) => connected).map(({ peer }) => peer.id);
+        const connected = new Set(peers.links().filter(link => link.connected).map(({ peer }) => peer.id));
         const share = (id: string): number => this.members.get(id)?.processorShare ?? 0;
         const startedAt = (id: string): number => this.members.get(id)?.startedAt ?? 0;
-        const ordered = [...new Set([...linked, node])].sort((left, right) =>
+        const isCandidate = (id: string): boolean =>
+            id !== this.owner && (connected.has(id) || !this.linkedNodes.has(id));
+        const candidates = new Set([...[...this.members.keys()].filter(isCandidate), node]);
+        const ordered = [...candidates].sort((left, right) =>
             share(right) - share(left) || startedAt(right) - startedAt(left) || (left < right ? -1 : 1)
         );
         return ordered.indexOf(node);
@@ -106,26 +111,20 @@
 
     private updateLinks(): void {
         const { node, peers } = this.options;
-        const ids = [...this.members.keys()].sort();
-        const linkedNodes = this.owner === node ? ids : this.selectLinkedNodes(ids);
-        const addresses: PeerAddress[] = linkedNodes.flatMap(id => {
+        this.linkedNodes = new Set(selectLinkedNodes(node, this.domainsByMember(), this.owner));
+        const addresses: PeerAddress[] = [...this.linkedNodes].flatMap(id => {
             const member = this.members.get(id);
-            return member === undefined || id === node
+            return member === undefined
                 ? []
                 : [{ id, address: member.address, failureDomain: member.failureDomain }];
         });
         peers.setPeers(addresses);
     }
 
-    /** The owner and the nodes that follow this one in the ring of all nodes, ordered by name. */
-    private selectLinkedNodes(ids: readonly string[]): string[] {
-        const successors = [...ids.filter(id => id > this.options.node), ...ids.filter(id => id < this.options.node)];
-        return [
-            ...new Set([
-                ...(this.owner === undefined ? [] : [this.owner]),
-                ...successors.slice(0, ADDITIONAL_PEER_LINKS),
-            ]),
-        ];
+    private domainsByMember(): Map<string, string> {
+        const { node, self } = this.options;
+        const domains = new Map([...this.members].map(([id, { failureDomain }]) => [id, failureDomain]));
+        return domains.set(node, self.failureDomain);
     }
 
     private async register(): Promise<void> {
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -83,6 +83,8 @@
     readonly leaseMilliseconds: number;
     readonly stopMilliseconds: number;
     readonly retentionMilliseconds: number;
+    /** Called when this process takes the cell, and when it no longer owns it. */
+    readonly onOwnershipChange?: (isOwner: boolean) => void;
 }
 
 export class SiteNode implements AsyncDisposable {
@@ -346,6 +348,7 @@
             onOwnershipLost: () => this.onOwnershipLost(coordinator),
         });
         this.coordinator = coordinator;
+        this.options.onOwnershipChange?.(true);
         this.members.setOwner(node);
         this.applyPolicy();
         const followers = new OwnerFollowers({
@@ -366,6 +369,7 @@
     private onOwnershipLost(coordinator: Coordinator): void {
         if (this.coordinator === coordinator) {
             this.coordinator = undefined;
+            this.options.onOwnershipChange?.(false);
             this.ownerFollowers?.[Symbol.dispose]();
         }
     }
