--- a/packages/site/__tests__/siteMembers.spec.ts
+++ b/packages/site/__tests__/siteMembers.spec.ts
@@ -69,4 +69,15 @@
         expect(createMembers(records, new Set(["alpha", "beta"]), 9).rank()).to.equal(2);
         expect(createMembers(records, new Set(["alpha"]), 9).rank()).to.equal(1);
     });
+
+    it("rank all processes, also unlinked ones, so that a small one does not claim a large cell first", () => {
+        const records = Object.fromEntries(Array.from({ length: 97 }, (_, index) => [`node-${index}`, "south"]));
+        expect(createMembers(records, new Set(["node-0"]), 9).rank()).to.be.greaterThan(90);
+    });
+
+    it("leave the owner out of the ranks, since its claim has expired", () => {
+        const members = createMembers({ alpha: "north", beta: "south" }, new Set(["alpha", "beta"]), 9);
+        members.setOwner("alpha");
+        expect(members.rank()).to.equal(1);
+    });
 });
