fix(coordinator,platform): survive unexpected errors in rounds, reports and callbacks

Cause: an exception in a round, in the answer to a hint call or in a report was an unhandled rejection, which ends a Node.js process; a message that causes it would end one owner after another.

--- a/packages/coordinator/__tests__/coordinator.spec.ts
+++ b/packages/coordinator/__tests__/coordinator.spec.ts
@@ -291,4 +291,56 @@
         await cell.advanceTime(1_500);
         expect(cell.workers.starts.at(-1)).to.include({ worker: "w2", attempt: 2, checkpoint: "saved" });
     });
+
+    it("starts other steps although the placement of one fails with an unexpected error", async () => {
+        cell.workers.add("w1");
+        cell.isAllowed = () => {
+            throw new Error("malformed answer");
+        };
+        const coordinator = await cell.claim("one");
+        await cell.submit(coordinator, sampleJob("00a1", { queue: "hinted" }));
+        await cell.submit(coordinator, sampleJob("00b2"));
+        await cell.advanceTime(500);
+        expect(cell.startsOf("00b2.0.0.0")).to.have.length(1);
+        expect(cell.startsOf("00a1.0.0.0")).to.have.length(0);
+        cell.isAllowed = () => true;
+        await cell.advanceTime(1_500);
+        expect(cell.startsOf("00a1.0.0.0")).to.have.length(1);
+    });
+
+    it("keeps its session with a worker whose report causes an unexpected error", async () => {
+        const worker = cell.workers.add("w1");
+        const { requestReport } = worker;
+        const coordinator = await cell.claim("one");
+        await cell.submit(coordinator, sampleJob("00a1"));
+        await cell.advanceTime(100);
+        worker.requestReport = () => {
+            throw new Error("malformed report");
+        };
+        await cell.advanceTime(1_000);
+        worker.requestReport = requestReport;
+        await cell.advanceTime(1_000);
+        expect(coordinator.jobState("00a1")).to.equal(JobState.Completed);
+        expect(cell.startsOf("00a1.0.0.0")).to.have.length(1);
+    });
+
+    it("lets an urgent job use room that a batch job holds while its hint call is in flight", async () => {
+        cell.workers.add("w1");
+        const rules = cell.policy.queues.get("hinted");
+        cell.policy = {
+            ...cell.policy,
+            queues: new Map([
+                ...cell.policy.queues,
+                ...(rules === undefined ? [] : [["batch", { ...rules, priority: 2 }] as const]),
+            ]),
+        };
+        cell.areHintsSilent = true;
+        const coordinator = await cell.claim("one");
+        const large = sampleStep({ size: { processorMillis: 3_000, memoryMebibytes: 100, accelerators: 0 } });
+        await cell.submit(coordinator, sampleJob("00a1", { queue: "batch", priority: 2, steps: [large] }));
+        await cell.advanceTime(100);
+        await cell.submit(coordinator, sampleJob("00b2", { steps: [large] }));
+        await cell.advanceTime(200);
+        expect(cell.startsOf("00b2.0.0.0")).to.have.length(1);
+    });
 });
--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -41,6 +41,8 @@
     /** Whether the hints allow a worker. */
     isAllowed: (worker: string) => boolean = () => true;
     hintCalls = 0;
+    /** Whether hint calls stay without a response. */
+    areHintsSilent = false;
     private readonly coordinators: Coordinator[] = [];
 
     /** Lets a new coordinator claim the cell. The previous one is not notified. */
@@ -63,7 +65,12 @@
             logger: silentLogger,
             metrics: new CoordinatorMetrics(new Metrics()),
             port: this.workers,
-            hintDispatcher: { request: ({ workers }) => Promise.resolve(ok(this.respondToHintCall(workers))) },
+            hintDispatcher: {
+                request: ({ workers }) =>
+                    this.areHintsSilent
+                        ? new Promise(() => undefined)
+                        : Promise.resolve(ok(this.respondToHintCall(workers))),
+            },
             renewalMilliseconds: 1_000,
             leaseMilliseconds: 6_000,
             stopMilliseconds: 200,
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -1,4 +1,5 @@
 /** Decides in rounds which waiting tasks start on which workers, and for which steps hint calls are made. */
+import { describeUnknown } from "@tanagerlink/errors";
 import type { HintDispatcher } from "@tanagerlink/hints";
 import { multiplyResources } from "@tanagerlink/model";
 import type { Logger } from "@tanagerlink/telemetry";
@@ -155,7 +156,7 @@
                 this.steps.markDue(entry);
             }
             else {
-                placed.push(...this.placeStep(entry, policy));
+                this.runGuarded(entry, () => placed.push(...this.placeStep(entry, policy)));
             }
         }
         if (placed.length > 0) {
@@ -166,6 +167,21 @@
         }
     }
 
+    /** Logs an unexpected error in the placement of one step, which must not keep the others from being placed. */
+    private runGuarded(entry: WaitingStep, action: () => void): void {
+        try {
+            action();
+        }
+        catch (failure) {
+            const { timers, logger } = this.options;
+            logger.error(
+                { step: entry.step.name, reason: describeUnknown(failure) },
+                "unexpected error in the placement of a step; it is looked at again later",
+            );
+            this.steps.block(entry, WaitReason.Capacity, timers.now());
+        }
+    }
+
     private findObstacle({ step, hints, service }: WaitingStep): Obstacle | undefined {
         const { fleet, usage } = this.options;
         const workers = fleet.workersOfService(service).filter(({ isListed }) => isListed);
@@ -271,7 +287,8 @@
         }
         const attempts = this.createAttempts(entry, result.placements);
         if (result.isIncomplete) {
-            this.waitForChange(entry, policy, result, isLimitReached);
+            // The attempts above must be started even if this fails.
+            this.runGuarded(entry, () => this.waitForChange(entry, policy, result, isLimitReached));
         }
         else {
             this.reservations.release(entry).forEach(worker => this.steps.recordGrowth(worker));
@@ -341,13 +358,14 @@
             boot: worker.currentBoot,
         }));
         const requestedAt = timers.now();
-        hints.isRequestPending = true;
-        void this.options.hintDispatcher.request({
+        const response = this.options.hintDispatcher.request({
             step: step.name,
             workers: workers.map(({ id }) => id),
             priority: rule.priority,
             expectedMilliseconds: rule.hintMilliseconds,
-        }).then(response => {
+        });
+        hints.isRequestPending = true;
+        void response.then(response => {
             hints.isRequestPending = false;
             if (response.isErr()) {
                 hints.retryAt = timers.now() + HINT_RETRY_DELAY_MILLISECONDS;
@@ -367,6 +385,9 @@
             );
             this.steps.markDue(entry);
             requestRound();
+        }).catch((failure: unknown) => {
+            hints.isRequestPending = false;
+            logger.error({ step: step.name, reason: describeUnknown(failure) }, "unexpected error in a hint call");
         });
     }
 }
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -3,7 +3,7 @@
  * beside it, and orders whose responses were lost are reconciled with the reports. The first report in an epoch fences
  * out previous owners.
  */
-import { ErrorKind, type ServiceError } from "@tanagerlink/errors";
+import { describeUnknown, ErrorKind, type ServiceError } from "@tanagerlink/errors";
 import { type Resources, subtractResources } from "@tanagerlink/model";
 import { sleep } from "@tanagerlink/timers";
 import { type Attempt, AttemptStatus, EndKind, type StepRun } from "@tanagerlink/workflow";
@@ -269,12 +269,24 @@
                 await this.waitForWakeUp();
             }
             if (!this.isClosed) {
-                await this.poll();
+                await this.pollGuarded();
             }
         }
         this.options.port.closeConnections(this.id);
     }
 
+    /** Polls once. An unexpected error is logged, since it must not end the session or the process. */
+    private async pollGuarded(): Promise<void> {
+        try {
+            await this.poll();
+        }
+        catch (failure) {
+            const { timers, logger } = this.options;
+            logger.error({ worker: this.id, reason: describeUnknown(failure) }, "unexpected error in a report");
+            await sleep(timers, RETRY_DELAY_MILLISECONDS);
+        }
+    }
+
     /** Whether polling can pause: no attempts, no ends to acknowledge, and the last poll succeeded. */
     private isIdle(): boolean {
         return this.isFenced && this.isReachable && this.attempts.size === 0 && this.unexpectedAttemptCount === 0
