perf(coordinator): keep part of a team's limit for its urgent work (trial)

Change: other work leaves what urgent work has used lately, at most half of the limit, for about one task's duration.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -74,7 +74,7 @@
     private readonly journal: Journal;
     private readonly jobs: CellJobs;
     private readonly fleet: Fleet;
-    private readonly usage = new TeamUsage();
+    private readonly usage: TeamUsage;
     private readonly scheduler: Scheduler;
     private readonly pacing: BestEffortPacing;
     private readonly ticker: Subscription;
@@ -94,6 +94,7 @@
         this.epoch = claim.record.epoch;
         this.claimedAt = timers.now();
         this.jobs = new CellJobs(timers);
+        this.usage = new TeamUsage(() => timers.now());
         this.pacing = new BestEffortPacing(timers);
         this.journal = new Journal({
             store,
@@ -259,7 +260,7 @@
         const { step } = task;
         const { job, specification } = step;
         const now = timers.now();
-        this.usage.subtract(job.specification.team, specification.size);
+        this.usage.subtract(job.specification.team, specification.size, job.isUrgent);
         if (checkpoint !== "") {
             task.checkpoint = checkpoint;
         }
@@ -418,7 +419,7 @@
             this.jobs.recordEnd(job);
         }
         for (const attempt of liveAttempts) {
-            this.usage.add(job.specification.team, attempt.task.size);
+            this.usage.add(job.specification.team, attempt.task.size, job.isUrgent);
             this.fleet.restoreAttempt(attempt);
         }
     }
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -250,7 +250,12 @@
         const unitSize = step.specification.gang
             ? multiplyResources(step.specification.size, tasks.length)
             : step.specification.size;
-        if (!usage.allows(team, unitSize)) {
+        // Work that has waited for about the duration of a task no longer yields to urgent work that may come.
+        const yieldsToUrgent = !step.job.isUrgent
+            && now - (step.readyAt ?? now) < step.specification.estimateMilliseconds;
+        const isAllowed = (): boolean =>
+            yieldsToUrgent ? usage.allowsBesideUrgent(team, unitSize) : usage.allows(team, unitSize);
+        if (!isAllowed()) {
             this.releaseCapacity(entry);
             entry.waitTimes.startWait(WaitReason.Limit, now);
             this.steps.block(entry, WaitReason.Limit, now);
@@ -270,9 +275,9 @@
             freeCapacityOf: worker => this.heldCapacity.freeCapacityFor(worker, entry),
             now,
             acquireTeamCapacity: () => {
-                const allowed = usage.allows(team, unitSize);
+                const allowed = isAllowed();
                 if (allowed) {
-                    usage.add(team, unitSize);
+                    usage.add(team, unitSize, step.job.isUrgent);
                 }
                 isLimitReached ||= !allowed;
                 return allowed;
