--- a/packages/coordinator/__tests__/coordinator.spec.ts
+++ b/packages/coordinator/__tests__/coordinator.spec.ts
@@ -343,34 +343,4 @@
         await cell.advanceTime(200);
         expect(cell.startsOf("00b2.0.0.0")).to.have.length(1);
     });
-
-    it("keeps part of a team's limit for urgent jobs while batch jobs of the team wait, but not for long", async () => {
-        const worker = cell.workers.add("w1");
-        worker.taskDurationMilliseconds = 4_000;
-        const [queue] = cell.policy.queues.values();
-        cell.policy = {
-            ...cell.policy,
-            queues: new Map([
-                ...cell.policy.queues,
-                ...(queue === undefined ? [] : [["batch", { ...queue, priority: 2 }] as const]),
-            ]),
-            teams: new Map([["red", {
-                weight: 1,
-                limit: { processorMillis: 2_000, memoryMebibytes: 0, accelerators: 0 },
-            }]]),
-        };
-        const coordinator = await cell.claim("one");
-        await cell.submit(coordinator, sampleJob("00a1", { steps: [sampleStep()] }));
-        await cell.advanceTime(4_300);
-        const batch = sampleStep({ count: 2, estimateMilliseconds: 2_000 });
-        await cell.submit(coordinator, sampleJob("00b2", { queue: "batch", priority: 2, steps: [batch] }));
-        await cell.advanceTime(500);
-        expect(cell.workers.starts).to.have.length(2);
-        await cell.submit(coordinator, sampleJob("00c3"));
-        await cell.advanceTime(200);
-        expect(cell.startsOf("00c3.0.0.0")).to.have.length(1);
-        await cell.advanceTime(8_000);
-        expect(coordinator.jobState("00c3")).to.equal(JobState.Completed);
-        expect(cell.workers.starts).to.have.length(4);
-    });
 });
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -74,7 +74,7 @@
     private readonly journal: Journal;
     private readonly jobs: CellJobs;
     private readonly fleet: Fleet;
-    private readonly usage: TeamUsage;
+    private readonly usage = new TeamUsage();
     private readonly scheduler: Scheduler;
     private readonly pacing: BestEffortPacing;
     private readonly ticker: Subscription;
@@ -94,7 +94,6 @@
         this.epoch = claim.record.epoch;
         this.claimedAt = timers.now();
         this.jobs = new CellJobs(timers);
-        this.usage = new TeamUsage(() => timers.now());
         this.pacing = new BestEffortPacing(timers);
         this.journal = new Journal({
             store,
@@ -260,7 +259,7 @@
         const { step } = task;
         const { job, specification } = step;
         const now = timers.now();
-        this.usage.subtract(job.specification.team, specification.size, job.isUrgent);
+        this.usage.subtract(job.specification.team, specification.size);
         if (checkpoint !== "") {
             task.checkpoint = checkpoint;
         }
@@ -419,7 +418,7 @@
             this.jobs.recordEnd(job);
         }
         for (const attempt of liveAttempts) {
-            this.usage.add(job.specification.team, attempt.task.size, job.isUrgent);
+            this.usage.add(job.specification.team, attempt.task.size);
             this.fleet.restoreAttempt(attempt);
         }
     }
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -226,7 +226,7 @@
 function costOf(step: StepRun, task: TaskRun | undefined, { worker, freeCapacity }: Candidate): number {
     const { capacity, rack } = worker.entry;
     const { specification, job } = step;
-    const spreads = job.isUrgent || specification.lasting;
+    const spreads = job.specification.priority === 0 || specification.lasting;
     const freeShare = capacity.accelerators > 0 && specification.size.accelerators > 0
         ? freeCapacity.accelerators / capacity.accelerators
         : freeCapacity.processorMillis / Math.max(1, capacity.processorMillis);
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -250,12 +250,7 @@
         const unitSize = step.specification.gang
             ? multiplyResources(step.specification.size, tasks.length)
             : step.specification.size;
-        // Work that has waited for about the duration of a task no longer yields to urgent work that may come.
-        const yieldsToUrgent = !step.job.isUrgent
-            && now - (step.readyAt ?? now) < step.specification.estimateMilliseconds;
-        const isAllowed = (): boolean =>
-            yieldsToUrgent ? usage.allowsBesideUrgent(team, unitSize) : usage.allows(team, unitSize);
-        if (!isAllowed()) {
+        if (!usage.allows(team, unitSize)) {
             this.releaseCapacity(entry);
             entry.waitTimes.startWait(WaitReason.Limit, now);
             this.steps.block(entry, WaitReason.Limit, now);
@@ -275,9 +270,9 @@
             freeCapacityOf: worker => this.heldCapacity.freeCapacityFor(worker, entry),
             now,
             acquireTeamCapacity: () => {
-                const allowed = isAllowed();
+                const allowed = usage.allows(team, unitSize);
                 if (allowed) {
-                    usage.add(team, unitSize, step.job.isUrgent);
+                    usage.add(team, unitSize);
                 }
                 isLimitReached ||= !allowed;
                 return allowed;
--- a/packages/workflow/src/jobRun.ts
+++ b/packages/workflow/src/jobRun.ts
@@ -58,11 +58,6 @@
         return !isEndedState(this.state);
     }
 
-    /** Whether the job was accepted with the most urgent priority. */
-    get isUrgent(): boolean {
-        return this.specification.priority === 0;
-    }
-
     /** Steps of due occurrences that are not done and whose dependencies are done. */
     readySteps(wallClock: number): StepRun[] {
         return this.occurrences.filter(({ dueAt }) => dueAt <= wallClock).flatMap(({ steps }) =>
