fix(peer): one time limit for opening a connection and exchanging hello frames

Cause: the opening and the hello frames each had a time limit of one silence period, while calls wait for a link twice as long.

Change: both share one limit, counted from the start of the connection.

--- a/packages/peer/__tests__/linkFaults.spec.ts
+++ b/packages/peer/__tests__/linkFaults.spec.ts
@@ -7,7 +7,10 @@
 import fc from "fast-check";
 import { ok } from "neverthrow";
 import { once } from "node:events";
-import { connect } from "node:net";
+import { createServer } from "node:http";
+import { createServer as createSecureServer } from "node:https";
+import { type AddressInfo, connect } from "node:net";
+import { WebSocketServer } from "ws";
 import { decodeFrame, pack, unpack } from "../src/frames.ts";
 import {
     append,
@@ -189,6 +192,33 @@
         expect(result.match(() => "ok", error => error.kind)).to.equal("ok");
     });
 
+    it("gives up a connection that opens late and then stays silent within one silence period", async () => {
+        const first = await fixture.start("a", { silenceMilliseconds: 1_000 });
+        const openedAt: number[] = [];
+        const issued = await issue("b");
+        const server = secure
+            ? createSecureServer({ cert: issued.certificate, key: issued.key })
+            : createServer();
+        const silentSockets = new WebSocketServer({ noServer: true });
+        server.on("upgrade", (request, socket, head) => {
+            openedAt.push(timers.now());
+            setTimeout(() => silentSockets.handleUpgrade(request, socket, head, () => undefined), 700);
+        });
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        fixture.add({
+            async [Symbol.asyncDispose](): Promise<void> {
+                server.closeAllConnections();
+                server.close();
+                await Promise.resolve();
+            },
+        });
+        link(first, "b", `127.0.0.1:${(server.address() as AddressInfo).port}`);
+        await until(() => openedAt.length >= 2);
+        // 1,700 ms with a time limit of its own for each of the two parts.
+        expect((openedAt[1] ?? 0) - (openedAt[0] ?? 0)).to.be.within(900, 1_500);
+    });
+
     it("executes each call exactly once and never mixes up answers while connections keep going silent", async () => {
         const { first, second, relay } = await startRelayed();
         const executed = new Map<string, number>();
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -37,6 +37,8 @@
     private readonly inbox: Uint8Array[] = [];
     private reader: ((message: Uint8Array | undefined) => void) | undefined;
     private ended = false;
+    /** Monotonic time at which the connection was accepted, or at which its opening began. */
+    readonly createdAt: number;
     private stream: Socket | undefined;
 
     /** `stream` is the connection of an accepted socket; for an outgoing one it is set when the connection opens. */
@@ -53,6 +55,7 @@
         this.direction = direction;
         this.metrics = metrics;
         this.monitor = new LinkMonitor(timers, limits);
+        this.createdAt = timers.now();
         socket.on("upgrade", response => {
             this.stream = response.socket;
         });
--- a/packages/peer/src/linkTask.ts
+++ b/packages/peer/src/linkTask.ts
@@ -36,12 +36,15 @@
     expectedNode?: string,
 ): Promise<boolean> {
     const { timers, limits, logger, heartbeats } = dependencies;
+    // The opening of the connection and the exchange of hello frames share one time limit. With a limit for each, a
+    // connection that goes silent in between would take all the time for which calls wait for a link.
+    const deadline = link.createdAt + limits.silenceMilliseconds;
     const fault = await performHandshake(
         link,
         dependencies.createHello(),
         expectedNode,
         timers,
-        limits.silenceMilliseconds,
+        Math.max(0, deadline - timers.now()),
     );
     if (fault?.isIdentityFault === true) {
         dependencies.refusals.recordRefusal(RefusalReason.Identity, link.remote.node, fault.message);
