fix(coordinator): reserve only workers that accept tasks for a gang

Cause: a lost or leaving worker without tasks counts as the emptiest and was reserved first, so that the gang waited for workers on which it cannot start.

Change: the candidates are the workers that accept tasks.

--- a/packages/coordinator/__tests__/waitingSteps.spec.ts
+++ b/packages/coordinator/__tests__/waitingSteps.spec.ts
@@ -20,13 +20,13 @@
     return { processorMillis: count * 1_000, memoryMebibytes: count * 1_000, accelerators: 0 };
 }
 
-function worker(id: string, free: Resources): WorkerSession {
+function worker(id: string, free: Resources, canAcceptTasks = true): WorkerSession {
     return {
         id,
         currentBoot: 1,
         freeCapacity: free,
         entry: { service: SERVICE, labels: [], capacity: cores(16) },
-        canAcceptTasks: () => true,
+        canAcceptTasks: () => canAcceptTasks,
     } as unknown as WorkerSession;
 }
 
@@ -129,7 +129,8 @@
 
     it("of one gang reserve workers at a time, only as many as it needs, and only from less urgent steps", () => {
         const reservations = new GangReservations();
-        const workers = [worker("w1", noResources), worker("w2", cores(8)), worker("w3", cores(2))];
+        const lost = worker("lost", cores(16), false);
+        const workers = [worker("w1", noResources), worker("w2", cores(8)), worker("w3", cores(2)), lost];
         const gang = waiting(steps, step("gang", cores(8), "red", true), WaitReason.Capacity, { priority: 1 });
         const second = waiting(steps, step("second", cores(8), "red", true), WaitReason.Capacity, { priority: 1 });
         const urgent = waiting(steps, step("urgent", cores(1)), WaitReason.Capacity, { priority: 0 });
--- a/packages/coordinator/src/gangReservations.ts
+++ b/packages/coordinator/src/gangReservations.ts
@@ -33,7 +33,9 @@
         if (!step.specification.gang || !hasWaitedLong || current !== undefined && current.holder !== holder) {
             return;
         }
-        const candidates = workers.filter(worker => !isHinted || hints.isAllowed(worker.id));
+        const candidates = workers.filter(worker =>
+            worker.canAcceptTasks(now) && (!isHinted || hints.isAllowed(worker.id))
+        );
         candidates.sort((left, right) =>
             right.freeCapacity.accelerators - left.freeCapacity.accelerators
             || right.freeCapacity.processorMillis - left.freeCapacity.processorMillis
