refactor(coordinator,site): restore jobs in a file of their own, and give the cell up when that fails

Change: restoreJobs.ts; only open jobs are kept for their occurrences; the cell is given up after a failed recovery. Tests for orders that a paused owner sends late.

--- a/packages/coordinator/__tests__/coordinator.spec.ts
+++ b/packages/coordinator/__tests__/coordinator.spec.ts
@@ -343,4 +343,37 @@
         await cell.advanceTime(200);
         expect(cell.startsOf("00b2.0.0.0")).to.have.length(1);
     });
+
+    it("has a start refused that its owner, paused after the record of the start, sends after a takeover", async () => {
+        const worker = cell.workers.add("w1");
+        worker.taskDurationMilliseconds = undefined;
+        worker.startFault = StartFault.Delayed;
+        const paused = await cell.claim("one");
+        await cell.submit(paused, sampleJob("00a1"));
+        await cell.advanceTime(100);
+        worker.startFault = StartFault.None;
+        await cell.claim("two");
+        await cell.advanceTime(3_000);
+        expect(cell.workers.starts.map(({ epoch }) => epoch)).to.deep.equal([2]);
+        worker.executeDelayedStarts();
+        await cell.advanceTime(1_000);
+        expect(cell.startsOf("00a1.0.0.0")).to.have.length(1);
+        expect(worker.running.size).to.equal(1);
+    });
+
+    it("has a start refused that its owner sends after a pause to a worker which no other owner has reached", async () => {
+        const worker = cell.workers.add("w1");
+        worker.startFault = StartFault.Delayed;
+        const paused = await cell.claim("one");
+        await cell.submit(paused, sampleJob("00a1"));
+        await cell.advanceTime(100);
+        worker.isReachable = false;
+        cell.workers.add("w2").taskDurationMilliseconds = undefined;
+        await cell.claim("two");
+        await cell.advanceTime(16_000);
+        expect(cell.startsOf("00a1.0.0.0").map(({ worker }) => worker)).to.deep.equal(["w2"]);
+        worker.executeDelayedStarts();
+        await cell.advanceTime(500);
+        expect(cell.startsOf("00a1.0.0.0")).to.have.length(1);
+    });
 });
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -4,20 +4,10 @@
  * worker, so that orders of the previous owner are refused.
  */
 import type { HintDispatcher } from "@tanagerlink/hints";
-import { decodeJson, type RecordStore, type StoredRecord } from "@tanagerlink/platform";
+import type { RecordStore } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Subscription, Timers } from "@tanagerlink/timers";
-import {
-    type Attempt,
-    EndKind,
-    isEndedState,
-    type JobRun,
-    type JobSpecification,
-    jobSpecificationSchema,
-    JobState,
-    progressRecordSchema,
-    restoreProgress,
-} from "@tanagerlink/workflow";
+import { type Attempt, EndKind, type JobRun, type JobSpecification, JobState } from "@tanagerlink/workflow";
 import { BestEffortPacing } from "./bestEffortPacing.ts";
 import { CellJobs } from "./cellJobs.ts";
 import type { CellPolicy } from "./cellPolicy.ts";
@@ -28,6 +18,7 @@
 import { Journal, PROGRESS_TABLE } from "./journal.ts";
 import { OWNER_PARTITION, type OwnerRecord, type VersionedOwnerRecord } from "./ownerRecord.ts";
 import { RecordReader } from "./recordReader.ts";
+import { restoreJobs } from "./restoreJobs.ts";
 import { type PlacedAttempt, Scheduler } from "./scheduler.ts";
 import type { SessionOwner } from "./sessionOwner.ts";
 import { isStalled } from "./stalls.ts";
@@ -153,14 +144,12 @@
         if (this.isStopped) {
             return;
         }
-        const records = new Map(progress.map(record => [record.key, record]));
-        for (const stored of accepted) {
-            this.restoreJob(stored, records.get(stored.key));
-        }
+        const { jobs, usage, fleet } = this;
+        restoreJobs({ jobs, usage, fleet, timers, logger }, accepted, progress);
         this.hasRecovered = true;
         cancelled.forEach(({ key }) => this.cancel(key));
         for (const job of this.jobs.all()) {
-            this.advanceJob(job);
+            this.openJob(job);
         }
         this.fleet.start();
         logger.info(
@@ -183,10 +172,7 @@
             this.endJob(job, JobState.Cancelled);
             return;
         }
-        if (job.specification.recurrence !== undefined) {
-            this.recurringJobs.add(job);
-        }
-        this.advanceJob(job);
+        this.openJob(job);
         this.requestRound();
     }
 
@@ -378,49 +364,12 @@
         }
     }
 
-    private restoreJob(stored: StoredRecord, progress: StoredRecord | undefined): void {
-        const { logger, timers } = this.options;
-        const record = progress === undefined ? undefined : decodeJson(progressRecordSchema, progress.value);
-        if (record?.isErr() === true) {
-            // Without its progress, starting the job could run its tasks twice.
-            logger.error(
-                { job: stored.key, reason: record.error },
-                "progress record of a job is invalid; the job fails",
-            );
-            this.jobs.addEnded(stored.key, JobState.Failed);
-            return;
-        }
-        const restored = record?.isOk() === true ? record.value : undefined;
-        if (restored !== undefined && isEndedState(restored.state) && restored.tasks.length === 0) {
-            this.jobs.addEnded(stored.key, restored.state);
-            return;
-        }
-        const specification = decodeJson(jobSpecificationSchema, stored.value);
-        if (specification.isErr()) {
-            logger.error(
-                { job: stored.key, reason: specification.error },
-                "specification record of a job is invalid; the job is skipped",
-            );
-            return;
-        }
-        const job = this.jobs.add(specification.value);
-        if (job === undefined) {
-            return;
-        }
-        if (job.specification.recurrence !== undefined) {
+    /** Starts to schedule an accepted job. */
+    private openJob(job: JobRun): void {
+        if (job.isOpen && job.specification.recurrence !== undefined) {
             this.recurringJobs.add(job);
         }
-        if (restored === undefined) {
-            return;
-        }
-        const liveAttempts = restoreProgress(job, restored, timers.now());
-        if (!job.isOpen) {
-            this.jobs.recordEnd(job);
-        }
-        for (const attempt of liveAttempts) {
-            this.usage.add(job.specification.team, attempt.task.size);
-            this.fleet.restoreAttempt(attempt);
-        }
+        this.advanceJob(job);
     }
 
     /** Ends a job that has completed or failed; otherwise activates the steps that can start. */
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -13,7 +13,7 @@
     type VersionedOwnerRecord,
     type WorkerPort,
 } from "@tanagerlink/coordinator";
-import { ErrorKind, serviceError } from "@tanagerlink/errors";
+import { describeUnknown, ErrorKind, serviceError } from "@tanagerlink/errors";
 import { HintDispatcher, type HintService, requestHintsMethod } from "@tanagerlink/hints";
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { RecordChange, RecordStore, StoredRecord } from "@tanagerlink/platform";
@@ -360,7 +360,16 @@
         });
         this.ownerFollowers = followers;
         followers.followWorkers();
-        await coordinator.recover();
+        try {
+            await coordinator.recover();
+        }
+        catch (failure) {
+            // Without its owner's renewals the claim expires, so that another process can take the cell.
+            logger.error({ reason: describeUnknown(failure) }, "unexpected error in the recovery of the cell");
+            coordinator[Symbol.dispose]();
+            this.onOwnershipLost(coordinator);
+            return;
+        }
         if (this.coordinator === coordinator) {
             followers.followJobs();
         }
