refactor(coordinator,site,docs): name active steps, move the owner's methods, and correct claims

Cause: a newcomer's read.

A test that a call which times out while it waits for a connection is never sent. No change of behaviour.

--- a/packages/coordinator/__tests__/waitingSteps.spec.ts
+++ b/packages/coordinator/__tests__/activeSteps.spec.ts
@@ -5,9 +5,9 @@
 import { noResources, type Resources } from "@tanagerlink/model";
 import { JobRun, type StepRun } from "@tanagerlink/workflow";
 import { expect } from "chai";
+import { type ActiveStep, ActiveSteps } from "../src/activeSteps.ts";
 import { GangReservations } from "../src/gangReservations.ts";
 import { HeldCapacity } from "../src/heldCapacity.ts";
-import { type WaitingStep, WaitingSteps } from "../src/waitingSteps.ts";
 import { WaitReason } from "../src/waitTimes.ts";
 import type { WorkerSession } from "../src/workerSession.ts";
 import { sampleJob, sampleStep } from "./support/samples.ts";
@@ -41,11 +41,11 @@
 }
 
 function waiting(
-    steps: WaitingSteps,
+    steps: ActiveSteps,
     waitingStep: StepRun,
     reason: WaitReason,
     { priority = 0, isHinted = false } = {},
-): WaitingStep {
+): ActiveStep {
     const entry = steps.add(waitingStep);
     entry.service = SERVICE;
     entry.priority = priority;
@@ -56,10 +56,10 @@
 }
 
 describe("waiting steps of a full cell", () => {
-    let steps: WaitingSteps;
+    let steps: ActiveSteps;
 
     beforeEach(() => {
-        steps = new WaitingSteps();
+        steps = new ActiveSteps();
     });
 
     function due(now = 100): StepRun[] {
@@ -138,7 +138,7 @@
         expect(workers.filter(session => reservations.isReserved(session, second))).to.have.length(0);
         reservations.reserve(gang, workers, 3_000);
         reservations.reserve(second, workers, 3_000);
-        const reserved = (entry: WaitingStep): string[] =>
+        const reserved = (entry: ActiveStep): string[] =>
             workers.filter(session => reservations.isReserved(session, entry)).map(({ id }) => id);
         expect(reserved(second)).to.deep.equal(["w2"]);
         expect(reserved(gang)).to.deep.equal([]);
--- a/packages/coordinator/src/waitingSteps.ts
+++ b/packages/coordinator/src/activeSteps.ts
@@ -1,7 +1,7 @@
 /**
- * The steps of the cell that are not done, and which of them the next round must look at. A step that could not be
- * placed is looked at again only after a change that may let it start: capacity it fits into has become free, its team
- * has released resources, hints have arrived, or its recheck is due. Rounds therefore cost as much as what has changed,
+ * The steps of the cell that are not done, and which of them the next round must check. A step that could not be placed
+ * is checked again only after a change that may let it start: capacity it fits into has become free, its team has
+ * released resources, hints have arrived, or its recheck is due. Rounds therefore cost as much as what has changed,
  * and not as much as what waits.
  */
 import { StepHints } from "@tanagerlink/hints";
@@ -15,7 +15,7 @@
 const RECHECK_INTERVAL_MILLISECONDS = 1_000;
 
 /** A step that is not done, with all that is known about its placement. */
-export class WaitingStep {
+export class ActiveStep {
     readonly step: StepRun;
     /** Resources that one of its tasks occupies on a worker. */
     readonly taskSize: Resources;
@@ -24,9 +24,9 @@
     priority = 0;
     service = "";
     isHinted = false;
-    /** Why the step could not be placed at the last look; `undefined` if it has no waiting tasks. */
+    /** Why the step could not be placed at the last check; `undefined` if it has no waiting tasks. */
     blockedBy: WaitReason | undefined;
-    /** Monotonic time of the next look without an event. */
+    /** Monotonic time of the next check without an event. */
     recheckAt = Infinity;
 
     constructor(step: StepRun) {
@@ -51,13 +51,13 @@
     }
 }
 
-export class WaitingSteps {
-    private readonly entries = new Map<StepRun, WaitingStep>();
-    private readonly due = new Set<WaitingStep>();
+export class ActiveSteps {
+    private readonly entries = new Map<StepRun, ActiveStep>();
+    private readonly due = new Set<ActiveStep>();
     /** Steps that wait for capacity or hints, by service. */
-    private readonly blockedByService = new Map<string, Set<WaitingStep>>();
+    private readonly blockedByService = new Map<string, Set<ActiveStep>>();
     /** Steps that wait for their team's limit, by team. */
-    private readonly blockedByTeam = new Map<string, Set<WaitingStep>>();
+    private readonly blockedByTeam = new Map<string, Set<ActiveStep>>();
     private readonly grownWorkers = new Set<WorkerSession>();
     private readonly releasedTeams = new Set<string>();
 
@@ -65,34 +65,34 @@
         return this.entries.size;
     }
 
-    all(): IterableIterator<WaitingStep> {
+    all(): IterableIterator<ActiveStep> {
         return this.entries.values();
     }
 
-    get(step: StepRun): WaitingStep | undefined {
+    get(step: StepRun): ActiveStep | undefined {
         return this.entries.get(step);
     }
 
-    /** Adds a step unless it is known. The next round looks at it. */
-    add(step: StepRun): WaitingStep {
+    /** Adds a step unless it is known. The next round checks it. */
+    add(step: StepRun): ActiveStep {
         const known = this.entries.get(step);
         if (known !== undefined) {
             return known;
         }
-        const entry = new WaitingStep(step);
+        const entry = new ActiveStep(step);
         this.entries.set(step, entry);
         this.due.add(entry);
         return entry;
     }
 
-    remove(entry: WaitingStep): void {
+    remove(entry: ActiveStep): void {
         this.unblock(entry);
         this.due.delete(entry);
         this.entries.delete(entry.step);
     }
 
-    /** Lets the next round look at the step. */
-    markDue(entry: WaitingStep): void {
+    /** Lets the next round check the step. */
+    markDue(entry: ActiveStep): void {
         if (this.entries.has(entry.step)) {
             this.due.add(entry);
         }
@@ -125,13 +125,13 @@
         }
     }
 
-    /** Whether a round has anything to look at. */
+    /** Whether a round has any step to check. */
     get hasWork(): boolean {
         return this.due.size > 0 || this.grownWorkers.size > 0 || this.releasedTeams.size > 0;
     }
 
     /** Records why a step could not be placed completely. */
-    block(entry: WaitingStep, reason: WaitReason, now: number): void {
+    block(entry: ActiveStep, reason: WaitReason, now: number): void {
         this.unblock(entry);
         entry.blockedBy = reason;
         entry.recheckAt = now + RECHECK_INTERVAL_MILLISECONDS;
@@ -144,7 +144,7 @@
         }
     }
 
-    unblock(entry: WaitingStep): void {
+    unblock(entry: ActiveStep): void {
         entry.blockedBy = undefined;
         entry.recheckAt = Infinity;
         this.blockedByService.get(entry.service)?.delete(entry);
@@ -155,10 +155,10 @@
     }
 
     /**
-     * Returns the steps to look at and forgets the recorded changes. `freeCapacityFor` is the free capacity of a worker
+     * Returns the steps to check and forgets the recorded changes. `freeCapacityFor` is the free capacity of a worker
      * that the step may use.
      */
-    takeDue(now: number, freeCapacityFor: (worker: WorkerSession, entry: WaitingStep) => Resources): WaitingStep[] {
+    takeDue(now: number, freeCapacityFor: (worker: WorkerSession, entry: ActiveStep) => Resources): ActiveStep[] {
         for (const worker of this.grownWorkers) {
             for (const entry of this.blockedByService.get(worker.entry.service) ?? []) {
                 if (!this.due.has(entry) && entry.couldUse(worker, freeCapacityFor(worker, entry), now)) {
@@ -177,7 +177,7 @@
     }
 }
 
-function addTo(groups: Map<string, Set<WaitingStep>>, key: string, entry: WaitingStep): void {
+function addTo(groups: Map<string, Set<ActiveStep>>, key: string, entry: ActiveStep): void {
     const group = groups.get(key) ?? new Set();
     groups.set(key, group);
     group.add(entry);
--- a/packages/coordinator/src/gangReservations.ts
+++ b/packages/coordinator/src/gangReservations.ts
@@ -4,14 +4,14 @@
  * idle.
  */
 import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
-import type { WaitingStep } from "./waitingSteps.ts";
+import type { ActiveStep } from "./activeSteps.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
 /** Waiting time of a gang before workers are reserved for it. */
 const RESERVATION_DELAY_MILLISECONDS = 2_000;
 
 interface Reservation {
-    readonly holder: WaitingStep;
+    readonly holder: ActiveStep;
     readonly workers: ReadonlySet<WorkerSession>;
 }
 
@@ -19,14 +19,14 @@
     private readonly byService = new Map<string, Reservation>();
 
     /** Whether the worker is reserved for a gang that precedes the step. */
-    isReserved(worker: WorkerSession, entry: WaitingStep): boolean {
+    isReserved(worker: WorkerSession, entry: ActiveStep): boolean {
         const reservation = this.byService.get(entry.service);
         return reservation !== undefined && reservation.holder !== entry && reservation.workers.has(worker)
             && reservation.holder.priority <= entry.priority;
     }
 
     /** Reserves the emptiest workers that the gang may use, as many as it needs when they are empty. */
-    reserve(holder: WaitingStep, workers: readonly WorkerSession[], now: number): void {
+    reserve(holder: ActiveStep, workers: readonly WorkerSession[], now: number): void {
         const { step, service, isHinted, hints } = holder;
         const current = this.byService.get(service);
         const hasWaitedLong = now - (step.readyAt ?? now) > RESERVATION_DELAY_MILLISECONDS;
@@ -53,7 +53,7 @@
     }
 
     /** Ends the reservation of a step and returns its workers. */
-    release(holder: WaitingStep): readonly WorkerSession[] {
+    release(holder: ActiveStep): readonly WorkerSession[] {
         const reservation = this.byService.get(holder.service);
         if (reservation?.holder !== holder) {
             return [];
@@ -64,7 +64,7 @@
 }
 
 /** Number of the step's tasks that fit on an empty worker. */
-function countPlaceable({ step, taskSize }: WaitingStep, capacity: Resources): number {
+function countPlaceable({ step, taskSize }: ActiveStep, capacity: Resources): number {
     const { count, maximumPerWorker = count } = step.specification;
     let freeCapacity = capacity;
     let placeable = 0;
--- a/packages/coordinator/src/heldCapacity.ts
+++ b/packages/coordinator/src/heldCapacity.ts
@@ -3,15 +3,15 @@
  * More urgent steps may use it all the same.
  */
 import { type Resources, subtractResources } from "@tanagerlink/model";
-import type { WaitingStep } from "./waitingSteps.ts";
+import type { ActiveStep } from "./activeSteps.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
 export class HeldCapacity {
-    private readonly holdersByWorker = new Map<WorkerSession, WaitingStep[]>();
-    private readonly workersByHolder = new Map<WaitingStep, readonly WorkerSession[]>();
+    private readonly holdersByWorker = new Map<WorkerSession, ActiveStep[]>();
+    private readonly workersByHolder = new Map<ActiveStep, readonly WorkerSession[]>();
 
-    /** Holds room for one task on each of the workers; a worker may be listed several times. */
-    hold(holder: WaitingStep, workers: readonly WorkerSession[]): void {
+    /** Holds capacity for one task on each of the workers; a worker may be listed several times. */
+    hold(holder: ActiveStep, workers: readonly WorkerSession[]): void {
         if (workers.length === 0) {
             return;
         }
@@ -24,7 +24,7 @@
     }
 
     /** Releases all that is held for a step and returns the workers concerned. */
-    release(holder: WaitingStep): readonly WorkerSession[] {
+    release(holder: ActiveStep): readonly WorkerSession[] {
         const workers = this.workersByHolder.get(holder) ?? [];
         this.workersByHolder.delete(holder);
         for (const worker of new Set(workers)) {
@@ -40,7 +40,7 @@
     }
 
     /** Free capacity of a worker less what is held for other steps of the same or a higher priority. */
-    freeCapacityFor(worker: WorkerSession, entry: WaitingStep): Resources {
+    freeCapacityFor(worker: WorkerSession, entry: ActiveStep): Resources {
         const holders = this.holdersByWorker.get(worker);
         let { freeCapacity } = worker;
         if (holders === undefined) {
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
 import { Attempt, type JobRun, JobState, type StepRun } from "@tanagerlink/workflow";
+import { type ActiveStep, ActiveSteps } from "./activeSteps.ts";
 import type { CellPolicy, QueueRule } from "./cellPolicy.ts";
 import type { CoordinatorMetrics } from "./coordinatorMetrics.ts";
 import { findObstacle, type Obstacle } from "./feasibility.ts";
@@ -13,7 +14,6 @@
 import { HeldCapacity } from "./heldCapacity.ts";
 import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
 import type { TeamUsage } from "./teamUsage.ts";
-import { type WaitingStep, WaitingSteps } from "./waitingSteps.ts";
 import { WaitReason } from "./waitTimes.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
@@ -52,10 +52,10 @@
 
 export class Scheduler {
     private readonly options: SchedulerOptions;
-    private readonly steps = new WaitingSteps();
+    private readonly steps = new ActiveSteps();
     private readonly heldCapacity = new HeldCapacity();
     private readonly reservations = new GangReservations();
-    private readonly feasibilityCheckedAt = new WeakMap<WaitingStep, number>();
+    private readonly feasibilityCheckedAt = new WeakMap<ActiveStep, number>();
 
     constructor(options: SchedulerOptions) {
         this.options = options;
@@ -87,7 +87,7 @@
         return this.steps.size;
     }
 
-    /** Whether a round has anything to look at. */
+    /** Whether a round has any step to check. */
     get hasWork(): boolean {
         return this.steps.hasWork;
     }
@@ -114,12 +114,12 @@
         this.steps.recordGrowth(worker);
     }
 
-    /** Lets the next round look at all steps, after a change of the policy. */
+    /** Lets the next round check all steps, after a change of the policy. */
     markAllDue(): void {
         this.steps.markAllDue();
     }
 
-    /** Lets the next round look at the steps whose recheck is due. */
+    /** Lets the next round check the steps whose recheck is due. */
     markRechecks(): void {
         this.steps.markRechecks(this.options.timers.now());
     }
@@ -138,7 +138,7 @@
         return found;
     }
 
-    /** Looks at the steps whose chances have changed, and places as many of their tasks as possible. */
+    /** Checks the steps that a change may let start, and places as many of their tasks as possible. */
     runRound(): void {
         const policy = this.options.policy();
         if (policy === undefined) {
@@ -168,7 +168,7 @@
     }
 
     /** Logs an unexpected error in the placement of one step, which must not keep the others from being placed. */
-    private runGuarded(entry: WaitingStep, action: () => void): void {
+    private runGuarded(entry: ActiveStep, action: () => void): void {
         try {
             action();
         }
@@ -176,13 +176,13 @@
             const { timers, logger } = this.options;
             logger.error(
                 { step: entry.step.name, reason: describeUnknown(failure) },
-                "unexpected error in the placement of a step; it is looked at again later",
+                "unexpected error in the placement of a step; it is checked again later",
             );
             this.steps.block(entry, WaitReason.Capacity, timers.now());
         }
     }
 
-    private findObstacle({ step, hints, service }: WaitingStep): Obstacle | undefined {
+    private findObstacle({ step, hints, service }: ActiveStep): Obstacle | undefined {
         const { fleet, usage } = this.options;
         const workers = fleet.workersOfService(service).filter(({ isListed }) => isListed);
         return findObstacle(step, workers, hints, size => usage.fitsLimit(step.job.specification.team, size));
@@ -192,9 +192,9 @@
      * Removes the steps that are done or whose jobs have ended. Returns the others by priority, then by the weighted
      * dominant share of their team, then by age.
      */
-    private orderSteps(due: readonly WaitingStep[], policy: CellPolicy): WaitingStep[] {
+    private orderSteps(due: readonly ActiveStep[], policy: CellPolicy): ActiveStep[] {
         const { fleet, usage } = this.options;
-        const ordered: { readonly entry: WaitingStep; readonly share: number; }[] = [];
+        const ordered: { readonly entry: ActiveStep; readonly share: number; }[] = [];
         const shares = new Map<string, number>();
         for (const entry of due) {
             const { step } = entry;
@@ -218,7 +218,7 @@
         return ordered.map(({ entry }) => entry);
     }
 
-    private applyRule(entry: WaitingStep, policy: CellPolicy): void {
+    private applyRule(entry: ActiveStep, policy: CellPolicy): void {
         const rule = queueRuleOf(entry.step.job, policy);
         if (rule.service !== entry.service) {
             this.releaseCapacity(entry);
@@ -230,13 +230,13 @@
     }
 
     /** Releases the capacity that is held or reserved for a step, for which other steps may wait. */
-    private releaseCapacity(entry: WaitingStep): void {
+    private releaseCapacity(entry: ActiveStep): void {
         for (const workers of [this.heldCapacity.release(entry), this.reservations.release(entry)]) {
             workers.forEach(worker => this.steps.recordGrowth(worker));
         }
     }
 
-    private placeStep(entry: WaitingStep, policy: CellPolicy): PlacedAttempt[] {
+    private placeStep(entry: ActiveStep, policy: CellPolicy): PlacedAttempt[] {
         const { fleet, usage, timers } = this.options;
         const { step } = entry;
         const tasks = step.waitingTasks();
@@ -299,7 +299,7 @@
 
     /** Lets a step that could not be placed completely wait for what it lacks. */
     private waitForChange(
-        entry: WaitingStep,
+        entry: ActiveStep,
         policy: CellPolicy,
         result: PlacementResult,
         isLimitReached: boolean,
@@ -316,7 +316,7 @@
         this.reservations.reserve(entry, fleet.workersOfService(entry.service), now);
     }
 
-    private createAttempts({ step, waitTimes }: WaitingStep, placements: readonly Placement[]): PlacedAttempt[] {
+    private createAttempts({ step, waitTimes }: ActiveStep, placements: readonly Placement[]): PlacedAttempt[] {
         const { timers, logger, metrics } = this.options;
         const now = timers.now();
         if (placements.length > 0) {
@@ -342,7 +342,7 @@
         });
     }
 
-    private requestHints(entry: WaitingStep, rule: QueueRule, result: PlacementResult): void {
+    private requestHints(entry: ActiveStep, rule: QueueRule, result: PlacementResult): void {
         const { timers, logger, requestRound } = this.options;
         const { step, hints } = entry;
         if (hints.isRequestPending || timers.now() < hints.retryAt || result.workersWithoutTicket.length === 0) {
--- a/packages/coordinator/src/sessionOwner.ts
+++ b/packages/coordinator/src/sessionOwner.ts
@@ -12,7 +12,7 @@
     /** The worker runs an attempt that the owner has not recorded on it. */
     onUnexpectedAttempt(session: WorkerSession, report: RunningReport): void;
     onReport(session: WorkerSession): void;
-    /** The capacity, labels or location of the worker have changed. */
+    /** The worker is listed again, or says something else in the list than before. */
     onEntryChanged(session: WorkerSession): void;
     /** Number of workers with a session. */
     workerCount(): number;
--- a/packages/hints/src/hintDispatcher.ts
+++ b/packages/hints/src/hintDispatcher.ts
@@ -61,8 +61,8 @@
     request(call: HintCall): Promise<Result<HintResponse, ServiceError>> {
         return new Promise(resolve => {
             const waiting = { ...call, sequence: this.nextSequence++, attempts: 0, resolve };
-            const follower = this.waitingCalls.findIndex(({ priority }) => priority > call.priority);
-            this.waitingCalls.splice(follower === -1 ? this.waitingCalls.length : follower, 0, waiting);
+            const lessUrgent = this.waitingCalls.findIndex(({ priority }) => priority > call.priority);
+            this.waitingCalls.splice(lessUrgent === -1 ? this.waitingCalls.length : lessUrgent, 0, waiting);
             this.dispatch();
         });
     }
--- a/packages/platform/__tests__/httpAdapters.spec.ts
+++ b/packages/platform/__tests__/httpAdapters.spec.ts
@@ -6,7 +6,7 @@
 import { createServer, type Server } from "node:http";
 import { createServer as createSecureServer } from "node:https";
 import type { AddressInfo } from "node:net";
-import { HttpObjectStore, HttpTableService, HttpVmList } from "../src/index.ts";
+import { HttpObjectStore, HttpPlatformClient, HttpTableService, HttpVmList } from "../src/index.ts";
 
 const timers = new SystemTimers(failure => {
     throw failure;
@@ -106,4 +106,28 @@
         secure.close();
         expect(results).to.deep.equal([true, false]);
     });
+
+    it("report a call as not sent if it times out while it waits for a connection, and never send it later", async () => {
+        const received: string[] = [];
+        const slow = createServer((request, response) => {
+            received.push(request.url ?? "");
+            setTimeout(() => response.end("{}"), 300);
+        });
+        await new Promise<void>(resolve => slow.listen(0, "127.0.0.1", resolve));
+        const client = new HttpPlatformClient({
+            baseUrl: `http://127.0.0.1:${(slow.address() as AddressInfo).port}`,
+            timers,
+            callTimeoutMilliseconds: 2_000,
+            connections: 1,
+        });
+        const first = client.exchange("GET", "/first");
+        const queued = await client.exchange("GET", "/queued", undefined, {}, 50);
+        expect(queued).to.include({ answered: false, sent: false });
+        expect((await first).answered).to.equal(true);
+        expect((await client.exchange("GET", "/third")).answered).to.equal(true);
+        expect(received).to.deep.equal(["/first", "/third"]);
+        await client[Symbol.asyncDispose]();
+        slow.closeAllConnections();
+        slow.close();
+    });
 });
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -13,25 +13,20 @@
     type VersionedOwnerRecord,
     type WorkerPort,
 } from "@tanagerlink/coordinator";
-import { describeUnknown, ErrorKind, serviceError } from "@tanagerlink/errors";
+import { describeUnknown } from "@tanagerlink/errors";
 import { HintDispatcher, type HintService, requestHintsMethod } from "@tanagerlink/hints";
 import type { PeerNetwork } from "@tanagerlink/peer";
 import type { RecordChange, RecordStore, StoredRecord } from "@tanagerlink/platform";
 import type { Logger, Metrics } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { type CellConfiguration, toCellPolicy } from "./cellConfiguration.ts";
 import { CellEntry } from "./cellEntry.ts";
 import { MeasuredCalls } from "./measuredCalls.ts";
 import { type FollowHandlers, OwnerFollowers } from "./ownerFollowers.ts";
+import { registerOwnerMethods } from "./ownerMethods.ts";
 import { RecordMap } from "./recordMap.ts";
 import { RelayedRecordStore } from "./relayedRecordStore.ts";
-import {
-    countPendingJobsMethod,
-    notifyJobAcceptedMethod,
-    notifyJobCancelledMethod,
-    readJobStateMethod,
-} from "./relayMethods.ts";
 import { type SiteHeartbeat, siteHeartbeatSchema } from "./siteHeartbeat.ts";
 import { MEMBERS_PARTITION, SiteMembers } from "./siteMembers.ts";
 import { TableFollower } from "./tableFollower.ts";
@@ -83,7 +78,7 @@
     readonly leaseMilliseconds: number;
     readonly stopMilliseconds: number;
     readonly retentionMilliseconds: number;
-    /** Called when this process takes the cell, and when it no longer owns it. */
+    /** Called when this process takes the cell, and when it loses it. */
     readonly onOwnershipChange?: (isOwner: boolean) => void;
 }
 
@@ -183,7 +178,7 @@
             isEligible: () => !this.isDraining && this.coordinator === undefined && this.configuration !== undefined,
             onWon: (claim, previousOwner) => void this.startCoordinator(claim, previousOwner),
         });
-        this.registerOwnerMethods();
+        registerOwnerMethods(peers, () => this.coordinator);
         this.registerHintMethod();
         peers.provideHeartbeatPayload(() => this.createHeartbeat());
         peers.onHeartbeat((peer, payload) => this.onPeerHeartbeat(peer, payload));
@@ -383,36 +378,6 @@
         }
     }
 
-    private registerOwnerMethods(): void {
-        const { peers } = this.options;
-        const answerAsOwner = <Answer>(answer: (coordinator: Coordinator) => Answer) => {
-            const { coordinator } = this;
-            return Promise.resolve(
-                coordinator?.isReady === true
-                    ? ok(answer(coordinator))
-                    : err(serviceError(ErrorKind.NotOwner, "this process does not own the cell")),
-            );
-        };
-        peers.handle(notifyJobAcceptedMethod, specification =>
-            answerAsOwner(coordinator => {
-                coordinator.accept(specification);
-                return {};
-            }));
-        peers.handle(notifyJobCancelledMethod, ({ id }) =>
-            answerAsOwner(coordinator => {
-                coordinator.cancel(id);
-                return {};
-            }));
-        peers.handle(
-            readJobStateMethod,
-            ({ id }) => answerAsOwner(coordinator => ({ state: coordinator.jobState(id) })),
-        );
-        peers.handle(
-            countPendingJobsMethod,
-            ({ queue }) => answerAsOwner(coordinator => ({ count: coordinator.pendingJobCount(queue) })),
-        );
-    }
-
     private registerHintMethod(): void {
         const { peers } = this.options;
         peers.handle(requestHintsMethod, ({ step, workers }) => this.hintService.request(step, workers));
