--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -1,6 +1,6 @@
 /**
- * Kills the owner of the cell while it removes the records of jobs whose retention has ended. The progress records are
- * gone by then, and the job records are not. The next owner takes these jobs for new ones and runs them again.
+ * The store is down for some seconds while the retention of jobs ends. The progress records of these jobs are removed
+ * afterwards, and their job records never. The next owner takes these jobs for new ones and runs them again.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Cell, runCase } from "../stand-ins/cell.ts";
@@ -11,43 +11,39 @@
 const STATUS_SECONDS = 60;
 const TASK_MILLISECONDS = 100;
 const TASK_CPU = 500;
+/** `platform_down` in the site file. */
+const OUTAGE_MILLISECONDS = 4_500;
+/** From the end of the first retention to the outage. */
+const OUTAGE_AFTER_MILLISECONDS = 3_000;
+/** From one SIGTERM to the next; the process ends and starts again in about three seconds. */
+const RESTART_GAP_MILLISECONDS = 4_000;
 
 await runCase(
     { processes: 3, executors: 6, cpuPerTask: TASK_CPU, bounds: { status_s: STATUS_SECONDS } },
     async (cell, hasTrouble) => {
         const ids = Array.from({ length: JOBS }, (_, index) => (0x5c0e7a21d94b0000n + BigInt(index)).toString(16));
+        const submittedAt = cell.record.now();
         const accepted = await submitAll(cell, ids);
         await waitUntilDone(cell, ids);
 
-        // Planned work, with and without the disruption. The next owner counts the retention of all ended jobs from now on.
-        const formerOwner = await cell.waitForOwner();
-        formerOwner.signal("SIGTERM");
-        while (cell.owner === undefined || cell.owner === formerOwner) {
-            await sleep(10);
-        }
-        const owner = cell.owner;
-        cell.record.write(`process ${owner.node} owns the cell`);
-        const removed = new Set<string>();
-        cell.store.onTransaction = ({ status, remove }) => {
-            if (status === 200) {
-                remove.filter(({ table }) => table === "jobs").forEach(({ key }) => removed.add(key));
-            }
-        };
-        const limit = cell.record.now() + (STATUS_SECONDS + 15) * 1_000;
-        while (removed.size === 0 && cell.record.now() < limit) {
-            await sleep(5);
-        }
-        if (removed.size === 0) {
-            throw new Error("the records of ended jobs were not removed");
-        }
-        // Half a second after the owner has begun; without a disruption, it takes seconds.
-        await sleep(500);
+        // The store is down while the retention of some of the submissions ends.
+        await sleep(STATUS_SECONDS * 1_000 + OUTAGE_AFTER_MILLISECONDS - cell.record.now() + submittedAt);
         if (hasTrouble) {
-            cell.record.write(`${removed.size} of ${JOBS} job records have been removed`);
-            owner.signal("SIGKILL");
+            cell.record.write("the store answers 503");
+            cell.store.refusal = 503;
+        }
+        await sleep(OUTAGE_MILLISECONDS);
+        cell.store.refusal = undefined;
+        cell.record.write("the store serves all calls");
+        await sleep(OUTAGE_AFTER_MILLISECONDS + 5_000);
+
+        // Planned work, with and without the disruption: the machines of the system are restarted in turn.
+        for (const site of cell.processes) {
+            site.signal("SIGTERM");
+            await sleep(RESTART_GAP_MILLISECONDS);
+            await site.waitUntilReady();
         }
-        await sleep(20_000);
-        cell.record.write(`${removed.size} of ${JOBS} job records have been removed`);
+        await sleep(3_000);
         return findRepeatedRuns(cell, accepted);
     },
 );
--- a/review/stand-ins/cell.ts
+++ b/review/stand-ins/cell.ts
@@ -402,6 +402,10 @@
     for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"] as const) {
         process.once(signal, () => void finish(Verdict.NotRun, `interrupted by ${signal}`));
     }
+    // No process that the case has started may stay behind.
+    for (const event of ["uncaughtException", "unhandledRejection"] as const) {
+        process.on(event, (failure: unknown) => void finish(Verdict.NotRun, `the case has failed: ${String(failure)}`));
+    }
     setTimeout(() => void finish(Verdict.NotRun, "the time limit of the case is over"), LIMIT_MILLISECONDS);
     try {
         cell.record.write(`${hasTrouble ? "with" : "without"} the disruption`);
--- a/review/stand-ins/store.ts
+++ b/review/stand-ins/store.ts
@@ -79,9 +79,10 @@
             isWrite ? this.writeTimes : this.readTimes,
             isWrite ? WRITES_PER_SECOND : READS_PER_SECOND,
         );
-        if (this.refusal !== undefined) {
+        const { refusal } = this;
+        if (refusal !== undefined) {
             await sleep(READ_MILLISECONDS);
-            return { status: this.refusal };
+            return { status: refusal };
         }
         if (!allowed) {
             return { status: 429 };
