fix(coordinator): remove the records of an expired job before its progress

Cause: the records of an expired job lie in two partitions. Its progress was removed with retries and its job record without, so that an outage, or the end of the owner between the two, left a job record without progress, which the next owner takes for a job that has not begun.

The job record now goes first, with the version that was accepted as a condition and with retries, and the progress only once that is certain. What an interruption leaves is progress without a job, which the next owner removes.

The same cause on related paths: a listing that is read before a removal and arrives after it showed the job as a new one (the owner remembers removed records by their version); progress and cancellations left from a removed job were taken for those of a later job with the same identifier (both must be newer than the job record).

--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -94,14 +94,20 @@
         return coordinator;
     }
 
-    /** Stores a job and notifies the owner, as an entry process does. */
+    /** Stores a job and passes its record to the owner. */
     async submit(coordinator: Coordinator, job: JobSpecification): Promise<void> {
-        await this.store.commit({
+        coordinator.accept(job, await this.storeJob(job));
+    }
+
+    /** Stores a job, as an entry process does, and returns the version of its record. */
+    async storeJob(job: JobSpecification): Promise<number> {
+        const stored = await this.store.commit({
             expectations: [],
             writes: [{ table: JOBS_TABLE, partition: partitionOf(job.id), key: job.id, value: encodeJson(job) }],
             removals: [],
         });
-        coordinator.accept(job);
+        const outcome = stored._unsafeUnwrap();
+        return outcome.committed ? outcome.version : 0;
     }
 
     async advanceTime(milliseconds: number): Promise<void> {
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -22,7 +22,8 @@
 import { CrashSuspicion } from "./crashSuspicion.ts";
 import type { Obstacle } from "./feasibility.ts";
 import { Fleet } from "./fleet.ts";
-import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE, partitionOf } from "./jobTables.ts";
+import { ExpiredJobs } from "./expiredJobs.ts";
+import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE } from "./jobTables.ts";
 import { Journal, PROGRESS_TABLE } from "./journal.ts";
 import { OWNER_PARTITION, type OwnerRecord, type VersionedOwnerRecord } from "./ownerRecord.ts";
 import { RecordReader } from "./recordReader.ts";
@@ -74,6 +75,7 @@
     private readonly claimedAt: number;
     private readonly journal: Journal;
     private readonly jobs: CellJobs;
+    private readonly expiredJobs: ExpiredJobs;
     private readonly fleet: Fleet;
     private readonly usage = new TeamUsage();
     private readonly scheduler: Scheduler;
@@ -105,6 +107,14 @@
             renewalMilliseconds: options.renewalMilliseconds,
             onOwnershipLost: () => this.handleOwnershipLost(),
         });
+        this.expiredJobs = new ExpiredJobs({
+            store,
+            timers,
+            logger,
+            jobs: this.jobs,
+            retentionMilliseconds: options.retentionMilliseconds,
+            onRemoved: id => this.journal.remove([{ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: id }]),
+        });
         this.fleet = new Fleet({
             owner: this,
             port: options.port,
@@ -157,30 +167,37 @@
             return;
         }
         const { jobs, usage, fleet } = this;
-        restoreJobs({ jobs, usage, fleet, timers, logger }, accepted, progress);
+        const obsolete = restoreJobs({ jobs, usage, fleet, timers, logger }, accepted, progress);
+        this.journal.remove(obsolete);
         this.hasRecovered = true;
-        cancelled.forEach(({ key }) => this.cancel(key));
+        cancelled.forEach(({ key, version }) => this.cancel(key, version));
         for (const job of this.jobs.all()) {
             this.openJob(job);
         }
         this.fleet.start();
         logger.info(
-            { epoch: this.epoch, jobs: accepted.length, milliseconds: Math.round(timers.now() - this.claimedAt) },
+            {
+                epoch: this.epoch,
+                jobs: accepted.length,
+                withProgress: progress.length - obsolete.length,
+                obsolete: obsolete.length,
+                milliseconds: Math.round(timers.now() - this.claimedAt),
+            },
             "cell recovered",
         );
         this.requestRound();
     }
 
-    /** Adds a job whose acceptance has been stored. */
-    accept(specification: JobSpecification): void {
+    /** Adds a job whose acceptance has been stored. `recordVersion` is missing if its record has not been read. */
+    accept(specification: JobSpecification, recordVersion?: number): void {
         if (!this.hasRecovered || this.isStopped) {
             return;
         }
-        const job = this.jobs.add(specification);
+        const job = this.jobs.add(specification, recordVersion);
         if (job === undefined) {
             return;
         }
-        if (this.jobs.takeEarlyCancellation(job.id)) {
+        if (this.jobs.takeEarlyCancellation(job)) {
             this.endJob(job, JobState.Cancelled);
             return;
         }
@@ -188,20 +205,21 @@
         this.requestRound();
     }
 
-    /** Cancels a job after the cancellation has been stored. */
-    cancel(id: string): void {
+    /** Cancels a job after the cancellation has been stored. `recordVersion` is missing if that was not read. */
+    cancel(id: string, recordVersion?: number): void {
         const job = this.jobs.get(id);
         if (job === undefined && !this.jobs.isEnded(id)) {
-            this.jobs.recordEarlyCancellation(id);
+            this.jobs.recordEarlyCancellation(id, recordVersion);
         }
-        else if (job?.isOpen === true) {
+        // An older cancellation was that of an earlier job with the same identifier.
+        else if (job?.isOpen === true && (recordVersion ?? Infinity) > (job.recordVersion ?? 0)) {
             this.endJob(job, JobState.Cancelled);
         }
     }
 
-    /** Whether the job has been accepted by this owner or was read from its record. */
-    isKnown(id: string): boolean {
-        return this.jobs.get(id) !== undefined || this.jobs.isEnded(id);
+    /** Whether the record belongs to a job that this owner knows or whose records it has removed. */
+    isKnown(id: string, recordVersion: number): boolean {
+        return this.jobs.isKnown(id, recordVersion);
     }
 
     /** State of a job as shown to callers; `undefined` if the job is unknown. */
@@ -236,6 +254,7 @@
     /** Stops sending orders and releases ownership of the cell. */
     async release(): Promise<void> {
         this.fleet[Symbol.dispose]();
+        this.expiredJobs[Symbol.dispose]();
         this.isStopped = true;
         this.ticker[Symbol.dispose]();
         await this.journal.release();
@@ -245,6 +264,7 @@
         this.isStopped = true;
         this.ticker[Symbol.dispose]();
         this.fleet[Symbol.dispose]();
+        this.expiredJobs[Symbol.dispose]();
         this.journal[Symbol.dispose]();
     }
 
@@ -544,8 +564,7 @@
         if (!this.hasRecovered || this.isStopped) {
             return;
         }
-        const { timers, retentionMilliseconds } = this.options;
-        const now = timers.now();
+        const now = this.options.timers.now();
         this.recurringJobs.forEach(job => this.scheduler.activate(job));
         for (const session of this.fleet.all()) {
             this.recordAvailability(session, now);
@@ -554,13 +573,7 @@
             this.reportInfeasible(job, obstacle);
         }
         this.jobs.compactEndedJobs();
-        const expired = this.jobs.removeExpired(now - retentionMilliseconds);
-        if (expired.length > 0) {
-            this.journal.remove(
-                expired.map(id => ({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: id })),
-            );
-            void this.removeJobRecords(expired);
-        }
+        this.expiredJobs.remove();
         this.fleet.closeUnusedSessions();
         this.scheduler.markRechecks();
         if (this.scheduler.hasWork) {
@@ -568,19 +581,6 @@
         }
     }
 
-    /** Removes the records of expired jobs. Records left after an error are removed by a later owner. */
-    private async removeJobRecords(expired: readonly string[]): Promise<void> {
-        const { store, logger } = this.options;
-        for (const id of expired) {
-            const partition = partitionOf(id);
-            const removals = [JOBS_TABLE, CANCELLATIONS_TABLE].map(table => ({ table, partition, key: id }));
-            const removed = await store.commit({ expectations: [], writes: [], removals });
-            if (removed.isErr()) {
-                logger.info({ job: id, error: removed.error.kind }, "could not remove the records of an expired job");
-            }
-        }
-    }
-
     /** Logs once that a job could not start even on empty workers. Callers see the job as queued. */
     private reportInfeasible(job: JobRun, obstacle: Obstacle | undefined): void {
         if (obstacle === undefined) {
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -54,7 +54,8 @@
 export class Journal implements Disposable {
     private readonly options: JournalOptions;
     private readonly dirty = new Map<JobRun, UnstoredChanges>();
-    private removals: RecordName[] = [];
+    /** Records to remove, by key. */
+    private readonly removals = new Map<string, RecordName>();
     private waiters: Waiter[] = [];
     private ownerRecord: OwnerRecord;
     private ownerVersion: number;
@@ -83,13 +84,15 @@
     /** Schedules a job's changed progress for storing. */
     recordChange(job: JobRun): void {
         const latest = ++this.lastChange;
+        // The record of an earlier job with the same identifier is overwritten instead.
+        this.removals.delete(job.id);
         this.dirty.set(job, { oldest: this.dirty.get(job)?.oldest ?? latest, latest });
         this.scheduleWrite();
     }
 
     /** Removes records of the owner's partition in one of the next transactions. */
     remove(names: readonly RecordName[]): void {
-        this.removals.push(...names);
+        names.forEach(name => this.removals.set(name.key, name));
         this.scheduleWrite();
     }
 
@@ -137,7 +140,7 @@
         try {
             while (
                 !this.isStopped &&
-                (this.dirty.size > 0 || this.removals.length > 0 || this.isRenewalDue || this.resolveRelease)
+                (this.dirty.size > 0 || this.removals.size > 0 || this.isRenewalDue || this.resolveRelease)
             ) {
                 await this.writeBatch();
             }
@@ -223,7 +226,7 @@
             writes.push({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: job.id, value });
             jobs.set(job, latest);
         }
-        const removals = this.removals.slice(0, MAXIMUM_TRANSACTION_ENTRIES - writes.length);
+        const removals = [...this.removals.values()].slice(0, MAXIMUM_TRANSACTION_ENTRIES - writes.length);
         return { jobs, writes, removals, states: new Map([...jobs.keys()].map(job => [job, job.state])) };
     }
 
@@ -238,7 +241,7 @@
             }
             job.storedState = batch.states.get(job) ?? job.storedState;
         }
-        this.removals = this.removals.slice(batch.removals.length);
+        batch.removals.forEach(({ key }) => this.removals.delete(key));
         this.lastStoredChange = this.dirty.size === 0
             ? this.lastChange
             : Math.min(...[...this.dirty.values()].map(({ oldest }) => oldest)) - 1;
--- a/packages/coordinator/src/restoreJobs.ts
+++ b/packages/coordinator/src/restoreJobs.ts
@@ -1,5 +1,5 @@
 /** Restores the jobs of the cell, their attempts and the usage of their teams from the records, for a new owner. */
-import { decodeJson, type StoredRecord } from "@tanagerlink/platform";
+import { decodeJson, type RecordName, type StoredRecord } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Timers } from "@tanagerlink/timers";
 import {
@@ -21,16 +21,23 @@
     readonly logger: Logger;
 }
 
-/** Restores all accepted jobs. Jobs with an invalid record are logged: without its progress, a job fails. */
+/**
+ * Restores all accepted jobs. Jobs with an invalid record are logged: without its progress, a job fails. Returns the
+ * progress records that belong to none of the jobs: their job records have been removed, also where a later job with the
+ * same identifier has been accepted since.
+ */
 export function restoreJobs(
     state: RestoredState,
     accepted: readonly StoredRecord[],
     progress: readonly StoredRecord[],
-): void {
-    const progressByJob = new Map(progress.map(record => [record.key, record]));
+): RecordName[] {
+    const acceptedVersions = new Map(accepted.map(({ key, version }) => [key, version]));
+    const isCurrent = ({ key, version }: StoredRecord): boolean => version > (acceptedVersions.get(key) ?? Infinity);
+    const progressByJob = new Map(progress.filter(isCurrent).map(record => [record.key, record]));
     for (const stored of accepted) {
         restoreJob(state, stored, progressByJob.get(stored.key));
     }
+    return progress.filter(record => !isCurrent(record));
 }
 
 function restoreJob(
@@ -42,12 +49,12 @@
     if (record?.isErr() === true) {
         // Without its progress, starting the job could run its tasks twice.
         logger.error({ job: stored.key, reason: record.error }, "progress record of a job is invalid; the job fails");
-        jobs.addEnded(stored.key, JobState.Failed);
+        jobs.addEnded(stored.key, JobState.Failed, stored.version);
         return;
     }
     const restored = record?.isOk() === true ? record.value : undefined;
     if (restored !== undefined && isEndedState(restored.state) && restored.tasks.length === 0) {
-        jobs.addEnded(stored.key, restored.state);
+        jobs.addEnded(stored.key, restored.state, stored.version);
         return;
     }
     const specification = decodeJson(jobSpecificationSchema, stored.value);
@@ -58,7 +65,7 @@
         );
         return;
     }
-    const job = jobs.add(specification.value);
+    const job = jobs.add(specification.value, stored.version);
     if (job === undefined || restored === undefined) {
         return;
     }
--- a/packages/site/src/cellEntry.ts
+++ b/packages/site/src/cellEntry.ts
@@ -244,7 +244,8 @@
         if (accepted.value === undefined) {
             return err(serviceError(ErrorKind.JobNotFound, `there is no job ${id}`));
         }
-        if (progress.value !== undefined) {
+        // Older progress is that of an earlier job with the same identifier.
+        if (progress.value !== undefined && progress.value.version > accepted.value.version) {
             const record = decodeJson(progressRecordSchema, progress.value.value);
             const state = record.map(({ state }) => state).unwrapOr(JobState.Running);
             if (state === JobState.Completed || state === JobState.Failed || cancelled.value === undefined) {
--- a/packages/site/src/ownerFollowers.ts
+++ b/packages/site/src/ownerFollowers.ts
@@ -50,17 +50,21 @@
     followJobs(): void {
         const { coordinator, logger } = this.options;
         const accept = (changes: readonly (RecordChange | StoredRecord)[]): void => {
-            for (const { key, value } of changes) {
-                if (value !== undefined && !coordinator.isKnown(key)) {
+            for (const { key, value, version } of changes) {
+                if (value !== undefined && !coordinator.isKnown(key, version)) {
                     decodeJson(jobSpecificationSchema, value).match(
-                        specification => coordinator.accept(specification),
+                        specification => coordinator.accept(specification, version),
                         reason => logger.error({ job: key, reason }, "job record is invalid; the job is skipped"),
                     );
                 }
             }
         };
         const cancel = (changes: readonly (RecordChange | StoredRecord)[]): void => {
-            changes.filter(({ value }) => value !== undefined).forEach(({ key }) => coordinator.cancel(key));
+            for (const { key, value, version } of changes) {
+                if (value !== undefined) {
+                    coordinator.cancel(key, version);
+                }
+            }
         };
         for (const [table, apply] of [[JOBS_TABLE, accept], [CANCELLATIONS_TABLE, cancel]] as const) {
             const handlers = { onListing: apply, onChanges: apply };
--- a/packages/workflow/src/jobRun.ts
+++ b/packages/workflow/src/jobRun.ts
@@ -31,6 +31,8 @@
     readonly occurrences: readonly Occurrence[];
     /** Order of acceptance. */
     readonly sequence: number;
+    /** Version of the job's record in the store; `undefined` until the owner has read the record. */
+    recordVersion: number | undefined;
     state: JobState = JobState.Queued;
     /** The stored state. Callers see a final state only after it has been stored. */
     storedState: JobState = JobState.Queued;
