fix(coordinator): keep the progress of a large job within the rows of the store

Cause: the progress of a job was one row with an entry for each task that was ever started, of all occurrences. Beyond 64 KiB the store refuses the row with 413, which counted as an outage: the same rows, those of all other jobs and the claim were sent again for ever. Evidence: the record of the case shows the store refusing a row of over 65,536 bytes from the 12th occurrence on, hundreds of times, with nothing else stored in between.

* An occurrence is opened when it is due and closed when it is done.
The record names the open ones instead of the tasks of all.
Memory is bounded likewise: at most 1,000 open occurrences and 10,000 tasks of one job.
* A record over 48,000 bytes is divided into a head and segments of 64 tasks, of which only changed ones are written, in an order that an interruption does not turn into a task that looks as if it had not begun.
* A refusal for good is an error kind of its own, `store_refused`, and no sign of a lost store.
Jobs are then written one by one, and the one that is refused fails, with a log line and a metric.

The same cause on related paths: all occurrences of a job were created at its acceptance (a million of them ended the process in the test); submissions with over 10,000 occurrences, over 200 steps or a negative interval were accepted with a record that every owner skips. The first are now run, the others refused at once.

--- a/packages/coordinator/__tests__/deadlyTasks.spec.ts
+++ b/packages/coordinator/__tests__/deadlyTasks.spec.ts
@@ -3,7 +3,7 @@
 import { JobRun, JobState, progressRecordSchema } from "@tanagerlink/workflow";
 import { expect } from "chai";
 import type { Coordinator } from "../src/coordinator.ts";
-import { PROGRESS_TABLE } from "../src/journal.ts";
+import { PROGRESS_TABLE } from "../src/index.ts";
 import { OWNER_PARTITION } from "../src/ownerRecord.ts";
 import { placeTasks } from "../src/placement.ts";
 import { Cell } from "./support/cell.ts";
--- a/packages/coordinator/__tests__/journal.spec.ts
+++ b/packages/coordinator/__tests__/journal.spec.ts
@@ -7,7 +7,8 @@
 import { ManualTimers } from "@tanagerlink/timers";
 import { JobRun, JobState } from "@tanagerlink/workflow";
 import { expect } from "chai";
-import { Journal, PROGRESS_TABLE } from "../src/journal.ts";
+import { PROGRESS_TABLE } from "../src/index.ts";
+import { Journal } from "../src/journal.ts";
 import {
     decodeOwnerRecord,
     encodeJson,
@@ -42,6 +43,7 @@
         claim,
         renewalMilliseconds: 1_000,
         onOwnershipLost: () => isOwnershipLost = true,
+        onRefused: () => undefined,
     });
     return { store, timers, journal, isOwnershipLost: () => isOwnershipLost };
 }
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -20,12 +20,13 @@
 import type { CellPolicy } from "./cellPolicy.ts";
 import type { CoordinatorMetrics } from "./coordinatorMetrics.ts";
 import { CrashSuspicion } from "./crashSuspicion.ts";
+import { ExpiredJobs } from "./expiredJobs.ts";
 import type { Obstacle } from "./feasibility.ts";
 import { Fleet } from "./fleet.ts";
-import { ExpiredJobs } from "./expiredJobs.ts";
 import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE } from "./jobTables.ts";
-import { Journal, PROGRESS_TABLE } from "./journal.ts";
+import { Journal } from "./journal.ts";
 import { OWNER_PARTITION, type OwnerRecord, type VersionedOwnerRecord } from "./ownerRecord.ts";
+import { PROGRESS_SEGMENTS_TABLE, PROGRESS_TABLE, progressName } from "./progressRows.ts";
 import { RecordReader } from "./recordReader.ts";
 import { restoreJobs } from "./restoreJobs.ts";
 import { type PlacedAttempt, Scheduler } from "./scheduler.ts";
@@ -106,6 +107,7 @@
             claim,
             renewalMilliseconds: options.renewalMilliseconds,
             onOwnershipLost: () => this.handleOwnershipLost(),
+            onRefused: job => this.handleRefusedProgress(job),
         });
         this.expiredJobs = new ExpiredJobs({
             store,
@@ -113,7 +115,7 @@
             logger,
             jobs: this.jobs,
             retentionMilliseconds: options.retentionMilliseconds,
-            onRemoved: id => this.journal.remove([{ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: id }]),
+            onRemoved: id => this.journal.remove([progressName(id)]),
         });
         this.fleet = new Fleet({
             owner: this,
@@ -158,16 +160,18 @@
             minimumVersion: claim.version,
             isAbandoned: () => this.isStopped,
         });
-        const [progress, accepted, cancelled] = await Promise.all([
+        const [progress, segments, accepted, cancelled] = await Promise.all([
             reader.read(PROGRESS_TABLE, [OWNER_PARTITION]),
+            reader.read(PROGRESS_SEGMENTS_TABLE, [OWNER_PARTITION]),
             reader.read(JOBS_TABLE, JOB_PARTITIONS),
             reader.read(CANCELLATIONS_TABLE, JOB_PARTITIONS),
         ]);
         if (this.isStopped) {
             return;
         }
-        const { jobs, usage, fleet } = this;
-        const obsolete = restoreJobs({ jobs, usage, fleet, timers, logger }, accepted, progress);
+        const { jobs, usage, fleet, journal } = this;
+        const state = { jobs, usage, fleet, journal, timers, logger };
+        const obsolete = restoreJobs(state, accepted, progress, segments);
         this.journal.remove(obsolete);
         this.hasRecovered = true;
         cancelled.forEach(({ key, version }) => this.cancel(key, version));
@@ -179,7 +183,8 @@
             {
                 epoch: this.epoch,
                 jobs: accepted.length,
-                withProgress: progress.length - obsolete.length,
+                progress: progress.length,
+                segments: segments.length,
                 obsolete: obsolete.length,
                 milliseconds: Math.round(timers.now() - this.claimedAt),
             },
@@ -457,6 +462,16 @@
         }
     }
 
+    /** Fails a job whose progress cannot be stored, since the next owner would run its tasks again. */
+    private handleRefusedProgress(job: JobRun): void {
+        const { logger, metrics } = this.options;
+        metrics.recordRefusedProgress();
+        logger.error({ job: job.id, state: job.state }, "the store refuses the progress of a job; the job fails");
+        if (job.isOpen) {
+            this.endJob(job, JobState.Failed);
+        }
+    }
+
     /** Starts to schedule an accepted job. */
     private openJob(job: JobRun): void {
         if (job.isOpen && job.specification.recurrence !== undefined) {
@@ -470,6 +485,7 @@
         if (!job.isOpen) {
             return;
         }
+        job.closeDoneOccurrences();
         if (job.isDone) {
             this.endJob(job, JobState.Completed);
         }
--- a/packages/coordinator/src/coordinatorMetrics.ts
+++ b/packages/coordinator/src/coordinatorMetrics.ts
@@ -10,6 +10,7 @@
     private readonly endedJobs: Counter;
     private readonly workerCrashes: Counter;
     private readonly givenUpTasks: Counter;
+    private readonly refusedProgress: Counter;
 
     constructor(metrics: Metrics) {
         this.firstStartDelays = metrics.histogram({
@@ -39,6 +40,10 @@
             name: "tanagerlink_tasks_given_up_total",
             help: "Tasks that were given up because they crash the workers that start them.",
         });
+        this.refusedProgress = metrics.counter({
+            name: "tanagerlink_refused_progress_total",
+            help: "Jobs that failed because the store refuses their progress.",
+        });
     }
 
     recordFirstStart(queue: string, milliseconds: number): void {
@@ -64,4 +69,8 @@
     recordTaskGivenUp(): void {
         this.givenUpTasks.increment();
     }
+
+    recordRefusedProgress(): void {
+        this.refusedProgress.increment();
+    }
 }
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -7,7 +7,6 @@
 export * from "./coordinatorMetrics.ts";
 export * from "./election.ts";
 export * from "./jobTables.ts";
-export { PROGRESS_TABLE } from "./journal.ts";
 export {
     CELL_TABLE,
     decodeOwnerRecord,
@@ -17,4 +16,5 @@
     ownerRecordName,
     type VersionedOwnerRecord,
 } from "./ownerRecord.ts";
+export { PROGRESS_TABLE } from "./progressRows.ts";
 export * from "./workerPort.ts";
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -1,29 +1,29 @@
 /**
  * Writes the progress of jobs and renews the claim on the cell in sequential transactions. A transaction whose response
  * was lost, or that was sent more than once, may still be executed later. The next transaction therefore rewrites the
- * owner record, so that the version which the delayed one expects no longer matches.
+ * owner record, so that the version which the delayed one expects no longer matches. After a transaction that the store
+ * refuses for good, jobs are written one by one, so that only those that cannot be stored are left out.
  */
 import { ErrorKind } from "@tanagerlink/errors";
 import type { RecordName, RecordStore, RecordTransaction, RecordWrite } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Subscription, type Timers } from "@tanagerlink/timers";
-import { type JobRun, progressOf } from "@tanagerlink/workflow";
+import type { JobRun } from "@tanagerlink/workflow";
 import {
     decodeOwnerRecord,
     encodeJson,
     isSameOwnerAndEpoch,
-    OWNER_PARTITION,
     type OwnerRecord,
     ownerRecordName,
     type VersionedOwnerRecord,
 } from "./ownerRecord.ts";
-
-export const PROGRESS_TABLE = "progress";
+import { type ProgressChanges, ProgressRows } from "./progressRows.ts";
 
 /** The store accepts 100 entries in a transaction; the owner record takes one or two of them. */
 const MAXIMUM_TRANSACTION_ENTRIES = 90;
 /** Size before base64 encoding; the store accepts 1 MB for a transaction. */
 const MAXIMUM_TRANSACTION_BYTES = 600_000;
+const MAXIMUM_LOGGED_JOBS = 10;
 /** Delay before a failed transaction is retried. */
 const RETRY_DELAY_MILLISECONDS = 60;
 
@@ -36,6 +36,8 @@
     readonly renewalMilliseconds: number;
     /** Called once when another process has claimed the cell. */
     readonly onOwnershipLost: () => void;
+    /** Called when the store has refused the progress of a job for good. The change counts as stored. */
+    readonly onRefused: (job: JobRun) => void;
 }
 
 /** Change numbers of one job that are not stored yet. */
@@ -54,14 +56,18 @@
 export class Journal implements Disposable {
     private readonly options: JournalOptions;
     private readonly dirty = new Map<JobRun, UnstoredChanges>();
-    /** Records to remove, by key. */
+    private readonly rows = new ProgressRows();
+    /** Records to remove, by table and key. */
     private readonly removals = new Map<string, RecordName>();
     private waiters: Waiter[] = [];
     private ownerRecord: OwnerRecord;
     private ownerVersion: number;
     private lastChange = 0;
     private lastStoredChange = 0;
+    /** Number of further transactions that hold one job only. */
+    private isolatedTransactions = 0;
     private isRenewalDue = false;
+    private isFailing = false;
     private mustRewriteOwner = false;
     private isWriting = false;
     private isStopped = false;
@@ -84,18 +90,21 @@
     /** Schedules a job's changed progress for storing. */
     recordChange(job: JobRun): void {
         const latest = ++this.lastChange;
-        // The record of an earlier job with the same identifier is overwritten instead.
-        this.removals.delete(job.id);
         this.dirty.set(job, { oldest: this.dirty.get(job)?.oldest ?? latest, latest });
         this.scheduleWrite();
     }
 
     /** Removes records of the owner's partition in one of the next transactions. */
     remove(names: readonly RecordName[]): void {
-        names.forEach(name => this.removals.set(name.key, name));
+        names.forEach(name => this.removals.set(removalKey(name), name));
         this.scheduleWrite();
     }
 
+    /** Records the segments of a job's progress that a previous owner has written. */
+    recordRestored(job: JobRun, segmentKeys: readonly string[]): void {
+        this.rows.recordRestored(job, segmentKeys);
+    }
+
     /** Resolves to true when all changes recorded so far are stored, or to false when ownership is lost first. */
     waitUntilStored(): Promise<boolean> {
         if (this.isStopped) {
@@ -169,18 +178,19 @@
             ],
             removals: batch.removals,
         };
+        batch.jobs.forEach(({ changes }, job) => this.rows.recordAttempt(job, changes));
         const outcome = await store.commit(transaction);
         if (this.isStopped) {
             return;
         }
         if (outcome.isErr()) {
-            if (outcome.error.kind === ErrorKind.StoreOutcomeUnknown) {
-                this.mustRewriteOwner = true;
-            }
-            logger.debug({ error: outcome.error.kind, jobs: batch.jobs.size }, "progress not stored yet");
-            await sleep(timers, RETRY_DELAY_MILLISECONDS);
+            await this.handleFailure(outcome.error.kind, batch);
             return;
         }
+        if (this.isFailing) {
+            this.isFailing = false;
+            logger.info({}, "progress is stored again");
+        }
         if (!outcome.value.committed) {
             const current = outcome.value.current.map(decodeOwnerRecord).find(decoded => decoded.isOk());
             if (current?.isOk() === true && isSameOwnerAndEpoch(current.value.record, this.ownerRecord)) {
@@ -211,27 +221,90 @@
         }
     }
 
+    private async handleFailure(error: ErrorKind, batch: Batch): Promise<void> {
+        const { timers, logger } = this.options;
+        if (error === ErrorKind.StoreRefused && batch.writes.length + batch.removals.length > 0) {
+            this.handleRefusal(batch);
+            return;
+        }
+        if (error === ErrorKind.StoreOutcomeUnknown) {
+            this.mustRewriteOwner = true;
+        }
+        if (!this.isFailing) {
+            this.isFailing = true;
+            logger.warn({ error, jobs: batch.jobs.size }, "progress cannot be stored; retrying");
+        }
+        await sleep(timers, RETRY_DELAY_MILLISECONDS);
+    }
+
+    /** Finds the job that the store refuses, and leaves it out. */
+    private handleRefusal({ jobs, writes, removals }: Batch): void {
+        const { logger, onRefused } = this.options;
+        const sizes = writes.map(({ value }) => value.byteLength);
+        logger.error(
+            {
+                jobs: [...jobs.keys()].map(({ id }) => id).slice(0, MAXIMUM_LOGGED_JOBS),
+                largest: Math.max(0, ...sizes),
+            },
+            "the store refuses a transaction",
+        );
+        const [job] = jobs.keys();
+        if (jobs.size > 1) {
+            this.isolatedTransactions = this.dirty.size;
+        }
+        else if (job === undefined) {
+            removals.forEach(name => this.removals.delete(removalKey(name)));
+        }
+        else {
+            this.dirty.delete(job);
+            this.rows.forget(job);
+            onRefused(job);
+        }
+    }
+
     private nextBatch(): Batch {
-        const jobs = new Map<JobRun, number>();
+        const jobs = new Map<JobRun, BatchedJob>();
         const writes: RecordWrite[] = [];
+        const removals: RecordName[] = [];
+        const maximumJobs = this.isolatedTransactions > 0 ? 1 : MAXIMUM_TRANSACTION_ENTRIES;
         let bytes = 0;
         for (const [job, { latest }] of this.dirty) {
-            const value = encodeJson(progressOf(job));
-            bytes += value.byteLength;
-            if (
-                writes.length >= MAXIMUM_TRANSACTION_ENTRIES || writes.length > 0 && bytes > MAXIMUM_TRANSACTION_BYTES
-            ) {
+            const all = this.rows.changesOf(job);
+            const changes = takeFirst(
+                all,
+                MAXIMUM_TRANSACTION_ENTRIES - writes.length - removals.length,
+                MAXIMUM_TRANSACTION_BYTES - bytes,
+                jobs.size === 0 ? 1 : 0,
+            );
+            const isComplete = changes.writes.length + changes.removals.length
+                === all.writes.length + all.removals.length;
+            if (jobs.size >= maximumJobs || jobs.size > 0 && !isComplete) {
+                break;
+            }
+            writes.push(...changes.writes);
+            removals.push(...changes.removals);
+            bytes += sizeOf(changes.writes);
+            jobs.set(job, { changes, written: isComplete ? latest : undefined, state: job.state });
+            if (!isComplete) {
                 break;
             }
-            writes.push({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: job.id, value });
-            jobs.set(job, latest);
         }
-        const removals = [...this.removals.values()].slice(0, MAXIMUM_TRANSACTION_ENTRIES - writes.length);
-        return { jobs, writes, removals, states: new Map([...jobs.keys()].map(job => [job, job.state])) };
+        if (this.isolatedTransactions > 0) {
+            this.isolatedTransactions--;
+        }
+        // A record that is written again, for a later job with the same identifier, is not to be removed.
+        writes.forEach(name => this.removals.delete(removalKey(name)));
+        const others = maximumJobs === 1 && jobs.size > 0 ? [] : [...this.removals.values()];
+        removals.push(...others.slice(0, MAXIMUM_TRANSACTION_ENTRIES - writes.length - removals.length));
+        return { jobs, writes, removals };
     }
 
     private markCommitted(batch: Batch): void {
-        for (const [job, written] of batch.jobs) {
+        for (const [job, { changes, written, state }] of batch.jobs) {
+            this.rows.recordStored(job, changes);
+            if (written === undefined) {
+                continue;
+            }
             const latest = this.dirty.get(job)?.latest ?? written;
             if (latest === written) {
                 this.dirty.delete(job);
@@ -239,9 +312,9 @@
             else {
                 this.dirty.set(job, { oldest: written + 1, latest });
             }
-            job.storedState = batch.states.get(job) ?? job.storedState;
+            job.storedState = state;
         }
-        batch.removals.forEach(({ key }) => this.removals.delete(key));
+        batch.removals.forEach(name => this.removals.delete(removalKey(name)));
         this.lastStoredChange = this.dirty.size === 0
             ? this.lastChange
             : Math.min(...[...this.dirty.values()].map(({ oldest }) => oldest)) - 1;
@@ -259,9 +332,42 @@
     }
 }
 
+interface BatchedJob {
+    readonly changes: ProgressChanges;
+    /** Number of the latest change that the batch holds; `undefined` if it holds a part of the job's rows only. */
+    readonly written: number | undefined;
+    readonly state: JobRun["state"];
+}
+
 interface Batch {
-    readonly jobs: ReadonlyMap<JobRun, number>;
+    readonly jobs: ReadonlyMap<JobRun, BatchedJob>;
     readonly writes: readonly RecordWrite[];
     readonly removals: readonly RecordName[];
-    readonly states: ReadonlyMap<JobRun, JobRun["state"]>;
+}
+
+function removalKey({ table, key }: RecordName): string {
+    return `${table}/${key}`;
+}
+
+function sizeOf(writes: readonly RecordWrite[]): number {
+    return writes.reduce((sum, { value }) => sum + value.byteLength, 0);
+}
+
+/** The first of the changes that fit into a transaction, with removals only after all writes. */
+function takeFirst(
+    { writes, removals }: ProgressChanges,
+    maximumEntries: number,
+    maximumBytes: number,
+    minimumEntries: number,
+): ProgressChanges {
+    let bytes = 0;
+    let count = 0;
+    for (const { value } of writes) {
+        bytes += value.byteLength;
+        if (count >= maximumEntries || count >= minimumEntries && bytes > maximumBytes) {
+            return { writes: writes.slice(0, count), removals: [] };
+        }
+        count++;
+    }
+    return { writes, removals: removals.slice(0, maximumEntries - count) };
 }
--- a/packages/errors/src/errorAnswer.ts
+++ b/packages/errors/src/errorAnswer.ts
@@ -48,6 +48,7 @@
     [ErrorKind.ConfigurationConflict]: answer(409, 6, Outcome.NotRun, false),
     [ErrorKind.ConfigurationTooOld]: answer(503, 8, Outcome.NotRun, true),
     [ErrorKind.StoreUnavailable]: answer(503, 9, Outcome.NotRun, true),
+    [ErrorKind.StoreRefused]: answer(500, 9, Outcome.NotRun, false),
     [ErrorKind.StoreOutcomeUnknown]: answer(504, 10, Outcome.Unknown, true),
     [ErrorKind.PeerUnreachable]: answer(503, 9, Outcome.NotRun, true),
     [ErrorKind.PeerRejected]: answer(503, 9, Outcome.NotRun, true),
--- a/packages/errors/src/errorKind.ts
+++ b/packages/errors/src/errorKind.ts
@@ -25,6 +25,7 @@
     ConfigurationConflict: "configuration_conflict",
     ConfigurationTooOld: "configuration_too_old",
     StoreUnavailable: "store_unavailable",
+    StoreRefused: "store_refused",
     StoreOutcomeUnknown: "store_outcome_unknown",
     PeerUnreachable: "peer_unreachable",
     PeerRejected: "peer_rejected",
--- a/packages/platform/src/recordStore.ts
+++ b/packages/platform/src/recordStore.ts
@@ -86,7 +86,8 @@
 }
 
 /**
- * Access to the record store. Errors: `store_unavailable` if the call certainly had no effect, `store_outcome_unknown`
+ * Access to the record store. Errors: `store_unavailable` if the call certainly had no effect, `store_refused` if it
+ * would have none later either, such as the write of a row that is too large, and `store_outcome_unknown`
  * if a transaction may have taken effect or may still do so as long as its expectations hold.
  */
 export interface RecordStore {
--- a/packages/site/__tests__/cellEntry.spec.ts
+++ b/packages/site/__tests__/cellEntry.spec.ts
@@ -127,6 +127,28 @@
         expect((await entry.jobState("00a1"))._unsafeUnwrapErr().kind).to.equal(ErrorKind.JobNotFound);
     });
 
+    // Guards against LOST: a job was accepted whose record every owner skips as invalid.
+    it("refuses a job that the owner could not read, and accepts one with very many occurrences", async () => {
+        const [step] = job.steps;
+        const recurrence = { times: 50_000, firstAt: 0, intervalMilliseconds: 1 };
+        const invalidJobs: JobRequest[] = [
+            { ...job, steps: Array.from({ length: 201 }, () => step!) },
+            { ...job, recurrence: { ...recurrence, intervalMilliseconds: -1 } },
+        ];
+        for (const invalid of invalidJobs) {
+            const refused = await entry.submit(queue, "red", invalid);
+            expect(refused._unsafeUnwrapErr().kind).to.equal(ErrorKind.InvalidRequest);
+        }
+        expect((await entry.submit(queue, "red", { ...job, recurrence })).isOk()).to.equal(true);
+    });
+
+    it("reports at once that the store refuses a job", async () => {
+        store.commit = () => Promise.resolve(err(serviceError(ErrorKind.StoreRefused, "too large")));
+        const { result, milliseconds } = await submit();
+        expect(result._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreRefused);
+        expect(milliseconds).to.be.at.most(10);
+    });
+
     it("keeps a cancellation for the next owner", async () => {
         await submit();
         expect((await entry.cancel("00a1")).isOk()).to.equal(true);
--- a/packages/site/__tests__/relayedRecordStore.spec.ts
+++ b/packages/site/__tests__/relayedRecordStore.spec.ts
@@ -196,4 +196,21 @@
         expect(calledPeers).to.deep.equal(["near"]);
         store[Symbol.dispose]();
     });
+
+    // Guards against LOST: a row that was too large made the store look lost to the whole process.
+    it("takes a refusal for good for a response, and neither relays the call nor treats the store as lost", async () => {
+        const calledPeers: string[] = [];
+        const pair = new StorePair();
+        const store = pair.createStore(["peer"], calledPeers);
+        pair.directStore.commit = () => Promise.resolve(err(serviceError(ErrorKind.StoreRefused, "too large")));
+        for (let call = 0; call < 3; call++) {
+            const refused = await store.commit(write);
+            expect(refused._unsafeUnwrapErr().kind).to.equal(ErrorKind.StoreRefused);
+            await pair.timers.advance(1_000);
+        }
+        pair.isLinked = false;
+        expect(store.isLost).to.equal(false);
+        expect(calledPeers).to.deep.equal([]);
+        store[Symbol.dispose]();
+    });
 });
--- a/packages/site/src/cellEntry.ts
+++ b/packages/site/src/cellEntry.ts
@@ -217,6 +217,9 @@
             if (outcome.isOk()) {
                 return ok(outcome.value.committed || isOutcomeUnknown);
             }
+            if (outcome.error.kind === ErrorKind.StoreRefused) {
+                return err(outcome.error);
+            }
             isOutcomeUnknown ||= outcome.error.kind === ErrorKind.StoreOutcomeUnknown;
             const unknownOutcomeLimit = this.options.isStoreResponding()
                 ? SLOW_STORE_RETRY_LIMIT_MILLISECONDS
--- a/packages/site/src/hedgedCall.ts
+++ b/packages/site/src/hedgedCall.ts
@@ -26,7 +26,12 @@
 
 /** Whether the error guarantees that the call was not and will not be carried out. */
 export function isDefiniteFailure({ kind }: ServiceError): boolean {
-    return kind === ErrorKind.StoreUnavailable || kind === ErrorKind.PeerUnreachable;
+    return kind === ErrorKind.StoreUnavailable || kind === ErrorKind.PeerUnreachable || kind === ErrorKind.StoreRefused;
+}
+
+/** Whether the store has refused the call for good, so that it would refuse it on every path. */
+function isRefusal({ kind }: ServiceError): boolean {
+    return kind === ErrorKind.StoreRefused;
 }
 
 export async function makeHedgedCall<Answer>(call: HedgedCall<Answer>): Promise<HedgedOutcome<Answer>> {
@@ -41,7 +46,7 @@
         });
         pending.add(attempt);
         await waitWhile(() => successes.length === 0 && pending.size > 0, pending, timers, delayMilliseconds);
-        if (successes.length > 0) {
+        if (successes.length > 0 || failures.some(isRefusal)) {
             break;
         }
     }
@@ -49,7 +54,7 @@
         await Promise.race(pending);
     }
     const uncertainFailure = failures.find(failure => !isDefiniteFailure(failure));
-    const failure = uncertainFailure ?? failures.at(-1);
+    const failure = uncertainFailure ?? failures.find(isRefusal) ?? failures.at(-1);
     const result = successes[0] ?? err(failure as ServiceError);
     return { result, mayRepeat: pending.size > 0 || successes.length > 1 || uncertainFailure !== undefined };
 }
--- a/packages/site/src/relayedRecordStore.ts
+++ b/packages/site/src/relayedRecordStore.ts
@@ -164,7 +164,7 @@
     }
 
     private recordDirectOutcome<Answer>(outcome: Result<Answer, ServiceError>): Result<Answer, ServiceError> {
-        if (outcome.isErr()) {
+        if (outcome.isErr() && outcome.error.kind !== ErrorKind.StoreRefused) {
             this.recordDirectFailure(outcome.error.kind);
             return outcome;
         }
@@ -212,6 +212,9 @@
 
 /** Maps errors of direct and relayed calls to errors of the store. */
 function toStoreError(error: ServiceError): ServiceError {
+    if (error.kind === ErrorKind.StoreRefused) {
+        return error;
+    }
     return isDefiniteFailure(error)
         ? serviceError(ErrorKind.StoreUnavailable, "the store is unavailable, both directly and through peers")
         : serviceError(ErrorKind.StoreOutcomeUnknown, "the store did not respond, neither directly nor through a peer");
--- a/packages/workflow/src/jobRun.ts
+++ b/packages/workflow/src/jobRun.ts
@@ -1,4 +1,8 @@
-/** The state of one job in the process that owns the cell. */
+/**
+ * The state of one job in the process that owns the cell. A recurring job holds the tasks of its open occurrences only:
+ * an occurrence is opened when it is due and closed when it is done, so that the memory and the progress record of the
+ * job do not grow with the number of its occurrences.
+ */
 import type { JobSpecification } from "./jobSpecification.ts";
 import { StepRun } from "./stepRun.ts";
 import type { TaskRun } from "./taskRun.ts";
@@ -17,6 +21,10 @@
     return state !== JobState.Queued && state !== JobState.Running;
 }
 
+/** Maximums of open occurrences and of their tasks; further ones are opened as earlier ones are done. */
+const MAXIMUM_OPEN_OCCURRENCES = 1_000;
+const MAXIMUM_OPEN_TASKS = 10_000;
+
 /** One occurrence of a job, with its own run of every step. */
 export interface Occurrence {
     readonly index: number;
@@ -28,7 +36,6 @@
 export class JobRun {
     readonly id: string;
     readonly specification: JobSpecification;
-    readonly occurrences: readonly Occurrence[];
     /** Order of acceptance. */
     readonly sequence: number;
     /** Version of the job's record in the store; `undefined` until the owner has read the record. */
@@ -42,26 +49,63 @@
     endedAt: number | undefined;
     /** Monotonic time of the first start of a task. */
     firstStartAt: number | undefined;
+    private readonly openOccurrences = new Map<number, Occurrence>();
+    private readonly tasksPerOccurrence: number;
+    /** Occurrences below this index have been opened; those of them that are not open any more are done. */
+    private openedBefore = 0;
 
     constructor(specification: JobSpecification, sequence: number, now: number) {
         this.id = specification.id;
         this.specification = specification;
         this.sequence = sequence;
         this.receivedAt = now;
-        const { recurrence } = specification;
-        this.occurrences = Array.from({ length: recurrence?.times ?? 1 }, (_, index) => ({
-            index,
-            dueAt: recurrence === undefined ? 0 : recurrence.firstAt + index * recurrence.intervalMilliseconds,
-            steps: specification.steps.map((step, stepIndex) => new StepRun(this, index, stepIndex, step)),
-        }));
+        this.tasksPerOccurrence = specification.steps.reduce((sum, { count }) => sum + count, 0);
+        if (specification.recurrence === undefined) {
+            this.openNext();
+        }
+    }
+
+    /** Open occurrences: those that are due and not done, and the only one of a job without recurrence. */
+    get occurrences(): readonly Occurrence[] {
+        return [...this.openOccurrences.values()];
+    }
+
+    /** Number of occurrences that have been opened, including those that are done. */
+    get openedOccurrenceCount(): number {
+        return this.openedBefore;
     }
 
     get isOpen(): boolean {
         return !isEndedState(this.state);
     }
 
+    /** Restores which occurrences have been opened, and which of them are done. */
+    restoreOccurrences(openedBefore: number, isDone: (index: number) => boolean): void {
+        while (this.openedBefore < Math.min(openedBefore, this.times)) {
+            if (isDone(this.openedBefore)) {
+                this.openedBefore++;
+            }
+            else {
+                this.openNext();
+            }
+        }
+    }
+
+    /** Closes the occurrences of a recurring job that are done and of which no attempt is live. */
+    closeDoneOccurrences(): void {
+        if (this.specification.recurrence === undefined) {
+            return;
+        }
+        for (const { index, steps } of this.openOccurrences.values()) {
+            if (steps.every(step => step.isDone && step.tasks.every(({ current }) => current === undefined))) {
+                this.openOccurrences.delete(index);
+            }
+        }
+    }
+
     /** Steps of due occurrences that are not done and whose dependencies are done. */
     readySteps(wallClock: number): StepRun[] {
+        this.openDueOccurrences(wallClock);
         return this.occurrences.filter(({ dueAt }) => dueAt <= wallClock).flatMap(({ steps }) =>
             steps.filter(step =>
                 !step.isDone && step.specification.after.every(dependency => steps[dependency]?.isDone === true)
@@ -70,7 +114,8 @@
     }
 
     get isDone(): boolean {
-        return this.occurrences.every(({ steps }) => steps.every(step => step.isDone));
+        return this.openedBefore === this.times
+            && this.occurrences.every(({ steps }) => steps.every(step => step.isDone));
     }
 
     get hasExhaustedAttempts(): boolean {
@@ -78,16 +123,44 @@
     }
 
     task(occurrence: number, step: number, index: number): TaskRun | undefined {
-        return this.occurrences[occurrence]?.steps[step]?.tasks[index];
+        return this.openOccurrences.get(occurrence)?.steps[step]?.tasks[index];
     }
 
+    /** Tasks of the open occurrences. */
     *tasks(): Generator<TaskRun> {
-        for (const { steps } of this.occurrences) {
+        for (const { steps } of this.openOccurrences.values()) {
             for (const step of steps) {
                 yield* step.tasks;
             }
         }
     }
+
+    private get times(): number {
+        return this.specification.recurrence?.times ?? 1;
+    }
+
+    private dueAt(index: number): number {
+        const { recurrence } = this.specification;
+        return recurrence === undefined ? 0 : recurrence.firstAt + index * recurrence.intervalMilliseconds;
+    }
+
+    private openDueOccurrences(wallClock: number): void {
+        while (this.openedBefore < this.times && this.dueAt(this.openedBefore) <= wallClock && this.canOpenNext) {
+            this.openNext();
+        }
+    }
+
+    private get canOpenNext(): boolean {
+        const { size } = this.openOccurrences;
+        return size === 0 || size < MAXIMUM_OPEN_OCCURRENCES
+                && (size + 1) * this.tasksPerOccurrence <= MAXIMUM_OPEN_TASKS;
+    }
+
+    private openNext(): void {
+        const index = this.openedBefore++;
+        const steps = this.specification.steps.map((step, stepIndex) => new StepRun(this, index, stepIndex, step));
+        this.openOccurrences.set(index, { index, dueAt: this.dueAt(index), steps });
+    }
 }
 
 /** The parts of a task's name. */
--- a/packages/workflow/src/jobSpecification.ts
+++ b/packages/workflow/src/jobSpecification.ts
@@ -2,10 +2,9 @@
 import { resourcesSchema } from "@tanagerlink/model";
 import * as z from "zod";
 
-/** Jobs beyond these maximums would not fit into one record. */
 const MAXIMUM_STEPS = 200;
+/** Tasks of one occurrence, all of which the owner keeps in memory while the occurrence is open. */
 const MAXIMUM_TASKS = 5_000;
-const MAXIMUM_OCCURRENCES = 10_000;
 
 const DEFAULT_HINT_VALIDITY_MILLISECONDS = 2_000;
 
@@ -67,7 +66,7 @@
     steps: z.array(stepSchema).min(1).max(MAXIMUM_STEPS),
     /** Schedule of a job with several occurrences. */
     recurrence: z.object({
-        times: z.int().min(1).max(MAXIMUM_OCCURRENCES),
+        times: z.int().min(1),
         /** Milliseconds since 1970. */
         firstAt: z.number(),
         intervalMilliseconds: z.number().min(0),
@@ -77,8 +76,12 @@
 export type StepSpecification = z.infer<typeof stepSchema>;
 export type JobSpecification = z.infer<typeof jobSpecificationSchema>;
 
-/** Why a specification cannot be accepted; `undefined` if it can. */
+/** Why a specification cannot be accepted; `undefined` if it can. The owner skips records that the schema rejects. */
 export function findSpecificationError(specification: JobSpecification): string | undefined {
+    const parsed = jobSpecificationSchema.safeParse(specification);
+    if (!parsed.success) {
+        return z.prettifyError(parsed.error);
+    }
     const { steps } = specification;
     const tasks = steps.reduce((sum, step) => sum + step.count, 0);
     if (tasks > MAXIMUM_TASKS) {
--- a/scripts/documentTables.ts
+++ b/scripts/documentTables.ts
@@ -45,6 +45,10 @@
     ],
     configuration_too_old: ["No configuration, or one not confirmed for too long.", "Check platform and peer links."],
     store_unavailable: ["The platform's store does not answer.", 'Repeat later; see the outage "store down".'],
+    store_refused: [
+        "The platform's store refuses a write for good.",
+        "Report it: a record does not fit into the store.",
+    ],
     store_outcome_unknown: ["A write may have taken effect.", "Repeat with the same idempotency key."],
     peer_rejected: [
         "The certificate of a peer was refused; appears in logs.",
