fix(coordinator): bound how long capacity is kept free for steps that cannot start

Cause: a gang that has waited for 2 s reserves workers by their whole capacity, as if all that runs there would end soon, and the reservation had no end.

* A step that has waited for 2 s without a start ignores reservations and held capacity while at most half of the scarcest resource of its service is in use.

--- a/packages/coordinator/__tests__/activeSteps.spec.ts
+++ b/packages/coordinator/__tests__/activeSteps.spec.ts
@@ -26,6 +26,7 @@
         currentBoot: 1,
         isListed: true,
         freeCapacity: free,
+        liveAttempts: [],
         entry: { service: SERVICE, labels: [], capacity: cores(16) },
         canAcceptTasks: () => canAcceptTasks,
     } as unknown as WorkerSession;
@@ -136,11 +137,11 @@
         const second = waiting(steps, step("second", cores(8), "red", true), WaitReason.Capacity, { priority: 1 });
         const urgent = waiting(steps, step("urgent", cores(1)), WaitReason.Capacity, { priority: 0 });
         reservations.reserve(gang, workers, 1_000);
-        expect(workers.filter(session => reservations.isReserved(session, second))).to.have.length(0);
+        expect(workers.filter(session => reservations.isReserved(session, second, 1_000))).to.have.length(0);
         reservations.reserve(gang, workers, 3_000);
         reservations.reserve(second, workers, 3_000);
         const reserved = (entry: ActiveStep): string[] =>
-            workers.filter(session => reservations.isReserved(session, entry)).map(({ id }) => id);
+            workers.filter(session => reservations.isReserved(session, entry, 3_000)).map(({ id }) => id);
         expect(reserved(second)).to.deep.equal(["w2"]);
         expect(reserved(gang)).to.deep.equal([]);
         expect(reserved(urgent)).to.deep.equal([]);
--- a/packages/coordinator/src/activeSteps.ts
+++ b/packages/coordinator/src/activeSteps.ts
@@ -24,6 +24,8 @@
     priority = 0;
     service = "";
     isHinted = false;
+    /** Monotonic time since which tasks have waited for a worker without any start; `undefined` if none waits. */
+    waitsSince: number | undefined;
     /** Why the step could not be placed at the last check; `undefined` if it has no waiting tasks. */
     blockedBy: WaitReason | undefined;
     /** Monotonic time of the next check without an event. */
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -1,6 +1,6 @@
 /** Sessions with all workers known from the platform's list or from progress records. */
 import type { Resources } from "@tanagerlink/model";
-import { addResources, noResources } from "@tanagerlink/model";
+import { addResources, noResources, subtractResources } from "@tanagerlink/model";
 import type { Attempt } from "@tanagerlink/workflow";
 import type { SessionOptions } from "./sessionOwner.ts";
 import type { WorkerEntry } from "./workerPort.ts";
@@ -44,6 +44,19 @@
         return this.serviceOf(service).capacity;
     }
 
+    /** Share of the scarcest resource of a service's listed workers that is in use. */
+    usedShareOf(service: string): number {
+        const { workers, capacity } = this.serviceOf(service);
+        const used = workers.filter(({ isListed }) => isListed)
+            .map(({ entry, freeCapacity }) => subtractResources(entry.capacity, freeCapacity))
+            .reduce(addResources, noResources);
+        return Math.max(
+            used.processorMillis / Math.max(1, capacity.processorMillis),
+            used.memoryMebibytes / Math.max(1, capacity.memoryMebibytes),
+            used.accelerators / Math.max(1, capacity.accelerators),
+        );
+    }
+
     /** Updates the sessions from the platform's list. Returns the workers that have started to leave. */
     setWorkers(
         entries: ReadonlyMap<string, WorkerEntry>,
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -26,6 +26,12 @@
 const HINT_RETRY_DELAY_MILLISECONDS = 300;
 /** A round that has taken this long continues after pending input has been processed. */
 const ROUND_BUDGET_MILLISECONDS = 10;
+/**
+ * Waiting time after which a step may use capacity that is reserved or held for others, if no more than this share of
+ * the service is in use: what others wait for must not keep a mostly idle service from work.
+ */
+const MAXIMUM_YIELD_MILLISECONDS = 2_000;
+const MAXIMUM_USED_SHARE_TO_CLAIM = 0.5;
 /** Waiting time of a step before it is checked whether it could start on empty workers, and between such checks. */
 const FEASIBILITY_CHECK_INTERVAL_MILLISECONDS = 2_000;
 
@@ -260,6 +266,8 @@
         }
         const formerlyHeld = this.heldCapacity.release(entry);
         const workers = fleet.workersOfService(entry.service);
+        const yieldsToOthers = now - (entry.waitsSince ?? now) < MAXIMUM_YIELD_MILLISECONDS
+            || fleet.usedShareOf(entry.service) > MAXIMUM_USED_SHARE_TO_CLAIM;
         let isLimitReached = false;
         const result = placeTasks({
             step,
@@ -268,8 +276,9 @@
             workers,
             evacuated: policy.evacuated,
             hints: entry.isHinted ? entry.hints : undefined,
-            isReserved: worker => this.reservations.isReserved(worker, entry),
-            freeCapacityOf: worker => this.heldCapacity.freeCapacityFor(worker, entry),
+            isReserved: worker => yieldsToOthers && this.reservations.isReserved(worker, entry, now),
+            freeCapacityOf: worker =>
+                yieldsToOthers ? this.heldCapacity.freeCapacityFor(worker, entry) : worker.freeCapacity,
             now,
             acquireTeamCapacity: () => {
                 const allowed = usage.allows(team, unitSize);
@@ -288,6 +297,9 @@
             }
         }
         const attempts = this.createAttempts(entry, result.placements);
+        if (attempts.length > 0) {
+            entry.waitsSince = undefined;
+        }
         if (result.placements.length < waitingTasks.length) {
             // The attempts above must be started even if this fails.
             this.runGuarded(entry, () => this.waitForChange(entry, policy, result, isLimitReached));
@@ -308,6 +320,7 @@
     ): void {
         const { fleet, timers } = this.options;
         const now = timers.now();
+        entry.waitsSince ??= now;
         if (entry.isHinted && !isLimitReached) {
             this.requestHints(entry, queueRuleOf(entry.step.job, policy), result);
         }
