--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -62,6 +62,8 @@
     private isReachable = false;
     private unexpectedAttemptCount = 0;
     private bootTime: number;
+    /** Address at which the worker last answered. */
+    private answeredAddress: string | undefined;
     private lastEndNumber = 0;
     /** Ends up to this number are stored. */
     private storedEndNumber = 0;
@@ -225,15 +227,17 @@
         attempt.workerBoot = this.bootTime;
         attempt.progressedAt = timers.now();
         this.wakeUp();
-        const outcome = await port.start(this.entry, {
-            epoch: owner.epoch,
-            task: attempt.task.name,
-            attempt: attempt.number,
-            payload: attempt.task.step.job.specification.payload,
-            leaseUntil,
-            checkpoint: attempt.task.checkpoint,
-            ticket,
-        });
+        const outcome = await this.sendOrder(() =>
+            port.start(this.entry, {
+                epoch: owner.epoch,
+                task: attempt.task.name,
+                attempt: attempt.number,
+                payload: attempt.task.step.job.specification.payload,
+                leaseUntil,
+                checkpoint: attempt.task.checkpoint,
+                ticket,
+            })
+        );
         if (!this.isClosed && attempt.isLive) {
             this.handleStartOutcome(attempt, outcome);
         }
@@ -255,14 +259,15 @@
     /** Stops a reported attempt that is not recorded on this worker. */
     async stopUnexpectedAttempt(report: RunningReport): Promise<void> {
         const { owner, port } = this.options;
-        await port.stop(this.entry, { epoch: owner.epoch, task: report.task, attempt: report.attempt });
+        const order = { epoch: owner.epoch, task: report.task, attempt: report.attempt };
+        await this.sendOrder(() => port.stop(this.entry, order));
     }
 
     async setPace(attempt: Attempt, percent: number): Promise<void> {
         const { owner, port } = this.options;
         attempt.pace = percent;
         const order = { epoch: owner.epoch, task: attempt.task.name, attempt: attempt.number, percent };
-        const outcome = await port.pace(this.entry, order);
+        const outcome = await this.sendOrder(() => port.pace(this.entry, order));
         if (outcome.kind !== "done" && attempt.isLive && attempt.pace === percent) {
             // The pace on the worker is unknown; NaN differs from every pace, so the next report sets it again.
             attempt.pace = Number.NaN;
@@ -287,6 +292,21 @@
         };
     }
 
+    /**
+     * Sends an order. An unexpected error counts as a lost response, which reports and further orders settle: without
+     * an outcome, the attempt would keep its status for good.
+     */
+    private async sendOrder(send: () => Promise<OrderOutcome>): Promise<OrderOutcome> {
+        try {
+            return await send();
+        }
+        catch (failure) {
+            const { logger } = this.options;
+            logger.error({ worker: this.id, reason: describeUnknown(failure) }, "unexpected error in an order");
+            return { kind: "unanswered" };
+        }
+    }
+
     private handleStartOutcome(attempt: Attempt, outcome: OrderOutcome): void {
         const { timers, owner, logger } = this.options;
         const now = timers.now();
@@ -388,6 +408,7 @@
         const shouldRenew = this.isReachable && owner.canRenewLeases();
         const leaseUntil = shouldRenew ? this.lease.issue(sentAt, leaseMilliseconds) : undefined;
         const acknowledgedEnd = this.storedEndNumber;
+        const { address } = this.entry;
         const report = await port.requestReport(this.entry, {
             epoch: owner.epoch,
             acknowledgedEnd,
@@ -398,9 +419,10 @@
             return;
         }
         if (report.isErr()) {
-            await this.handleReportFailure(report.error);
+            await this.handleReportFailure(report.error, address);
             return;
         }
+        this.answeredAddress = address;
         this.acknowledgedEndNumber = acknowledgedEnd;
         this.applyReport(report.value, sentAt);
         if (this.lastEndNumber !== this.storedEndNumber) {
@@ -424,7 +446,7 @@
         return Math.min(MAXIMUM_REPORT_WAIT_MILLISECONDS, Math.max(MINIMUM_REPORT_WAIT_MILLISECONDS, wait));
     }
 
-    private async handleReportFailure(error: ServiceError): Promise<void> {
+    private async handleReportFailure(error: ServiceError, address: string): Promise<void> {
         const { owner, timers, logger } = this.options;
         if (this.isReachable) {
             logger.warn({ worker: this.id, error: error.kind, attempts: this.attempts.size }, "worker lost");
@@ -437,7 +459,8 @@
         const hasExpired = this.lease.hasClockReading
             ? this.lease.hasExpired(now)
             : now >= owner.previousLeasesExpireAt();
-        if (error.kind === ErrorKind.StaleBoot) {
+        // At an address at which this worker has never answered, another one says nothing about it: the entry may be wrong.
+        if (error.kind === ErrorKind.StaleBoot && (this.answeredAddress ?? address) === address) {
             this.reportCrash([...this.attempts.all()], Infinity);
             this.endAllAttempts(EndKind.Lost);
         }
@@ -610,7 +633,7 @@
         }
         this.stopsInFlight.add(attempt);
         const order = { epoch: owner.epoch, task: attempt.task.name, attempt: attempt.number };
-        const outcome = await port.stop(this.entry, order);
+        const outcome = await this.sendOrder(() => port.stop(this.entry, order));
         this.stopsInFlight.delete(attempt);
         if (outcome.kind === "done") {
             attempt.stopConfirmedAt = timers.now();
--- a/packages/site/__tests__/tableFollower.spec.ts
+++ b/packages/site/__tests__/tableFollower.spec.ts
@@ -93,4 +93,25 @@
         records.replace([{ table: "op", partition: "", key: "a", value: Buffer.from("1"), version: 3 }], 4);
         expect(records.values().has("a")).to.equal(false);
     });
+
+    // Guards against a follower that stops for good at one record which its reader does not expect.
+    it("lists the table anew after an unexpected error in the handling of a record", async () => {
+        let isBroken = true;
+        const apply = records.apply.bind(records);
+        records.apply = changes => {
+            if (isBroken && changes.some(({ key }) => key === "odd")) {
+                throw new RangeError("Maximum call stack size exceeded");
+            }
+            apply(changes);
+        };
+        await put("a", "1");
+        follower.start();
+        await timers.advance(200);
+        await put("odd", "1");
+        await timers.advance(1_000);
+        isBroken = false;
+        await put("b", "1");
+        await timers.advance(1_000);
+        expect([...records.values().keys()]).to.have.members(["a", "odd", "b"]);
+    });
 });
--- a/packages/site/src/tableFollower.ts
+++ b/packages/site/src/tableFollower.ts
@@ -2,6 +2,7 @@
  * Follows the changes of one table with long polls. The follower lists the table first, and again whenever the store no
  * longer keeps the changes since the last received version.
  */
+import { describeUnknown } from "@tanagerlink/errors";
 import { listAllRecords, type RecordChange, type RecordStore, type StoredRecord } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Timers } from "@tanagerlink/timers";
@@ -52,7 +53,7 @@
     private async run(): Promise<void> {
         const { timers, pauseMilliseconds } = this.options;
         while (!this.abort.signal.aborted) {
-            const succeeded = this.after === undefined ? await this.list() : await this.pollChanges(this.after);
+            const succeeded = await this.readGuarded();
             const pause = succeeded ? pauseMilliseconds : RETRY_DELAY_MILLISECONDS;
             if (pause > 0) {
                 await sleep(timers, pause, this.abort.signal);
@@ -60,6 +61,19 @@
         }
     }
 
+    /** Reads once. After an unexpected error the table is listed anew: a record must not end the following of others. */
+    private async readGuarded(): Promise<boolean> {
+        try {
+            return this.after === undefined ? await this.list() : await this.pollChanges(this.after);
+        }
+        catch (failure) {
+            const { logger, table } = this.options;
+            logger.error({ table, reason: describeUnknown(failure) }, "unexpected error in changes of the table");
+            this.after = undefined;
+            return false;
+        }
+    }
+
     private async list(): Promise<boolean> {
         const { store, timers, table, partitions } = this.options;
         const requestedAt = timers.now();
