--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -227,8 +227,9 @@
         attempt.workerBoot = this.bootTime;
         attempt.progressedAt = timers.now();
         this.wakeUp();
-        const outcome = await this.sendOrder(() =>
-            port.start(this.entry, {
+        let outcome: OrderOutcome;
+        try {
+            outcome = await port.start(this.entry, {
                 epoch: owner.epoch,
                 task: attempt.task.name,
                 attempt: attempt.number,
@@ -236,8 +237,11 @@
                 leaseUntil,
                 checkpoint: attempt.task.checkpoint,
                 ticket,
-            })
-        );
+            });
+        }
+        catch (failure) {
+            outcome = this.recordUnexpectedError(failure);
+        }
         if (!this.isClosed && attempt.isLive) {
             this.handleStartOutcome(attempt, outcome);
         }
@@ -259,15 +263,25 @@
     /** Stops a reported attempt that is not recorded on this worker. */
     async stopUnexpectedAttempt(report: RunningReport): Promise<void> {
         const { owner, port } = this.options;
-        const order = { epoch: owner.epoch, task: report.task, attempt: report.attempt };
-        await this.sendOrder(() => port.stop(this.entry, order));
+        try {
+            await port.stop(this.entry, { epoch: owner.epoch, task: report.task, attempt: report.attempt });
+        }
+        catch (failure) {
+            this.recordUnexpectedError(failure);
+        }
     }
 
     async setPace(attempt: Attempt, percent: number): Promise<void> {
         const { owner, port } = this.options;
         attempt.pace = percent;
         const order = { epoch: owner.epoch, task: attempt.task.name, attempt: attempt.number, percent };
-        const outcome = await this.sendOrder(() => port.pace(this.entry, order));
+        let outcome: OrderOutcome;
+        try {
+            outcome = await port.pace(this.entry, order);
+        }
+        catch (failure) {
+            outcome = this.recordUnexpectedError(failure);
+        }
         if (outcome.kind !== "done" && attempt.isLive && attempt.pace === percent) {
             // The pace on the worker is unknown; NaN differs from every pace, so the next report sets it again.
             attempt.pace = Number.NaN;
@@ -293,18 +307,13 @@
     }
 
     /**
-     * Sends an order. An unexpected error counts as a lost response, which reports and further orders settle: without
-     * an outcome, the attempt would keep its status for good.
+     * Returns the outcome of an order that failed with an unexpected error: a lost response, which reports and further
+     * orders settle. Without an outcome, the attempt would keep its status for good.
      */
-    private async sendOrder(send: () => Promise<OrderOutcome>): Promise<OrderOutcome> {
-        try {
-            return await send();
-        }
-        catch (failure) {
-            const { logger } = this.options;
-            logger.error({ worker: this.id, reason: describeUnknown(failure) }, "unexpected error in an order");
-            return { kind: "unanswered" };
-        }
+    private recordUnexpectedError(failure: unknown): OrderOutcome {
+        const { logger } = this.options;
+        logger.error({ worker: this.id, reason: describeUnknown(failure) }, "unexpected error in an order");
+        return { kind: "unanswered" };
     }
 
     private handleStartOutcome(attempt: Attempt, outcome: OrderOutcome): void {
@@ -633,7 +642,13 @@
         }
         this.stopsInFlight.add(attempt);
         const order = { epoch: owner.epoch, task: attempt.task.name, attempt: attempt.number };
-        const outcome = await this.sendOrder(() => port.stop(this.entry, order));
+        let outcome: OrderOutcome;
+        try {
+            outcome = await port.stop(this.entry, order);
+        }
+        catch (failure) {
+            outcome = this.recordUnexpectedError(failure);
+        }
         this.stopsInFlight.delete(attempt);
         if (outcome.kind === "done") {
             attempt.stopConfirmedAt = timers.now();
