fix(coordinator): leave workers to others while work fails or stalls by itself

Cause: a task counts as stalled 2.5 s after its last percent, also where one percent takes longer, and is begun anew for ever; each stall and each second failure puts the worker out of use, twice as long each time, also for attempts that had been started before, so that failures at one moment added up to 24 s. Nothing bounded the number of workers in quarantine.

* The time without progress that counts as a stall follows the pace of the task so far, and doubles with each stall of the task.
Only its first stall puts a worker out of use.
* Attempts that were started before a quarantine do not prolong it.
* At most half of a service's workers are in quarantine at a time.

--- a/packages/coordinator/__tests__/support/fakeWorkers.ts
+++ b/packages/coordinator/__tests__/support/fakeWorkers.ts
@@ -58,6 +58,8 @@
     startFault: StartFault = StartFault.None;
     /** Duration of tasks in milliseconds; `undefined` for tasks that run until they are stopped. */
     taskDurationMilliseconds: number | undefined = 300;
+    /** Time in which the reported percent of a task rises by one. */
+    percentMilliseconds = 1;
     /** How tasks end. */
     endKind: EndKind = EndKind.Done;
     /** Highest end number that the owner has acknowledged. */
@@ -194,7 +196,7 @@
                 task,
                 attempt,
                 checkpoint: "",
-                percent: Math.round(this.timers.now() - startedAt),
+                percent: Math.floor((this.timers.now() - startedAt) / this.percentMilliseconds),
                 load: 0,
             })),
             ended: [...this.ends],
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -47,6 +47,8 @@
 const CLOCK_DRIFT_FACTOR = 1.02;
 /** Covers orders in flight when the previous owner stopped. */
 const LEASE_EXPIRY_MARGIN_MILLISECONDS = 500;
+/** Maximum share of a service's workers in quarantine at the same time. */
+const MAXIMUM_QUARANTINED_SHARE = 0.5;
 /** Maximum estimated work left with which a task finishes on a leaving worker although it has checkpoints. */
 const MAXIMUM_DRAIN_MILLISECONDS = 1_500;
 
@@ -393,7 +395,11 @@
                     "attempt stalled",
                 );
                 attempt.task.failedOn.add(session.id);
-                session.health.quarantine(now);
+                attempt.task.stalls++;
+                // A task that stalls again on another worker may just be slow.
+                if (attempt.task.stalls === 1) {
+                    this.quarantine(session, now);
+                }
                 session.stop(attempt);
             }
         }
@@ -515,12 +521,24 @@
     }
 
     private updateWorkerHealth(attempt: Attempt, kind: EndKind, now: number): void {
-        const health = this.fleet.get(attempt.workerId)?.health;
+        const session = this.fleet.get(attempt.workerId);
         if (kind === EndKind.Done) {
-            health?.recordSuccess();
+            session?.health.recordSuccess();
         }
         else if (kind === EndKind.Failed && !attempt.task.step.specification.lasting) {
-            health?.recordFailure(now);
+            if (session?.health.recordFailure(attempt.startedAt) === true) {
+                this.quarantine(session, now);
+            }
+        }
+    }
+
+    /** Quarantines a worker, unless many are: then the cause is rather the work, and others would find no worker. */
+    private quarantine(session: WorkerSession, now: number): void {
+        const workers = this.fleet.workersOfService(session.entry.service).filter(({ isListed }) => isListed);
+        const quarantined = workers.filter(({ health }) => health.isQuarantined(now)).length;
+        if (!session.health.isQuarantined(now) && quarantined + 1 <= workers.length * MAXIMUM_QUARANTINED_SHARE) {
+            this.options.logger.info({ worker: session.id, quarantined }, "worker quarantined");
+            session.health.quarantine(now);
         }
     }
 
--- a/packages/coordinator/src/stalls.ts
+++ b/packages/coordinator/src/stalls.ts
@@ -8,6 +8,10 @@
  * estimates.
  */
 const STALL_SHARE_OF_ESTIMATE = 0.3;
+/** One percent of progress may take this many times as long as those before it. */
+const STALL_FACTOR_OF_PACE = 4;
+/** The permitted time doubles with each stall of the task, so that one whose percents take long is not begun for ever. */
+const MAXIMUM_DOUBLINGS = 10;
 /** Tasks throttled below this pace may make no progress for long. */
 const MINIMUM_CHECKED_PACE_PERCENT = 50;
 const COMPLETE_PERCENT = 100;
@@ -23,10 +27,13 @@
     if (specification.gang && tasks.some(task => task.current?.status !== AttemptStatus.Running)) {
         return false;
     }
-    const stallMilliseconds = Math.max(
+    const { percent, progressedAt, startedAt, task } = attempt;
+    const permittedMilliseconds = Math.max(
         MINIMUM_STALL_MILLISECONDS,
         specification.estimateMilliseconds * STALL_SHARE_OF_ESTIMATE,
+        percent > 0 ? (progressedAt - startedAt) / percent * STALL_FACTOR_OF_PACE : 0,
     );
+    const stallMilliseconds = permittedMilliseconds * 2 ** Math.min(MAXIMUM_DOUBLINGS, task.stalls);
     // A gang makes progress only once its last member runs.
     const since = specification.gang
         ? Math.max(attempt.progressedAt, ...tasks.map(task => task.current?.statusChangedAt ?? now))
--- a/packages/coordinator/src/workerHealth.ts
+++ b/packages/coordinator/src/workerHealth.ts
@@ -11,13 +11,20 @@
 export class WorkerHealth {
     private consecutiveFailures = 0;
     private quarantineCount = 0;
-    private unavailableUntil = -Infinity;
+    private quarantinedAt = -Infinity;
+    private quarantinedUntil = -Infinity;
+    private pausedUntil = -Infinity;
 
-    recordFailure(now: number): void {
-        this.consecutiveFailures++;
-        if (this.consecutiveFailures >= FAILURES_BEFORE_QUARANTINE) {
-            this.quarantine(now);
+    /**
+     * Records that an attempt has failed. Returns whether the worker is to be quarantined. Attempts that were started
+     * before the last quarantine tell nothing new.
+     */
+    recordFailure(startedAt: number): boolean {
+        if (startedAt < this.quarantinedAt) {
+            return false;
         }
+        this.consecutiveFailures++;
+        return this.consecutiveFailures >= FAILURES_BEFORE_QUARANTINE;
     }
 
     recordSuccess(): void {
@@ -26,7 +33,7 @@
     }
 
     recordRefusal(now: number): void {
-        this.unavailableUntil = Math.max(this.unavailableUntil, now + REFUSAL_PAUSE_MILLISECONDS);
+        this.pausedUntil = now + REFUSAL_PAUSE_MILLISECONDS;
     }
 
     /** Gives the worker no new tasks for a time that doubles with each quarantine. */
@@ -35,16 +42,19 @@
             MAXIMUM_QUARANTINE_MILLISECONDS,
             INITIAL_QUARANTINE_MILLISECONDS * 2 ** this.quarantineCount,
         );
-        if (now + milliseconds > this.unavailableUntil) {
-            this.quarantineCount++;
-            this.unavailableUntil = now + milliseconds;
-        }
+        this.quarantineCount++;
+        this.quarantinedAt = now;
+        this.quarantinedUntil = now + milliseconds;
         this.consecutiveFailures = FAILURES_BEFORE_QUARANTINE - 1;
     }
 
+    isQuarantined(now: number): boolean {
+        return now < this.quarantinedUntil;
+    }
+
     /** Whether the worker is quarantined or has just refused an order. */
     isUnavailable(now: number): boolean {
-        return now < this.unavailableUntil;
+        return this.isQuarantined(now) || now < this.pausedUntil;
     }
 
     /** Whether the last task failed, so that tasks that have failed before should prefer other workers. */
--- a/packages/workflow/src/taskRun.ts
+++ b/packages/workflow/src/taskRun.ts
@@ -91,6 +91,8 @@
     lastAttempt = 0;
     /** Number of failed attempts. */
     failures = 0;
+    /** Number of attempts that were stopped since they made no progress. */
+    stalls = 0;
     /** Number of workers that crashed while they ran the task. */
     crashes = 0;
     /** Number of those that were lost right after the start of the task. */
