fix(coordinator): hand over how long the leases on lost workers still last

Cause: an owner that has no answer from a worker waits for a whole lease from its own takeover, since it does not know when the last one was granted. Each restart of the owner began the wait anew.

An owner that releases the cell now records in the owner record how long the leases on workers that it could not reach still last; its successor waits for that, and records it again. Without such an entry the wait is as before.

An owner that is killed still leaves its successor 8 s more to wait.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -264,7 +264,7 @@
         this.expiredJobs[Symbol.dispose]();
         this.isStopped = true;
         this.ticker[Symbol.dispose]();
-        await this.journal.release();
+        await this.journal.release(() => this.fleet.unreachableLeases());
     }
 
     [Symbol.dispose](): void {
@@ -432,8 +432,12 @@
             this.options.timers.now() - this.journal.confirmedAt < MAXIMUM_CONFIRMATION_AGE_MILLISECONDS;
     }
 
-    previousLeasesExpireAt(): number {
+    previousLeasesExpireAt(worker: string): number {
         const { previousOwner, node, leaseMilliseconds } = this.options;
+        const remaining = previousOwner?.node === "" ? previousOwner.remainingLeases?.[worker] : undefined;
+        if (remaining !== undefined) {
+            return this.claimedAt + remaining + LEASE_EXPIRY_MARGIN_MILLISECONDS;
+        }
         const hasPreviousOwnerStopped = previousOwner === undefined || previousOwner.node === ""
             || previousOwner.node === node;
         return this.claimedAt + (hasPreviousOwnerStopped ? 0 : MAXIMUM_CONFIRMATION_AGE_MILLISECONDS) +
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -12,6 +12,9 @@
 /** Same as a share of the workers, since independent losses coincide on a large fleet. */
 const MINIMUM_CORRELATED_LOSS_SHARE = 0.02;
 
+/** Keeps the record of the owner within a row of the store. */
+const MAXIMUM_RECORDED_LEASES = 200;
+
 export class Fleet implements Disposable {
     private readonly sessions = new Map<string, WorkerSession>();
     private readonly sessionOptions: Omit<SessionOptions, "entry">;
@@ -113,6 +116,20 @@
         return lostTogether.length >= minimum;
     }
 
+    /** Remaining milliseconds of the leases on workers with attempts that do not respond, by worker. */
+    unreachableLeases(): Record<string, number> {
+        const now = this.sessionOptions.timers.now();
+        const leases: Record<string, number> = {};
+        let count = 0;
+        for (const session of this.sessions.values()) {
+            const remaining = session.attemptCount === 0 ? undefined : session.remainingLeaseMilliseconds(now);
+            if (remaining !== undefined && count++ < MAXIMUM_RECORDED_LEASES) {
+                leases[session.id] = remaining;
+            }
+        }
+        return leases;
+    }
+
     start(): void {
         for (const session of this.sessions.values()) {
             session.startPolling();
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -72,6 +72,7 @@
     private isWriting = false;
     private isStopped = false;
     private resolveRelease: (() => void) | undefined;
+    private remainingLeases: () => OwnerRecord["remainingLeases"] = () => undefined;
     private readonly renewalTicker: Subscription;
     /** Monotonic time of the last response that confirmed the claim. */
     confirmedAt: number;
@@ -122,8 +123,12 @@
         this.scheduleWrite();
     }
 
-    /** Releases the cell, so that another process can claim it at once. */
-    async release(): Promise<void> {
+    /**
+     * Releases the cell, so that another process can claim it at once. `remainingLeases` describes the leases on workers
+     * that cannot be reached, at the time of the release.
+     */
+    async release(remainingLeases: () => OwnerRecord["remainingLeases"] = () => undefined): Promise<void> {
+        this.remainingLeases = remainingLeases;
         await this.waitUntilStored();
         if (!this.isStopped) {
             await new Promise<void>(resolve => {
@@ -167,7 +172,7 @@
         const nextOwnerRecord: OwnerRecord = {
             ...this.ownerRecord,
             renewals: this.ownerRecord.renewals + 1,
-            ...(isRelease ? { node: "" } : {}),
+            ...(isRelease ? { node: "", remainingLeases: this.remainingLeases() } : {}),
         };
         const batch = this.nextBatch();
         const transaction: RecordTransaction = {
--- a/packages/coordinator/src/ownerRecord.ts
+++ b/packages/coordinator/src/ownerRecord.ts
@@ -21,6 +21,11 @@
     epoch: z.int(),
     /** Number of renewals in this epoch. */
     renewals: z.int(),
+    /**
+     * Set when the owner releases the cell: remaining milliseconds of the leases on the workers with attempts that it
+     * could not reach, which would otherwise have to be taken for fresh by each further owner.
+     */
+    remainingLeases: z.record(z.string(), z.number().min(0)).optional(),
 });
 
 export type OwnerRecord = z.infer<typeof ownerRecordSchema>;
--- a/packages/coordinator/src/sessionOwner.ts
+++ b/packages/coordinator/src/sessionOwner.ts
@@ -33,10 +33,10 @@
     /** Whether leases may be renewed, which requires a recent confirmation of ownership. */
     canRenewLeases(): boolean;
     /**
-     * Monotonic time at which all leases of previous owners have expired, also on workers that have not responded to
-     * this owner.
+     * Monotonic time at which all leases of previous owners have expired on a worker that has not responded to this
+     * owner.
      */
-    previousLeasesExpireAt(): number;
+    previousLeasesExpireAt(worker: string): number;
     /** Checks ownership with the store after a worker has seen a higher epoch. */
     confirmOwnership(): void;
     /** The worker has rejected the ticket of a start order. */
--- a/packages/coordinator/src/workerLease.ts
+++ b/packages/coordinator/src/workerLease.ts
@@ -38,12 +38,19 @@
         return end;
     }
 
-    /** Whether all leases sent have expired on the worker, even with the slowest permitted clock. */
-    hasExpired(now: number): boolean {
+    /**
+     * Monotonic time at which all leases sent have expired on the worker, even with the slowest permitted clock;
+     * `Infinity` before the first clock reading.
+     */
+    get expiresAt(): number {
         if (this.clockReading === undefined) {
-            return false;
+            return Infinity;
         }
-        const earliestClock = this.clockReading.clock + (now - this.clockReading.receivedAt) * MINIMUM_CLOCK_RATE;
-        return earliestClock > this.latestEnd + EXPIRY_MARGIN_MILLISECONDS;
+        const { clock, receivedAt } = this.clockReading;
+        return receivedAt + (this.latestEnd + EXPIRY_MARGIN_MILLISECONDS - clock) / MINIMUM_CLOCK_RATE;
+    }
+
+    hasExpired(now: number): boolean {
+        return now > this.expiresAt;
     }
 }
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -288,6 +288,17 @@
         }
     }
 
+    /** Time until all leases on a worker that does not respond have expired; `undefined` if it responds. */
+    remainingLeaseMilliseconds(now: number): number | undefined {
+        if (this.isReachable) {
+            return undefined;
+        }
+        const expiresAt = this.lease.hasClockReading
+            ? this.lease.expiresAt
+            : this.options.owner.previousLeasesExpireAt(this.id);
+        return Math.max(0, Math.ceil(expiresAt - now));
+    }
+
     describe(): unknown {
         return {
             id: this.id,
@@ -467,7 +478,7 @@
         }
         const hasExpired = this.lease.hasClockReading
             ? this.lease.hasExpired(now)
-            : now >= owner.previousLeasesExpireAt();
+            : now >= owner.previousLeasesExpireAt(this.id);
         // At an address at which this worker has never answered, another one says nothing about it: the entry may be wrong.
         if (error.kind === ErrorKind.StaleBoot && (this.answeredAddress ?? address) === address) {
             this.reportCrash([...this.attempts.all()], Infinity);
