--- a/packages/coordinator/__tests__/largeJobs.spec.ts
+++ b/packages/coordinator/__tests__/largeJobs.spec.ts
@@ -12,7 +12,7 @@
 import { Cell } from "./support/cell.ts";
 import { sampleJob, sampleStep } from "./support/samples.ts";
 
-const ROW_BYTES = 65_536;
+const DEFAULT_ROW_BYTES = 65_536;
 const TINY = { processorMillis: 1, memoryMebibytes: 1, accelerators: 0 };
 
 describe("large jobs", () => {
@@ -31,7 +31,7 @@
             const sizes = transaction.writes.map(({ value }) => value.byteLength);
             largestRow = Math.max(largestRow, ...sizes);
             const entries = transaction.expectations.length + transaction.writes.length + transaction.removals.length;
-            return sizes.some(size => size > ROW_BYTES) || entries > 100
+            return sizes.some(size => size > (cell.rowBytes ?? DEFAULT_ROW_BYTES)) || entries > 100
                 ? err(serviceError(ErrorKind.StoreRefused, "a row is too large, or there are too many"))
                 : await commit(transaction);
         };
@@ -46,6 +46,29 @@
         return names.filter((name, index) => names.indexOf(name) !== index);
     }
 
+    async function completeThousandsOfTasks(rowBytes: number | undefined): Promise<void> {
+        cell.rowBytes = rowBytes;
+        owner[Symbol.dispose]();
+        owner = await cell.claim("one again");
+        await cell.submit(owner, sampleJob("00a1", { steps: [sampleStep({ count: 4_000, size: TINY })] }));
+        for (const id of ["worker-four", "worker-five"]) {
+            cell.workers.add(id, {
+                capacity: { processorMillis: 100, memoryMebibytes: 100, accelerators: 0 },
+            }).taskDurationMilliseconds = 100;
+        }
+        cell.listWorkers();
+        for (const [index, node] of ["two", "three", "four", "five"].entries()) {
+            await cell.advanceTime(30 + 20 * index);
+            owner[Symbol.dispose]();
+            owner = await cell.claim(node);
+        }
+        await cell.advanceTime(6_000);
+        expect(owner.jobState("00a1")).to.equal(JobState.Completed);
+        expect(repeatedTasks()).to.deep.equal([]);
+        expect(cell.workers.starts).to.have.length(4_000);
+        expect(largestRow).to.be.below(rowBytes ?? DEFAULT_ROW_BYTES);
+    }
+
     // Guards against LOST: the progress of one recurring job outgrew its row, and nothing was started any more.
     it("complete, and let others start, when they recur many times", async () => {
         const steps = [0, 1, 2].map(index =>
@@ -60,7 +83,7 @@
         expect(owner.jobState("00a1")).to.equal(JobState.Completed);
         expect(owner.jobState("00b1")).to.equal(JobState.Completed);
         expect(cell.workers.starts).to.have.length(40 * 3 * 60 + 1);
-        expect(largestRow).to.be.below(ROW_BYTES);
+        expect(largestRow).to.be.below(DEFAULT_ROW_BYTES);
     }).timeout(60_000);
 
     // Guards against TWICE: occurrences that are done and not recorded task by task run again under the next owner.
@@ -81,25 +104,11 @@
     });
 
     // Guards against LOST and TWICE with the tasks of a single occurrence, in one row and in several.
-    it("complete with thousands of tasks while owners are replaced at any moment", async () => {
-        await cell.submit(owner, sampleJob("00a1", { steps: [sampleStep({ count: 4_000, size: TINY })] }));
-        for (const id of ["worker-four", "worker-five"]) {
-            cell.workers.add(id, {
-                capacity: { processorMillis: 100, memoryMebibytes: 100, accelerators: 0 },
-            }).taskDurationMilliseconds = 100;
-        }
-        cell.listWorkers();
-        for (const [index, node] of ["two", "three", "four", "five"].entries()) {
-            await cell.advanceTime(30 + 20 * index);
-            owner[Symbol.dispose]();
-            owner = await cell.claim(node);
-        }
-        await cell.advanceTime(6_000);
-        expect(owner.jobState("00a1")).to.equal(JobState.Completed);
-        expect(repeatedTasks()).to.deep.equal([]);
-        expect(cell.workers.starts).to.have.length(4_000);
-        expect(largestRow).to.be.below(ROW_BYTES);
-    }).timeout(60_000);
+    for (const rowBytes of [undefined, 16_384]) {
+        it(`complete with thousands of tasks while owners are replaced, in rows of ${rowBytes ?? "the default size"}`, async () => {
+            await completeThousandsOfTasks(rowBytes);
+        }).timeout(60_000);
+    }
 
     // Guards against TWICE: a kill between the transactions that hold the rows of one job.
     it("do not rerun tasks after the owner is killed between two writes of their rows", async () => {
--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -41,6 +41,8 @@
     /** Whether the hints allow a worker. */
     isAllowed: (worker: string) => boolean = () => true;
     hintCalls = 0;
+    /** Maximum size of a record in the store; `undefined` for the default. */
+    rowBytes: number | undefined;
     /** Whether hint calls stay without a response. */
     areHintsSilent = false;
     private readonly coordinators: Coordinator[] = [];
@@ -70,6 +72,7 @@
             previousOwner: previous?.record,
             node,
             store: this.store,
+            rowBytes: this.rowBytes,
             timers: this.timers,
             logger: silentLogger,
             metrics: new CoordinatorMetrics(new Metrics()),
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -27,6 +27,7 @@
 import { Journal } from "./journal.ts";
 import { OWNER_PARTITION, type OwnerRecord, type VersionedOwnerRecord } from "./ownerRecord.ts";
 import { PROGRESS_SEGMENTS_TABLE, PROGRESS_TABLE, progressName } from "./progressRows.ts";
+import { Quarantines } from "./quarantines.ts";
 import { RecordReader } from "./recordReader.ts";
 import { restoreJobs } from "./restoreJobs.ts";
 import { type PlacedAttempt, Scheduler } from "./scheduler.ts";
@@ -47,8 +48,6 @@
 const CLOCK_DRIFT_FACTOR = 1.02;
 /** Covers orders in flight when the previous owner stopped. */
 const LEASE_EXPIRY_MARGIN_MILLISECONDS = 500;
-/** Maximum share of a service's workers in quarantine at the same time. */
-const MAXIMUM_QUARANTINED_SHARE = 0.5;
 /** Maximum estimated work left with which a task finishes on a leaving worker although it has checkpoints. */
 const MAXIMUM_DRAIN_MILLISECONDS = 1_500;
 
@@ -57,6 +56,8 @@
     readonly previousOwner: OwnerRecord | undefined;
     readonly node: string;
     readonly store: RecordStore;
+    /** Maximum size of a record in the store. */
+    readonly rowBytes?: number | undefined;
     readonly timers: Timers;
     readonly logger: Logger;
     readonly metrics: CoordinatorMetrics;
@@ -82,6 +83,7 @@
     private readonly fleet: Fleet;
     private readonly usage = new TeamUsage();
     private readonly scheduler: Scheduler;
+    private readonly quarantines: Quarantines;
     private readonly pacing: BestEffortPacing;
     private readonly crashSuspicion = new CrashSuspicion();
     private readonly ticker: Subscription;
@@ -104,6 +106,7 @@
         this.pacing = new BestEffortPacing(timers);
         this.journal = new Journal({
             store,
+            rowBytes: options.rowBytes,
             timers,
             logger,
             claim,
@@ -128,6 +131,7 @@
             workerEntryMilliseconds: options.workerEntryMilliseconds,
             stopMilliseconds: options.stopMilliseconds,
         });
+        this.quarantines = new Quarantines(this.fleet, logger);
         this.scheduler = new Scheduler({
             timers,
             logger,
@@ -398,7 +402,7 @@
                 attempt.task.stalls++;
                 // A task that stalls again on another worker may just be slow.
                 if (attempt.task.stalls === 1) {
-                    this.quarantine(session, now);
+                    this.quarantines.add(session, now);
                 }
                 session.stop(attempt);
             }
@@ -531,21 +535,11 @@
         }
         else if (kind === EndKind.Failed && !attempt.task.step.specification.lasting) {
             if (session?.health.recordFailure(attempt.startedAt) === true) {
-                this.quarantine(session, now);
+                this.quarantines.add(session, now);
             }
         }
     }
 
-    /** Quarantines a worker, unless many are: then the cause is rather the work, and others would find no worker. */
-    private quarantine(session: WorkerSession, now: number): void {
-        const workers = this.fleet.workersOfService(session.entry.service).filter(({ isListed }) => isListed);
-        const quarantined = workers.filter(({ health }) => health.isQuarantined(now)).length;
-        if (!session.health.isQuarantined(now) && quarantined + 1 <= workers.length * MAXIMUM_QUARANTINED_SHARE) {
-            this.options.logger.info({ worker: session.id, quarantined }, "worker quarantined");
-            session.health.quarantine(now);
-        }
-    }
-
     /** Stops all members of a gang after one has ended; several failures in one attempt count once. */
     private stopGang(attempt: Attempt, kind: EndKind): void {
         const { step } = attempt.task;
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -29,6 +29,8 @@
 
 export interface JournalOptions {
     readonly store: RecordStore;
+    /** Maximum size of a record in the store. */
+    readonly rowBytes?: number | undefined;
     readonly timers: Timers;
     readonly logger: Logger;
     readonly claim: VersionedOwnerRecord;
@@ -56,7 +58,7 @@
 export class Journal implements Disposable {
     private readonly options: JournalOptions;
     private readonly dirty = new Map<JobRun, UnstoredChanges>();
-    private readonly rows = new ProgressRows();
+    private readonly rows: ProgressRows;
     /** Records to remove, by table and key. */
     private readonly removals = new Map<string, RecordName>();
     private waiters: Waiter[] = [];
@@ -79,6 +81,7 @@
 
     constructor(options: JournalOptions) {
         this.options = options;
+        this.rows = new ProgressRows(options.rowBytes);
         this.ownerRecord = options.claim.record;
         this.ownerVersion = options.claim.version;
         this.confirmedAt = options.timers.now();
--- a/packages/coordinator/src/progressRows.ts
+++ b/packages/coordinator/src/progressRows.ts
@@ -4,7 +4,13 @@
  * the head, which may replace an undivided record, and the removal of segments follows it, since it says which
  * occurrences are done. The rows of an interrupted write never show a task that has begun as one that has not.
  */
-import { decodeJson, type RecordName, type RecordWrite, type StoredRecord } from "@tanagerlink/platform";
+import {
+    decodeJson,
+    DEFAULT_ROW_BYTES,
+    type RecordName,
+    type RecordWrite,
+    type StoredRecord,
+} from "@tanagerlink/platform";
 import {
     type JobRun,
     joinProgress,
@@ -23,9 +29,8 @@
 export const PROGRESS_TABLE = "progress";
 export const PROGRESS_SEGMENTS_TABLE = "progress_segments";
 
-/** A larger record is divided. The store accepts rows of 64 KiB. */
-const MAXIMUM_UNDIVIDED_BYTES = 48_000;
-const MAXIMUM_ROW_BYTES = 64_000;
+/** A record that takes more of a row than this is divided. */
+const MAXIMUM_UNDIVIDED_SHARE = 0.7;
 /** Separates the identifier of a job from the name of the segment. */
 const KEY_SEPARATOR = "/";
 
@@ -40,20 +45,27 @@
 export class ProgressRows {
     /** Rows of the segments of jobs whose progress is divided, by key. */
     private readonly dividedJobs = new WeakMap<JobRun, Map<string, StoredText>>();
+    private readonly rowBytes: number;
+
+    constructor(rowBytes = DEFAULT_ROW_BYTES) {
+        this.rowBytes = rowBytes;
+    }
 
     /** The rows to write and to remove so that the store holds the present progress of a job. */
     changesOf(job: JobRun): ProgressChanges {
         const stored = this.dividedJobs.get(job);
         if (stored === undefined) {
             const value = encodeJson(progressOf(job));
-            if (value.byteLength <= MAXIMUM_UNDIVIDED_BYTES) {
+            if (value.byteLength <= this.rowBytes * MAXIMUM_UNDIVIDED_SHARE) {
                 return { writes: [{ ...progressName(job.id), value }], removals: [] };
             }
         }
         const known = stored ?? new Map<string, StoredText>();
         this.dividedJobs.set(job, known);
         const segments = new Map(
-            [...progressSegmentsOf(job)].map(([name, segment]) => [segmentKey(job.id, name), encodeSegment(segment)]),
+            [...progressSegmentsOf(job)].map((
+                [name, segment],
+            ) => [segmentKey(job.id, name), encodeSegment(segment, this.rowBytes)]),
         );
         const changed = [...segments].filter(([key, text]) => known.get(key) !== text);
         const obsolete = [...known.keys()].filter(key => !segments.has(key));
@@ -133,9 +145,9 @@
 }
 
 /** Checkpoints are left out where they would not fit into a row. */
-function encodeSegment(segment: ProgressSegment): string {
+function encodeSegment(segment: ProgressSegment, rowBytes: number): string {
     const text = JSON.stringify(segment);
-    if (Buffer.byteLength(text) <= MAXIMUM_ROW_BYTES) {
+    if (Buffer.byteLength(text) <= rowBytes) {
         return text;
     }
     return JSON.stringify(withoutCheckpoints(segment));
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -11,7 +11,7 @@
 import { findObstacle, type Obstacle } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
 import { GangReservations } from "./gangReservations.ts";
-import { HeldCapacity } from "./heldCapacity.ts";
+import { HeldCapacity, mustYield } from "./heldCapacity.ts";
 import { type Placement, type PlacementResult, placeTasks, selectTasks } from "./placement.ts";
 import type { TeamUsage } from "./teamUsage.ts";
 import { WaitReason } from "./waitTimes.ts";
@@ -26,12 +26,6 @@
 const HINT_RETRY_DELAY_MILLISECONDS = 300;
 /** A round that has taken this long continues after pending input has been processed. */
 const ROUND_BUDGET_MILLISECONDS = 10;
-/**
- * Waiting time after which a step may use capacity that is reserved or held for others, if no more than this share of
- * the service is in use: what others wait for must not keep a mostly idle service from work.
- */
-const MAXIMUM_YIELD_MILLISECONDS = 2_000;
-const MAXIMUM_USED_SHARE_TO_CLAIM = 0.5;
 /** Waiting time of a step before it is checked whether it could start on empty workers, and between such checks. */
 const FEASIBILITY_CHECK_INTERVAL_MILLISECONDS = 2_000;
 
@@ -266,8 +260,7 @@
         }
         const formerlyHeld = this.heldCapacity.release(entry);
         const workers = fleet.workersOfService(entry.service);
-        const yieldsToOthers = now - (entry.waitsSince ?? now) < MAXIMUM_YIELD_MILLISECONDS
-            || fleet.usedShareOf(entry.service) > MAXIMUM_USED_SHARE_TO_CLAIM;
+        const yieldsToOthers = mustYield(entry, fleet, now);
         let isLimitReached = false;
         const result = placeTasks({
             step,
--- a/packages/platform/src/recordStore.ts
+++ b/packages/platform/src/recordStore.ts
@@ -5,6 +5,9 @@
 import type { ServiceError } from "@tanagerlink/errors";
 import { err, ok, type Result } from "neverthrow";
 
+/** Maximum size of a record's value in bytes, unless the platform states another. */
+export const DEFAULT_ROW_BYTES = 65_536;
+
 /** Name of a record. All records of a transaction must belong to one partition. */
 export interface RecordName {
     readonly table: string;
--- a/packages/site/src/cellEntry.ts
+++ b/packages/site/src/cellEntry.ts
@@ -13,7 +13,13 @@
 } from "@tanagerlink/coordinator";
 import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
 import type { PeerMethod, PeerNetwork } from "@tanagerlink/peer";
-import { decodeJson, type RecordName, type RecordStore, type StoredRecord } from "@tanagerlink/platform";
+import {
+    decodeJson,
+    DEFAULT_ROW_BYTES,
+    type RecordName,
+    type RecordStore,
+    type StoredRecord,
+} from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { findSpecificationError, type JobSpecification, JobState, progressRecordSchema } from "@tanagerlink/workflow";
@@ -34,14 +40,16 @@
 /** The same while it is certain that nothing was written; an early refusal is better for the caller. */
 const NOT_WRITTEN_RETRY_LIMIT_MILLISECONDS = 250;
 const RETRY_DELAY_MILLISECONDS = 60;
-/** A row of the store holds 64 KiB. */
-const MAXIMUM_RECORD_BYTES = 64_000;
+/** Part of a row that is left free. */
+const ROW_MARGIN_BYTES = 1_536;
 
 /** The part of a job's specification that the caller provides. */
 export type JobRequest = Pick<JobSpecification, "id" | "payload" | "steps" | "recurrence">;
 
 export interface CellEntryOptions {
     readonly store: RecordStore;
+    /** Maximum size of a record in the store. */
+    readonly rowBytes?: number | undefined;
     /** Whether the store is known to be unreachable, directly and through peers. */
     readonly isStoreLost: () => boolean;
     /** Whether the store has recently responded to this process, however slowly. */
@@ -86,7 +94,7 @@
         team: string | undefined,
         request: JobRequest,
     ): Promise<Result<void, ServiceError>> {
-        const { logger } = this.options;
+        const { logger, rowBytes = DEFAULT_ROW_BYTES } = this.options;
         const specification: JobSpecification = {
             ...request,
             queue: queue.name,
@@ -103,11 +111,12 @@
             return err(serviceError(ErrorKind.InvalidRequest, specificationError));
         }
         const value = encodeJson(specification);
-        if (value.byteLength > MAXIMUM_RECORD_BYTES) {
+        const maximumBytes = rowBytes - ROW_MARGIN_BYTES;
+        if (value.byteLength > maximumBytes) {
             return err(
                 serviceError(
                     ErrorKind.BodyTooLarge,
-                    `the job takes ${value.byteLength} bytes; a record holds at most ${MAXIMUM_RECORD_BYTES}`,
+                    `the job takes ${value.byteLength} bytes; a record holds at most ${maximumBytes}`,
                 ),
             );
         }
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -78,6 +78,8 @@
     /** `ip:port` at which peers connect. */
     readonly peerAddress: string;
     readonly store: RecordStore;
+    /** Maximum size of a record in the store. */
+    readonly rowBytes?: number;
     readonly operators: OperatorSource;
     readonly workers: WorkerSource;
     readonly workerPort: WorkerPort;
@@ -145,6 +147,7 @@
         this.hintDispatcher = new HintDispatcher({ node, localService: this.hintService, peers, timers });
         this.entry = new CellEntry({
             store: this.store,
+            rowBytes: options.rowBytes,
             isStoreLost: () => this.store.isLost,
             isStoreResponding: () => this.store.directResponseAgeMilliseconds < MAXIMUM_STORE_RESPONSE_AGE_MILLISECONDS,
             peers,
@@ -359,6 +362,7 @@
             previousOwner,
             node,
             store: this.store,
+            rowBytes: this.options.rowBytes,
             timers,
             logger,
             metrics: coordinatorMetrics,
