--- a/packages/coordinator/__tests__/journal.spec.ts
+++ b/packages/coordinator/__tests__/journal.spec.ts
@@ -2,11 +2,13 @@
  * Guards against lost and overwritten progress: changes reported as stored too early, transactions that are executed
  * late or twice, and writes after the loss of ownership.
  */
+import { ErrorKind, serviceError } from "@tanagerlink/errors";
 import { CommitFault, MemoryRecordStore } from "@tanagerlink/platform";
 import { silentLogger } from "@tanagerlink/telemetry";
 import { ManualTimers } from "@tanagerlink/timers";
 import { JobRun, JobState } from "@tanagerlink/workflow";
 import { expect } from "chai";
+import { err } from "neverthrow";
 import { PROGRESS_TABLE } from "../src/index.ts";
 import { Journal } from "../src/journal.ts";
 import {
@@ -168,4 +170,20 @@
         expect(record).not.to.equal(undefined);
         expect(record === undefined ? undefined : decodeOwnerRecord(record)._unsafeUnwrap().record.node).to.equal("");
     });
+
+    // Guards against a job that fails since the store refuses to remove the record of another one.
+    it("does not blame a job for a removal in the same transaction that the store refuses", async () => {
+        const { store, timers, journal } = await openJournal();
+        const commit = store.commit.bind(store);
+        store.commit = async transaction =>
+            transaction.removals.length > 0
+                ? err(serviceError(ErrorKind.StoreRefused, "no such row"))
+                : await commit(transaction);
+        journal.remove([{ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: "other" }]);
+        journal.recordChange(createJob("a"));
+        await settle(timers);
+        expect(store.read({ table: PROGRESS_TABLE, partition: OWNER_PARTITION, key: "a" })).not.to.equal(undefined);
+        expect(await journal.waitUntilStored()).to.equal(true);
+        journal[Symbol.dispose]();
+    });
 });
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -256,8 +256,8 @@
             },
             "the store refuses a transaction",
         );
-        const [job] = jobs.keys();
-        if (jobs.size > 1) {
+        const [[job, batched] = []] = jobs;
+        if (jobs.size > 1 || batched !== undefined && removals.length > batched.changes.removals.length) {
             this.isolatedTransactions = this.dirty.size;
         }
         else if (job === undefined) {
