fix(coordinator): keep capacity that is held for hints from other steps that need hints

With many steps waiting, all of them asked hints for the same capacity: the log shows calls that take 2.1 to 4.3 s, longer than the 2 s for which their tickets are valid, so that capacity stayed free.

Steps that need hints leave held capacity alone again, as before; the bound holds for the others. The test failed before.

--- a/packages/coordinator/__tests__/heldRoom.spec.ts
+++ b/packages/coordinator/__tests__/heldRoom.spec.ts
@@ -131,4 +131,19 @@
         expect(await longestWaitOfSmallJobs(2)).to.be.at.most(3_000);
         expect(owner.jobState("00d1")).to.equal(JobState.Completed);
     });
+
+    // Guards against LOST: steps that need hints asked for the same capacity, and their tickets expired unused.
+    it("stays held for a step whose hint call is slow, from other steps that need hints", async () => {
+        cell.areHintsSilent = true;
+        const steps = [sampleStep({ count: 64, size: cores(1) })];
+        await cell.submit(owner, sampleJob("00a1", { queue: "hinted", hinted: true, steps }));
+        await cell.advanceTime(500);
+        const calls = cell.hintCalls;
+        cell.areHintsSilent = false;
+        for (let index = 0; index < 10; index++) {
+            await cell.submit(owner, sampleJob(`0${index}b1`, { queue: "hinted", hinted: true, steps }));
+        }
+        await cell.advanceTime(4_000);
+        expect(cell.hintCalls).to.equal(calls);
+    });
 });
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -270,8 +270,11 @@
             evacuated: policy.evacuated,
             hints: entry.isHinted ? entry.hints : undefined,
             isReserved: worker => yieldsToOthers && this.reservations.isReserved(worker, entry, now),
+            // Hint calls for capacity that others hold would delay the calls of all of them.
             freeCapacityOf: worker =>
-                yieldsToOthers ? this.heldCapacity.freeCapacityFor(worker, entry) : worker.freeCapacity,
+                yieldsToOthers || entry.isHinted
+                    ? this.heldCapacity.freeCapacityFor(worker, entry)
+                    : worker.freeCapacity,
             now,
             acquireTeamCapacity: () => {
                 const allowed = usage.allows(team, unitSize);
