--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -186,7 +186,7 @@
             ],
             removals: batch.removals,
         };
-        batch.jobs.forEach(({ changes }, job) => this.rows.recordAttempt(job, changes));
+        batch.jobs.forEach(({ changes }, job) => this.rows.recordUnconfirmed(job, changes));
         const outcome = await store.commit(transaction);
         if (this.isStopped) {
             return;
@@ -256,8 +256,10 @@
             },
             "the store refuses a transaction",
         );
-        const [[job, batched] = []] = jobs;
-        if (jobs.size > 1 || batched !== undefined && removals.length > batched.changes.removals.length) {
+        const [job] = jobs.keys();
+        const [onlyJob] = jobs.values();
+        const hasOtherRemovals = onlyJob !== undefined && removals.length > onlyJob.changes.removals.length;
+        if (jobs.size > 1 || hasOtherRemovals) {
             this.isolatedTransactions = this.dirty.size;
         }
         else if (job === undefined) {
--- a/packages/coordinator/src/progressRows.ts
+++ b/packages/coordinator/src/progressRows.ts
@@ -79,7 +79,7 @@
     }
 
     /** Records that the job's rows with these changes may or may not be in the store. */
-    recordAttempt(job: JobRun, { writes }: ProgressChanges): void {
+    recordUnconfirmed(job: JobRun, { writes }: ProgressChanges): void {
         this.recordWrites(job, writes, () => undefined);
     }
 
