--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -43,6 +43,8 @@
     hintCalls = 0;
     /** Maximum size of a record in the store; `undefined` for the default. */
     rowBytes: number | undefined;
+    /** Maximum duration of a lease that workers grant. */
+    leaseMilliseconds = 6_000;
     /** Whether hint calls stay without a response. */
     areHintsSilent = false;
     private readonly coordinators: Coordinator[] = [];
@@ -84,7 +86,7 @@
                         : Promise.resolve(ok(this.respondToHintCall(workers))),
             },
             renewalMilliseconds: 1_000,
-            leaseMilliseconds: 6_000,
+            leaseMilliseconds: this.leaseMilliseconds,
             workerEntryMilliseconds: 4_000,
             stopMilliseconds: 200,
             retentionMilliseconds: 120_000,
