feat(coordinator): log and metrics of what waiting steps wait for

Change: a line "step waits for a worker" for steps without a start for 2 s, with the reason and the number of workers by the first cause that excludes them; gauges of trials, waiting suspects, attempts on unreachable workers and workers by state; a histogram of the time from the loss of a worker to the end of its attempts. The causes of a session come from the function that canAcceptTasks uses; reservations and held capacity from the one that placement uses. No decision changes.

--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -1,7 +1,7 @@
 /** A cell in memory: a store, workers, and coordinators that claim ownership one after another. */
 import type { HintResponse } from "@tanagerlink/hints";
 import { MemoryRecordStore } from "@tanagerlink/platform";
-import { Metrics, silentLogger } from "@tanagerlink/telemetry";
+import { type Logger, Metrics, silentLogger } from "@tanagerlink/telemetry";
 import { ManualTimers } from "@tanagerlink/timers";
 import type { JobSpecification } from "@tanagerlink/workflow";
 import { ok } from "neverthrow";
@@ -45,6 +45,8 @@
     rowBytes: number | undefined;
     /** Maximum duration of a lease that workers grant. */
     leaseMilliseconds = 6_000;
+    logger: Logger = silentLogger;
+    readonly metrics = new Metrics();
     /** Whether hint calls stay without a response. */
     areHintsSilent = false;
     private readonly coordinators: Coordinator[] = [];
@@ -76,8 +78,8 @@
             store: this.store,
             rowBytes: this.rowBytes,
             timers: this.timers,
-            logger: silentLogger,
-            metrics: new CoordinatorMetrics(new Metrics()),
+            logger: this.logger,
+            metrics: new CoordinatorMetrics(this.metrics),
             port: this.workers,
             hintDispatcher: {
                 request: ({ workers }) =>
--- a/packages/coordinator/src/activeSteps.ts
+++ b/packages/coordinator/src/activeSteps.ts
@@ -36,6 +36,15 @@
         this.taskSize = occupiedResources(step);
     }
 
+    /**
+     * Monotonic time since which tasks have waited without any start, also for their team's limit; `undefined` if no
+     * round has found any waiting.
+     */
+    get waitsWithoutStartSince(): number | undefined {
+        const since = Math.min(this.waitsSince ?? Infinity, this.waitTimes.since ?? Infinity);
+        return Number.isFinite(since) ? since : undefined;
+    }
+
     /** Whether a task might start on the worker, or hints for it might be asked, now that it has more free capacity. */
     couldUse(worker: WorkerSession, freeCapacity: Resources, now: number): boolean {
         const { requiredLabel } = this.step.specification;
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -268,12 +268,14 @@
         this.expiredJobs[Symbol.dispose]();
         this.isStopped = true;
         this.ticker[Symbol.dispose]();
+        this.options.metrics.placement.clear();
         await this.journal.release(() => this.fleet.unreachableLeases());
     }
 
     [Symbol.dispose](): void {
         this.isStopped = true;
         this.ticker[Symbol.dispose]();
+        this.options.metrics.placement.clear();
         this.fleet[Symbol.dispose]();
         this.expiredJobs[Symbol.dispose]();
         this.journal[Symbol.dispose]();
@@ -303,6 +305,7 @@
             task.current = undefined;
         }
         metrics.recordAttemptEnded(kind);
+        metrics.recordLostAttempt(attempt, kind, this.fleet.get(attempt.workerId), this.claimedAt, now);
         logger.info(
             { task: task.name, attempt: attempt.number, worker: attempt.workerId, end: kind },
             "attempt ended",
@@ -611,6 +614,7 @@
         if (this.scheduler.hasWork) {
             this.requestRound();
         }
+        this.scheduler.reportWaits();
     }
 
     /** Logs once that a job could not start even on empty workers. Callers see the job as queued. */
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -109,7 +109,8 @@
     ];
 }
 
-function countPermittedTrials(workers: readonly WorkerSession[], now: number): number {
+/** Number of further trials of suspected tasks that may start now. */
+export function countPermittedTrials(workers: readonly WorkerSession[], now: number): number {
     let onTrial = 0;
     let down = 0;
     let free = 0;
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -12,8 +12,10 @@
 import type { Fleet } from "./fleet.ts";
 import { GangReservations } from "./gangReservations.ts";
 import { HeldCapacity, mustYield } from "./heldCapacity.ts";
-import { type Placement, type PlacementResult, placeTasks, selectTasks } from "./placement.ts";
+import { type Placement, type PlacementRequest, type PlacementResult, placeTasks, selectTasks } from "./placement.ts";
+import { PlacementMonitor } from "./placementMonitor.ts";
 import type { TeamUsage } from "./teamUsage.ts";
+import { diagnoseWait, type WaitDiagnosis } from "./waitDiagnosis.ts";
 import { WaitReason } from "./waitTimes.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
@@ -56,9 +58,19 @@
     private readonly heldCapacity = new HeldCapacity();
     private readonly reservations = new GangReservations();
     private readonly feasibilityCheckedAt = new WeakMap<ActiveStep, number>();
+    private readonly monitor: PlacementMonitor;
 
     constructor(options: SchedulerOptions) {
         this.options = options;
+        const { timers, logger, fleet, metrics } = options;
+        this.monitor = new PlacementMonitor({
+            timers,
+            logger,
+            gauges: metrics.placement,
+            steps: this.steps,
+            fleet,
+            diagnose: entry => this.diagnose(entry),
+        });
     }
 
     /** Activates the steps of a job that can start. */
@@ -138,6 +150,11 @@
         return found;
     }
 
+    /** Logs what steps wait for that have waited long, and updates the gauges of placement. */
+    reportWaits(): void {
+        this.monitor.tick();
+    }
+
     /** Checks the steps that a change may let start, and places as many of their tasks as possible. */
     runRound(): void {
         const policy = this.options.policy();
@@ -188,6 +205,31 @@
         return findObstacle(step, workers, hints, size => usage.fitsLimit(step.job.specification.team, size));
     }
 
+    private diagnose(entry: ActiveStep): WaitDiagnosis {
+        const { fleet, timers, policy } = this.options;
+        const now = timers.now();
+        return diagnoseWait({
+            entry,
+            workers: fleet.workersOfService(entry.service),
+            evacuated: policy()?.evacuated ?? new Set(),
+            ...this.accessOf(entry, now),
+            now,
+        });
+    }
+
+    /** What a step may use of the workers in view of what others wait for. */
+    private accessOf(entry: ActiveStep, now: number): Pick<PlacementRequest, "isReserved" | "freeCapacityOf"> {
+        const yieldsToOthers = mustYield(entry, this.options.fleet, now);
+        return {
+            isReserved: worker => yieldsToOthers && this.reservations.isReserved(worker, entry, now),
+            // Hint calls for capacity that others hold would delay the calls of all of them.
+            freeCapacityOf: worker =>
+                yieldsToOthers || entry.isHinted
+                    ? this.heldCapacity.freeCapacityFor(worker, entry)
+                    : worker.freeCapacity,
+        };
+    }
+
     /**
      * Removes the steps that are done or whose jobs have ended. Returns the others by priority, then by the weighted
      * dominant share of their team, then by age.
@@ -260,7 +302,6 @@
         }
         const formerlyHeld = this.heldCapacity.release(entry);
         const workers = fleet.workersOfService(entry.service);
-        const yieldsToOthers = mustYield(entry, fleet, now);
         let isLimitReached = false;
         const result = placeTasks({
             step,
@@ -269,12 +310,7 @@
             workers,
             evacuated: policy.evacuated,
             hints: entry.isHinted ? entry.hints : undefined,
-            isReserved: worker => yieldsToOthers && this.reservations.isReserved(worker, entry, now),
-            // Hint calls for capacity that others hold would delay the calls of all of them.
-            freeCapacityOf: worker =>
-                yieldsToOthers || entry.isHinted
-                    ? this.heldCapacity.freeCapacityFor(worker, entry)
-                    : worker.freeCapacity,
+            ...this.accessOf(entry, now),
             now,
             acquireTeamCapacity: () => {
                 const allowed = usage.allows(team, unitSize);
--- a/packages/coordinator/src/waitTimes.ts
+++ b/packages/coordinator/src/waitTimes.ts
@@ -14,6 +14,11 @@
     private readonly millisecondsByReason: Partial<Record<WaitReason, number>> = {};
     private current: { readonly reason: WaitReason; readonly since: number; } | undefined;
 
+    /** Monotonic time since which the step waits for the current reason. */
+    get since(): number | undefined {
+        return this.current?.since;
+    }
+
     startWait(reason: WaitReason, now: number): void {
         if (this.current?.reason !== reason) {
             this.endWait(now);
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -10,6 +10,7 @@
 import { FRESH_START_MILLISECONDS } from "./crashSuspicion.ts";
 import { CrashEvidence, type SessionOptions } from "./sessionOwner.ts";
 import { attemptKey, WorkerAttempts } from "./workerAttempts.ts";
+import { WorkerExclusion } from "./workerExclusion.ts";
 import { WorkerHealth } from "./workerHealth.ts";
 import { WorkerLease } from "./workerLease.ts";
 import {
@@ -126,15 +127,46 @@
             && (this.entry.boot === UNKNOWN_BOOT || this.entry.boot >= this.bootTime);
     }
 
-    /** Whether both the capacity and all that occupies it are known. */
-    private isRoomKnown(now: number): boolean {
-        return this.isListed && this.isEntryCurrent(now) && this.unexpectedAttemptCount === 0;
+    /** Why the capacity or what occupies it is not known; `undefined` if both are. */
+    private unknownRoom(now: number): WorkerExclusion | undefined {
+        if (!this.isListed) {
+            return WorkerExclusion.Unlisted;
+        }
+        if (!this.isEntryCurrent(now)) {
+            return WorkerExclusion.EntryNotCurrent;
+        }
+        return this.unexpectedAttemptCount > 0 ? WorkerExclusion.UnexpectedAttempts : undefined;
     }
 
     /** Whether the worker may get new tasks. */
     canAcceptTasks(now: number): boolean {
-        return this.isRoomKnown(now) && this.isFenced && this.isReachable && !this.entry.leaving
-            && !this.health.isUnavailable(now) && !this.isOnTrial(now);
+        return this.exclusion(now) === undefined;
+    }
+
+    /** The first cause that keeps all new tasks from the worker. */
+    exclusion(now: number): WorkerExclusion | undefined {
+        const unknownRoom = this.unknownRoom(now);
+        if (unknownRoom !== undefined) {
+            return unknownRoom;
+        }
+        if (!this.isFenced) {
+            return WorkerExclusion.NotFenced;
+        }
+        if (!this.isReachable) {
+            return WorkerExclusion.Unreachable;
+        }
+        if (this.entry.leaving) {
+            return WorkerExclusion.Leaving;
+        }
+        if (this.health.isUnavailable(now)) {
+            return this.health.isQuarantined(now) ? WorkerExclusion.Quarantined : WorkerExclusion.Paused;
+        }
+        return this.isOnTrial(now) ? WorkerExclusion.OnTrial : undefined;
+    }
+
+    /** Whether the worker answered the last order or report request. */
+    get responds(): boolean {
+        return this.isReachable;
     }
 
     /** Whether an attempt was placed or started so recently that a crash could be its doing. */
@@ -217,7 +249,7 @@
         const { owner, port, timers } = this.options;
         const leaseUntil = this.lease.issue(timers.now(), START_LEASE_MILLISECONDS);
         const isWanted = attempt.isLive && attempt.status !== AttemptStatus.Stopping;
-        const hasRoom = this.isRoomKnown(timers.now()) && !this.isOverCapacity;
+        const hasRoom = this.unknownRoom(timers.now()) === undefined && !this.isOverCapacity;
         if (!isWanted || leaseUntil === undefined || this.isClosed || !hasRoom) {
             this.endAttempt(attempt, EndKind.Lost, "");
             return;
