fix(coordinator): bound how long lasting tasks wait for leases on lost workers

A successor knew neither when the last one was sent nor which workers its predecessor had not reached, so that it waited 18.7 s from its own takeover, and each further owner anew. Change: the owner record states how long leases last (4 s beyond the wait of a report) and for how long after a stored renewal they are renewed (2.5 s), and lists the unreachable workers with attempts at each renewal; the owner extends no lease on a listed worker before a record without it is stored, and sends no start without that authority. A successor counts from the moment at which it first saw the last record, and takes the list over in its claim. Expired leases are also checked every 200 ms. Records of earlier versions are taken for 8 s and the longest lease, as before.

--- a/packages/coordinator/__tests__/election.spec.ts
+++ b/packages/coordinator/__tests__/election.spec.ts
@@ -7,6 +7,7 @@
 import { ManualTimers } from "@tanagerlink/timers";
 import { expect } from "chai";
 import { Election } from "../src/election.ts";
+import { initialLeaseTerms } from "../src/leaseTerms.ts";
 import { decodeOwnerRecord, encodeJson, ownerRecordName, type VersionedOwnerRecord } from "../src/ownerRecord.ts";
 
 const durations = { expiry: 2_600, unlinked: 1_200, maximumChangesAge: 1_500 };
@@ -33,6 +34,7 @@
             changesReceivedAt: () => this.receivesChanges ? timers.now() : -Infinity,
             isLinked: () => this.isLinked,
             isEligible: () => this.wonClaims.length === 0,
+            leaseTerms: () => initialLeaseTerms(6_000),
             onWon: claim => this.wonClaims.push(claim),
         });
     }
--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -1,15 +1,23 @@
 /** A cell in memory: a store, workers, and coordinators that claim ownership one after another. */
+import { ErrorKind, serviceError } from "@tanagerlink/errors";
 import type { HintResponse } from "@tanagerlink/hints";
-import { MemoryRecordStore } from "@tanagerlink/platform";
+import { MemoryRecordStore, type RecordStore } from "@tanagerlink/platform";
 import { type Logger, Metrics, silentLogger } from "@tanagerlink/telemetry";
-import { ManualTimers } from "@tanagerlink/timers";
+import { ManualTimers, sleep } from "@tanagerlink/timers";
 import type { JobSpecification } from "@tanagerlink/workflow";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { CellPolicy, QueueRule, TeamRule } from "../../src/cellPolicy.ts";
 import { Coordinator } from "../../src/coordinator.ts";
 import { CoordinatorMetrics } from "../../src/coordinatorMetrics.ts";
 import { JOBS_TABLE, partitionOf } from "../../src/jobTables.ts";
-import { decodeOwnerRecord, encodeJson, type OwnerRecord, ownerRecordName } from "../../src/ownerRecord.ts";
+import { initialLeaseTerms } from "../../src/leaseTerms.ts";
+import {
+    decodeOwnerRecord,
+    encodeJson,
+    inheritRemainingLeases,
+    type OwnerRecord,
+    ownerRecordName,
+} from "../../src/ownerRecord.ts";
 import { FakeWorkers } from "./fakeWorkers.ts";
 
 const TIME_STEP_MILLISECONDS = 10;
@@ -49,7 +57,13 @@
     readonly metrics = new Metrics();
     /** Whether hint calls stay without a response. */
     areHintsSilent = false;
+    /** Nodes that cannot reach the store. */
+    readonly nodesWithoutStore = new Set<string>();
+    /** Time by which the store's responses to transactions are late. */
+    storeDelayMilliseconds = 0;
     private readonly coordinators: Coordinator[] = [];
+    /** Version of the owner record, and the time at which candidates have first seen it. */
+    private seenOwner: { readonly version: number; readonly at: number; } = { version: 0, at: 0 };
 
     constructor() {
         this.workers.onRegistered = () => this.listWorkers();
@@ -64,7 +78,16 @@
     async claim(node: string): Promise<Coordinator> {
         const current = this.store.read(ownerRecordName);
         const previous = current === undefined ? undefined : decodeOwnerRecord(current)._unsafeUnwrap();
-        const record: OwnerRecord = { node, incarnation: node, epoch: (previous?.record.epoch ?? 0) + 1, renewals: 0 };
+        this.observeOwner();
+        const seenAt = this.seenOwner.at;
+        const record: OwnerRecord = {
+            node,
+            incarnation: node,
+            epoch: (previous?.record.epoch ?? 0) + 1,
+            renewals: 0,
+            leaseTerms: initialLeaseTerms(this.leaseMilliseconds),
+            ...inheritRemainingLeases(previous?.record, this.timers.now() - seenAt),
+        };
         const claimed = await this.store.commit({
             expectations: [{ ...ownerRecordName, expectedVersion: previous?.version ?? 0 }],
             writes: [{ ...ownerRecordName, value: encodeJson(record) }],
@@ -72,10 +95,15 @@
         });
         const outcome = claimed._unsafeUnwrap();
         const coordinator = new Coordinator({
-            claim: { record, version: outcome.committed ? outcome.version : 0 },
-            previousOwner: previous?.record,
+            claim: {
+                record,
+                version: outcome.committed ? outcome.version : 0,
+                sentAt: this.timers.now(),
+                previousOwner: previous?.record,
+                previousOwnerSeenAt: seenAt,
+            },
             node,
-            store: this.store,
+            store: this.storeOf(node),
             rowBytes: this.rowBytes,
             timers: this.timers,
             logger: this.logger,
@@ -88,7 +116,7 @@
                         : Promise.resolve(ok(this.respondToHintCall(workers))),
             },
             renewalMilliseconds: 1_000,
-            leaseMilliseconds: this.leaseMilliseconds,
+            maximumLeaseMilliseconds: this.leaseMilliseconds,
             workerEntryMilliseconds: 4_000,
             stopMilliseconds: 200,
             retentionMilliseconds: 120_000,
@@ -122,6 +150,14 @@
             await this.timers.advance(TIME_STEP_MILLISECONDS);
             await new Promise(resolve => setImmediate(resolve));
             await new Promise(resolve => setImmediate(resolve));
+            this.observeOwner();
+        }
+    }
+
+    /** Advances time in small steps until the condition holds. */
+    async advanceUntil(condition: () => boolean, maximumMilliseconds: number): Promise<void> {
+        for (let passed = 0; passed < maximumMilliseconds && !condition(); passed += TIME_STEP_MILLISECONDS) {
+            await this.advanceTime(TIME_STEP_MILLISECONDS);
         }
     }
 
@@ -134,6 +170,30 @@
         this.coordinators.forEach(coordinator => coordinator[Symbol.dispose]());
     }
 
+    private storeOf(node: string): RecordStore {
+        return {
+            commit: async transaction => {
+                if (this.nodesWithoutStore.has(node)) {
+                    return err(serviceError(ErrorKind.StoreUnavailable, "no connection"));
+                }
+                const outcome = await this.store.commit(transaction);
+                if (this.storeDelayMilliseconds > 0) {
+                    await sleep(this.timers, this.storeDelayMilliseconds);
+                }
+                return outcome;
+            },
+            list: request => this.store.list(request),
+            changes: request => this.store.changes(request),
+        };
+    }
+
+    private observeOwner(): void {
+        const version = this.store.read(ownerRecordName)?.version ?? 0;
+        if (version !== this.seenOwner.version) {
+            this.seenOwner = { version, at: this.timers.now() };
+        }
+    }
+
     private respondToHintCall(workers: readonly string[]): HintResponse {
         this.hintCalls++;
         const allowed = workers.filter(this.isAllowed).map(worker => ({ worker, ticket: `ticket-${worker}` }));
--- a/packages/coordinator/__tests__/support/fakeWorkers.ts
+++ b/packages/coordinator/__tests__/support/fakeWorkers.ts
@@ -53,6 +53,8 @@
 export class FakeWorker {
     entry: WorkerEntry;
     isReachable = true;
+    /** The only epoch whose owner reaches the worker; `undefined` for all. */
+    reachableEpoch: number | undefined;
     /** Whether another worker responds at the address. */
     isReplaced = false;
     startFault: StartFault = StartFault.None;
@@ -111,6 +113,10 @@
         });
     }
 
+    isReachableIn(epoch: number): boolean {
+        return this.isReachable && (this.reachableEpoch ?? epoch) === epoch;
+    }
+
     executeDelayedStarts(): void {
         this.delayedStarts.splice(0).forEach(order => this.executeStart(order));
     }
@@ -258,11 +264,14 @@
     async requestReport(worker: WorkerTarget, request: ReportRequest): Promise<Result<WorkerReport, ServiceError>> {
         const target = this.workers.get(worker.id);
         const deadline = this.timers.now() + request.waitMilliseconds;
-        while (target?.isReachable === true && target.pendingEndCount === 0 && this.timers.now() < deadline) {
+        while (
+            target?.isReachableIn(request.epoch) === true && target.pendingEndCount === 0 &&
+            this.timers.now() < deadline
+        ) {
             await sleep(this.timers, POLL_INTERVAL_MILLISECONDS);
             target.tick();
         }
-        if (target?.isReachable !== true) {
+        if (target?.isReachableIn(request.epoch) !== true) {
             return err(serviceError(ErrorKind.TargetUnreachable, "no response"));
         }
         return target.isReplaced
@@ -272,7 +281,7 @@
 
     start(worker: WorkerTarget, order: StartOrder): Promise<OrderOutcome> {
         const target = this.workers.get(worker.id);
-        if (target?.isReachable !== true) {
+        if (target?.isReachableIn(order.epoch) !== true) {
             return Promise.resolve({ kind: "unanswered" });
         }
         const outcome = target.start(order);
@@ -305,7 +314,9 @@
 
     stop(worker: WorkerTarget, order: AttemptOrder): Promise<OrderOutcome> {
         const target = this.workers.get(worker.id);
-        return Promise.resolve(target?.isReachable === true ? target.stop(order) : { kind: "unanswered" });
+        return Promise.resolve(
+            target?.isReachableIn(order.epoch) === true ? target.stop(order) : { kind: "unanswered" },
+        );
     }
 
     pace(): Promise<OrderOutcome> {
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -20,12 +20,15 @@
 import type { CellPolicy } from "./cellPolicy.ts";
 import type { CoordinatorMetrics } from "./coordinatorMetrics.ts";
 import { CrashSuspicion } from "./crashSuspicion.ts";
+import type { WonClaim } from "./election.ts";
 import { ExpiredJobs } from "./expiredJobs.ts";
 import type { Obstacle } from "./feasibility.ts";
 import { Fleet } from "./fleet.ts";
 import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE } from "./jobTables.ts";
 import { Journal } from "./journal.ts";
-import { OWNER_PARTITION, type OwnerRecord, type VersionedOwnerRecord } from "./ownerRecord.ts";
+import { initialLeaseTerms, leaseTermsFor } from "./leaseTerms.ts";
+import { OWNER_PARTITION, type OwnerRecord } from "./ownerRecord.ts";
+import { PreviousLeases } from "./previousLeases.ts";
 import { PROGRESS_SEGMENTS_TABLE, PROGRESS_TABLE, progressName } from "./progressRows.ts";
 import { Quarantines } from "./quarantines.ts";
 import { RecordReader } from "./recordReader.ts";
@@ -39,21 +42,11 @@
 
 /** Interval of rounds that no event has triggered, for expired tickets, ended quarantines and due occurrences. */
 const ROUND_INTERVAL_MILLISECONDS = 200;
-/**
- * Leases are renewed only if the store has confirmed ownership within this time, so that a successor knows when the
- * leases of the previous owner have expired.
- */
-const MAXIMUM_CONFIRMATION_AGE_MILLISECONDS = 8_000;
-/** Workers' clocks run at most 2 % slow. */
-const CLOCK_DRIFT_FACTOR = 1.02;
-/** Covers orders in flight when the previous owner stopped. */
-const LEASE_EXPIRY_MARGIN_MILLISECONDS = 500;
 /** Maximum estimated work left with which a task finishes on a leaving worker although it has checkpoints. */
 const MAXIMUM_DRAIN_MILLISECONDS = 1_500;
 
 export interface CoordinatorOptions {
-    readonly claim: VersionedOwnerRecord;
-    readonly previousOwner: OwnerRecord | undefined;
+    readonly claim: WonClaim;
     readonly node: string;
     readonly store: RecordStore;
     /** Maximum size of a record in the store. */
@@ -64,7 +57,8 @@
     readonly port: WorkerPort;
     readonly hintDispatcher: Pick<HintDispatcher, "request">;
     readonly renewalMilliseconds: number;
-    readonly leaseMilliseconds: number;
+    /** The longest leases that workers grant. */
+    readonly maximumLeaseMilliseconds: number;
     readonly stopMilliseconds: number;
     /** Retention of ended jobs. */
     readonly retentionMilliseconds: number;
@@ -77,6 +71,7 @@
     readonly epoch: number;
     private readonly options: CoordinatorOptions;
     private readonly claimedAt: number;
+    private readonly previousLeases: PreviousLeases;
     private readonly journal: Journal;
     private readonly jobs: CellJobs;
     private readonly expiredJobs: ExpiredJobs;
@@ -102,6 +97,7 @@
         this.options = options;
         this.epoch = claim.record.epoch;
         this.claimedAt = timers.now();
+        this.previousLeases = new PreviousLeases({ ...claim, ...options, claimedAt: this.claimedAt });
         this.jobs = new CellJobs(timers);
         this.pacing = new BestEffortPacing(timers);
         this.journal = new Journal({
@@ -110,6 +106,8 @@
             timers,
             logger,
             claim,
+            claimSentAt: claim.sentAt,
+            describeLeases: () => this.describeLeases(),
             renewalMilliseconds: options.renewalMilliseconds,
             onOwnershipLost: () => this.handleOwnershipLost(),
             onRefused: job => this.handleRefusedProgress(job),
@@ -127,7 +125,6 @@
             port: options.port,
             timers,
             logger,
-            leaseMilliseconds: options.leaseMilliseconds,
             workerEntryMilliseconds: options.workerEntryMilliseconds,
             stopMilliseconds: options.stopMilliseconds,
         });
@@ -269,7 +266,7 @@
         this.isStopped = true;
         this.ticker[Symbol.dispose]();
         this.options.metrics.placement.clear();
-        await this.journal.release(() => this.fleet.unreachableLeases());
+        await this.journal.release();
     }
 
     [Symbol.dispose](): void {
@@ -434,22 +431,37 @@
         return stored;
     }
 
-    canRenewLeases(): boolean {
-        return !this.isStopped &&
-            this.options.timers.now() - this.journal.confirmedAt < MAXIMUM_CONFIRMATION_AGE_MILLISECONDS;
+    get leaseMilliseconds(): number {
+        return (this.journal.leaseTerms ?? initialLeaseTerms(this.options.maximumLeaseMilliseconds)).leaseMilliseconds;
+    }
+
+    canExtendLease(worker: string): boolean {
+        const canExtend = !this.isStopped && !this.journal.isListed(worker) && this.journal.hasLeaseAuthority();
+        if (!canExtend) {
+            this.journal.requestConfirmation();
+        }
+        return canExtend;
     }
 
     previousLeasesExpireAt(worker: string): number {
-        const { previousOwner, node, leaseMilliseconds } = this.options;
-        const remaining = previousOwner?.node === "" ? previousOwner.remainingLeases?.[worker] : undefined;
-        if (remaining !== undefined) {
-            return this.claimedAt + remaining + LEASE_EXPIRY_MARGIN_MILLISECONDS;
+        return this.previousLeases.expireAt(worker);
+    }
+
+    /** What a successor has to know. Before the recovery, the leases inherited from the previous owner hold. */
+    private describeLeases(): Pick<OwnerRecord, "leaseTerms" | "remainingLeases"> {
+        const { claim, maximumLeaseMilliseconds } = this.options;
+        if (!this.hasRecovered) {
+            return { remainingLeases: this.isStopped ? undefined : claim.record.remainingLeases };
         }
-        const hasPreviousOwnerStopped = previousOwner === undefined || previousOwner.node === ""
-            || previousOwner.node === node;
-        return this.claimedAt + (hasPreviousOwnerStopped ? 0 : MAXIMUM_CONFIRMATION_AGE_MILLISECONDS) +
-            leaseMilliseconds * CLOCK_DRIFT_FACTOR
-            + LEASE_EXPIRY_MARGIN_MILLISECONDS;
+        const { leaseMilliseconds, authorityMilliseconds } = leaseTermsFor(this.fleet.size, maximumLeaseMilliseconds);
+        return {
+            leaseTerms: {
+                // Longer leases that were issued before are still in force.
+                leaseMilliseconds: Math.max(leaseMilliseconds, this.leaseMilliseconds),
+                authorityMilliseconds,
+            },
+            remainingLeases: this.fleet.unreachableLeases(),
+        };
     }
 
     confirmOwnership(): void {
@@ -602,6 +614,7 @@
         const now = this.options.timers.now();
         this.recurringJobs.forEach(job => this.scheduler.activate(job));
         for (const session of this.fleet.all()) {
+            session.endExpiredAttempts();
             this.recordAvailability(session, now);
         }
         for (const { job, obstacle } of this.scheduler.findObstacles()) {
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -6,9 +6,11 @@
 import type { RecordStore } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Subscription, Timers } from "@tanagerlink/timers";
+import type { LeaseTerms } from "./leaseTerms.ts";
 import {
     decodeOwnerRecord,
     encodeJson,
+    inheritRemainingLeases,
     type OwnerRecord,
     ownerRecordName,
     type VersionedOwnerRecord,
@@ -44,13 +46,24 @@
     readonly isLinked: (node: string) => boolean;
     /** Whether this process may claim the cell now. */
     readonly isEligible: () => boolean;
-    readonly onWon: (claim: VersionedOwnerRecord, previousOwner: OwnerRecord | undefined) => void;
+    /** Terms that this process states in its claim. */
+    readonly leaseTerms: () => LeaseTerms;
+    readonly onWon: (claim: WonClaim) => void;
+}
+
+/** A claim that the store has accepted; times are monotonic. */
+export interface WonClaim extends VersionedOwnerRecord {
+    readonly sentAt: number;
+    readonly previousOwner: OwnerRecord | undefined;
+    /** Time at which the last record of the previous owner was first seen. */
+    readonly previousOwnerSeenAt: number;
 }
 
 export class Election implements Disposable {
     private readonly options: ElectionOptions;
     private readonly ticker: Subscription;
     private knownOwner: VersionedOwnerRecord | undefined;
+    private knownOwnerSeenAt: number;
     /** Monotonic time of the last observed renewal: a change of the owner record, or a confirmation of the claim. */
     private lastRenewalAt: number;
     private vacantSince: number | undefined;
@@ -59,6 +72,7 @@
     constructor(options: ElectionOptions) {
         this.options = options;
         this.lastRenewalAt = options.timers.now();
+        this.knownOwnerSeenAt = this.lastRenewalAt;
         this.ticker = options.timers.every(CHECK_INTERVAL_MILLISECONDS, () => this.tick());
     }
 
@@ -71,7 +85,8 @@
     observe(owner: VersionedOwnerRecord): void {
         if (owner.version > (this.knownOwner?.version ?? 0)) {
             this.knownOwner = owner;
-            this.lastRenewalAt = this.options.timers.now();
+            this.knownOwnerSeenAt = this.options.timers.now();
+            this.lastRenewalAt = this.knownOwnerSeenAt;
         }
     }
 
@@ -121,9 +136,18 @@
     }
 
     private async claimCell(): Promise<void> {
-        const { node, incarnation, store, logger, onWon } = this.options;
+        const { node, incarnation, store, timers, logger, leaseTerms, onWon } = this.options;
         const previous = this.knownOwner;
-        const record: OwnerRecord = { node, incarnation, epoch: (previous?.record.epoch ?? 0) + 1, renewals: 0 };
+        const sentAt = timers.now();
+        const predecessor = { previousOwner: previous?.record, previousOwnerSeenAt: this.knownOwnerSeenAt };
+        const record: OwnerRecord = {
+            node,
+            incarnation,
+            epoch: (previous?.record.epoch ?? 0) + 1,
+            renewals: 0,
+            leaseTerms: leaseTerms(),
+            ...inheritRemainingLeases(previous?.record, sentAt - this.knownOwnerSeenAt),
+        };
         const outcome = await store.commit({
             expectations: [{ ...ownerRecordName, expectedVersion: previous?.version ?? 0 }],
             writes: [{ ...ownerRecordName, value: encodeJson(record) }],
@@ -136,7 +160,7 @@
         if (outcome.value.committed) {
             const claim = { record, version: outcome.value.version };
             this.observe(claim);
-            onWon(claim, previous?.record);
+            onWon({ ...claim, sentAt, ...predecessor });
             return;
         }
         for (const current of outcome.value.current) {
@@ -148,7 +172,7 @@
             this.observe(decoded.value);
             if (decoded.value.record.incarnation === incarnation && decoded.value.record.epoch === record.epoch) {
                 // An earlier claim succeeded, but its response was lost.
-                onWon(decoded.value, previous?.record);
+                onWon({ ...decoded.value, sentAt, ...predecessor });
             }
         }
     }
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -9,6 +9,7 @@
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Subscription, type Timers } from "@tanagerlink/timers";
 import type { JobRun } from "@tanagerlink/workflow";
+import type { LeaseTerms } from "./leaseTerms.ts";
 import {
     decodeOwnerRecord,
     encodeJson,
@@ -34,6 +35,10 @@
     readonly timers: Timers;
     readonly logger: Logger;
     readonly claim: VersionedOwnerRecord;
+    /** Monotonic time at which the claim was sent. */
+    readonly claimSentAt: number;
+    /** Describes the owner's leases for the next owner record. */
+    readonly describeLeases: () => Pick<OwnerRecord, "leaseTerms" | "remainingLeases">;
     /** Interval at which the claim is renewed. */
     readonly renewalMilliseconds: number;
     /** Called once when another process has claimed the cell. */
@@ -74,7 +79,10 @@
     private isWriting = false;
     private isStopped = false;
     private resolveRelease: (() => void) | undefined;
-    private remainingLeases: () => OwnerRecord["remainingLeases"] = () => undefined;
+    /** Workers that the stored owner record lists as unreachable, or one that was sent since. */
+    private listedWorkers: ReadonlySet<string>;
+    /** Monotonic time, and time of day, at which the last stored renewal was sent. */
+    private renewalSentAt: readonly [number, number];
     private readonly renewalTicker: Subscription;
     /** Monotonic time of the last response that confirmed the claim. */
     confirmedAt: number;
@@ -85,6 +93,9 @@
         this.ownerRecord = options.claim.record;
         this.ownerVersion = options.claim.version;
         this.confirmedAt = options.timers.now();
+        const { timers, claimSentAt } = options;
+        this.renewalSentAt = [claimSentAt, timers.wallClock() - (timers.now() - claimSentAt)];
+        this.listedWorkers = listedWorkersOf(options.claim.record);
         this.renewalTicker = options.timers.every(options.renewalMilliseconds, () => {
             this.isRenewalDue = true;
             this.scheduleWrite();
@@ -126,12 +137,27 @@
         this.scheduleWrite();
     }
 
-    /**
-     * Releases the cell, so that another process can claim it at once. `remainingLeases` describes the leases on workers
-     * that cannot be reached, at the time of the release.
-     */
-    async release(remainingLeases: () => OwnerRecord["remainingLeases"] = () => undefined): Promise<void> {
-        this.remainingLeases = remainingLeases;
+    /** Terms that the stored owner record states; leases must not last longer. */
+    get leaseTerms(): LeaseTerms | undefined {
+        return this.ownerRecord.leaseTerms;
+    }
+
+    /** Whether leases may be renewed and attempts started: a successor counts on an end of this authority. */
+    hasLeaseAuthority(): boolean {
+        const { timers } = this.options;
+        const [sentAt, sentAtWallClock] = this.renewalSentAt;
+        // The monotonic clock stands still while the machine is suspended.
+        const age = Math.max(timers.now() - sentAt, timers.wallClock() - sentAtWallClock);
+        return age < (this.ownerRecord.leaseTerms?.authorityMilliseconds ?? 0);
+    }
+
+    /** Whether the lease on the worker must not be extended until a record that does not list it is stored. */
+    isListed(worker: string): boolean {
+        return this.listedWorkers.has(worker);
+    }
+
+    /** Releases the cell, so that another process can claim it at once. */
+    async release(): Promise<void> {
         await this.waitUntilStored();
         if (!this.isStopped) {
             await new Promise<void>(resolve => {
@@ -175,8 +201,10 @@
         const nextOwnerRecord: OwnerRecord = {
             ...this.ownerRecord,
             renewals: this.ownerRecord.renewals + 1,
-            ...(isRelease ? { node: "", remainingLeases: this.remainingLeases() } : {}),
+            ...(rewritesOwner ? this.options.describeLeases() : {}),
+            ...(isRelease ? { node: "" } : {}),
         };
+        const nextListedWorkers = listedWorkersOf(nextOwnerRecord);
         const batch = this.nextBatch();
         const transaction: RecordTransaction = {
             expectations: [{ ...ownerRecordName, expectedVersion: this.ownerVersion }],
@@ -187,6 +215,10 @@
             removals: batch.removals,
         };
         batch.jobs.forEach(({ changes }, job) => this.rows.recordUnconfirmed(job, changes));
+        if (rewritesOwner) {
+            this.listedWorkers = new Set([...this.listedWorkers, ...nextListedWorkers]);
+        }
+        const sentAt: readonly [number, number] = [timers.now(), timers.wallClock()];
         const outcome = await store.commit(transaction);
         if (this.isStopped) {
             return;
@@ -217,6 +249,8 @@
         if (rewritesOwner) {
             this.ownerRecord = nextOwnerRecord;
             this.ownerVersion = outcome.value.version;
+            this.listedWorkers = nextListedWorkers;
+            this.renewalSentAt = sentAt;
             this.isRenewalDue = false;
             this.mustRewriteOwner = false;
         }
@@ -355,6 +389,10 @@
     readonly removals: readonly RecordName[];
 }
 
+function listedWorkersOf({ remainingLeases }: OwnerRecord): ReadonlySet<string> {
+    return new Set(Object.keys(remainingLeases ?? {}));
+}
+
 function removalKey({ table, key }: RecordName): string {
     return `${table}/${key}`;
 }
--- a/packages/coordinator/src/ownerRecord.ts
+++ b/packages/coordinator/src/ownerRecord.ts
@@ -21,15 +21,33 @@
     epoch: z.int(),
     /** Number of renewals in this epoch. */
     renewals: z.int(),
+    /** Terms of the owner's leases; missing in records of earlier versions. */
+    leaseTerms: z.object({
+        leaseMilliseconds: z.number().positive(),
+        authorityMilliseconds: z.number().min(0),
+    }).optional(),
     /**
-     * Set when the owner releases the cell: remaining milliseconds of the leases on the workers with attempts that it
-     * could not reach, which would otherwise have to be taken for fresh by each further owner.
+     * Remaining milliseconds of the leases on the workers with attempts that the owner could not reach when it wrote the
+     * record. It extends none of them before a record without the worker is stored.
      */
     remainingLeases: z.record(z.string(), z.number().min(0)).optional(),
 });
 
 export type OwnerRecord = z.infer<typeof ownerRecordSchema>;
 
+/**
+ * Leases that a new owner takes over from the previous record. `milliseconds` have passed since that record was first
+ * seen.
+ */
+export function inheritRemainingLeases(
+    previous: OwnerRecord | undefined,
+    milliseconds: number,
+): Pick<OwnerRecord, "remainingLeases"> {
+    const inherited = Object.entries(previous?.remainingLeases ?? {})
+        .map(([worker, remaining]): [string, number] => [worker, Math.max(0, Math.ceil(remaining - milliseconds))]);
+    return inherited.length === 0 ? {} : { remainingLeases: Object.fromEntries(inherited) };
+}
+
 /** The owner record and its version in the store. */
 export interface VersionedOwnerRecord {
     readonly record: OwnerRecord;
--- a/packages/coordinator/src/sessionOwner.ts
+++ b/packages/coordinator/src/sessionOwner.ts
@@ -30,8 +30,13 @@
     workerCount(): number;
     /** Resolves to true when all changes so far are stored, or to false when ownership is lost first. */
     waitUntilStored(): Promise<boolean>;
-    /** Whether leases may be renewed, which requires a recent confirmation of ownership. */
-    canRenewLeases(): boolean;
+    /** Duration of the leases that reports renew. */
+    readonly leaseMilliseconds: number;
+    /**
+     * Whether the worker may get a longer lease. That requires a recent renewal of the claim, and that the owner record
+     * does not list the worker as unreachable.
+     */
+    canExtendLease(worker: string): boolean;
     /**
      * Monotonic time at which all leases of previous owners have expired on a worker that has not responded to this
      * owner.
@@ -49,8 +54,6 @@
     readonly port: WorkerPort;
     readonly timers: Timers;
     readonly logger: Logger;
-    /** Maximum duration of a lease that workers grant. */
-    readonly leaseMilliseconds: number;
     /** Maximum duration of a stop on a worker. */
     readonly stopMilliseconds: number;
     /** Age of a worker's entry beyond which the worker gets nothing, since its capacity may have shrunk unseen. */
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -8,6 +8,7 @@
 import { sleep } from "@tanagerlink/timers";
 import { type Attempt, AttemptStatus, EndKind, type StepRun } from "@tanagerlink/workflow";
 import { FRESH_START_MILLISECONDS } from "./crashSuspicion.ts";
+import { reportWaitMilliseconds } from "./leaseTerms.ts";
 import { CrashEvidence, type SessionOptions } from "./sessionOwner.ts";
 import { attemptKey, WorkerAttempts } from "./workerAttempts.ts";
 import { WorkerExclusion } from "./workerExclusion.ts";
@@ -22,13 +23,6 @@
     type WorkerReport,
 } from "./workerPort.ts";
 
-/**
- * Wait of a long poll for an ended attempt; also bounds the age of reported tail latencies. It grows with the number of
- * workers up to the platform's maximum, so that the reports of a large fleet take a bounded share of the owner's time.
- */
-const MINIMUM_REPORT_WAIT_MILLISECONDS = 1_000;
-const MAXIMUM_REPORT_WAIT_MILLISECONDS = 2_000;
-const REPORT_WAIT_PER_WORKER_MILLISECONDS = 5;
 /** Wait of a long poll while attempts are to be reconciled; longer than a stop takes. */
 const RECONCILIATION_WAIT_MILLISECONDS = 250;
 /** Delay after a failed poll. */
@@ -61,6 +55,10 @@
     private isFenced = false;
     /** Whether the last poll succeeded; reset when a start order gets no response from the worker. */
     private isReachable = false;
+    /** Whether the last poll renewed the lease. */
+    private isLeaseRenewed = false;
+    /** Whether the last poll got no usable response. */
+    private hasPollFailed = false;
     private unexpectedAttemptCount = 0;
     private bootTime: number;
     /** Address at which the worker last answered. */
@@ -247,10 +245,11 @@
     /** Sends the start order of an attempt that is already stored. */
     async start(attempt: Attempt, ticket: string | undefined): Promise<void> {
         const { owner, port, timers } = this.options;
-        const leaseUntil = this.lease.issue(timers.now(), START_LEASE_MILLISECONDS);
         const isWanted = attempt.isLive && attempt.status !== AttemptStatus.Stopping;
         const hasRoom = this.unknownRoom(timers.now()) === undefined && !this.isOverCapacity;
-        if (!isWanted || leaseUntil === undefined || this.isClosed || !hasRoom) {
+        const canStart = isWanted && !this.isClosed && hasRoom && owner.canExtendLease(this.id);
+        const leaseUntil = canStart ? this.lease.issue(timers.now(), START_LEASE_MILLISECONDS) : undefined;
+        if (leaseUntil === undefined) {
             this.endAttempt(attempt, EndKind.Lost, "");
             return;
         }
@@ -331,6 +330,13 @@
         return Math.max(0, Math.ceil(expiresAt - now));
     }
 
+    /** Whether all leases on the worker have expired, those of previous owners included. */
+    private haveLeasesExpired(now: number): boolean {
+        return this.lease.hasClockReading
+            ? this.lease.hasExpired(now)
+            : now >= this.options.owner.previousLeasesExpireAt(this.id);
+    }
+
     describe(): unknown {
         return {
             id: this.id,
@@ -455,18 +461,19 @@
 
     /** Fetches and applies one report. */
     private async poll(): Promise<void> {
-        const { owner, port, timers, leaseMilliseconds } = this.options;
+        const { owner, port, timers } = this.options;
         const sentAt = timers.now();
-        const shouldRenew = this.isReachable && owner.canRenewLeases();
-        const leaseUntil = shouldRenew ? this.lease.issue(sentAt, leaseMilliseconds) : undefined;
+        const shouldRenew = this.isReachable && owner.canExtendLease(this.id);
+        const leaseUntil = shouldRenew ? this.lease.issue(sentAt, owner.leaseMilliseconds) : undefined;
         const acknowledgedEnd = this.storedEndNumber;
         const { address } = this.entry;
         const report = await port.requestReport(this.entry, {
             epoch: owner.epoch,
             acknowledgedEnd,
             ...(leaseUntil === undefined ? {} : { leaseUntil }),
-            waitMilliseconds: this.pollWaitMilliseconds(),
+            waitMilliseconds: this.pollWaitMilliseconds(shouldRenew),
         });
+        this.isLeaseRenewed = shouldRenew;
         if (this.isClosed) {
             return;
         }
@@ -485,7 +492,7 @@
         }
     }
 
-    private pollWaitMilliseconds(): number {
+    private pollWaitMilliseconds(isRenewal: boolean): number {
         if (!this.isReachable || !this.isFenced || this.attempts.size === 0) {
             return 0;
         }
@@ -494,8 +501,21 @@
                 return RECONCILIATION_WAIT_MILLISECONDS;
             }
         }
-        const wait = this.options.owner.workerCount() * REPORT_WAIT_PER_WORKER_MILLISECONDS;
-        return Math.min(MAXIMUM_REPORT_WAIT_MILLISECONDS, Math.max(MINIMUM_REPORT_WAIT_MILLISECONDS, wait));
+        if (!isRenewal) {
+            return RECONCILIATION_WAIT_MILLISECONDS;
+        }
+        // After a pause of renewals, the lease may be about to expire.
+        return this.isLeaseRenewed ? reportWaitMilliseconds(this.options.owner.workerCount()) : 0;
+    }
+
+    /** Ends the attempts on a worker that does not respond once all leases on it have expired. */
+    endExpiredAttempts(): void {
+        const now = this.options.timers.now();
+        const isLost = !this.isReachable && this.hasPollFailed && this.attempts.size > 0;
+        if (isLost && this.haveLeasesExpired(now)) {
+            this.presumeCrash();
+            this.endAllAttempts(EndKind.LeaseExpired);
+        }
     }
 
     private async handleReportFailure(error: ServiceError, address: string): Promise<void> {
@@ -505,20 +525,17 @@
         }
         const now = timers.now();
         this.recordLoss(now);
+        this.hasPollFailed = true;
         if (error.kind === ErrorKind.StaleEpoch) {
             owner.confirmOwnership();
         }
-        const hasExpired = this.lease.hasClockReading
-            ? this.lease.hasExpired(now)
-            : now >= owner.previousLeasesExpireAt(this.id);
         // At an address at which this worker has never answered, another one says nothing about it: the entry may be wrong.
         if (error.kind === ErrorKind.StaleBoot && (this.answeredAddress ?? address) === address) {
             this.reportCrash([...this.attempts.all()], Infinity);
             this.endAllAttempts(EndKind.Lost);
         }
-        else if (hasExpired && this.attempts.size > 0) {
-            this.presumeCrash();
-            this.endAllAttempts(EndKind.LeaseExpired);
+        else {
+            this.endExpiredAttempts();
         }
         await sleep(timers, RETRY_DELAY_MILLISECONDS);
     }
@@ -539,6 +556,7 @@
         this.lastHeardAt = now;
         this.isFenced = true;
         this.isReachable = true;
+        this.hasPollFailed = false;
         const runningKeys = new Set<string>();
         this.unexpectedAttemptCount = 0;
         for (const runningReport of report.running) {
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -8,9 +8,10 @@
     CoordinatorMetrics,
     decodeOwnerRecord,
     Election,
+    initialLeaseTerms,
     OWNER_PARTITION,
-    type OwnerRecord,
     type VersionedOwnerRecord,
+    type WonClaim,
     type WorkerPort,
 } from "@tanagerlink/coordinator";
 import { describeUnknown } from "@tanagerlink/errors";
@@ -191,7 +192,8 @@
             changesReceivedAt: () => this.cellFollower.lastResponseAt,
             isLinked: peer => peers.links().some(link => link.peer.id === peer && link.connected),
             isEligible: () => !this.isDraining && this.coordinator === undefined && this.configuration !== undefined,
-            onWon: (claim, previousOwner) => void this.startCoordinator(claim, previousOwner),
+            leaseTerms: () => initialLeaseTerms(options.durations().leaseMilliseconds),
+            onWon: claim => void this.startCoordinator(claim),
         });
         registerOwnerMethods(peers, () => this.coordinator);
         this.registerHintMethod();
@@ -319,7 +321,8 @@
         const { record } = owner;
         if (this.isDraining && record.node === node && record.incarnation === incarnation) {
             // A claim that was sent before the shutdown got no response, but has succeeded.
-            void this.startCoordinator(owner, undefined);
+            const now = this.options.timers.now();
+            void this.startCoordinator({ ...owner, sentAt: now, previousOwner: undefined, previousOwnerSeenAt: now });
         }
     }
 
@@ -347,7 +350,7 @@
         }
     }
 
-    private async startCoordinator(claim: VersionedOwnerRecord, previousOwner: OwnerRecord | undefined): Promise<void> {
+    private async startCoordinator(claim: WonClaim): Promise<void> {
         if (claim.record.epoch === this.takenEpoch) {
             return;
         }
@@ -356,10 +359,9 @@
         const { node, timers, logger } = this.options;
         const { leaseMilliseconds, stopMilliseconds, retentionMilliseconds, workerEntryMilliseconds } = this.options
             .durations();
-        logger.info({ epoch: claim.record.epoch, former: previousOwner?.node }, "cell taken");
+        logger.info({ epoch: claim.record.epoch, former: claim.previousOwner?.node }, "cell taken");
         const coordinator = new Coordinator({
             claim,
-            previousOwner,
             node,
             store: this.store,
             rowBytes: this.options.rowBytes,
@@ -369,7 +371,7 @@
             port: workerPort,
             hintDispatcher: this.hintDispatcher,
             renewalMilliseconds: CLAIM_RENEWAL_INTERVAL_MILLISECONDS,
-            leaseMilliseconds,
+            maximumLeaseMilliseconds: leaseMilliseconds,
             stopMilliseconds,
             retentionMilliseconds,
             workerEntryMilliseconds,
