fix(coordinator): a trial without a response does not keep other suspects waiting

Cause: a trial whose start had no response, on a worker that had gone dark, counted as running until its lease expired. Meanwhile the minimum of one trial for a whole service did not hold. Workers that had left the list counted as well. The bound on trials has a module of its own (trials.ts).

--- /dev/null
+++ b/packages/coordinator/__tests__/boundedWaits.spec.ts
@@ -0,0 +1,76 @@
+/**
+ * Work that could run beside a service that is at most half used. The tests guard against LOST: nothing of a job runs
+ * for seconds although workers that may run it have room.
+ */
+import { expect } from "chai";
+import type { Coordinator } from "../src/coordinator.ts";
+import { Cell } from "./support/cell.ts";
+import type { FakeWorker } from "./support/fakeWorkers.ts";
+import { sampleJob, sampleStep } from "./support/samples.ts";
+
+/** Longest wait that a job may have beside workers with room. */
+const MAXIMUM_WAIT_MILLISECONDS = 2_000;
+
+describe("the wait of a task that could run", () => {
+    let cell: Cell;
+    let owner: Coordinator;
+
+    beforeEach(() => {
+        cell = new Cell();
+    });
+
+    afterEach(() => cell.dispose());
+
+    async function claimWith(workers: number, cores: number): Promise<void> {
+        for (let index = 1; index <= workers; index++) {
+            const capacity = { processorMillis: cores * 1_000, memoryMebibytes: 100_000, accelerators: 0 };
+            cell.workers.add(`w${index}`, { capacity });
+        }
+        owner = await cell.claim("one");
+    }
+
+    function worker(id: string): FakeWorker {
+        return cell.workers.workers.get(id)!;
+    }
+
+    function cores(count: number): ReturnType<typeof sampleStep>["size"] {
+        return { processorMillis: count * 1_000, memoryMebibytes: 100, accelerators: 0 };
+    }
+
+    // Guards against LOST: a trial without a response on a dark worker kept all other suspects waiting for its lease.
+    it("is short for a suspect while the trial of another has got no response from a dark worker", async () => {
+        cell.policy = {
+            ...cell.policy,
+            queues: new Map([["patient", { ...cell.policy.queues.get("urgent")!, priority: 1 }]]),
+        };
+        await claimWith(3, 4);
+        cell.workers.workers.forEach(each => each.taskDurationMilliseconds = undefined);
+        const lasting = sampleStep({ count: 3, maximumPerWorker: 1, lasting: true, size: cores(2) });
+        await cell.submit(owner, sampleJob("00f1", { queue: "patient", priority: 1, steps: [lasting] }));
+        await cell.advanceTime(1_000);
+        const suspects = ["00a1", "00a2"];
+        for (const id of suspects) {
+            await cell.submit(owner, sampleJob(id, { queue: "patient", priority: 1 }));
+        }
+        await cell.advanceTime(100);
+        const crashed = cell.startsOf("00a1.0.0.0")[0]!.worker;
+        expect(cell.startsOf("00a2.0.0.0")[0]!.worker).to.equal(crashed);
+        const others = [...cell.workers.workers.values()].filter(({ entry }) => entry.id !== crashed);
+        let isDark = false;
+        for (const other of others) {
+            const start = other.start.bind(other);
+            other.start = order => {
+                if (isDark) {
+                    return start(order);
+                }
+                isDark = true;
+                other.isReachable = false;
+                return { kind: "unanswered" };
+            };
+        }
+        worker(crashed).crash(10, true);
+        await cell.advanceTime(MAXIMUM_WAIT_MILLISECONDS + 200);
+        const restarted = suspects.filter(id => cell.startsOf(`${id}.0.0.0`).length === 2);
+        expect([isDark, restarted.length]).to.deep.equal([true, 1]);
+    });
+});
--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -1,10 +1,11 @@
 /** A cell in memory: a store, workers, and coordinators that claim ownership one after another. */
-import type { HintResponse } from "@tanagerlink/hints";
+import type { ServiceError } from "@tanagerlink/errors";
+import type { HintCall, HintResponse } from "@tanagerlink/hints";
 import { MemoryRecordStore } from "@tanagerlink/platform";
 import { Metrics, silentLogger } from "@tanagerlink/telemetry";
 import { ManualTimers } from "@tanagerlink/timers";
 import type { JobSpecification } from "@tanagerlink/workflow";
-import { ok } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import type { CellPolicy, QueueRule, TeamRule } from "../../src/cellPolicy.ts";
 import { Coordinator } from "../../src/coordinator.ts";
 import { CoordinatorMetrics } from "../../src/coordinatorMetrics.ts";
@@ -47,6 +48,9 @@
     leaseMilliseconds = 6_000;
     /** Whether hint calls stay without a response. */
     areHintsSilent = false;
+    /** Makes a hint call. */
+    requestHints = ({ workers }: HintCall): Promise<Result<HintResponse, ServiceError>> =>
+        this.areHintsSilent ? new Promise(() => undefined) : Promise.resolve(ok(this.respondToHintCall(workers)));
     private readonly coordinators: Coordinator[] = [];
 
     constructor() {
@@ -80,10 +84,7 @@
             metrics: new CoordinatorMetrics(new Metrics()),
             port: this.workers,
             hintDispatcher: {
-                request: ({ workers }) =>
-                    this.areHintsSilent
-                        ? new Promise(() => undefined)
-                        : Promise.resolve(ok(this.respondToHintCall(workers))),
+                request: call => this.requestHints(call),
             },
             renewalMilliseconds: 1_000,
             leaseMilliseconds: this.leaseMilliseconds,
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -2,6 +2,7 @@
 import type { StepHints } from "@tanagerlink/hints";
 import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
 import type { StepRun, TaskRun } from "@tanagerlink/workflow";
+import { freeShareOf } from "./trials.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
 /** A task, the worker chosen for it, and the ticket that the start presents, if the queue needs one. */
@@ -61,13 +62,6 @@
 /** Crashes after which a task avoids the racks on which its workers crashed. */
 const CRASHES_BEFORE_OTHER_RACK = 3;
 
-/**
- * Shares of the workers of a service, and of its free capacity, on which trials of suspected tasks may run, or which may
- * be down after one, at the same time.
- */
-const MAXIMUM_TRIAL_SHARE = 0.25;
-const MAXIMUM_TRIAL_SHARE_OF_FREE = 0.5;
-
 /** A worker with its remaining free capacity in the current round. */
 interface Candidate {
     readonly worker: WorkerSession;
@@ -86,53 +80,6 @@
         && (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel));
 }
 
-/**
- * Puts suspected tasks first, those with fewer crashes before the others, but no more than may be on trial. A gang is
- * tried as a whole.
- */
-export function selectTasks(
-    waiting: readonly TaskRun[],
-    workers: readonly WorkerSession[],
-    now: number,
-): readonly TaskRun[] {
-    if (waiting[0]?.step.hasWaitingSuspect !== true) {
-        return waiting;
-    }
-    const permitted = countPermittedTrials(workers, now);
-    if (waiting[0].step.specification.gang) {
-        return permitted > 0 ? waiting : [];
-    }
-    const suspects = waiting.filter(({ isSuspect }) => isSuspect).sort((left, right) => left.crashes - right.crashes);
-    return [
-        ...suspects.slice(0, permitted),
-        ...waiting.filter(({ isSuspect }) => !isSuspect),
-    ];
-}
-
-function countPermittedTrials(workers: readonly WorkerSession[], now: number): number {
-    let onTrial = 0;
-    let down = 0;
-    let free = 0;
-    for (const worker of workers) {
-        if (worker.isOnTrial(now)) {
-            onTrial++;
-        }
-        else if (worker.isDownAfterTrial) {
-            down++;
-        }
-        else if (worker.canAcceptTasks(now)) {
-            free += freeShareOf(worker, worker.freeCapacity);
-        }
-    }
-    const maximum = Math.max(
-        workers.length * MAXIMUM_TRIAL_SHARE,
-        (free + onTrial + down) * MAXIMUM_TRIAL_SHARE_OF_FREE,
-    );
-    // Workers that stay down must not keep all suspects waiting.
-    const minimum = onTrial === 0 ? 1 : 0;
-    return Math.max(minimum, Math.floor(maximum) - onTrial - down);
-}
-
 /** Places as many tasks as possible, or a gang as a whole. */
 export function placeTasks(request: PlacementRequest): PlacementResult {
     const { step, taskSize, workers, evacuated, hints, now } = request;
@@ -303,11 +250,6 @@
     return chosen;
 }
 
-/** Free share of a worker's processors. */
-function freeShareOf({ entry }: WorkerSession, { processorMillis }: Resources): number {
-    return processorMillis / Math.max(1, entry.capacity.processorMillis);
-}
-
 /** Urgent and lasting tasks are spread; other tasks are packed, which keeps whole workers free for gangs. */
 function costOf(
     step: StepRun,
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -12,8 +12,9 @@
 import type { Fleet } from "./fleet.ts";
 import { GangReservations } from "./gangReservations.ts";
 import { HeldCapacity, mustYield } from "./heldCapacity.ts";
-import { type Placement, type PlacementResult, placeTasks, selectTasks } from "./placement.ts";
+import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
 import type { TeamUsage } from "./teamUsage.ts";
+import { selectTasks } from "./trials.ts";
 import { WaitReason } from "./waitTimes.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
