fix(coordinator): work on lost workers does not count as use of the service

Cause: the share of a service in use counted the attempts on workers that do not respond until their leases had expired. With it above one half, waiting steps left reserved and held room alone without an end. Change: the share counts the workers that respond, as to both use and capacity. Result: boundedWaits.spec.ts, "is short beside held room while most workers are lost": 7.0 s before, at most 2 s now. heldRoom.spec.ts passes.

--- a/packages/coordinator/__tests__/boundedWaits.spec.ts
+++ b/packages/coordinator/__tests__/boundedWaits.spec.ts
@@ -11,6 +11,8 @@
 /** Longest wait that a job may have beside workers with room. */
 const MAXIMUM_WAIT_MILLISECONDS = 2_000;
 
+const hinted = { queue: "hinted", hinted: true };
+
 describe("the wait of a task that could run", () => {
     let cell: Cell;
     let owner: Coordinator;
@@ -37,6 +39,16 @@
         return { processorMillis: count * 1_000, memoryMebibytes: 100, accelerators: 0 };
     }
 
+    /** Runs the cell until a task has been started a number of times, and returns how long that took. */
+    async function timeUntilStart(task: string, starts = 1): Promise<number> {
+        let waited = 0;
+        while (cell.startsOf(task).length < starts && waited < 30_000) {
+            await cell.advanceTime(10);
+            waited += 10;
+        }
+        return waited;
+    }
+
     // Guards against LOST: a trial without a response on a dark worker kept all other suspects waiting for its lease.
     it("is short for a suspect while the trial of another has got no response from a dark worker", async () => {
         cell.policy = {
@@ -73,4 +85,22 @@
         const restarted = suspects.filter(id => cell.startsOf(`${id}.0.0.0`).length === 2);
         expect([isDark, restarted.length]).to.deep.equal([true, 1]);
     });
+
+    // Guards against LOST: attempts on lost workers counted as use, so that held room was left alone for their leases.
+    it("is short beside held room while most workers are lost", async () => {
+        await claimWith(4, 4);
+        cell.workers.workers.forEach(each => each.taskDurationMilliseconds = undefined);
+        const lasting = sampleStep({ count: 3, maximumPerWorker: 1, lasting: true, size: cores(4) });
+        await cell.submit(owner, sampleJob("00f1", { steps: [lasting] }));
+        await cell.advanceTime(1_000);
+        for (const { worker: id } of cell.workers.starts) {
+            worker(id).isReachable = false;
+        }
+        await cell.advanceTime(100);
+        cell.areHintsSilent = true;
+        await cell.submit(owner, sampleJob("00a1", { ...hinted, steps: [sampleStep({ count: 20 })] }));
+        await cell.advanceTime(100);
+        await cell.submit(owner, sampleJob("00d1"));
+        expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS);
+    });
 });
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -47,11 +47,11 @@
         return this.serviceOf(service).capacity;
     }
 
-    /** Share of the scarcest resource of a service's listed workers that is in use. */
+    /** Share of the scarcest resource that is in use on a service's listed workers, apart from those that do not respond. */
     usedShareOf(service: string): number {
-        const { workers, capacity } = this.serviceOf(service);
-        const used = workers.filter(({ isListed }) => isListed)
-            .map(({ entry, freeCapacity }) => subtractResources(entry.capacity, freeCapacity))
+        const workers = this.serviceOf(service).workers.filter(({ isListed, isReachable }) => isListed && isReachable);
+        const capacity = workers.map(({ entry }) => entry.capacity).reduce(addResources, noResources);
+        const used = workers.map(({ entry, freeCapacity }) => subtractResources(entry.capacity, freeCapacity))
             .reduce(addResources, noResources);
         return Math.max(
             used.processorMillis / Math.max(1, capacity.processorMillis),
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -59,7 +59,7 @@
     /** Whether the worker has seen the epoch of this owner. */
     private isFenced = false;
     /** Whether the last poll succeeded; reset when a start order gets no response from the worker. */
-    private isReachable = false;
+    isReachable = false;
     private unexpectedAttemptCount = 0;
     private bootTime: number;
     /** Address at which the worker last answered. */
