fix(coordinator): steps that yield to others are checked when their yielding ends

Cause: a step may use capacity that is held for others after a wait of 2 s, but was checked a second after the last event that had let it be checked. The two could add up to 3 s, and a hint call follows for steps that need one. A step at its team's limit does not count as waiting. What a step may use after a long wait is in longWaits.ts.

--- a/packages/coordinator/__tests__/boundedWaits.spec.ts
+++ b/packages/coordinator/__tests__/boundedWaits.spec.ts
@@ -103,4 +103,17 @@
         await cell.submit(owner, sampleJob("00d1"));
         expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS);
     });
+
+    // Guards against LOST: the end of the longest wait was noticed up to a second late.
+    it("ends in time although events postpone the next check of the step", async () => {
+        await claimWith(2, 4);
+        cell.areHintsSilent = true;
+        await cell.submit(owner, sampleJob("00a1", { ...hinted, steps: [sampleStep({ count: 20 })] }));
+        await cell.advanceTime(100);
+        await cell.submit(owner, sampleJob("00d1"));
+        await cell.advanceTime(900);
+        cell.policy = { ...cell.policy, version: 2 };
+        owner.setPolicy(cell.policy);
+        expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS - 900);
+    });
 });
--- a/packages/coordinator/src/activeSteps.ts
+++ b/packages/coordinator/src/activeSteps.ts
@@ -36,6 +36,10 @@
         this.taskSize = occupiedResources(step);
     }
 
+    waitedMilliseconds(now: number): number {
+        return now - (this.waitsSince ?? now);
+    }
+
     /** Whether a task might start on the worker, or hints for it might be asked, now that it has more free capacity. */
     couldUse(worker: WorkerSession, freeCapacity: Resources, now: number): boolean {
         const { requiredLabel } = this.step.specification;
@@ -136,7 +140,9 @@
     block(entry: ActiveStep, reason: WaitReason, now: number): void {
         this.unblock(entry);
         entry.blockedBy = reason;
-        entry.recheckAt = now + RECHECK_INTERVAL_MILLISECONDS;
+        // Counted from the start of the wait, since what the step may use grows after whole intervals.
+        entry.recheckAt = now + RECHECK_INTERVAL_MILLISECONDS
+            - entry.waitedMilliseconds(now) % RECHECK_INTERVAL_MILLISECONDS;
         const { team } = entry.step.job.specification;
         if (reason === WaitReason.Limit && team !== undefined) {
             addTo(this.blockedByTeam, team, entry);
--- a/packages/coordinator/src/heldCapacity.ts
+++ b/packages/coordinator/src/heldCapacity.ts
@@ -4,22 +4,8 @@
  */
 import { type Resources, subtractResources } from "@tanagerlink/model";
 import type { ActiveStep } from "./activeSteps.ts";
-import type { Fleet } from "./fleet.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
-/**
- * Waiting time after which a step may use capacity that is reserved or held for others, if no more than this share of
- * the service is in use: what others wait for must not keep a mostly idle service from work.
- */
-const MAXIMUM_YIELD_MILLISECONDS = 2_000;
-const MAXIMUM_USED_SHARE_TO_CLAIM = 0.5;
-
-/** Whether the step must leave alone what is reserved or held for others. */
-export function mustYield({ waitsSince, service }: ActiveStep, fleet: Fleet, now: number): boolean {
-    return now - (waitsSince ?? now) < MAXIMUM_YIELD_MILLISECONDS
-        || fleet.usedShareOf(service) > MAXIMUM_USED_SHARE_TO_CLAIM;
-}
-
 export class HeldCapacity {
     private readonly holdersByWorker = new Map<WorkerSession, ActiveStep[]>();
     private readonly workersByHolder = new Map<ActiveStep, readonly WorkerSession[]>();
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -11,7 +11,8 @@
 import { findObstacle, type Obstacle } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
 import { GangReservations } from "./gangReservations.ts";
-import { HeldCapacity, mustYield } from "./heldCapacity.ts";
+import { HeldCapacity } from "./heldCapacity.ts";
+import { entitlementOf } from "./longWaits.ts";
 import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
 import type { TeamUsage } from "./teamUsage.ts";
 import { selectTasks } from "./trials.ts";
@@ -255,13 +256,14 @@
             : step.specification.size;
         if (!usage.allows(team, unitSize)) {
             this.releaseCapacity(entry);
+            entry.waitsSince = undefined;
             entry.waitTimes.startWait(WaitReason.Limit, now);
             this.steps.block(entry, WaitReason.Limit, now);
             return [];
         }
         const formerlyHeld = this.heldCapacity.release(entry);
         const workers = fleet.workersOfService(entry.service);
-        const yieldsToOthers = mustYield(entry, fleet, now);
+        const mayUse = entitlementOf(entry, fleet, now);
         let isLimitReached = false;
         const result = placeTasks({
             step,
@@ -270,12 +272,12 @@
             workers,
             evacuated: policy.evacuated,
             hints: entry.isHinted ? entry.hints : undefined,
-            isReserved: worker => yieldsToOthers && this.reservations.isReserved(worker, entry, now),
+            isReserved: worker => !mayUse.reservedWorkers && this.reservations.isReserved(worker, entry, now),
             // Hint calls for capacity that others hold would delay the calls of all of them.
             freeCapacityOf: worker =>
-                yieldsToOthers || entry.isHinted
-                    ? this.heldCapacity.freeCapacityFor(worker, entry)
-                    : worker.freeCapacity,
+                mayUse.heldCapacity && !entry.isHinted
+                    ? worker.freeCapacity
+                    : this.heldCapacity.freeCapacityFor(worker, entry),
             now,
             acquireTeamCapacity: () => {
                 const allowed = usage.allows(team, unitSize);
