fix(coordinator): a step uses its tickets although others hold the room

Cause: a step that needs hints always left alone what others hold, so that they do not all ask for the same room. A hint call names workers beyond those whose room it holds, so that a step can get tickets only for workers whose room is held for another step with a slow call. It then waited as long as that call took, and asked for no new tickets, for such room did not count. Change: after 1 s beside a service that is at most half used, held room counts on workers that are known to admit the step.

--- a/packages/coordinator/__tests__/boundedWaits.spec.ts
+++ b/packages/coordinator/__tests__/boundedWaits.spec.ts
@@ -86,6 +86,21 @@
         expect([isDark, restarted.length]).to.deep.equal([true, 1]);
     });
 
+    // Guards against LOST: the step had tickets for the workers, but their room was held for a slow hint call.
+    it("is short if others hold the room on the workers for which it has tickets", async () => {
+        await claimWith(4, 4);
+        worker("w4").entry = { ...worker("w4").entry, labels: [] };
+        cell.listWorkers();
+        const respond = cell.requestHints;
+        cell.requestHints = call => call.step.startsWith("00a1") ? new Promise(() => undefined) : respond(call);
+        const holder = sampleStep({ count: 12, requiredLabel: "a" });
+        await cell.submit(owner, sampleJob("00a1", { ...hinted, steps: [holder] }));
+        await cell.advanceTime(100);
+        cell.isAllowed = id => id !== "w4";
+        await cell.submit(owner, sampleJob("00d1", hinted));
+        expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS);
+    });
+
     // Guards against LOST: attempts on lost workers counted as use, so that held room was left alone for their leases.
     it("is short beside held room while most workers are lost", async () => {
         await claimWith(4, 4);
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -273,9 +273,9 @@
             evacuated: policy.evacuated,
             hints: entry.isHinted ? entry.hints : undefined,
             isReserved: worker => !mayUse.reservedWorkers && this.reservations.isReserved(worker, entry, now),
-            // Hint calls for capacity that others hold would delay the calls of all of them.
+            // Hint calls in vain for capacity that others hold would delay the calls of all of them.
             freeCapacityOf: worker =>
-                mayUse.heldCapacity && !entry.isHinted
+                mayUse.heldCapacity && (!entry.isHinted || entry.hints.isAllowed(worker.id))
                     ? worker.freeCapacity
                     : this.heldCapacity.freeCapacityFor(worker, entry),
             now,
