fix(coordinator): a step whose hint call has failed leaves the room to others

Cause: the capacity held for a step stayed held after its hint call had failed, until its next call, and so on. Other steps that need hints could not ask for it at any time. Change: a failed call ends the hold, and the step holds nothing until it may call again.

--- a/packages/coordinator/__tests__/boundedWaits.spec.ts
+++ b/packages/coordinator/__tests__/boundedWaits.spec.ts
@@ -2,7 +2,10 @@
  * Work that could run beside a service that is at most half used. The tests guard against LOST: nothing of a job runs
  * for seconds although workers that may run it have room.
  */
+import { ErrorKind, serviceError } from "@tanagerlink/errors";
+import { sleep } from "@tanagerlink/timers";
 import { expect } from "chai";
+import { err } from "neverthrow";
 import type { Coordinator } from "../src/coordinator.ts";
 import { Cell } from "./support/cell.ts";
 import type { FakeWorker } from "./support/fakeWorkers.ts";
@@ -101,6 +104,22 @@
         expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS);
     });
 
+    // Guards against LOST: room stayed held for a step whose hint calls failed again and again.
+    it("is short if others hold the room and their hint calls fail", async () => {
+        await claimWith(4, 4);
+        const respond = cell.requestHints;
+        cell.requestHints = async call => {
+            await sleep(cell.timers, 600);
+            return call.step.startsWith("00a1")
+                ? err(serviceError(ErrorKind.TargetUnreachable, "no response"))
+                : respond(call);
+        };
+        await cell.submit(owner, sampleJob("00a1", { ...hinted, steps: [sampleStep({ count: 20 })] }));
+        await cell.advanceTime(100);
+        await cell.submit(owner, sampleJob("00d1", hinted));
+        expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS);
+    });
+
     // Guards against LOST: attempts on lost workers counted as use, so that held room was left alone for their leases.
     it("is short beside held room while most workers are lost", async () => {
         await claimWith(4, 4);
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -288,7 +288,8 @@
                 return allowed;
             },
         });
-        const workersToHold = isLimitReached ? [] : result.workersToHold;
+        // A step whose hint call has failed leaves the room to others until it makes the next one.
+        const workersToHold = isLimitReached || now < entry.hints.retryAt ? [] : result.workersToHold;
         this.heldCapacity.hold(entry, workersToHold);
         for (const worker of formerlyHeld) {
             if (!workersToHold.includes(worker)) {
@@ -327,6 +328,9 @@
         const reason = lacksTickets ? WaitReason.Hints : WaitReason.Capacity;
         entry.waitTimes.startWait(isLimitReached ? WaitReason.Limit : reason, now);
         this.steps.block(entry, isLimitReached ? WaitReason.Limit : reason, now);
+        if (now < entry.hints.retryAt) {
+            entry.recheckAt = Math.min(entry.recheckAt, entry.hints.retryAt);
+        }
         this.reservations.reserve(entry, fleet.workersOfService(entry.service), now)
             .forEach(worker => this.steps.recordGrowth(worker));
     }
@@ -386,6 +390,8 @@
             if (response.isErr()) {
                 hints.retryAt = timers.now() + HINT_RETRY_DELAY_MILLISECONDS;
                 entry.recheckAt = hints.retryAt;
+                this.releaseCapacity(entry);
+                requestRound();
                 logger.info({ step: step.name, error: response.error.kind }, "hint call failed");
                 return;
             }
