fix(coordinator): a step without other workers uses quarantined ones after a second

Cause: a quarantine takes 3 s, doubled up to 24 s, failures of sound tasks lead to it, and nothing starts on the worker meanwhile. Hints allow a step on 0.4 of the workers, so that all workers of a step can be in quarantine beside an idle service. A quarantined worker gets one task of a step at a time, so that a broken worker does not use up the attempts of all of them.

--- a/packages/coordinator/__tests__/boundedWaits.spec.ts
+++ b/packages/coordinator/__tests__/boundedWaits.spec.ts
@@ -4,6 +4,7 @@
  */
 import { ErrorKind, serviceError } from "@tanagerlink/errors";
 import { sleep } from "@tanagerlink/timers";
+import { EndKind } from "@tanagerlink/workflow";
 import { expect } from "chai";
 import { err } from "neverthrow";
 import type { Coordinator } from "../src/coordinator.ts";
@@ -52,6 +53,16 @@
         return waited;
     }
 
+    /** Lets two tasks fail on a worker, which is then quarantined. */
+    async function quarantine(id: string, job: string): Promise<void> {
+        const target = worker(id);
+        target.endKind = EndKind.Failed;
+        cell.isAllowed = candidate => candidate === id;
+        await cell.submit(owner, sampleJob(job, { ...hinted, steps: [sampleStep({ count: 2 })], maximumAttempts: 1 }));
+        await cell.advanceTime(500);
+        target.endKind = EndKind.Done;
+    }
+
     // Guards against LOST: a trial without a response on a dark worker kept all other suspects waiting for its lease.
     it("is short for a suspect while the trial of another has got no response from a dark worker", async () => {
         cell.policy = {
@@ -89,6 +100,48 @@
         expect([isDark, restarted.length]).to.deep.equal([true, 1]);
     });
 
+    // Guards against LOST: the only worker that the hints allowed was in quarantine for 3 s to 24 s.
+    it("is short if the only allowed worker is in quarantine", async () => {
+        await claimWith(6, 16);
+        await quarantine("w1", "00a1");
+        await cell.submit(owner, sampleJob("00d1", hinted));
+        expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS);
+    });
+
+    // Guards against LOST as above, and against BUDGET: the last attempt must not follow a failure at once.
+    it("is short, but not shorter than a second, for a task that has failed on the quarantined worker", async () => {
+        await claimWith(6, 16);
+        worker("w1").endKind = EndKind.Failed;
+        cell.isAllowed = candidate => candidate === "w1";
+        await cell.submit(owner, sampleJob("00a1", { ...hinted, steps: [sampleStep({ count: 2 })] }));
+        await cell.advanceTime(350);
+        worker("w1").endKind = EndKind.Done;
+        expect(await timeUntilStart("00a1.0.0.0", 2)).to.be.within(1_000, MAXIMUM_WAIT_MILLISECONDS);
+    });
+
+    // Guards against a broken worker that takes all tasks of a step, each of which has two attempts only.
+    it("does not send more than one task of a step at a time to a quarantined worker", async () => {
+        await claimWith(6, 16);
+        await quarantine("w1", "00a1");
+        worker("w1").taskDurationMilliseconds = 600;
+        await cell.submit(owner, sampleJob("00d1", { ...hinted, steps: [sampleStep({ count: 8 })] }));
+        await cell.advanceTime(MAXIMUM_WAIT_MILLISECONDS);
+        expect(cell.workers.starts.filter(({ task }) => task.startsWith("00d1")).length).to.be.within(1, 2);
+    });
+
+    // Guards what quarantines are for: tasks with other workers stay away from a worker that fails all of them.
+    it("does not lead to a quarantined worker while others have room", async () => {
+        await claimWith(6, 16);
+        await quarantine("w1", "00a1");
+        cell.isAllowed = candidate => candidate === "w1" || candidate === "w2";
+        const before = cell.workers.starts.length;
+        for (let index = 0; index < 10; index++) {
+            await cell.submit(owner, sampleJob(`0${index}d1`, { ...hinted, steps: [sampleStep({ count: 4 })] }));
+            await cell.advanceTime(200);
+        }
+        expect(new Set(cell.workers.starts.slice(before).map(each => each.worker))).to.deep.equal(new Set(["w2"]));
+    });
+
     // Guards against LOST: the step had tickets for the workers, but their room was held for a slow hint call.
     it("is short if others hold the room on the workers for which it has tickets", async () => {
         await claimWith(4, 4);
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -36,6 +36,8 @@
     readonly hints: StepHints | undefined;
     /** Whether the worker is reserved for a gang that precedes the step. */
     readonly isReserved: (worker: WorkerSession) => boolean;
+    /** Whether tasks may start on quarantined workers if no other worker has room. */
+    readonly mayUseQuarantined: boolean;
     /** Free capacity of a worker less what is held for other steps. */
     readonly freeCapacityOf: (worker: WorkerSession) => Resources;
     readonly now: number;
@@ -55,6 +57,8 @@
     besideLatencySensitive: 2,
     /** For each attempt that a suspected task would take down with the worker. */
     besideSuspect: 1,
+    /** Tasks have failed on the worker again and again. Other workers are used as long as they have room. */
+    quarantined: 20,
     /** A task whose workers crash again and again, on a rack where they did: the cause may be the rack. */
     rackOfCrashes: 40,
 } as const;
@@ -71,24 +75,26 @@
     isOnTrial: boolean;
     /** Whether a crash now could be the doing of another task; looked up only for suspected tasks. */
     readonly hasRecentStart: boolean;
+    readonly isQuarantined: boolean;
 }
 
 /** Whether the worker currently accepts tasks and meets the requirements of the step, apart from capacity. */
-export function isEligible(step: StepRun, worker: WorkerSession, evacuated: ReadonlySet<string>, now: number): boolean {
+function isEligible({ step, evacuated, mayUseQuarantined, now }: PlacementRequest, worker: WorkerSession): boolean {
     const { requiredLabel } = step.specification;
-    return worker.canAcceptTasks(now) && !evacuated.has(worker.entry.failureDomain)
+    const acceptsTasks = mayUseQuarantined ? worker.canAcceptTasksInNeed(now) : worker.canAcceptTasks(now);
+    return acceptsTasks && !evacuated.has(worker.entry.failureDomain)
         && (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel));
 }
 
 /** Places as many tasks as possible, or a gang as a whole. */
 export function placeTasks(request: PlacementRequest): PlacementResult {
-    const { step, taskSize, workers, evacuated, hints, now } = request;
+    const { step, taskSize, workers, hints, now } = request;
     const candidates: Candidate[] = [];
     const withoutTicket: Candidate[] = [];
     const withoutHint: WorkerSession[] = [];
     const hasSuspect = request.tasks.some(({ isSuspect }) => isSuspect);
     for (const worker of workers) {
-        if (!isEligible(step, worker, evacuated, now) || request.isReserved(worker)) {
+        if (!isEligible(request, worker) || request.isReserved(worker)) {
             continue;
         }
         const freeCapacity = request.freeCapacityOf(worker);
@@ -104,6 +110,7 @@
             stepTaskCount: worker.countTasksOf(step),
             isOnTrial: false,
             hasRecentStart: hasSuspect && worker.hasStartedRecently(now),
+            isQuarantined: worker.health.isQuarantined(now),
         };
         if (hints === undefined || hints.ticket({ id: worker.id, boot: worker.currentBoot }, now) !== undefined) {
             candidates.push(candidate);
@@ -232,14 +239,16 @@
     task: TaskRun,
     candidates: readonly Candidate[],
 ): Candidate | undefined {
-    const { maximumPerWorker } = step.specification;
+    const { maximumPerWorker, gang } = step.specification;
     let chosen: Candidate | undefined;
     let lowestCost = Infinity;
     for (const candidate of candidates) {
         const isBelowMaximum = maximumPerWorker === undefined || candidate.stepTaskCount < maximumPerWorker;
         // A crash right after two starts would not tell which of them caused it.
         const isApart = !candidate.isOnTrial && !(task.isSuspect && candidate.hasRecentStart);
-        if (isBelowMaximum && isApart && fitsInto(taskSize, candidate.freeCapacity)) {
+        // A worker that fails all tasks must not take all of a step, whose attempts are few.
+        const isProbed = candidate.isQuarantined && !gang && candidate.stepTaskCount > 0;
+        if (isBelowMaximum && isApart && !isProbed && fitsInto(taskSize, candidate.freeCapacity)) {
             const cost = costOf(step, task, candidate);
             if (cost < lowestCost) {
                 lowestCost = cost;
@@ -254,7 +263,7 @@
 function costOf(
     step: StepRun,
     task: TaskRun | undefined,
-    { worker, freeCapacity }: Candidate,
+    { worker, freeCapacity, isQuarantined }: Candidate,
 ): number {
     const { capacity, rack } = worker.entry;
     const { specification, job } = step;
@@ -272,6 +281,9 @@
     if (task?.failedOn.has(worker.id) === true) {
         cost += COST.taskFailedOnWorker;
     }
+    if (isQuarantined) {
+        cost += COST.quarantined;
+    }
     if (task?.isSuspect === true) {
         cost += worker.attemptCount * COST.besideSuspect;
     }
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -273,6 +273,7 @@
             evacuated: policy.evacuated,
             hints: entry.isHinted ? entry.hints : undefined,
             isReserved: worker => !mayUse.reservedWorkers && this.reservations.isReserved(worker, entry, now),
+            mayUseQuarantined: mayUse.quarantinedWorkers,
             // Hint calls in vain for capacity that others hold would delay the calls of all of them.
             freeCapacityOf: worker =>
                 mayUse.heldCapacity && (!entry.isHinted || entry.hints.isAllowed(worker.id))
--- a/packages/coordinator/src/workerHealth.ts
+++ b/packages/coordinator/src/workerHealth.ts
@@ -52,9 +52,9 @@
         return now < this.quarantinedUntil;
     }
 
-    /** Whether the worker is quarantined or has just refused an order. */
-    isUnavailable(now: number): boolean {
-        return this.isQuarantined(now) || now < this.pausedUntil;
+    /** Whether the worker has just refused an order. */
+    isPaused(now: number): boolean {
+        return now < this.pausedUntil;
     }
 
     /** Whether the last task failed, so that tasks that have failed before should prefer other workers. */
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -133,8 +133,13 @@
 
     /** Whether the worker may get new tasks. */
     canAcceptTasks(now: number): boolean {
+        return this.canAcceptTasksInNeed(now) && !this.health.isQuarantined(now);
+    }
+
+    /** Same for tasks that no worker out of quarantine accepts. */
+    canAcceptTasksInNeed(now: number): boolean {
         return this.isRoomKnown(now) && this.isFenced && this.isReachable && !this.entry.leaving
-            && !this.health.isUnavailable(now) && !this.isOnTrial(now);
+            && !this.health.isPaused(now) && !this.isOnTrial(now);
     }
 
     /** Whether an attempt was placed or started so recently that a crash could be its doing. */
