--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -1,11 +1,11 @@
 /** A cell in memory: a store, workers, and coordinators that claim ownership one after another. */
-import { ErrorKind, serviceError } from "@tanagerlink/errors";
-import type { HintResponse } from "@tanagerlink/hints";
+import { ErrorKind, type ServiceError, serviceError } from "@tanagerlink/errors";
+import type { HintCall, HintResponse } from "@tanagerlink/hints";
 import { MemoryRecordStore, type RecordStore } from "@tanagerlink/platform";
 import { type Logger, Metrics, silentLogger } from "@tanagerlink/telemetry";
 import { ManualTimers, sleep } from "@tanagerlink/timers";
 import type { JobSpecification } from "@tanagerlink/workflow";
-import { err, ok } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import type { CellPolicy, QueueRule, TeamRule } from "../../src/cellPolicy.ts";
 import { Coordinator } from "../../src/coordinator.ts";
 import { CoordinatorMetrics } from "../../src/coordinatorMetrics.ts";
@@ -61,6 +61,9 @@
     readonly nodesWithoutStore = new Set<string>();
     /** Time by which the store's responses to transactions are late. */
     storeDelayMilliseconds = 0;
+    /** Makes a hint call. */
+    requestHints = ({ workers }: HintCall): Promise<Result<HintResponse, ServiceError>> =>
+        this.areHintsSilent ? new Promise(() => undefined) : Promise.resolve(ok(this.respondToHintCall(workers)));
     private readonly coordinators: Coordinator[] = [];
     /** Version of the owner record, and the time at which candidates have first seen it. */
     private seenOwner: { readonly version: number; readonly at: number; } = { version: 0, at: 0 };
@@ -110,10 +113,7 @@
             metrics: new CoordinatorMetrics(this.metrics),
             port: this.workers,
             hintDispatcher: {
-                request: ({ workers }) =>
-                    this.areHintsSilent
-                        ? new Promise(() => undefined)
-                        : Promise.resolve(ok(this.respondToHintCall(workers))),
+                request: call => this.requestHints(call),
             },
             renewalMilliseconds: 1_000,
             maximumLeaseMilliseconds: this.leaseMilliseconds,
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -2,6 +2,7 @@
 import type { StepHints } from "@tanagerlink/hints";
 import { fitsInto, type Resources, subtractResources } from "@tanagerlink/model";
 import type { StepRun, TaskRun } from "@tanagerlink/workflow";
+import { freeShareOf } from "./trials.ts";
 import type { WorkerSession } from "./workerSession.ts";
 
 /** A task, the worker chosen for it, and the ticket that the start presents, if the queue needs one. */
@@ -24,7 +25,17 @@
     readonly isIncomplete: boolean;
 }
 
-export interface PlacementRequest {
+/** What a step may use of the workers in view of what others wait for, and of failures there. */
+export interface WorkerAccess {
+    /** Whether the worker is reserved for a gang that precedes the step. */
+    readonly isReserved: (worker: WorkerSession) => boolean;
+    /** Whether tasks may start on quarantined workers if no other worker has room. */
+    readonly mayUseQuarantined: boolean;
+    /** Free capacity of a worker less what is held for other steps. */
+    readonly freeCapacityOf: (worker: WorkerSession) => Resources;
+}
+
+export interface PlacementRequest extends WorkerAccess {
     readonly step: StepRun;
     readonly tasks: readonly TaskRun[];
     /** Resources that one of the tasks occupies. */
@@ -33,10 +44,6 @@
     readonly workers: readonly WorkerSession[];
     readonly evacuated: ReadonlySet<string>;
     readonly hints: StepHints | undefined;
-    /** Whether the worker is reserved for a gang that precedes the step. */
-    readonly isReserved: (worker: WorkerSession) => boolean;
-    /** Free capacity of a worker less what is held for other steps. */
-    readonly freeCapacityOf: (worker: WorkerSession) => Resources;
     readonly now: number;
     /** Adds a task, or a whole gang, to the team's usage. Returns false if this would exceed the team's limit. */
     readonly acquireTeamCapacity: () => boolean;
@@ -54,6 +61,8 @@
     besideLatencySensitive: 2,
     /** For each attempt that a suspected task would take down with the worker. */
     besideSuspect: 1,
+    /** Tasks have failed on the worker again and again. Other workers are used as long as they have room. */
+    quarantined: 20,
     /** A task whose workers crash again and again, on a rack where they did: the cause may be the rack. */
     rackOfCrashes: 40,
 } as const;
@@ -61,13 +70,6 @@
 /** Crashes after which a task avoids the racks on which its workers crashed. */
 const CRASHES_BEFORE_OTHER_RACK = 3;
 
-/**
- * Shares of the workers of a service, and of its free capacity, on which trials of suspected tasks may run, or which may
- * be down after one, at the same time.
- */
-const MAXIMUM_TRIAL_SHARE = 0.25;
-const MAXIMUM_TRIAL_SHARE_OF_FREE = 0.5;
-
 /** A worker with its remaining free capacity in the current round. */
 interface Candidate {
     readonly worker: WorkerSession;
@@ -77,72 +79,25 @@
     isOnTrial: boolean;
     /** Whether a crash now could be the doing of another task; looked up only for suspected tasks. */
     readonly hasRecentStart: boolean;
+    readonly isQuarantined: boolean;
 }
 
 /** Whether the worker currently accepts tasks and meets the requirements of the step, apart from capacity. */
-export function isEligible(step: StepRun, worker: WorkerSession, evacuated: ReadonlySet<string>, now: number): boolean {
+function isEligible({ step, evacuated, mayUseQuarantined, now }: PlacementRequest, worker: WorkerSession): boolean {
     const { requiredLabel } = step.specification;
-    return worker.canAcceptTasks(now) && !evacuated.has(worker.entry.failureDomain)
+    return worker.exclusion(now, mayUseQuarantined) === undefined && !evacuated.has(worker.entry.failureDomain)
         && (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel));
 }
 
-/**
- * Puts suspected tasks first, those with fewer crashes before the others, but no more than may be on trial. A gang is
- * tried as a whole.
- */
-export function selectTasks(
-    waiting: readonly TaskRun[],
-    workers: readonly WorkerSession[],
-    now: number,
-): readonly TaskRun[] {
-    if (waiting[0]?.step.hasWaitingSuspect !== true) {
-        return waiting;
-    }
-    const permitted = countPermittedTrials(workers, now);
-    if (waiting[0].step.specification.gang) {
-        return permitted > 0 ? waiting : [];
-    }
-    const suspects = waiting.filter(({ isSuspect }) => isSuspect).sort((left, right) => left.crashes - right.crashes);
-    return [
-        ...suspects.slice(0, permitted),
-        ...waiting.filter(({ isSuspect }) => !isSuspect),
-    ];
-}
-
-/** Number of further trials of suspected tasks that may start now. */
-export function countPermittedTrials(workers: readonly WorkerSession[], now: number): number {
-    let onTrial = 0;
-    let down = 0;
-    let free = 0;
-    for (const worker of workers) {
-        if (worker.isOnTrial(now)) {
-            onTrial++;
-        }
-        else if (worker.isDownAfterTrial) {
-            down++;
-        }
-        else if (worker.canAcceptTasks(now)) {
-            free += freeShareOf(worker, worker.freeCapacity);
-        }
-    }
-    const maximum = Math.max(
-        workers.length * MAXIMUM_TRIAL_SHARE,
-        (free + onTrial + down) * MAXIMUM_TRIAL_SHARE_OF_FREE,
-    );
-    // Workers that stay down must not keep all suspects waiting.
-    const minimum = onTrial === 0 ? 1 : 0;
-    return Math.max(minimum, Math.floor(maximum) - onTrial - down);
-}
-
 /** Places as many tasks as possible, or a gang as a whole. */
 export function placeTasks(request: PlacementRequest): PlacementResult {
-    const { step, taskSize, workers, evacuated, hints, now } = request;
+    const { step, taskSize, workers, hints, now } = request;
     const candidates: Candidate[] = [];
     const withoutTicket: Candidate[] = [];
     const withoutHint: WorkerSession[] = [];
     const hasSuspect = request.tasks.some(({ isSuspect }) => isSuspect);
     for (const worker of workers) {
-        if (!isEligible(step, worker, evacuated, now) || request.isReserved(worker)) {
+        if (!isEligible(request, worker) || request.isReserved(worker)) {
             continue;
         }
         const freeCapacity = request.freeCapacityOf(worker);
@@ -158,6 +113,7 @@
             stepTaskCount: worker.countTasksOf(step),
             isOnTrial: false,
             hasRecentStart: hasSuspect && worker.hasStartedRecently(now),
+            isQuarantined: worker.health.isQuarantined(now),
         };
         if (hints === undefined || hints.ticket({ id: worker.id, boot: worker.currentBoot }, now) !== undefined) {
             candidates.push(candidate);
@@ -286,14 +242,16 @@
     task: TaskRun,
     candidates: readonly Candidate[],
 ): Candidate | undefined {
-    const { maximumPerWorker } = step.specification;
+    const { maximumPerWorker, gang } = step.specification;
     let chosen: Candidate | undefined;
     let lowestCost = Infinity;
     for (const candidate of candidates) {
         const isBelowMaximum = maximumPerWorker === undefined || candidate.stepTaskCount < maximumPerWorker;
         // A crash right after two starts would not tell which of them caused it.
         const isApart = !candidate.isOnTrial && !(task.isSuspect && candidate.hasRecentStart);
-        if (isBelowMaximum && isApart && fitsInto(taskSize, candidate.freeCapacity)) {
+        // A worker that fails all tasks must not take all of a step, whose attempts are few.
+        const isProbed = candidate.isQuarantined && !gang && candidate.stepTaskCount > 0;
+        if (isBelowMaximum && isApart && !isProbed && fitsInto(taskSize, candidate.freeCapacity)) {
             const cost = costOf(step, task, candidate);
             if (cost < lowestCost) {
                 lowestCost = cost;
@@ -304,16 +262,11 @@
     return chosen;
 }
 
-/** Free share of a worker's processors. */
-function freeShareOf({ entry }: WorkerSession, { processorMillis }: Resources): number {
-    return processorMillis / Math.max(1, entry.capacity.processorMillis);
-}
-
 /** Urgent and lasting tasks are spread; other tasks are packed, which keeps whole workers free for gangs. */
 function costOf(
     step: StepRun,
     task: TaskRun | undefined,
-    { worker, freeCapacity }: Candidate,
+    { worker, freeCapacity, isQuarantined }: Candidate,
 ): number {
     const { capacity, rack } = worker.entry;
     const { specification, job } = step;
@@ -331,6 +284,9 @@
     if (task?.failedOn.has(worker.id) === true) {
         cost += COST.taskFailedOnWorker;
     }
+    if (isQuarantined) {
+        cost += COST.quarantined;
+    }
     if (task?.isSuspect === true) {
         cost += worker.attemptCount * COST.besideSuspect;
     }
--- a/packages/coordinator/src/placementMonitor.ts
+++ b/packages/coordinator/src/placementMonitor.ts
@@ -8,8 +8,8 @@
 import type { TaskRun } from "@tanagerlink/workflow";
 import type { ActiveStep, ActiveSteps } from "./activeSteps.ts";
 import type { Fleet } from "./fleet.ts";
-import { countPermittedTrials } from "./placement.ts";
 import type { PlacementGauges, PlacementState } from "./placementGauges.ts";
+import { countPermittedTrials } from "./trials.ts";
 import { DiagnosedReason, type WaitDiagnosis } from "./waitDiagnosis.ts";
 
 /** Interval of the walk over all steps, and of that over all workers. */
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -11,10 +11,12 @@
 import { findObstacle, type Obstacle } from "./feasibility.ts";
 import type { Fleet } from "./fleet.ts";
 import { GangReservations } from "./gangReservations.ts";
-import { HeldCapacity, mustYield } from "./heldCapacity.ts";
-import { type Placement, type PlacementRequest, type PlacementResult, placeTasks, selectTasks } from "./placement.ts";
+import { HeldCapacity } from "./heldCapacity.ts";
+import { entitlementOf } from "./longWaits.ts";
+import { type Placement, type PlacementResult, placeTasks, type WorkerAccess } from "./placement.ts";
 import { PlacementMonitor } from "./placementMonitor.ts";
 import type { TeamUsage } from "./teamUsage.ts";
+import { selectTasks } from "./trials.ts";
 import { diagnoseWait, type WaitDiagnosis } from "./waitDiagnosis.ts";
 import { WaitReason } from "./waitTimes.ts";
 import type { WorkerSession } from "./workerSession.ts";
@@ -218,15 +220,16 @@
     }
 
     /** What a step may use of the workers in view of what others wait for. */
-    private accessOf(entry: ActiveStep, now: number): Pick<PlacementRequest, "isReserved" | "freeCapacityOf"> {
-        const yieldsToOthers = mustYield(entry, this.options.fleet, now);
+    private accessOf(entry: ActiveStep, now: number): WorkerAccess {
+        const mayUse = entitlementOf(entry, this.options.fleet, now);
         return {
-            isReserved: worker => yieldsToOthers && this.reservations.isReserved(worker, entry, now),
-            // Hint calls for capacity that others hold would delay the calls of all of them.
+            isReserved: worker => !mayUse.reservedWorkers && this.reservations.isReserved(worker, entry, now),
+            mayUseQuarantined: mayUse.quarantinedWorkers,
+            // Hint calls in vain for capacity that others hold would delay the calls of all of them.
             freeCapacityOf: worker =>
-                yieldsToOthers || entry.isHinted
-                    ? this.heldCapacity.freeCapacityFor(worker, entry)
-                    : worker.freeCapacity,
+                mayUse.heldCapacity && (!entry.isHinted || entry.hints.isAllowed(worker.id))
+                    ? worker.freeCapacity
+                    : this.heldCapacity.freeCapacityFor(worker, entry),
         };
     }
 
@@ -296,6 +299,7 @@
             : step.specification.size;
         if (!usage.allows(team, unitSize)) {
             this.releaseCapacity(entry);
+            entry.waitsSince = undefined;
             entry.waitTimes.startWait(WaitReason.Limit, now);
             this.steps.block(entry, WaitReason.Limit, now);
             return [];
@@ -321,7 +325,8 @@
                 return allowed;
             },
         });
-        const workersToHold = isLimitReached ? [] : result.workersToHold;
+        // A step whose hint call has failed leaves the room to others until it makes the next one.
+        const workersToHold = isLimitReached || now < entry.hints.retryAt ? [] : result.workersToHold;
         this.heldCapacity.hold(entry, workersToHold);
         for (const worker of formerlyHeld) {
             if (!workersToHold.includes(worker)) {
@@ -360,6 +365,9 @@
         const reason = lacksTickets ? WaitReason.Hints : WaitReason.Capacity;
         entry.waitTimes.startWait(isLimitReached ? WaitReason.Limit : reason, now);
         this.steps.block(entry, isLimitReached ? WaitReason.Limit : reason, now);
+        if (now < entry.hints.retryAt) {
+            entry.recheckAt = Math.min(entry.recheckAt, entry.hints.retryAt);
+        }
         this.reservations.reserve(entry, fleet.workersOfService(entry.service), now)
             .forEach(worker => this.steps.recordGrowth(worker));
     }
@@ -419,6 +427,8 @@
             if (response.isErr()) {
                 hints.retryAt = timers.now() + HINT_RETRY_DELAY_MILLISECONDS;
                 entry.recheckAt = hints.retryAt;
+                this.releaseCapacity(entry);
+                requestRound();
                 logger.info({ step: step.name, error: response.error.kind }, "hint call failed");
                 return;
             }
--- a/packages/coordinator/src/waitDiagnosis.ts
+++ b/packages/coordinator/src/waitDiagnosis.ts
@@ -1,7 +1,8 @@
 /** Finds out what a step with waiting tasks waits for, and what excludes each worker of its service. */
 import { fitsInto } from "@tanagerlink/model";
 import type { ActiveStep } from "./activeSteps.ts";
-import { type PlacementRequest, selectTasks } from "./placement.ts";
+import type { PlacementRequest, WorkerAccess } from "./placement.ts";
+import { selectTasks } from "./trials.ts";
 import { WaitReason } from "./waitTimes.ts";
 import { WorkerExclusion } from "./workerExclusion.ts";
 import type { WorkerSession } from "./workerSession.ts";
@@ -15,9 +16,7 @@
 } as const;
 export type DiagnosedReason = (typeof DiagnosedReason)[keyof typeof DiagnosedReason];
 
-export interface DiagnosisRequest
-    extends Pick<PlacementRequest, "workers" | "evacuated" | "isReserved" | "freeCapacityOf" | "now">
-{
+export interface DiagnosisRequest extends WorkerAccess, Pick<PlacementRequest, "workers" | "evacuated" | "now"> {
     readonly entry: ActiveStep;
 }
 
@@ -64,14 +63,14 @@
 
 /** The first cause that keeps tasks of the step from the worker; `undefined` if one could start there. */
 function findExclusion(
-    { entry, evacuated, isReserved, freeCapacityOf, now }: DiagnosisRequest,
+    { entry, evacuated, isReserved, mayUseQuarantined, freeCapacityOf, now }: DiagnosisRequest,
     worker: WorkerSession,
     areAllSuspects: boolean,
 ): WorkerExclusion | undefined {
     const { step, taskSize, hints, isHinted } = entry;
     const { requiredLabel, maximumPerWorker = Infinity } = step.specification;
     const { failureDomain, labels } = worker.entry;
-    const exclusion = worker.exclusion(now);
+    const exclusion = worker.exclusion(now, mayUseQuarantined);
     if (exclusion !== undefined) {
         return exclusion;
     }
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -141,8 +141,8 @@
         return this.exclusion(now) === undefined;
     }
 
-    /** The first cause that keeps all new tasks from the worker. */
-    exclusion(now: number): WorkerExclusion | undefined {
+    /** The first cause that keeps all new tasks from the worker, or those that no other worker accepts. */
+    exclusion(now: number, mayUseQuarantined = false): WorkerExclusion | undefined {
         const unknownRoom = this.unknownRoom(now);
         if (unknownRoom !== undefined) {
             return unknownRoom;
@@ -156,8 +156,11 @@
         if (this.entry.leaving) {
             return WorkerExclusion.Leaving;
         }
-        if (this.health.isUnavailable(now)) {
-            return this.health.isQuarantined(now) ? WorkerExclusion.Quarantined : WorkerExclusion.Paused;
+        if (!mayUseQuarantined && this.health.isQuarantined(now)) {
+            return WorkerExclusion.Quarantined;
+        }
+        if (this.health.isPaused(now)) {
+            return WorkerExclusion.Paused;
         }
         return this.isOnTrial(now) ? WorkerExclusion.OnTrial : undefined;
     }
