fix(coordinator): inherit the leases of all previous owners in the claim

Cause: each owner knew only the leases of the owner before it, and only until the first report of a worker. Change: the claim states the leases of all previous owners (by worker, and a bound for all others) and no authority; the first record after the recovery grants it and lists the workers that have not answered. Attempts end once both the inherited and the own leases have expired. Leases are cut by 2 % of the age of the clock reading, and idle workers are asked every 10 s. An own record that is found stored renews the authority. A lasting task that has run for 10 s is cleared of earlier crashes in the progress record, since the next owner does not know its runtime.

--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -11,13 +11,8 @@
 import { CoordinatorMetrics } from "../../src/coordinatorMetrics.ts";
 import { JOBS_TABLE, partitionOf } from "../../src/jobTables.ts";
 import { initialLeaseTerms } from "../../src/leaseTerms.ts";
-import {
-    decodeOwnerRecord,
-    encodeJson,
-    inheritRemainingLeases,
-    type OwnerRecord,
-    ownerRecordName,
-} from "../../src/ownerRecord.ts";
+import { decodeOwnerRecord, encodeJson, type OwnerRecord, ownerRecordName } from "../../src/ownerRecord.ts";
+import { inheritLeases } from "../../src/previousLeases.ts";
 import { FakeWorkers } from "./fakeWorkers.ts";
 
 const TIME_STEP_MILLISECONDS = 10;
@@ -89,7 +84,13 @@
             epoch: (previous?.record.epoch ?? 0) + 1,
             renewals: 0,
             leaseTerms: initialLeaseTerms(this.leaseMilliseconds),
-            ...inheritRemainingLeases(previous?.record, this.timers.now() - seenAt),
+            ...inheritLeases({
+                node,
+                claimedAt: this.timers.now(),
+                previousOwner: previous?.record,
+                previousOwnerSeenAt: seenAt,
+                maximumLeaseMilliseconds: this.leaseMilliseconds,
+            }),
         };
         const claimed = await this.store.commit({
             expectations: [{ ...ownerRecordName, expectedVersion: previous?.version ?? 0 }],
@@ -103,7 +104,6 @@
                 version: outcome.committed ? outcome.version : 0,
                 sentAt: this.timers.now(),
                 previousOwner: previous?.record,
-                previousOwnerSeenAt: seenAt,
             },
             node,
             store: this.storeOf(node),
--- /dev/null
+++ b/packages/coordinator/__tests__/support/leasesOnReceipt.ts
@@ -0,0 +1,13 @@
+import type { FakeWorkers } from "./fakeWorkers.ts";
+
+/** Lets workers take a lease when a report is requested, as executors do, not when they respond after the wait. */
+export function takeLeasesOnReceipt(workers: FakeWorkers): void {
+    const requestReport = workers.requestReport.bind(workers);
+    workers.requestReport = (target, request) => {
+        const worker = workers.workers.get(target.id);
+        if (worker?.isReachableIn(request.epoch) === true && !worker.isReplaced) {
+            worker.requestReport(request);
+        }
+        return requestReport(target, request);
+    };
+}
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -28,7 +28,7 @@
 import { Journal } from "./journal.ts";
 import { initialLeaseTerms, leaseTermsFor } from "./leaseTerms.ts";
 import { OWNER_PARTITION, type OwnerRecord } from "./ownerRecord.ts";
-import { PreviousLeases } from "./previousLeases.ts";
+import { shortenLeases } from "./previousLeases.ts";
 import { PROGRESS_SEGMENTS_TABLE, PROGRESS_TABLE, progressName } from "./progressRows.ts";
 import { Quarantines } from "./quarantines.ts";
 import { RecordReader } from "./recordReader.ts";
@@ -71,7 +71,6 @@
     readonly epoch: number;
     private readonly options: CoordinatorOptions;
     private readonly claimedAt: number;
-    private readonly previousLeases: PreviousLeases;
     private readonly journal: Journal;
     private readonly jobs: CellJobs;
     private readonly expiredJobs: ExpiredJobs;
@@ -97,7 +96,6 @@
         this.options = options;
         this.epoch = claim.record.epoch;
         this.claimedAt = timers.now();
-        this.previousLeases = new PreviousLeases({ ...claim, ...options, claimedAt: this.claimedAt });
         this.jobs = new CellJobs(timers);
         this.pacing = new BestEffortPacing(timers);
         this.journal = new Journal({
@@ -106,7 +104,6 @@
             timers,
             logger,
             claim,
-            claimSentAt: claim.sentAt,
             describeLeases: () => this.describeLeases(),
             renewalMilliseconds: options.renewalMilliseconds,
             onOwnershipLost: () => this.handleOwnershipLost(),
@@ -182,6 +179,7 @@
             this.openJob(job);
         }
         this.fleet.start();
+        this.journal.requestConfirmation();
         logger.info(
             {
                 epoch: this.epoch,
@@ -393,6 +391,9 @@
             if (!attempt.task.step.job.isOpen) {
                 session.stop(attempt);
             }
+            else if (this.crashSuspicion.clearIfProven(attempt, now)) {
+                this.journal.recordChange(attempt.task.step.job);
+            }
             else if (isStalled(attempt, now)) {
                 logger.warn(
                     { task: attempt.task.name, worker: session.id, percent: attempt.percent },
@@ -444,14 +445,15 @@
     }
 
     previousLeasesExpireAt(worker: string): number {
-        return this.previousLeases.expireAt(worker);
+        const { sentAt, record } = this.options.claim;
+        return sentAt + (record.remainingLeases?.[worker] ?? record.otherLeasesMilliseconds ?? 0);
     }
 
-    /** What a successor has to know. Before the recovery, the leases inherited from the previous owner hold. */
-    private describeLeases(): Pick<OwnerRecord, "leaseTerms" | "remainingLeases"> {
-        const { claim, maximumLeaseMilliseconds } = this.options;
+    /** What a successor has to know. */
+    private describeLeases(): Pick<OwnerRecord, "leaseTerms" | "remainingLeases" | "otherLeasesMilliseconds"> {
+        const { claim, timers, maximumLeaseMilliseconds } = this.options;
         if (!this.hasRecovered) {
-            return { remainingLeases: this.isStopped ? undefined : claim.record.remainingLeases };
+            return shortenLeases(claim.record, timers.now() - claim.sentAt);
         }
         const { leaseMilliseconds, authorityMilliseconds } = leaseTermsFor(this.fleet.size, maximumLeaseMilliseconds);
         return {
@@ -460,7 +462,7 @@
                 leaseMilliseconds: Math.max(leaseMilliseconds, this.leaseMilliseconds),
                 authorityMilliseconds,
             },
-            remainingLeases: this.fleet.unreachableLeases(),
+            ...this.fleet.unreachableLeases(),
         };
     }
 
--- a/packages/coordinator/src/crashSuspicion.ts
+++ b/packages/coordinator/src/crashSuspicion.ts
@@ -112,6 +112,21 @@
         return { suspects, givenUp };
     }
 
+    /**
+     * Lifts the suspicion of a lasting task that has run long enough. Returns whether there was any, so that it can be
+     * stored: the next owner does not know for how long the task has run.
+     */
+    clearIfProven({ task, startSentAt, status }: Attempt, now: number): boolean {
+        const runtime = now - (startSentAt ?? now);
+        const isProven = status === AttemptStatus.Running && task.step.specification.lasting
+            && runtime >= PROVEN_RUNTIME_MILLISECONDS;
+        if (!isProven || task.crashes === 0) {
+            return false;
+        }
+        setSuspicion(unitOf(task), noSuspicion);
+        return true;
+    }
+
     /** Records that presumed crashes have happened. Returns the tasks that are given up. */
     confirm(attempts: readonly Attempt[]): readonly TaskRun[] {
         const givenUp = attempts.filter(attempt => {
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -6,15 +6,15 @@
 import type { RecordStore } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Subscription, Timers } from "@tanagerlink/timers";
-import type { LeaseTerms } from "./leaseTerms.ts";
+import { initialLeaseTerms } from "./leaseTerms.ts";
 import {
     decodeOwnerRecord,
     encodeJson,
-    inheritRemainingLeases,
     type OwnerRecord,
     ownerRecordName,
     type VersionedOwnerRecord,
 } from "./ownerRecord.ts";
+import { inheritLeases } from "./previousLeases.ts";
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
 /** Processes delay their claims by rank, so that most claims do not conflict. */
@@ -46,17 +46,16 @@
     readonly isLinked: (node: string) => boolean;
     /** Whether this process may claim the cell now. */
     readonly isEligible: () => boolean;
-    /** Terms that this process states in its claim. */
-    readonly leaseTerms: () => LeaseTerms;
+    /** The longest leases that workers grant. */
+    readonly maximumLeaseMilliseconds: () => number;
     readonly onWon: (claim: WonClaim) => void;
 }
 
-/** A claim that the store has accepted; times are monotonic. */
+/** A claim that the store has accepted. */
 export interface WonClaim extends VersionedOwnerRecord {
+    /** Monotonic time from which the leases count that the record states. */
     readonly sentAt: number;
     readonly previousOwner: OwnerRecord | undefined;
-    /** Time at which the last record of the previous owner was first seen. */
-    readonly previousOwnerSeenAt: number;
 }
 
 export class Election implements Disposable {
@@ -136,17 +135,24 @@
     }
 
     private async claimCell(): Promise<void> {
-        const { node, incarnation, store, timers, logger, leaseTerms, onWon } = this.options;
+        const { node, incarnation, store, timers, logger, onWon } = this.options;
         const previous = this.knownOwner;
+        const previousOwner = previous?.record;
         const sentAt = timers.now();
-        const predecessor = { previousOwner: previous?.record, previousOwnerSeenAt: this.knownOwnerSeenAt };
+        const maximumLeaseMilliseconds = this.options.maximumLeaseMilliseconds();
         const record: OwnerRecord = {
             node,
             incarnation,
             epoch: (previous?.record.epoch ?? 0) + 1,
             renewals: 0,
-            leaseTerms: leaseTerms(),
-            ...inheritRemainingLeases(previous?.record, sentAt - this.knownOwnerSeenAt),
+            leaseTerms: initialLeaseTerms(maximumLeaseMilliseconds),
+            ...inheritLeases({
+                node,
+                claimedAt: sentAt,
+                previousOwner,
+                previousOwnerSeenAt: this.knownOwnerSeenAt,
+                maximumLeaseMilliseconds,
+            }),
         };
         const outcome = await store.commit({
             expectations: [{ ...ownerRecordName, expectedVersion: previous?.version ?? 0 }],
@@ -160,7 +166,7 @@
         if (outcome.value.committed) {
             const claim = { record, version: outcome.value.version };
             this.observe(claim);
-            onWon({ ...claim, sentAt, ...predecessor });
+            onWon({ ...claim, sentAt, previousOwner });
             return;
         }
         for (const current of outcome.value.current) {
@@ -172,7 +178,7 @@
             this.observe(decoded.value);
             if (decoded.value.record.incarnation === incarnation && decoded.value.record.epoch === record.epoch) {
                 // An earlier claim succeeded, but its response was lost.
-                onWon({ ...decoded.value, sentAt, ...predecessor });
+                onWon({ ...decoded.value, sentAt, previousOwner });
             }
         }
     }
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -2,6 +2,8 @@
 import type { Resources } from "@tanagerlink/model";
 import { addResources, noResources, subtractResources } from "@tanagerlink/model";
 import type { Attempt } from "@tanagerlink/workflow";
+import { MAXIMUM_STATED_LEASES } from "./leaseTerms.ts";
+import type { InheritedLeases } from "./previousLeases.ts";
 import type { SessionOptions } from "./sessionOwner.ts";
 import type { WorkerEntry } from "./workerPort.ts";
 import { WorkerSession } from "./workerSession.ts";
@@ -12,9 +14,6 @@
 /** Same as a share of the workers, since independent losses coincide on a large fleet. */
 const MINIMUM_CORRELATED_LOSS_SHARE = 0.02;
 
-/** Keeps the record of the owner within a row of the store. */
-const MAXIMUM_RECORDED_LEASES = 200;
-
 export class Fleet implements Disposable {
     private readonly sessions = new Map<string, WorkerSession>();
     private readonly sessionOptions: Omit<SessionOptions, "entry">;
@@ -116,18 +115,21 @@
         return lostTogether.length >= minimum;
     }
 
-    /** Remaining milliseconds of the leases on workers with attempts that do not respond, by worker. */
-    unreachableLeases(): Record<string, number> {
+    /** Leases on workers with attempts that do not respond. The shortest are listed by worker, as many as permitted. */
+    unreachableLeases(): InheritedLeases {
         const now = this.sessionOptions.timers.now();
-        const leases: Record<string, number> = {};
-        let count = 0;
+        const leases: [string, number][] = [];
         for (const session of this.sessions.values()) {
             const remaining = session.attemptCount === 0 ? undefined : session.remainingLeaseMilliseconds(now);
-            if (remaining !== undefined && count++ < MAXIMUM_RECORDED_LEASES) {
-                leases[session.id] = remaining;
+            if (remaining !== undefined) {
+                leases.push([session.id, remaining]);
             }
         }
-        return leases;
+        leases.sort(([, left], [, right]) => left - right);
+        return {
+            remainingLeases: Object.fromEntries(leases.slice(0, MAXIMUM_STATED_LEASES)),
+            otherLeasesMilliseconds: leases.length > MAXIMUM_STATED_LEASES ? leases.at(-1)?.[1] : 0,
+        };
     }
 
     start(): void {
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -7,7 +7,6 @@
 export * from "./coordinatorMetrics.ts";
 export * from "./election.ts";
 export * from "./jobTables.ts";
-export { initialLeaseTerms } from "./leaseTerms.ts";
 export {
     CELL_TABLE,
     decodeOwnerRecord,
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -35,10 +35,8 @@
     readonly timers: Timers;
     readonly logger: Logger;
     readonly claim: VersionedOwnerRecord;
-    /** Monotonic time at which the claim was sent. */
-    readonly claimSentAt: number;
-    /** Describes the owner's leases for the next owner record. */
-    readonly describeLeases: () => Pick<OwnerRecord, "leaseTerms" | "remainingLeases">;
+    /** Describes the leases on the workers for the next owner record. */
+    readonly describeLeases: () => Pick<OwnerRecord, "leaseTerms" | "remainingLeases" | "otherLeasesMilliseconds">;
     /** Interval at which the claim is renewed. */
     readonly renewalMilliseconds: number;
     /** Called once when another process has claimed the cell. */
@@ -82,7 +80,9 @@
     /** Workers that the stored owner record lists as unreachable, or one that was sent since. */
     private listedWorkers: ReadonlySet<string>;
     /** Monotonic time, and time of day, at which the last stored renewal was sent. */
-    private renewalSentAt: readonly [number, number];
+    private renewalSentAt: readonly [number, number] = [-Infinity, -Infinity];
+    /** The times at which the next renewal was first sent. */
+    private nextRenewalSentAt: readonly [number, number] | undefined;
     private readonly renewalTicker: Subscription;
     /** Monotonic time of the last response that confirmed the claim. */
     confirmedAt: number;
@@ -93,8 +93,6 @@
         this.ownerRecord = options.claim.record;
         this.ownerVersion = options.claim.version;
         this.confirmedAt = options.timers.now();
-        const { timers, claimSentAt } = options;
-        this.renewalSentAt = [claimSentAt, timers.wallClock() - (timers.now() - claimSentAt)];
         this.listedWorkers = listedWorkersOf(options.claim.record);
         this.renewalTicker = options.timers.every(options.renewalMilliseconds, () => {
             this.isRenewalDue = true;
@@ -219,11 +217,17 @@
             this.listedWorkers = new Set([...this.listedWorkers, ...nextListedWorkers]);
         }
         const sentAt: readonly [number, number] = [timers.now(), timers.wallClock()];
+        if (rewritesOwner) {
+            this.nextRenewalSentAt ??= sentAt;
+            // A further request that comes before the response is for a later record.
+            this.isRenewalDue = false;
+        }
         const outcome = await store.commit(transaction);
         if (this.isStopped) {
             return;
         }
         if (outcome.isErr()) {
+            this.isRenewalDue ||= rewritesOwner;
             await this.handleFailure(outcome.error.kind, batch);
             return;
         }
@@ -237,6 +241,8 @@
                 // An earlier transaction of this journal has rewritten the owner record; its response was lost.
                 this.ownerRecord = current.value.record;
                 this.ownerVersion = current.value.version;
+                this.renewalSentAt = this.nextRenewalSentAt ?? this.renewalSentAt;
+                this.nextRenewalSentAt = undefined;
                 this.mustRewriteOwner = true;
                 return;
             }
@@ -251,7 +257,7 @@
             this.ownerVersion = outcome.value.version;
             this.listedWorkers = nextListedWorkers;
             this.renewalSentAt = sentAt;
-            this.isRenewalDue = false;
+            this.nextRenewalSentAt = undefined;
             this.mustRewriteOwner = false;
         }
         else if (outcome.value.mayRepeat === true) {
--- a/packages/coordinator/src/leaseTerms.ts
+++ b/packages/coordinator/src/leaseTerms.ts
@@ -23,7 +23,10 @@
 /** Workers' clocks run at most 2 % slow. */
 const CLOCK_DRIFT_FACTOR = 1.02;
 /** Covers orders in flight when the previous owner stopped. */
-export const EXPIRY_MARGIN_MILLISECONDS = 200;
+const EXPIRY_MARGIN_MILLISECONDS = 200;
+
+/** Keeps the owner record within a row of the store. */
+export const MAXIMUM_STATED_LEASES = 200;
 
 export interface LeaseTerms {
     readonly leaseMilliseconds: number;
@@ -47,9 +50,9 @@
     };
 }
 
-/** Terms of a new owner, which does not know the number of workers yet. They may grow later, but must not shrink. */
+/** Terms of a new owner. It has no authority before it has recovered and listed the workers that do not respond. */
 export function initialLeaseTerms(maximumLeaseMilliseconds: number): LeaseTerms {
-    return leaseTermsFor(0, maximumLeaseMilliseconds);
+    return { ...leaseTermsFor(0, maximumLeaseMilliseconds), authorityMilliseconds: 0 };
 }
 
 /** Time until a lease that is issued now has expired on the slowest clock. */
--- a/packages/coordinator/src/ownerRecord.ts
+++ b/packages/coordinator/src/ownerRecord.ts
@@ -31,23 +31,12 @@
      * record. It extends none of them before a record without the worker is stored.
      */
     remainingLeases: z.record(z.string(), z.number().min(0)).optional(),
+    /** Milliseconds after which all leases of previous owners on other workers have expired. */
+    otherLeasesMilliseconds: z.number().min(0).optional(),
 });
 
 export type OwnerRecord = z.infer<typeof ownerRecordSchema>;
 
-/**
- * Leases that a new owner takes over from the previous record. `milliseconds` have passed since that record was first
- * seen.
- */
-export function inheritRemainingLeases(
-    previous: OwnerRecord | undefined,
-    milliseconds: number,
-): Pick<OwnerRecord, "remainingLeases"> {
-    const inherited = Object.entries(previous?.remainingLeases ?? {})
-        .map(([worker, remaining]): [string, number] => [worker, Math.max(0, Math.ceil(remaining - milliseconds))]);
-    return inherited.length === 0 ? {} : { remainingLeases: Object.fromEntries(inherited) };
-}
-
 /** The owner record and its version in the store. */
 export interface VersionedOwnerRecord {
     readonly record: OwnerRecord;
--- a/packages/coordinator/src/previousLeases.ts
+++ b/packages/coordinator/src/previousLeases.ts
@@ -1,11 +1,14 @@
-/** Bounds the leases of previous owners on workers that have not responded to the current one. */
-import { EXPIRY_MARGIN_MILLISECONDS, expiryMilliseconds, type LeaseTerms } from "./leaseTerms.ts";
+/**
+ * Bounds the leases of previous owners, for the claim of a new one. The claim states them, so that a successor of an
+ * owner that ends early knows them too.
+ */
+import { expiryMilliseconds, MAXIMUM_STATED_LEASES } from "./leaseTerms.ts";
 import type { OwnerRecord } from "./ownerRecord.ts";
 
-/** Terms of owners of earlier versions, whose records do not state any. */
+/** Authority of owners of earlier versions, whose records do not state any. */
 const UNSTATED_AUTHORITY_MILLISECONDS = 8_000;
 
-/** What a process knows when it has claimed the cell; times are monotonic. */
+/** What a process knows when it claims the cell; times are monotonic. */
 export interface Takeover {
     readonly node: string;
     readonly claimedAt: number;
@@ -17,48 +20,50 @@
     readonly maximumLeaseMilliseconds: number;
 }
 
-export class PreviousLeases {
-    private readonly takeover: Takeover;
-    private readonly unrecordedExpireAt: number;
+export type InheritedLeases = Pick<OwnerRecord, "remainingLeases" | "otherLeasesMilliseconds">;
 
-    constructor(takeover: Takeover) {
-        this.takeover = takeover;
-        this.unrecordedExpireAt = unrecordedExpireAt(takeover);
-    }
-
-    /** Monotonic time at which all leases of previous owners on the worker have expired. */
-    expireAt(worker: string): number {
-        const { previousOwner, previousOwnerSeenAt } = this.takeover;
-        const remaining = previousOwner?.remainingLeases?.[worker];
-        // An owner extends no lease on a worker that its record lists.
-        return remaining === undefined
-            ? this.unrecordedExpireAt
-            : previousOwnerSeenAt + remaining + EXPIRY_MARGIN_MILLISECONDS;
-    }
+/** The leases of previous owners that may be in force at the claim. */
+export function inheritLeases(takeover: Takeover): InheritedLeases {
+    const { claimedAt, previousOwner, previousOwnerSeenAt } = takeover;
+    return {
+        ...shortenLeases(previousOwner ?? {}, claimedAt - previousOwnerSeenAt),
+        otherLeasesMilliseconds: Math.max(0, Math.ceil(otherLeasesExpireAt(takeover) - claimedAt)),
+    };
 }
 
-function unrecordedExpireAt(takeover: Takeover): number {
-    const { claimedAt, previousOwner, previousOwnerSeenAt, maximumLeaseMilliseconds } = takeover;
-    const terms = previousOwner?.leaseTerms;
-    const { leaseMilliseconds, authorityMilliseconds }: LeaseTerms = terms ?? {
-        leaseMilliseconds: maximumLeaseMilliseconds,
-        authorityMilliseconds: UNSTATED_AUTHORITY_MILLISECONDS,
+/** The leases that are left some time after they were stated. */
+export function shortenLeases(
+    { remainingLeases = {}, otherLeasesMilliseconds = 0 }: InheritedLeases,
+    milliseconds: number,
+): InheritedLeases {
+    const shortened = Object.entries(remainingLeases).slice(0, MAXIMUM_STATED_LEASES)
+        .map(([worker, remaining]): [string, number] => [worker, Math.max(0, Math.ceil(remaining - milliseconds))]);
+    return {
+        remainingLeases: Object.fromEntries(shortened),
+        otherLeasesMilliseconds: Math.max(0, Math.ceil(otherLeasesMilliseconds - milliseconds)),
     };
-    const leaseExpiry = expiryMilliseconds(leaseMilliseconds);
-    // Owners of earlier versions count from their last transaction, which need not have changed the record.
-    const authorityEndsAt = (terms === undefined ? claimedAt : previousOwnerSeenAt) + authorityMilliseconds;
-    return Math.min(stoppedAt(takeover), authorityEndsAt) + leaseExpiry;
 }
 
-/** Time at which no previous owner extends leases any more, as far as this can be told without its terms. */
-function stoppedAt({ node, claimedAt, previousOwner, previousOwnerSeenAt }: Takeover): number {
+/** Monotonic time at which the leases on workers that the last record does not list have expired. */
+function otherLeasesExpireAt(takeover: Takeover): number {
+    const { node, claimedAt, previousOwner, previousOwnerSeenAt, maximumLeaseMilliseconds } = takeover;
     if (previousOwner === undefined) {
         return claimedAt;
     }
-    // An owner that has not recovered the cell lists no leases, and its own predecessor may still extend some.
-    if (previousOwner.node === "" && previousOwner.remainingLeases !== undefined) {
-        return previousOwnerSeenAt;
+    const { leaseTerms, otherLeasesMilliseconds = 0 } = previousOwner;
+    // A released cell has no owner, and only one process runs on a node.
+    const hasStopped = previousOwner.node === "" || previousOwner.node === node;
+    if (leaseTerms === undefined) {
+        // Owners of earlier versions count from their last transaction, which need not have changed the record.
+        return claimedAt + (hasStopped ? 0 : UNSTATED_AUTHORITY_MILLISECONDS)
+            + expiryMilliseconds(maximumLeaseMilliseconds);
+    }
+    const inheritedExpireAt = previousOwnerSeenAt + otherLeasesMilliseconds;
+    const { leaseMilliseconds, authorityMilliseconds } = leaseTerms;
+    if (authorityMilliseconds === 0) {
+        return inheritedExpireAt;
     }
-    // Only one process runs on a node. Before its first renewal, the authority of its own predecessor may last.
-    return previousOwner.node === node && previousOwner.renewals > 0 ? claimedAt : Infinity;
+    const stoppedAt = previousOwner.node === "" ? previousOwnerSeenAt : hasStopped ? claimedAt : Infinity;
+    const authorityEndsAt = Math.min(stoppedAt, previousOwnerSeenAt + authorityMilliseconds);
+    return Math.max(inheritedExpireAt, authorityEndsAt + expiryMilliseconds(leaseMilliseconds));
 }
--- a/packages/coordinator/src/workerLease.ts
+++ b/packages/coordinator/src/workerLease.ts
@@ -33,7 +33,9 @@
         if (this.clockReading === undefined) {
             return undefined;
         }
-        const end = Math.round(this.clockReading.clock + (now - this.clockReading.receivedAt) + milliseconds);
+        // Not longer than stated even on the slowest clock.
+        const elapsed = (now - this.clockReading.receivedAt) * MINIMUM_CLOCK_RATE;
+        const end = Math.floor(this.clockReading.clock + elapsed + milliseconds);
         this.latestEnd = Math.max(this.latestEnd, end);
         return end;
     }
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -34,6 +34,8 @@
 const START_LEASE_MILLISECONDS = 1_900;
 /** A report with this many ends is full and may omit live attempts. */
 const MAXIMUM_ENDS_PER_REPORT = 500;
+/** Bounds the age of the reading of a worker's clock, which may be slow, and so how much shorter its leases get. */
+const MAXIMUM_IDLE_MILLISECONDS = 10_000;
 /** Time for which an unlisted worker is asked whether it has crashed; workers are back some seconds after a crash. */
 const EVIDENCE_MILLISECONDS = 10_000;
 
@@ -327,17 +329,15 @@
         if (this.isReachable) {
             return undefined;
         }
-        const expiresAt = this.lease.hasClockReading
-            ? this.lease.expiresAt
-            : this.options.owner.previousLeasesExpireAt(this.id);
+        const ownExpiresAt = this.lease.hasClockReading ? this.lease.expiresAt : -Infinity;
+        const expiresAt = Math.max(ownExpiresAt, this.options.owner.previousLeasesExpireAt(this.id));
         return Math.max(0, Math.ceil(expiresAt - now));
     }
 
     /** Whether all leases on the worker have expired, those of previous owners included. */
     private haveLeasesExpired(now: number): boolean {
-        return this.lease.hasClockReading
-            ? this.lease.hasExpired(now)
-            : now >= this.options.owner.previousLeasesExpireAt(this.id);
+        return now >= this.options.owner.previousLeasesExpireAt(this.id)
+            && (!this.lease.hasClockReading || this.lease.hasExpired(now));
     }
 
     describe(): unknown {
@@ -456,7 +456,13 @@
 
     private async waitForWakeUp(): Promise<void> {
         if (!this.isWakeUpPending) {
-            await new Promise<void>(resolve => this.endWait = resolve);
+            await new Promise<void>(resolve => {
+                const subscription = this.options.timers.after(MAXIMUM_IDLE_MILLISECONDS, resolve);
+                this.endWait = () => {
+                    subscription[Symbol.dispose]();
+                    resolve();
+                };
+            });
         }
         this.endWait = undefined;
         this.isWakeUpPending = false;
--- a/packages/site/src/siteNode.ts
+++ b/packages/site/src/siteNode.ts
@@ -8,7 +8,6 @@
     CoordinatorMetrics,
     decodeOwnerRecord,
     Election,
-    initialLeaseTerms,
     OWNER_PARTITION,
     type VersionedOwnerRecord,
     type WonClaim,
@@ -192,7 +191,7 @@
             changesReceivedAt: () => this.cellFollower.lastResponseAt,
             isLinked: peer => peers.links().some(link => link.peer.id === peer && link.connected),
             isEligible: () => !this.isDraining && this.coordinator === undefined && this.configuration !== undefined,
-            leaseTerms: () => initialLeaseTerms(options.durations().leaseMilliseconds),
+            maximumLeaseMilliseconds: () => options.durations().leaseMilliseconds,
             onWon: claim => void this.startCoordinator(claim),
         });
         registerOwnerMethods(peers, () => this.coordinator);
@@ -321,8 +320,7 @@
         const { record } = owner;
         if (this.isDraining && record.node === node && record.incarnation === incarnation) {
             // A claim that was sent before the shutdown got no response, but has succeeded.
-            const now = this.options.timers.now();
-            void this.startCoordinator({ ...owner, sentAt: now, previousOwner: undefined, previousOwnerSeenAt: now });
+            void this.startCoordinator({ ...owner, sentAt: this.options.timers.now(), previousOwner: undefined });
         }
     }
 
