fix(coordinator): a suspect that has waited claims a worker for its trial

Cause: a suspect is tried on a worker on which nothing was started for 300 ms, with a ticket that is valid then. Beside a stream of starts no worker may ever be so, and a step whose last tasks are suspects was looked at once a second, after events on other workers at best. Hints were asked only for workers that happened to be without a recent start at that moment; by the time of the response they had one. Change: after 0.5 s a suspect claims a worker with room for it, a gang as many as it needs: nothing else starts there, hints are asked for it, and the trial begins as soon as the last start has aged. A claim counts as a trial, so that there are no more claims than permitted trials, and ends after 1.5 s. Steps with waiting suspects are checked each 0.2 s. Result: boundedWaits.spec.ts: a suspect without and with hints had no second start within 10 s beside a stream of starts before, and has one within 2 s now.

--- a/packages/coordinator/__tests__/boundedWaits.spec.ts
+++ b/packages/coordinator/__tests__/boundedWaits.spec.ts
@@ -4,7 +4,7 @@
  */
 import { ErrorKind, serviceError } from "@tanagerlink/errors";
 import { sleep } from "@tanagerlink/timers";
-import { EndKind } from "@tanagerlink/workflow";
+import { EndKind, type JobSpecification } from "@tanagerlink/workflow";
 import { expect } from "chai";
 import { err } from "neverthrow";
 import type { Coordinator } from "../src/coordinator.ts";
@@ -17,6 +17,14 @@
 
 const hinted = { queue: "hinted", hinted: true };
 
+const gang = sampleStep({ count: 2, gang: true, maximumPerWorker: 1 });
+const suspects: readonly [string, Partial<JobSpecification>][] = [
+    ["a suspect", {}],
+    ["a suspect with hints", hinted],
+    ["a suspected gang", { steps: [gang] }],
+    ["a suspected gang with hints", { ...hinted, steps: [gang] }],
+];
+
 describe("the wait of a task that could run", () => {
     let cell: Cell;
     let owner: Coordinator;
@@ -53,6 +61,26 @@
         return waited;
     }
 
+    function delayHintCalls(milliseconds: number): void {
+        const respond = cell.requestHints;
+        cell.requestHints = async call => {
+            await sleep(cell.timers, milliseconds);
+            return respond(call);
+        };
+    }
+
+    /** Starts a task on each worker every 100 ms until the condition holds, and returns how long that took. */
+    async function streamUntil(isReached: () => boolean, count = 4): Promise<number> {
+        let waited = 0;
+        for (let index = 0; !isReached() && waited < 10_000; index++) {
+            const steps = [sampleStep({ count, maximumPerWorker: 1 })];
+            await cell.submit(owner, sampleJob((0x1000 + index).toString(16), { steps }));
+            await cell.advanceTime(100);
+            waited += 100;
+        }
+        return waited;
+    }
+
     /** Lets two tasks fail on a worker, which is then quarantined. */
     async function quarantine(id: string, job: string): Promise<void> {
         const target = worker(id);
@@ -74,8 +102,8 @@
         const lasting = sampleStep({ count: 3, maximumPerWorker: 1, lasting: true, size: cores(2) });
         await cell.submit(owner, sampleJob("00f1", { queue: "patient", priority: 1, steps: [lasting] }));
         await cell.advanceTime(1_000);
-        const suspects = ["00a1", "00a2"];
-        for (const id of suspects) {
+        const ids = ["00a1", "00a2"];
+        for (const id of ids) {
             await cell.submit(owner, sampleJob(id, { queue: "patient", priority: 1 }));
         }
         await cell.advanceTime(100);
@@ -96,7 +124,7 @@
         }
         worker(crashed).crash(10, true);
         await cell.advanceTime(MAXIMUM_WAIT_MILLISECONDS + 200);
-        const restarted = suspects.filter(id => cell.startsOf(`${id}.0.0.0`).length === 2);
+        const restarted = ids.filter(id => cell.startsOf(`${id}.0.0.0`).length === 2);
         expect([isDark, restarted.length]).to.deep.equal([true, 1]);
     });
 
@@ -203,4 +231,37 @@
         owner.setPolicy(cell.policy);
         expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS - 900);
     });
+
+    // Guards against LOST: a suspect found no worker on which nothing had been started for 300 ms.
+    for (const [name, overrides] of suspects) {
+        it(`is short for ${name} beside a stream of starts`, async () => {
+            await claimWith(4, 16);
+            delayHintCalls(400);
+            cell.isAllowed = id => id === "w1" || id === "w2";
+            await cell.submit(owner, sampleJob("00e1", overrides));
+            await timeUntilStart("00e1.0.0.0");
+            worker(cell.startsOf("00e1.0.0.0")[0]!.worker).crash(10);
+            expect(await streamUntil(() => cell.startsOf("00e1.0.0.0").length === 2)).to.be.at.most(
+                MAXIMUM_WAIT_MILLISECONDS,
+            );
+        });
+    }
+
+    // Guards against LOST: suspects of many jobs must not wait for each other's trials for long, nor keep other work.
+    it("is short for the suspects of many jobs, and for other work, beside a stream of starts", async () => {
+        await claimWith(9, 16);
+        delayHintCalls(200);
+        const ids = Array.from({ length: 6 }, (_, index) => `00e${index}`);
+        cell.isAllowed = id => id === "w1";
+        for (const id of ids) {
+            await cell.submit(owner, sampleJob(id, hinted));
+        }
+        await Promise.all(ids.map(id => timeUntilStart(`${id}.0.0.0`)));
+        cell.isAllowed = id => ["w1", "w2", "w3"].includes(id);
+        worker("w1").crash(10);
+        const waited = await streamUntil(() => ids.every(id => cell.startsOf(`${id}.0.0.0`).length === 2), 9);
+        expect(waited).to.be.at.most(2 * MAXIMUM_WAIT_MILLISECONDS);
+        const firstTasks = cell.workers.starts.filter(({ task }) => /^1.*[.]0[.]0[.]0$/u.test(task));
+        expect(firstTasks.length * 100).to.be.at.least(waited - 100);
+    });
 });
--- a/packages/coordinator/__tests__/deadlyTasks.spec.ts
+++ b/packages/coordinator/__tests__/deadlyTasks.spec.ts
@@ -241,6 +241,7 @@
             evacuated: new Set(),
             hints: undefined,
             isReserved: () => false,
+            claimedWorkers: [],
             mayUseQuarantined: false,
             freeCapacityOf: ({ freeCapacity }) => freeCapacity,
             now: 0,
--- a/packages/coordinator/src/activeSteps.ts
+++ b/packages/coordinator/src/activeSteps.ts
@@ -14,6 +14,9 @@
 /** Interval of checks without an event, for ended quarantines, expired tickets and failed hint calls. */
 const RECHECK_INTERVAL_MILLISECONDS = 1_000;
 
+/** Same for steps with tasks that wait for a trial: trials end, and starts age, without an event. */
+const TRIAL_RECHECK_INTERVAL_MILLISECONDS = 200;
+
 /** A step that is not done, with all that is known about its placement. */
 export class ActiveStep {
     readonly step: StepRun;
@@ -143,6 +146,9 @@
         // Counted from the start of the wait, since what the step may use grows after whole intervals.
         entry.recheckAt = now + RECHECK_INTERVAL_MILLISECONDS
             - entry.waitedMilliseconds(now) % RECHECK_INTERVAL_MILLISECONDS;
+        if (entry.step.hasWaitingSuspect) {
+            entry.recheckAt = Math.min(entry.recheckAt, now + TRIAL_RECHECK_INTERVAL_MILLISECONDS);
+        }
         const { team } = entry.step.job.specification;
         if (reason === WaitReason.Limit && team !== undefined) {
             addTo(this.blockedByTeam, team, entry);
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -21,6 +21,8 @@
     readonly workersWithoutTicket: readonly WorkerSession[];
     /** Workers that the remaining tasks would use with tickets, one entry for each task. */
     readonly workersToHold: readonly WorkerSession[];
+    /** Workers for the trial of a task that could not be placed, or of a gang, if nothing else starts there. */
+    readonly workersForTrial: readonly WorkerSession[];
     /** Whether some tasks could not be placed. */
     readonly isIncomplete: boolean;
 }
@@ -36,6 +38,8 @@
     readonly hints: StepHints | undefined;
     /** Whether the worker is reserved for a gang that precedes the step. */
     readonly isReserved: (worker: WorkerSession) => boolean;
+    /** Workers that are kept free for a trial of the step. */
+    readonly claimedWorkers: readonly WorkerSession[];
     /** Whether tasks may start on quarantined workers if no other worker has room. */
     readonly mayUseQuarantined: boolean;
     /** Free capacity of a worker less what is held for other steps. */
@@ -76,6 +80,8 @@
     /** Whether a crash now could be the doing of another task; looked up only for suspected tasks. */
     readonly hasRecentStart: boolean;
     readonly isQuarantined: boolean;
+    /** Whether the worker is kept free for a trial of the step. */
+    readonly isClaimed: boolean;
 }
 
 /** Whether the worker currently accepts tasks and meets the requirements of the step, apart from capacity. */
@@ -111,6 +117,7 @@
             isOnTrial: false,
             hasRecentStart: hasSuspect && worker.hasStartedRecently(now),
             isQuarantined: worker.health.isQuarantined(now),
+            isClaimed: request.claimedWorkers.includes(worker),
         };
         if (hints === undefined || hints.ticket({ id: worker.id, boot: worker.currentBoot }, now) !== undefined) {
             candidates.push(candidate);
@@ -126,13 +133,17 @@
     const workersToHold = isIncomplete
         ? chooseWorkersForRemaining(request, chosen.length, candidates, withoutTicket)
         : [];
-    withoutTicket.sort((left, right) => costOf(step, undefined, left) - costOf(step, undefined, right));
+    withoutTicket.sort((left, right) =>
+        Number(right.isClaimed) - Number(left.isClaimed)
+        || costOf(step, undefined, left) - costOf(step, undefined, right)
+    );
     return {
         placements: chosen,
         workersWithoutTicket: workersToHold.length > 0
             ? [...withoutTicket.map(({ worker }) => worker), ...withoutHint]
             : [],
         workersToHold,
+        workersForTrial: chooseWorkersForTrial(request, chosen, candidates, withoutTicket),
         isIncomplete,
     };
 }
@@ -148,13 +159,43 @@
         return [];
     }
     const remaining = { ...request, tasks: request.tasks.slice(placedCount) };
-    const copies = [...candidates, ...withoutTicket].map(candidate => ({ ...candidate }));
+    const copies = [...candidates, ...withoutTicket].map(candidate => ({
+        ...candidate,
+        hasRecentStart: candidate.hasRecentStart && !candidate.isClaimed,
+    }));
     const chosen = request.step.specification.gang
         ? chooseWorkersForAll(remaining, copies)
         : chooseWorkers(remaining, copies);
     return chosen?.map(([, { worker }]) => worker) ?? [];
 }
 
+/**
+ * Chooses workers for a trial as if none had a recent start: those that are claimed already, or else preferably those
+ * with tickets, or those that hints have allowed before.
+ */
+function chooseWorkersForTrial(
+    request: PlacementRequest,
+    placed: readonly Placement[],
+    candidates: readonly Candidate[],
+    withoutTicket: readonly Candidate[],
+): readonly WorkerSession[] {
+    const placedTasks = new Set(placed.map(({ task }) => task));
+    const suspects = request.tasks.filter(task => task.isSuspect && !placedTasks.has(task));
+    if (suspects.length === 0) {
+        return [];
+    }
+    const trial = { ...request, tasks: request.step.specification.gang ? suspects : suspects.slice(0, 1) };
+    const all = [...candidates, ...withoutTicket];
+    const allowed = all.filter(({ worker }) => request.hints?.isAllowed(worker.id) === true);
+    for (const pool of [all.filter(({ isClaimed }) => isClaimed), candidates, allowed, all]) {
+        const chosen = chooseWorkersForAll(trial, pool.map(candidate => ({ ...candidate, hasRecentStart: false })));
+        if (chosen !== undefined) {
+            return [...new Set(chosen.map(([, { worker }]) => worker))];
+        }
+    }
+    return [];
+}
+
 /** Chooses workers for as many tasks as possible. */
 function chooseWorkers(request: PlacementRequest, candidates: Candidate[]): [TaskRun, Candidate][] {
     const chosen: [TaskRun, Candidate][] = [];
@@ -245,7 +286,7 @@
     for (const candidate of candidates) {
         const isBelowMaximum = maximumPerWorker === undefined || candidate.stepTaskCount < maximumPerWorker;
         // A crash right after two starts would not tell which of them caused it.
-        const isApart = !candidate.isOnTrial && !(task.isSuspect && candidate.hasRecentStart);
+        const isApart = !candidate.isOnTrial && !(task.isSuspect ? candidate.hasRecentStart : candidate.isClaimed);
         // A worker that fails all tasks must not take all of a step, whose attempts are few.
         const isProbed = candidate.isQuarantined && !gang && candidate.stepTaskCount > 0;
         if (isBelowMaximum && isApart && !isProbed && fitsInto(taskSize, candidate.freeCapacity)) {
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -14,7 +14,9 @@
 import { HeldCapacity } from "./heldCapacity.ts";
 import { entitlementOf } from "./longWaits.ts";
 import { type Placement, type PlacementResult, placeTasks } from "./placement.ts";
+import { sortByUrgency } from "./stepOrder.ts";
 import type { TeamUsage } from "./teamUsage.ts";
+import { TrialClaims } from "./trialClaims.ts";
 import { selectTasks } from "./trials.ts";
 import { WaitReason } from "./waitTimes.ts";
 import type { WorkerSession } from "./workerSession.ts";
@@ -57,6 +59,7 @@
     private readonly steps = new ActiveSteps();
     private readonly heldCapacity = new HeldCapacity();
     private readonly reservations = new GangReservations();
+    private readonly trialClaims = new TrialClaims();
     private readonly feasibilityCheckedAt = new WeakMap<ActiveStep, number>();
 
     constructor(options: SchedulerOptions) {
@@ -190,36 +193,20 @@
         return findObstacle(step, workers, hints, size => usage.fitsLimit(step.job.specification.team, size));
     }
 
-    /**
-     * Removes the steps that are done or whose jobs have ended. Returns the others by priority, then by the weighted
-     * dominant share of their team, then by age.
-     */
+    /** Removes the steps that are done or whose jobs have ended, and returns the others in the order of placement. */
     private orderSteps(due: readonly ActiveStep[], policy: CellPolicy): ActiveStep[] {
-        const { fleet, usage } = this.options;
-        const ordered: { readonly entry: ActiveStep; readonly share: number; readonly suspectRank: number; }[] = [];
-        const shares = new Map<string, number>();
+        const open: ActiveStep[] = [];
         for (const entry of due) {
-            const { step } = entry;
-            if (!step.job.isOpen || step.isDone) {
+            if (entry.step.job.isOpen && !entry.step.isDone) {
+                this.applyRule(entry, policy);
+                open.push(entry);
+            }
+            else {
                 this.releaseCapacity(entry);
                 this.steps.remove(entry);
-                continue;
             }
-            this.applyRule(entry, policy);
-            const { team } = step.job.specification;
-            const key = `${team ?? ""}/${entry.service}`;
-            const share = shares.get(key) ?? usage.weightedDominantShare(team, fleet.capacityOf(entry.service));
-            shares.set(key, share);
-            ordered.push({ entry, share, suspectRank: step.hasWaitingSuspect ? 0 : 1 });
         }
-        // Suspected tasks come first within a priority, while workers that have just restarted are still empty.
-        ordered.sort((left, right) =>
-            left.entry.priority - right.entry.priority || left.suspectRank - right.suspectRank
-            || left.share - right.share
-            || (left.entry.step.readyAt ?? 0) - (right.entry.step.readyAt ?? 0)
-            || left.entry.step.job.sequence - right.entry.step.job.sequence
-        );
-        return ordered.map(({ entry }) => entry);
+        return sortByUrgency(open, this.options.fleet, this.options.usage);
     }
 
     private applyRule(entry: ActiveStep, policy: CellPolicy): void {
@@ -233,9 +220,10 @@
         entry.isHinted = rule.hinted;
     }
 
-    /** Releases the capacity that is held or reserved for a step, for which other steps may wait. */
+    /** Releases the capacity that is held, reserved or claimed for a step, for which other steps may wait. */
     private releaseCapacity(entry: ActiveStep): void {
-        for (const workers of [this.heldCapacity.release(entry), this.reservations.release(entry)]) {
+        const { heldCapacity, reservations, trialClaims } = this;
+        for (const workers of [heldCapacity.release(entry), reservations.release(entry), trialClaims.release(entry)]) {
             workers.forEach(worker => this.steps.recordGrowth(worker));
         }
     }
@@ -264,15 +252,21 @@
         const formerlyHeld = this.heldCapacity.release(entry);
         const workers = fleet.workersOfService(entry.service);
         const mayUse = entitlementOf(entry, fleet, now);
+        const claimedWorkers = this.trialClaims.workersOf(entry, now);
+        const claimsOfOthers = this.trialClaims.othersOf(entry, now);
+        const claimCounts = { own: Math.min(1, claimedWorkers.length), others: claimsOfOthers.length };
         let isLimitReached = false;
         const result = placeTasks({
             step,
-            tasks: selectTasks(waitingTasks, workers, now),
+            tasks: selectTasks(waitingTasks, workers, claimCounts, now),
             taskSize: entry.taskSize,
             workers,
             evacuated: policy.evacuated,
             hints: entry.isHinted ? entry.hints : undefined,
-            isReserved: worker => !mayUse.reservedWorkers && this.reservations.isReserved(worker, entry, now),
+            isReserved: worker =>
+                claimsOfOthers.some(claimed => claimed.includes(worker))
+                || !mayUse.reservedWorkers && this.reservations.isReserved(worker, entry, now),
+            claimedWorkers,
             mayUseQuarantined: mayUse.quarantinedWorkers,
             // Hint calls in vain for capacity that others hold would delay the calls of all of them.
             freeCapacityOf: worker =>
@@ -298,6 +292,15 @@
             }
         }
         const attempts = this.createAttempts(entry, result.placements);
+        const isTrialBegun = result.placements.some(({ task }) => task.isSuspect);
+        const noLongerClaimed = step.hasWaitingSuspect && !isLimitReached && !isTrialBegun
+            ? this.trialClaims.claim(entry, result.workersForTrial, now)
+            : this.trialClaims.release(entry);
+        noLongerClaimed.forEach(worker => this.steps.recordGrowth(worker));
+        if (claimedWorkers.length === 0 && this.trialClaims.workersOf(entry, now).length > 0) {
+            // The next check asks hints for the claimed workers.
+            this.steps.markDue(entry);
+        }
         if (attempts.length > 0) {
             entry.waitsSince = undefined;
         }
@@ -391,7 +394,7 @@
             if (response.isErr()) {
                 hints.retryAt = timers.now() + HINT_RETRY_DELAY_MILLISECONDS;
                 entry.recheckAt = hints.retryAt;
-                this.releaseCapacity(entry);
+                this.heldCapacity.release(entry).forEach(worker => this.steps.recordGrowth(worker));
                 requestRound();
                 logger.info({ step: step.name, error: response.error.kind }, "hint call failed");
                 return;
--- /dev/null
+++ b/packages/coordinator/src/trialClaims.ts
@@ -0,0 +1,65 @@
+/**
+ * Workers on which nothing else starts, so that a suspected task that has waited for a trial gets one: the trial needs a
+ * worker without a recent start, and beside a stream of starts there may never be one. A claim counts as a trial, which
+ * bounds the number of claims, and ends after some time, since hints may forbid the worker.
+ */
+import type { ActiveStep } from "./activeSteps.ts";
+import type { WorkerSession } from "./workerSession.ts";
+
+/** Wait for a trial before workers are claimed, and between two claims of a step. */
+const CLAIM_DELAY_MILLISECONDS = 500;
+/** Covers the age that the last start must reach, and a slow hint call. */
+const MAXIMUM_CLAIM_MILLISECONDS = 1_500;
+
+interface Claim {
+    readonly workers: readonly WorkerSession[];
+    readonly endsAt: number;
+}
+
+const noWorkers: readonly WorkerSession[] = [];
+
+export class TrialClaims {
+    private readonly claims = new Map<ActiveStep, Claim>();
+    /** Monotonic time since which suspected tasks of a step have waited for a trial or since its last claim. */
+    private readonly waitsSince = new WeakMap<ActiveStep, number>();
+
+    /** The workers claimed for a step. */
+    workersOf(holder: ActiveStep, now: number): readonly WorkerSession[] {
+        const claim = this.claims.get(holder);
+        return claim !== undefined && now < claim.endsAt ? claim.workers : noWorkers;
+    }
+
+    /** The claims for other steps of the same service. */
+    othersOf(entry: ActiveStep, now: number): readonly (readonly WorkerSession[])[] {
+        return [...this.claims.keys()].filter(holder => holder !== entry && holder.service === entry.service)
+            .map(holder => this.workersOf(holder, now)).filter(({ length }) => length > 0);
+    }
+
+    /**
+     * Claims the workers for a step whose suspected tasks have waited for long, or replaces those of its claim. Returns
+     * the workers that are no longer claimed.
+     */
+    claim(holder: ActiveStep, workers: readonly WorkerSession[], now: number): readonly WorkerSession[] {
+        const waitsSince = this.waitsSince.get(holder) ?? now;
+        this.waitsSince.set(holder, waitsSince);
+        const current = this.claims.get(holder);
+        if (current !== undefined && now >= current.endsAt) {
+            this.waitsSince.set(holder, now);
+            this.claims.delete(holder);
+            return current.workers;
+        }
+        if (workers.length > 0 && now - waitsSince >= CLAIM_DELAY_MILLISECONDS) {
+            this.claims.set(holder, { workers, endsAt: current?.endsAt ?? now + MAXIMUM_CLAIM_MILLISECONDS });
+            return (current?.workers ?? []).filter(worker => !workers.includes(worker));
+        }
+        return [];
+    }
+
+    /** Ends the claim and the wait of a step and returns its workers. */
+    release(holder: ActiveStep): readonly WorkerSession[] {
+        const workers = this.claims.get(holder)?.workers ?? noWorkers;
+        this.claims.delete(holder);
+        this.waitsSince.delete(holder);
+        return workers;
+    }
+}
--- a/packages/coordinator/src/trials.ts
+++ b/packages/coordinator/src/trials.ts
@@ -10,6 +10,13 @@
 const MAXIMUM_TRIAL_SHARE = 0.25;
 const MAXIMUM_TRIAL_SHARE_OF_FREE = 0.5;
 
+/** Claims of workers for trials that have yet to begin. */
+export interface TrialClaimCounts {
+    /** Claims of the step itself, 0 or 1. */
+    readonly own: number;
+    readonly others: number;
+}
+
 /**
  * Puts suspected tasks first, those with fewer crashes before the others, but no more than may be on trial. A gang is
  * tried as a whole.
@@ -17,12 +24,13 @@
 export function selectTasks(
     waiting: readonly TaskRun[],
     workers: readonly WorkerSession[],
+    claims: TrialClaimCounts,
     now: number,
 ): readonly TaskRun[] {
     if (waiting[0]?.step.hasWaitingSuspect !== true) {
         return waiting;
     }
-    const permitted = countPermittedTrials(workers, now);
+    const permitted = Math.max(claims.own, countPermittedTrials(workers, claims.others, now));
     if (waiting[0].step.specification.gang) {
         return permitted > 0 ? waiting : [];
     }
@@ -33,8 +41,8 @@
     ];
 }
 
-function countPermittedTrials(workers: readonly WorkerSession[], now: number): number {
-    let onTrial = 0;
+function countPermittedTrials(workers: readonly WorkerSession[], claimed: number, now: number): number {
+    let onTrial = claimed;
     let down = 0;
     let free = 0;
     const listed = workers.filter(({ isListed }) => isListed);
