--- a/packages/coordinator/__tests__/boundedWaits.spec.ts
+++ b/packages/coordinator/__tests__/boundedWaits.spec.ts
@@ -219,6 +219,18 @@
         expect(await timeUntilStart("00d1.0.0.0")).to.be.at.most(MAXIMUM_WAIT_MILLISECONDS);
     });
 
+    // Guards against LOST, which holds for lasting tasks in a full service too: they waited for a gang that found no room.
+    it("is shorter than 3 s for a lasting task beside workers of a busy service that are reserved for a gang", async () => {
+        await claimWith(4, 16);
+        cell.workers.workers.forEach(each => each.taskDurationMilliseconds = 400_000);
+        const long = sampleStep({ count: 4, maximumPerWorker: 1, size: cores(9), estimateMilliseconds: 500 });
+        await cell.submit(owner, sampleJob("00f1", { steps: [long] }));
+        await cell.submit(owner, sampleJob("00b1", { steps: [sampleStep({ count: 4, size: cores(14), gang: true })] }));
+        await cell.advanceTime(4_000);
+        await cell.submit(owner, sampleJob("00d1", { steps: [sampleStep({ lasting: true })] }));
+        expect(await timeUntilStart("00d1.0.0.0")).to.be.below(3_000);
+    });
+
     // Guards against LOST: the end of the longest wait was noticed up to a second late.
     it("ends in time although events postpone the next check of the step", async () => {
         await claimWith(2, 4);
