--- a/packages/coordinator/__tests__/waitDiagnosis.spec.ts
+++ b/packages/coordinator/__tests__/waitDiagnosis.spec.ts
@@ -54,6 +54,7 @@
             evacuated: new Set(),
             isReserved: () => false,
             mayUseQuarantined: false,
+            claims: { own: 0, others: 0 },
             freeCapacityOf: ({ freeCapacity }) => freeCapacity,
             now: 1_000,
             ...overrides,
--- a/packages/coordinator/src/placementMonitor.ts
+++ b/packages/coordinator/src/placementMonitor.ts
@@ -163,7 +163,7 @@
             unreachableAttempts += session.responds ? 0 : session.attemptCount;
         }
         for (const service of runningTrials.keys()) {
-            permittedTrials.set(service, countPermittedTrials(fleet.workersOfService(service), now));
+            permittedTrials.set(service, countPermittedTrials(fleet.workersOfService(service), 0, now));
         }
         let oldestSuspectMilliseconds = 0;
         for (const { since } of this.suspectWaits.values()) {
--- a/packages/coordinator/src/waitDiagnosis.ts
+++ b/packages/coordinator/src/waitDiagnosis.ts
@@ -2,7 +2,7 @@
 import { fitsInto } from "@tanagerlink/model";
 import type { ActiveStep } from "./activeSteps.ts";
 import type { PlacementRequest, WorkerAccess } from "./placement.ts";
-import { selectTasks } from "./trials.ts";
+import { selectTasks, type TrialClaimCounts } from "./trials.ts";
 import { WaitReason } from "./waitTimes.ts";
 import { WorkerExclusion } from "./workerExclusion.ts";
 import type { WorkerSession } from "./workerSession.ts";
@@ -18,6 +18,7 @@
 
 export interface DiagnosisRequest extends WorkerAccess, Pick<PlacementRequest, "workers" | "evacuated" | "now"> {
     readonly entry: ActiveStep;
+    readonly claims: TrialClaimCounts;
 }
 
 export interface WaitDiagnosis {
@@ -50,7 +51,7 @@
     }
     // The limit is checked before a trial is sought.
     const lacksTrial = entry.blockedBy !== undefined && entry.blockedBy !== WaitReason.Limit
-        && selectTasks(tasks, workers, now).length === 0;
+        && selectTasks(tasks, workers, request.claims, now).length === 0;
     return {
         reason: lacksTrial ? DiagnosedReason.Trial : entry.blockedBy ?? DiagnosedReason.Unchecked,
         waiting: tasks.length,
