--- a/packages/coordinator/__tests__/trialClaimTurns.spec.ts
+++ b/packages/coordinator/__tests__/trialClaimTurns.spec.ts
@@ -73,4 +73,11 @@
             expect(await timeUntilStart("00d1.0.0.0")).to.be.below(MAXIMUM_WAIT_MILLISECONDS);
         });
     }
+
+    // Guards against LOST: as above, but each claim lasts for a sound hint call and a trial.
+    it("do not keep a step of their priority from its worker while hint calls take 600 ms", async () => {
+        await makeSuspectsOnFirst(12, "hinted", 0, false);
+        await cell.submit(owner, sampleJob("00d1", { steps: [sampleStep({ requiredLabel: "w1" })] }));
+        expect(await timeUntilStart("00d1.0.0.0")).to.be.below(MAXIMUM_WAIT_MILLISECONDS);
+    });
 });
