--- a/packages/coordinator/__tests__/trialClaimTurns.spec.ts
+++ b/packages/coordinator/__tests__/trialClaimTurns.spec.ts
@@ -80,4 +80,12 @@
         await cell.submit(owner, sampleJob("00d1", { steps: [sampleStep({ requiredLabel: "w1" })] }));
         expect(await timeUntilStart("00d1.0.0.0")).to.be.below(MAXIMUM_WAIT_MILLISECONDS);
     });
+
+    // Guards against LOST: two suspected gangs claim all workers in turn, each as a single trial.
+    it("do not keep other work from all workers", async () => {
+        const gang = sampleStep({ count: 4, gang: true, maximumPerWorker: 1 });
+        await makeSuspects(["00a1", "00a2"].map(id => sampleJob(id, { ...hinted, steps: [gang] })));
+        await cell.submit(owner, sampleJob("00d1"));
+        expect(await timeUntilStart("00d1.0.0.0")).to.be.below(MAXIMUM_WAIT_MILLISECONDS);
+    });
 });
