fix(coordinator): suspects do not claim workers in turn

Cause: a claim ends after 1.5 s, but the next suspect claimed the same worker at once, claims held for steps however long these had waited, and the claim of a gang counted as one. Change: steps that have waited for 1 s use claimed workers; a worker pauses for 1.5 s after a claim that has led to no trial; a failed hint call ends a claim; claims count by workers. The diagnosis knows the limit of one task of a step on a quarantined worker.

--- a/packages/coordinator/__tests__/probedWorkerDiagnosis.spec.ts
+++ b/packages/coordinator/__tests__/probedWorkerDiagnosis.spec.ts
@@ -30,7 +30,10 @@
         await cell.advanceTime(3_500);
         expect(worker.running.size).to.equal(1);
         const lines = records.filter(({ msg, step }) => msg === "step waits for a worker" && step === "00d1.0.0");
-        expect(lines.map(({ startable, level }) => ({ startable, level }))).to.deep.equal([{ startable: 0, level: 30 }]);
+        expect(lines.map(({ startable, level }) => ({ startable, level }))).to.deep.equal([{
+            startable: 0,
+            level: 30,
+        }]);
         cell.dispose();
     });
 });
--- a/packages/coordinator/src/longWaits.ts
+++ b/packages/coordinator/src/longWaits.ts
@@ -12,6 +12,8 @@
 const RESERVED_WORKERS_MILLISECONDS = 2_000;
 
 export interface Entitlement {
+    /** Workers that are claimed for trials of others. */
+    readonly claimedWorkers: boolean;
     /** Capacity that is held for others. */
     readonly heldCapacity: boolean;
     /** Workers that are reserved for a gang. */
@@ -22,10 +24,13 @@
 
 export function entitlementOf(entry: ActiveStep, fleet: Fleet, now: number): Entitlement {
     const waited = entry.waitedMilliseconds(now);
+    const hasWaited = waited >= MINIMUM_MILLISECONDS;
     // Lasting tasks are owed a worker in a full service too.
-    const isOwed = waited >= MINIMUM_MILLISECONDS
+    const isOwed = hasWaited
         && (entry.step.specification.lasting || fleet.usedShareOf(entry.service) <= MAXIMUM_USED_SHARE);
     return {
+        // Many suspects may claim a worker one after another.
+        claimedWorkers: hasWaited,
         heldCapacity: isOwed,
         quarantinedWorkers: isOwed,
         reservedWorkers: isOwed && waited >= RESERVED_WORKERS_MILLISECONDS,
--- a/packages/coordinator/src/scheduler.ts
+++ b/packages/coordinator/src/scheduler.ts
@@ -226,10 +226,10 @@
     /** What a step may use of the workers in view of what others wait for. */
     private accessOf(entry: ActiveStep, now: number): WorkerAccess {
         const mayUse = entitlementOf(entry, this.options.fleet, now);
-        const claimsOfOthers = this.trialClaims.othersOf(entry, now);
+        const claimedByOthers = mayUse.claimedWorkers ? [] : this.trialClaims.othersOf(entry, now);
         return {
             isReserved: worker =>
-                claimsOfOthers.some(claimed => claimed.includes(worker))
+                claimedByOthers.includes(worker)
                 || !mayUse.reservedWorkers && this.reservations.isReserved(worker, entry, now),
             mayUseQuarantined: mayUse.quarantinedWorkers,
             // Hint calls in vain for capacity that others hold would delay the calls of all of them.
@@ -329,7 +329,8 @@
         }
         const attempts = this.createAttempts(entry, result.placements);
         const isTrialBegun = result.placements.some(({ task }) => task.isSuspect);
-        const noLongerClaimed = step.hasWaitingSuspect && !isLimitReached && !isTrialBegun
+        const mayClaim = step.hasWaitingSuspect && !isLimitReached && !isTrialBegun && now >= entry.hints.retryAt;
+        const noLongerClaimed = mayClaim
             ? this.trialClaims.claim(entry, result.workersForTrial, now)
             : this.trialClaims.release(entry);
         noLongerClaimed.forEach(worker => this.steps.recordGrowth(worker));
@@ -430,7 +431,11 @@
             if (response.isErr()) {
                 hints.retryAt = timers.now() + HINT_RETRY_DELAY_MILLISECONDS;
                 entry.recheckAt = hints.retryAt;
-                this.heldCapacity.release(entry).forEach(worker => this.steps.recordGrowth(worker));
+                const released = [
+                    ...this.heldCapacity.release(entry),
+                    ...this.trialClaims.abandon(entry, timers.now()),
+                ];
+                released.forEach(worker => this.steps.recordGrowth(worker));
                 requestRound();
                 logger.info({ step: step.name, error: response.error.kind }, "hint call failed");
                 return;
--- a/packages/coordinator/src/trialClaims.ts
+++ b/packages/coordinator/src/trialClaims.ts
@@ -11,6 +11,8 @@
 const CLAIM_DELAY_MILLISECONDS = 500;
 /** Covers the age that the last start must reach, and a slow hint call. */
 const MAXIMUM_CLAIM_MILLISECONDS = 1_500;
+/** Time after a claim in vain for which nobody claims its workers. */
+const PAUSE_MILLISECONDS = 1_500;
 
 interface Claim {
     readonly workers: readonly WorkerSession[];
@@ -23,6 +25,7 @@
     private readonly claims = new Map<ActiveStep, Claim>();
     /** Monotonic time since which suspected tasks of a step have waited for a trial or since its last claim. */
     private readonly waitsSince = new WeakMap<ActiveStep, number>();
+    private readonly pausedUntil = new WeakMap<WorkerSession, number>();
 
     /** The workers claimed for a step. */
     workersOf(holder: ActiveStep, now: number): readonly WorkerSession[] {
@@ -30,10 +33,10 @@
         return claim !== undefined && now < claim.endsAt ? claim.workers : noWorkers;
     }
 
-    /** The claims for other steps of the same service. */
-    othersOf(entry: ActiveStep, now: number): readonly (readonly WorkerSession[])[] {
+    /** The workers claimed for other steps of the same service. */
+    othersOf(entry: ActiveStep, now: number): readonly WorkerSession[] {
         return [...this.claims.keys()].filter(holder => holder !== entry && holder.service === entry.service)
-            .map(holder => this.workersOf(holder, now)).filter(({ length }) => length > 0);
+            .flatMap(holder => this.workersOf(holder, now));
     }
 
     countsOf(entry: ActiveStep, now: number): TrialClaimCounts {
@@ -49,17 +52,26 @@
         this.waitsSince.set(holder, waitsSince);
         const current = this.claims.get(holder);
         if (current !== undefined && now >= current.endsAt) {
-            this.waitsSince.set(holder, now);
-            this.claims.delete(holder);
-            return current.workers;
+            return this.abandon(holder, now);
         }
-        if (workers.length > 0 && now - waitsSince >= CLAIM_DELAY_MILLISECONDS) {
+        const isPaused = current === undefined
+            && workers.some(worker => now < (this.pausedUntil.get(worker) ?? -Infinity));
+        if (workers.length > 0 && !isPaused && now - waitsSince >= CLAIM_DELAY_MILLISECONDS) {
             this.claims.set(holder, { workers, endsAt: current?.endsAt ?? now + MAXIMUM_CLAIM_MILLISECONDS });
             return (current?.workers ?? []).filter(worker => !workers.includes(worker));
         }
         return [];
     }
 
+    /** Ends a claim that has led to no trial and returns its workers. */
+    abandon(holder: ActiveStep, now: number): readonly WorkerSession[] {
+        const workers = this.claims.get(holder)?.workers ?? noWorkers;
+        workers.forEach(worker => this.pausedUntil.set(worker, now + PAUSE_MILLISECONDS));
+        this.claims.delete(holder);
+        this.waitsSince.set(holder, now);
+        return workers;
+    }
+
     /** Ends the claim and the wait of a step and returns its workers. */
     release(holder: ActiveStep): readonly WorkerSession[] {
         const workers = this.claims.get(holder)?.workers ?? noWorkers;
--- a/packages/coordinator/src/waitDiagnosis.ts
+++ b/packages/coordinator/src/waitDiagnosis.ts
@@ -75,6 +75,10 @@
     if (exclusion !== undefined) {
         return exclusion;
     }
+    const isProbed = !step.specification.gang && worker.countTasksOf(step) > 0;
+    if (isProbed && worker.exclusion(now) === WorkerExclusion.Quarantined) {
+        return WorkerExclusion.Quarantined;
+    }
     if (evacuated.has(failureDomain)) {
         return WorkerExclusion.Evacuated;
     }
--- a/packages/coordinator/src/workerExclusion.ts
+++ b/packages/coordinator/src/workerExclusion.ts
@@ -19,7 +19,7 @@
     /** The failure domain is taken out. */
     Evacuated: "evacuated",
     MissingLabel: "missing_label",
-    /** Reserved for a gang. */
+    /** Reserved for a gang, or claimed for the trial of a suspected task. */
     Reserved: "reserved",
     NoRoom: "no_room",
     /** The free capacity is held for other steps. */
