--- a/packages/cli/src/commands/serveCommand.ts
+++ b/packages/cli/src/commands/serveCommand.ts
@@ -21,11 +21,14 @@
         return err(settings.error);
     }
     const signals = context.signals ?? new ProcessSignals();
-    const node = await startNode(settings.value);
+    let stopLogging = (): void => undefined;
+    const node = await startNode(settings.value, {
+        onLoggerOpened: logger => stopLogging = logUnexpectedErrors(logger),
+    });
     if (node.isErr()) {
+        stopLogging();
         return err(node.error);
     }
-    const stopLogging = logUnexpectedErrors(node.value.logger);
     signals.attach(node.value);
     await signals.stopRequested;
     await node.value.drain().finally(stopLogging);
--- a/packages/coordinator/__tests__/journal.spec.ts
+++ b/packages/coordinator/__tests__/journal.spec.ts
@@ -147,12 +147,12 @@
         const { journal } = await openJournal(timers);
         await timers.advance(1_000);
         await settle();
-        expect(journal.hasLeaseAuthority()).to.equal(true);
+        expect(journal.leaseAuthority.canExtend("w1")).to.equal(true);
         timers.suspendedMilliseconds = 2_600;
-        expect(journal.hasLeaseAuthority()).to.equal(false);
+        expect(journal.leaseAuthority.canExtend("w1")).to.equal(false);
         await timers.advance(1_000);
         await settle();
-        expect(journal.hasLeaseAuthority()).to.equal(true);
+        expect(journal.leaseAuthority.canExtend("w1")).to.equal(true);
         journal[Symbol.dispose]();
     });
 
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -433,11 +433,12 @@
     }
 
     get leaseMilliseconds(): number {
-        return (this.journal.leaseTerms ?? initialLeaseTerms(this.options.maximumLeaseMilliseconds)).leaseMilliseconds;
+        return this.journal.leaseAuthority.leaseMilliseconds
+            ?? initialLeaseTerms(this.options.maximumLeaseMilliseconds).leaseMilliseconds;
     }
 
     canExtendLease(worker: string): boolean {
-        const canExtend = !this.isStopped && !this.journal.isListed(worker) && this.journal.hasLeaseAuthority();
+        const canExtend = !this.isStopped && this.journal.leaseAuthority.canExtend(worker);
         if (!canExtend) {
             this.journal.requestConfirmation();
         }
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "@tanagerlink/telemetry";
 import { sleep, type Subscription, type Timers } from "@tanagerlink/timers";
 import type { JobRun } from "@tanagerlink/workflow";
-import type { LeaseTerms } from "./leaseTerms.ts";
+import { LeaseAuthority } from "./leaseAuthority.ts";
 import {
     decodeOwnerRecord,
     encodeJson,
@@ -77,13 +77,8 @@
     private isWriting = false;
     private isStopped = false;
     private resolveRelease: (() => void) | undefined;
-    /** Workers that the stored owner record lists as unreachable, or one that was sent since. */
-    private listedWorkers: ReadonlySet<string>;
-    /** Monotonic time, and time of day, at which the last stored renewal was sent. */
-    private renewalSentAt: readonly [number, number] = [-Infinity, -Infinity];
-    /** The times at which the next renewal was first sent. */
-    private nextRenewalSentAt: readonly [number, number] | undefined;
     private readonly renewalTicker: Subscription;
+    readonly leaseAuthority: LeaseAuthority;
     /** Monotonic time of the last response that confirmed the claim. */
     confirmedAt: number;
 
@@ -93,7 +88,7 @@
         this.ownerRecord = options.claim.record;
         this.ownerVersion = options.claim.version;
         this.confirmedAt = options.timers.now();
-        this.listedWorkers = listedWorkersOf(options.claim.record);
+        this.leaseAuthority = new LeaseAuthority(options.timers, options.claim.record);
         this.renewalTicker = options.timers.every(options.renewalMilliseconds, () => {
             this.isRenewalDue = true;
             this.scheduleWrite();
@@ -135,25 +130,6 @@
         this.scheduleWrite();
     }
 
-    /** Terms that the stored owner record states; leases must not last longer. */
-    get leaseTerms(): LeaseTerms | undefined {
-        return this.ownerRecord.leaseTerms;
-    }
-
-    /** Whether leases may be renewed and attempts started: a successor counts on an end of this authority. */
-    hasLeaseAuthority(): boolean {
-        const { timers } = this.options;
-        const [sentAt, sentAtWallClock] = this.renewalSentAt;
-        // The monotonic clock stands still while the machine is suspended.
-        const age = Math.max(timers.now() - sentAt, timers.wallClock() - sentAtWallClock);
-        return age < (this.ownerRecord.leaseTerms?.authorityMilliseconds ?? 0);
-    }
-
-    /** Whether the lease on the worker must not be extended until a record that does not list it is stored. */
-    isListed(worker: string): boolean {
-        return this.listedWorkers.has(worker);
-    }
-
     /** Releases the cell, so that another process can claim it at once. */
     async release(): Promise<void> {
         await this.waitUntilStored();
@@ -202,7 +178,6 @@
             ...(rewritesOwner ? this.options.describeLeases() : {}),
             ...(isRelease ? { node: "" } : {}),
         };
-        const nextListedWorkers = listedWorkersOf(nextOwnerRecord);
         const batch = this.nextBatch();
         const transaction: RecordTransaction = {
             expectations: [{ ...ownerRecordName, expectedVersion: this.ownerVersion }],
@@ -213,12 +188,8 @@
             removals: batch.removals,
         };
         batch.jobs.forEach(({ changes }, job) => this.rows.recordUnconfirmed(job, changes));
+        const sentAt = rewritesOwner ? this.leaseAuthority.recordSent(nextOwnerRecord) : undefined;
         if (rewritesOwner) {
-            this.listedWorkers = new Set([...this.listedWorkers, ...nextListedWorkers]);
-        }
-        const sentAt: readonly [number, number] = [timers.now(), timers.wallClock()];
-        if (rewritesOwner) {
-            this.nextRenewalSentAt ??= sentAt;
             // A further request that comes before the response is for a later record.
             this.isRenewalDue = false;
         }
@@ -241,8 +212,7 @@
                 // An earlier transaction of this journal has rewritten the owner record; its response was lost.
                 this.ownerRecord = current.value.record;
                 this.ownerVersion = current.value.version;
-                this.renewalSentAt = this.nextRenewalSentAt ?? this.renewalSentAt;
-                this.nextRenewalSentAt = undefined;
+                this.leaseAuthority.recordFound(this.ownerRecord);
                 this.mustRewriteOwner = true;
                 return;
             }
@@ -252,12 +222,10 @@
             return;
         }
         this.confirmedAt = timers.now();
-        if (rewritesOwner) {
+        if (sentAt !== undefined) {
             this.ownerRecord = nextOwnerRecord;
             this.ownerVersion = outcome.value.version;
-            this.listedWorkers = nextListedWorkers;
-            this.renewalSentAt = sentAt;
-            this.nextRenewalSentAt = undefined;
+            this.leaseAuthority.recordStored(nextOwnerRecord, sentAt);
             this.mustRewriteOwner = false;
         }
         else if (outcome.value.mayRepeat === true) {
@@ -395,10 +363,6 @@
     readonly removals: readonly RecordName[];
 }
 
-function listedWorkersOf({ remainingLeases }: OwnerRecord): ReadonlySet<string> {
-    return new Set(Object.keys(remainingLeases ?? {}));
-}
-
 function removalKey({ table, key }: RecordName): string {
     return `${table}/${key}`;
 }
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -35,6 +35,8 @@
 export interface NodeOverrides {
     readonly logger?: Logger;
     readonly timers?: Timers;
+    /** Called before the process listens. */
+    readonly onLoggerOpened?: (logger: Logger) => void;
 }
 
 /** Starts a process. Errors: `invalid_settings` when an address cannot be used or a file cannot be read. */
@@ -54,6 +56,7 @@
         metrics,
     });
     const logger = overrides.logger ?? log.logger;
+    overrides.onLoggerOpened?.(logger);
     const node = await startComponents({ settings, timers, logger, metrics }, log);
     if (node.isErr()) {
         log[Symbol.dispose]();
