--- a/packages/coordinator/__tests__/waitDiagnosis.spec.ts
+++ b/packages/coordinator/__tests__/waitDiagnosis.spec.ts
@@ -132,7 +132,7 @@
         });
     });
 
-    // Guards against finding 4: suspects waited for a trial beside free workers, and nothing said so.
+    // Guards against LOST: suspects waited for a trial beside free workers, and nothing said so.
     it("says that suspects wait for a trial while none is permitted beside a running one", () => {
         const entry = createEntry();
         suspectAll(entry);
@@ -260,7 +260,7 @@
         expect(firstLine()).to.deep.include({ reason: "limit", startable: 1, level: 30 });
     });
 
-    // Guards against case 1 of the incident: a step with hints waited, and nothing told whether for hints or for room.
+    // Guards against waits that cannot be traced: a step with hints waited, and nothing told whether for hints or for room.
     it("names hints that have not come, and workers that they forbid", async () => {
         cell.areHintsSilent = true;
         const owner = await occupyWorker();
@@ -277,7 +277,7 @@
         expect(excluded).to.deep.equal({ no_room: 1, forbidden: 1 });
     });
 
-    // Guards against finding 4: neither log nor metrics told how many trials run, and how long suspects wait.
+    // Guards against waits that cannot be traced: neither log nor metrics told how many trials run, and how long suspects wait.
     it("show suspects that wait for a trial beside a free worker", async () => {
         cell.workers.add("w0");
         cell.workers.deadlyTasks.add("00dd.0.0.0");
@@ -309,7 +309,7 @@
         expect(firstLine()).to.deep.include({ reason: "trial", waiting: 1, suspected: 1, startable: 1, level: WARN });
     });
 
-    // Guards against case 2 of the incident: nothing told how long work on lost workers waits for its end.
+    // Guards against waits that cannot be traced: nothing told how long work on lost workers waits for its end.
     it("show attempts on workers that do not respond, and how long these waited for their end", async () => {
         const owner = await occupyWorker();
         cell.workers.workers.get("w1")!.isReachable = false;
