refactor(coordinator): read through the diff

Cause: "listed" meant both a worker in the platform's list and one that the owner record names as unreachable; the rule of one task at a time on a quarantined worker had a name that covered half of it in the diagnosis; a constant was exported without a user.

--- a/packages/coordinator/src/leaseAuthority.ts
+++ b/packages/coordinator/src/leaseAuthority.ts
@@ -16,7 +16,7 @@
     /** The record that is known to be stored. */
     private stored: OwnerRecord;
     /** Workers that this record lists as unreachable, or one that was sent since. */
-    private listedWorkers: ReadonlySet<string>;
+    private unreachableWorkers: ReadonlySet<string>;
     /** When the stored record was sent; `undefined` for the claim, which gives no authority. */
     private storedSentAt: Moment | undefined;
     /** When the next record was first sent. */
@@ -25,7 +25,7 @@
     constructor(timers: Timers, claim: OwnerRecord) {
         this.timers = timers;
         this.stored = claim;
-        this.listedWorkers = workersIn(claim);
+        this.unreachableWorkers = workersIn(claim);
     }
 
     /** Duration of leases that the stored record states; `undefined` if it does not. */
@@ -35,7 +35,7 @@
 
     /** Whether the worker may get a longer lease. */
     canExtend(worker: string): boolean {
-        if (this.storedSentAt === undefined || this.listedWorkers.has(worker)) {
+        if (this.storedSentAt === undefined || this.unreachableWorkers.has(worker)) {
             return false;
         }
         const { monotonic, wallClock } = this.storedSentAt;
@@ -47,14 +47,14 @@
     recordSent(record: OwnerRecord): Moment {
         const sentAt = { monotonic: this.timers.now(), wallClock: this.timers.wallClock() };
         this.nextSentAt ??= sentAt;
-        this.listedWorkers = new Set([...this.listedWorkers, ...workersIn(record)]);
+        this.unreachableWorkers = new Set([...this.unreachableWorkers, ...workersIn(record)]);
         return sentAt;
     }
 
     /** Records that the store has confirmed a record. */
     recordStored(record: OwnerRecord, sentAt: Moment): void {
         this.stored = record;
-        this.listedWorkers = workersIn(record);
+        this.unreachableWorkers = workersIn(record);
         this.storedSentAt = sentAt;
         this.nextSentAt = undefined;
     }
--- a/packages/coordinator/src/leaseTerms.ts
+++ b/packages/coordinator/src/leaseTerms.ts
@@ -8,7 +8,7 @@
  * duration of leases it bounds both how long work outlasts an outage of the store and how long lasting tasks of a lost
  * worker wait after the end of an owner.
  */
-export const RENEWAL_AUTHORITY_MILLISECONDS = 2_500;
+const RENEWAL_AUTHORITY_MILLISECONDS = 2_500;
 /** Part of a lease that is left when a report is requested late; longer than a change of the owner takes. */
 const LEASE_BEYOND_REPORT_MILLISECONDS = 4_000;
 
--- a/packages/coordinator/src/placement.ts
+++ b/packages/coordinator/src/placement.ts
@@ -291,8 +291,8 @@
         // A crash right after two starts would not tell which of them caused it.
         const isApart = !candidate.isOnTrial && !(task.isSuspect ? candidate.hasRecentStart : candidate.isClaimed);
         // A worker that fails all tasks must not take all of a step, whose attempts are few.
-        const isProbed = candidate.isQuarantined && !gang && candidate.stepTaskCount > 0;
-        if (isBelowMaximum && isApart && !isProbed && fitsInto(taskSize, candidate.freeCapacity)) {
+        const isBeingProbed = candidate.isQuarantined && !gang && candidate.stepTaskCount > 0;
+        if (isBelowMaximum && isApart && !isBeingProbed && fitsInto(taskSize, candidate.freeCapacity)) {
             const cost = costOf(step, task, candidate);
             if (cost < lowestCost) {
                 lowestCost = cost;
--- a/packages/coordinator/src/waitDiagnosis.ts
+++ b/packages/coordinator/src/waitDiagnosis.ts
@@ -75,8 +75,9 @@
     if (exclusion !== undefined) {
         return exclusion;
     }
-    const isProbed = !step.specification.gang && worker.countTasksOf(step) > 0;
-    if (isProbed && worker.exclusion(now) === WorkerExclusion.Quarantined) {
+    const isBeingProbed = worker.exclusion(now) === WorkerExclusion.Quarantined
+        && !step.specification.gang && worker.countTasksOf(step) > 0;
+    if (isBeingProbed) {
         return WorkerExclusion.Quarantined;
     }
     if (evacuated.has(failureDomain)) {
