--- a/review/stand-ins-2/httpEndpoint.mjs
+++ b/review/stand-ins-2/httpEndpoint.mjs
@@ -42,11 +42,25 @@
     }
 }
 
+/** Below the ports that the operating system gives to connections, so that nothing else takes the port meanwhile. */
+const LOWEST_PORT = 10_000;
+const PORTS = 20_000;
+
+/** Returns a port that nobody listens on, for a process of the system. */
 export async function freePort() {
-    const { server, port } = await serveJson(() => undefined);
-    server.close();
-    await once(server, "close");
-    return port;
+    for (;;) {
+        const port = LOWEST_PORT + Math.floor(Math.random() * PORTS);
+        const server = createServer();
+        const isFree = await new Promise(resolve => {
+            server.once("error", () => resolve(false));
+            server.listen(port, HOST, () => resolve(true));
+        });
+        if (isFree) {
+            server.close();
+            await once(server, "close");
+            return port;
+        }
+    }
 }
 
 /** Makes one call. Resolves to `{ status, body }`; the status is 0 if there was no answer. */
@@ -69,7 +83,7 @@
             });
         });
         outgoing.on("timeout", () => outgoing.destroy(new Error("timeout")));
-        outgoing.on("error", () => resolve({ status: 0 }));
+        outgoing.on("error", ({ code, message }) => resolve({ status: 0, body: code ?? message }));
         outgoing.end(body === undefined ? undefined : JSON.stringify(body));
     });
 }
