--- a/review/stand-ins-2/cell.mjs
+++ b/review/stand-ins-2/cell.mjs
@@ -10,7 +10,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { ExecutorStandIn } from "./executorStandIn.mjs";
-import { Gangs } from "./gangs.mjs";
 import { callJson, freePort, HOST } from "./httpEndpoint.mjs";
 import { RunLog } from "./runLog.mjs";
 import { StoreStandIn } from "./storeStandIn.mjs";
@@ -26,7 +25,6 @@
     evacuate_ms: 5_000,
     hold_max_ms: 10_000,
     stop_grace_ms: 200,
-    gang_timeout_ms: 3_000,
     cancel_ms: 3_000,
     visible_ms: 3_000,
     status_s: 120,
@@ -59,7 +57,6 @@
     async start() {
         await this.store.listen();
         this.store.put("op", "config", this.manifest());
-        this.gangs = new Gangs(this.executors, BOUNDS, this.log);
         for (let index = 0; index < this.executorCount; index++) {
             const executor = new ExecutorStandIn({
                 id: `i-${String(index + 1).padStart(10, "0")}`,
@@ -70,7 +67,6 @@
                 bounds: BOUNDS,
                 store: this.store,
                 log: this.log,
-                gangs: this.gangs,
                 heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
             });
             this.executors.push(executor);
@@ -212,7 +208,6 @@
             }
             this.log.write(`${name}: ended`);
         }
-        this.gangs?.close();
         this.executors.filter(({ isUp }) => isUp).forEach(executor => executor.crash());
         this.store.close();
         if (process.env.KEEP_LOGS === "1") {
--- a/review/stand-ins-2/executorStandIn.mjs
+++ b/review/stand-ins-2/executorStandIn.mjs
@@ -13,8 +13,8 @@
 const ENTRY_RETRY_MILLISECONDS = 300;
 
 export class ExecutorStandIn {
-    constructor({ id, service, zone, labels, capacity, bounds, store, log, gangs, heartbeatMilliseconds }) {
-        Object.assign(this, { id, service, zone, labels, capacity, bounds, store, log, gangs });
+    constructor({ id, service, zone, labels, capacity, bounds, store, log, heartbeatMilliseconds }) {
+        Object.assign(this, { id, service, zone, labels, capacity, bounds, store, log });
         this.heartbeatMilliseconds = heartbeatMilliseconds;
         /** All runs of all lives, for the checks. */
         this.runs = [];
@@ -169,7 +169,6 @@
         this.extend(deadline_ms);
         const run = { executor: this.id, born: this.born, task, attempt, startedAt: this.log.now(), workDone: 0 };
         run.workMilliseconds = JSON.parse(spec).work_ms;
-        run.gang = JSON.parse(spec).gang;
         this.running.set(task, run);
         this.runs.push(run);
         this.log.write(
@@ -239,9 +238,7 @@
                 this.end(run, "lapsed");
                 continue;
             }
-            if (run.gang === undefined || this.gangs.isComplete(run)) {
-                run.workDone += TICK_MILLISECONDS;
-            }
+            run.workDone += TICK_MILLISECONDS;
             if (run.workDone >= run.workMilliseconds) {
                 this.end(run, "done");
             }
@@ -262,9 +259,6 @@
         run.endedAt = this.log.now();
         run.how = how;
         this.log.write(`${this.id}: ${run.task}#${run.attempt} ends ${how}`);
-        if (run.gang !== undefined) {
-            this.gangs.recordEnd(run, how);
-        }
     }
 
     confirm() {
