--- a/review/stand-ins-2/cell.mjs
+++ b/review/stand-ins-2/cell.mjs
@@ -38,6 +38,8 @@
 const SERVICE = "engine";
 const START_LIMIT_MILLISECONDS = 20_000;
 const READY_POLL_MILLISECONDS = 100;
+/** Time until the processes have chosen an owner. Traffic starts some time after the machines do. */
+const SETTLING_MILLISECONDS = 2_000;
 
 /** Thrown if the deployment could not be started, so that nothing was tested. */
 export class CannotRun extends Error {}
@@ -139,6 +141,7 @@
                 await sleep(READY_POLL_MILLISECONDS);
             }
         }
+        await sleep(SETTLING_MILLISECONDS);
         this.log.write("all processes are ready");
     }
 
--- a/review/stand-ins-2/executorStandIn.mjs
+++ b/review/stand-ins-2/executorStandIn.mjs
@@ -1,6 +1,7 @@
 /**
  * One executor, which may live several times under one id at one address. Each life has its own clock, fence number,
- * lease, runs and ends. What a task does stands in its `spec` as JSON: `work_ms`, the work of one run.
+ * lease, runs and ends. What a task does stands in its `spec` as JSON: `work_ms`, the work of one run, or
+ * `lasts` for a task that runs until it is stopped.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { serveJson } from "./httpEndpoint.mjs";
@@ -168,7 +169,8 @@
         }
         this.extend(deadline_ms);
         const run = { executor: this.id, born: this.born, task, attempt, startedAt: this.log.now(), workDone: 0 };
-        run.workMilliseconds = JSON.parse(spec).work_ms;
+        const { work_ms: workMilliseconds, lasts = false } = JSON.parse(spec);
+        Object.assign(run, { workMilliseconds: lasts ? Infinity : workMilliseconds, lasts });
         this.running.set(task, run);
         this.runs.push(run);
         this.log.write(
@@ -270,6 +272,7 @@
     }
 }
 
-function percentOf({ workDone, workMilliseconds }) {
-    return Math.min(100, Math.floor(workDone / workMilliseconds * 100));
+/** Tasks that last are at work, at 100 percent, after a short startup. */
+function percentOf({ lasts, workDone, workMilliseconds }) {
+    return lasts ? Math.min(100, workDone) : Math.min(100, Math.floor(workDone / workMilliseconds * 100));
 }
--- a/review/stand-ins-2/storeStandIn.mjs
+++ b/review/stand-ins-2/storeStandIn.mjs
@@ -18,6 +18,8 @@
         this.isSilent = false;
         /** Called with each row that a feed or a listing shows. */
         this.onShown = () => undefined;
+        /** Called with each row that the system writes. */
+        this.onWritten = () => undefined;
     }
 
     async listen() {
@@ -82,7 +84,9 @@
             const rows = expect_rev.map(row => this.rows.get(nameOf(row))).filter(row => row !== undefined);
             return { status: 412, body: { rows, ver: this.version, now_ms: this.clock() } };
         }
-        return { status: 200, body: { ver: this.apply(writes, remove), now_ms: this.clock() } };
+        const ver = this.apply(writes, remove);
+        writes.forEach(row => this.onWritten(row));
+        return { status: 200, body: { ver, now_ms: this.clock() } };
     }
 
     apply(writes, removals) {
