--- a/review/stand-ins-2/executorStandIn.mjs
+++ b/review/stand-ins-2/executorStandIn.mjs
@@ -10,8 +10,6 @@
 const STOP_MILLISECONDS = 20;
 const MAXIMUM_ENDS = 500;
 const MAXIMUM_WAIT_MILLISECONDS = 2_000;
-/** Delay after which an entry that could not be written is written again. */
-const ENTRY_RETRY_MILLISECONDS = 300;
 
 export class ExecutorStandIn {
     constructor({ id, service, zone, labels, capacity, bounds, store, log, heartbeatMilliseconds }) {
@@ -63,7 +61,6 @@
         clearInterval(this.ticker);
         clearTimeout(this.register);
         clearInterval(this.heart);
-        clearTimeout(this.entryRetry);
         const { server, sockets } = this.endpoint;
         server.close();
         if (!isDark) {
@@ -94,9 +91,7 @@
     }
 
     writeEntry() {
-        clearTimeout(this.entryRetry);
         if (this.isCut || this.store.isSilent) {
-            this.entryRetry = setTimeout(() => this.writeEntry(), ENTRY_RETRY_MILLISECONDS);
             return;
         }
         this.lastSeenAt = performance.now();
