fix(coordinator): replace what was agreed with a worker as a whole when it restarts

Cause: no call names the incarnation of the worker that it is meant for. The owner sent the end number of the former incarnation with the report request by which it learned of the new one, which then forgot an end that nobody had read. Also, calls that were meant for the former incarnation could be executed late by the new one, which has seen no fencing token.

Change: an object for each incarnation holds its clock, lease and end numbers, and a restart replaces it. Calls hold leases, starts and acknowledged ends only after the last one was answered by the known incarnation, and no ends are acknowledged while a start has no response. An end number is acknowledged once. After a sign of a restart (the entry, another start time in a report, or a clock that reads less than it can), the pending report request is abandoned, and one without such values and with a new fencing token comes first: once it is answered, the worker refuses what was meant for its former incarnation. Each epoch therefore is a block of a million tokens that ends with the epoch, so that earlier versions of the program still take over with a higher token. Reports of a former incarnation do not count.

The stand-in workers' clocks start anew with each incarnation, their leases are bounded, and their calls can time out, be delayed, and be executed by a later incarnation. The order in shrunkCapacity.spec.ts that stands for one of the same owner carries its first token, since its highest would fence the owner out; two tests of election and takeover state the epoch and the token by the new numbering.

--- a/packages/coordinator/__tests__/coordinator.spec.ts
+++ b/packages/coordinator/__tests__/coordinator.spec.ts
@@ -5,6 +5,7 @@
 import { CommitFault } from "@tanagerlink/platform";
 import { EndKind, JobState } from "@tanagerlink/workflow";
 import { expect } from "chai";
+import { isTokenOf } from "../src/fencingTokens.ts";
 import { JOBS_TABLE, partitionOf } from "../src/jobTables.ts";
 import { Cell } from "./support/cell.ts";
 import { StartFault } from "./support/fakeWorkers.ts";
@@ -366,9 +367,10 @@
         await cell.submit(paused, sampleJob("00a1"));
         await cell.advanceTime(100);
         worker.startFault = StartFault.None;
-        await cell.claim("two");
+        const successor = await cell.claim("two");
         await cell.advanceTime(3_000);
-        expect(cell.workers.starts.map(({ epoch }) => epoch)).to.deep.equal([2]);
+        expect(cell.workers.starts.map(({ fencingToken }) => isTokenOf(successor.epoch, fencingToken)))
+            .to.deep.equal([true]);
         worker.executeDelayedStarts();
         await cell.advanceTime(1_000);
         expect(cell.startsOf("00a1.0.0.0")).to.have.length(1);
--- a/packages/coordinator/__tests__/election.spec.ts
+++ b/packages/coordinator/__tests__/election.spec.ts
@@ -7,6 +7,7 @@
 import { ManualTimers } from "@tanagerlink/timers";
 import { expect } from "chai";
 import { Election } from "../src/election.ts";
+import { nextEpoch } from "../src/fencingTokens.ts";
 import { decodeOwnerRecord, encodeJson, ownerRecordName, type VersionedOwnerRecord } from "../src/ownerRecord.ts";
 
 const durations = { expiry: 2_600, unlinked: 1_200, maximumChangesAge: 1_500 };
@@ -79,7 +80,7 @@
         await timers.advance(2_500);
         expect(candidate.wonClaims).to.have.length(0);
         await timers.advance(300);
-        expect(candidate.wonClaims.map(({ record }) => record.epoch)).to.deep.equal([4]);
+        expect(candidate.wonClaims.map(({ record }) => record.epoch)).to.deep.equal([nextEpoch(3)]);
         candidate.election[Symbol.dispose]();
     });
 
@@ -132,7 +133,10 @@
         await timers.advance(2_800);
         store.fault = CommitFault.None;
         await timers.advance(1_000);
-        expect(candidate.wonClaims.map(({ record }) => [record.node, record.epoch])).to.deep.equal([["one", 4]]);
+        expect(candidate.wonClaims.map(({ record }) => [record.node, record.epoch])).to.deep.equal([[
+            "one",
+            nextEpoch(3),
+        ]]);
         candidate.election[Symbol.dispose]();
     });
 });
--- a/packages/coordinator/__tests__/leasesAfterFirstReport.spec.ts
+++ b/packages/coordinator/__tests__/leasesAfterFirstReport.spec.ts
@@ -73,7 +73,7 @@
         await stateNoTerms();
         // As granted by an owner of an earlier version.
         worker.requestReport({
-            epoch: 1,
+            fencingToken: 1,
             acknowledgedEnd: 0,
             leaseUntil: worker.clock + 10_000,
             waitMilliseconds: 0,
--- /dev/null
+++ b/packages/coordinator/__tests__/restartedWorkers.spec.ts
@@ -0,0 +1,144 @@
+/**
+ * Workers that start again under their id. No call names the incarnation that it is meant for, so that a value agreed with
+ * one incarnation can reach the next: at once, while the owner has not noticed the restart, or late, or from an earlier
+ * owner.
+ */
+import { EndKind } from "@tanagerlink/workflow";
+import { expect } from "chai";
+import type { Coordinator } from "../src/coordinator.ts";
+import { Cell } from "./support/cell.ts";
+import { type FakeWorker, StartFault } from "./support/fakeWorkers.ts";
+import { takeLeasesOnReceipt } from "./support/leasesOnReceipt.ts";
+import { sampleJob, sampleStep } from "./support/samples.ts";
+
+const TASK = "00b1.0.0.0";
+const LONGEST_LEASE_MILLISECONDS = 10_000;
+
+describe("a worker that starts again under its id", () => {
+    let cell: Cell;
+    let owner: Coordinator;
+    let worker: FakeWorker;
+
+    beforeEach(async () => {
+        cell = new Cell();
+        cell.leaseMilliseconds = LONGEST_LEASE_MILLISECONDS;
+        takeLeasesOnReceipt(cell.workers);
+        worker = cell.workers.add("w1");
+        owner = await cell.claim("one");
+        // The clock of the first incarnation is ahead of every lease that the next one can grant.
+        await cell.advanceTime(20_000);
+    });
+
+    afterEach(() => cell.dispose());
+
+    /** Runs short tasks one after another, so that the end numbers of the worker are ahead of those of its successor. */
+    async function runShortTasks(count: number): Promise<void> {
+        for (let index = 0; index < count; index++) {
+            await cell.submit(owner, sampleJob(`00a${index}`));
+            await cell.advanceTime(500);
+        }
+        expect(worker.acknowledgedEnd).to.equal(count);
+    }
+
+    /** Submits a job whose task runs on the worker until it is stopped. */
+    async function startLastingTask(id: string): Promise<void> {
+        worker.taskDurationMilliseconds = undefined;
+        await cell.submit(owner, sampleJob(id, { steps: [sampleStep({ lasting: true })] }));
+        await cell.advanceUntil(() => worker.running.has(`${id}.0.0.0`), 2_000);
+    }
+
+    function crashSilently(downMilliseconds: number): void {
+        worker.timesOut = true;
+        worker.registrationMilliseconds = 800;
+        worker.crash(downMilliseconds);
+    }
+
+    describe("while the owner waits for a report", () => {
+        beforeEach(async () => {
+            await runShortTasks(3);
+            await startLastingTask("00c1");
+            await cell.advanceTime(1_500);
+            worker.taskDurationMilliseconds = 300;
+        });
+
+        // Guards against TWICE: the new incarnation forgets an end whose number the owner knows from the former one.
+        it("does not run a task again that the new incarnation has done", async () => {
+            crashSilently(300);
+            await cell.advanceTime(350);
+            await cell.submit(owner, sampleJob("00b1"));
+            await cell.advanceTime(6_000);
+            expect(cell.startsOf(TASK)).to.have.length(1);
+            expect(owner.jobState("00b1")).to.equal("completed");
+        });
+
+        // Guards against TWICE: same, while the response to the start is lost, so that its clock does not show the restart.
+        it("does not run a task again whose start got no response from the new incarnation", async () => {
+            crashSilently(300);
+            await cell.advanceTime(350);
+            worker.startFault = StartFault.ResponseLost;
+            await cell.submit(owner, sampleJob("00b1"));
+            await cell.advanceTime(600);
+            worker.startFault = StartFault.None;
+            await cell.advanceTime(6_000);
+            expect(cell.startsOf(TASK)).to.have.length(1);
+            expect(owner.jobState("00b1")).to.equal("completed");
+        });
+
+        // Guards against TWICE: same, when the report request is executed late, after the task is done.
+        it("does not run a task again if the new incarnation executes the request late", async () => {
+            worker.delaysCalls = true;
+            crashSilently(300);
+            await cell.advanceTime(2_000);
+            worker.delaysCalls = false;
+            await cell.advanceTime(1_500);
+            await cell.submit(owner, sampleJob("00b1"));
+            await cell.advanceUntil(() => worker.running.has(TASK), 15_000);
+            await cell.advanceTime(290);
+            worker.tick();
+            worker.executeDelayedCalls();
+            await cell.advanceTime(6_000);
+            expect(cell.startsOf(TASK)).to.have.length(1);
+            expect(owner.jobState("00b1")).to.equal("completed");
+        });
+    });
+
+    // Guards against TWICE: the new incarnation executes a start that was meant for the former one.
+    it("refuses a late start that was meant for the former incarnation", async () => {
+        worker.delaysCalls = true;
+        worker.taskDurationMilliseconds = undefined;
+        await cell.submit(owner, sampleJob("00b1", { steps: [sampleStep({ lasting: true })] }));
+        await cell.advanceTime(300);
+        crashSilently(300);
+        cell.workers.add("w2").taskDurationMilliseconds = undefined;
+        cell.listWorkers();
+        worker.delaysCalls = false;
+        await cell.advanceUntil(() => cell.startsOf(TASK).length > 0, 10_000);
+        worker.executeDelayedCalls();
+        await cell.advanceTime(100);
+        expect(cell.startsOf(TASK).map(start => start.worker)).to.deep.equal(["w2"]);
+    });
+
+    // Guards against reports of the former incarnation that arrive after the restart is known.
+    it("is not taken for the former incarnation because of a report that arrives late", async () => {
+        await startLastingTask("00c1");
+        const requestReport = cell.workers.requestReport.bind(cell.workers);
+        let isFirst = true;
+        cell.workers.requestReport = async (target, request) => {
+            const report = await requestReport(target, request);
+            if (isFirst && target.id === "w1" && report.isOk()) {
+                isFirst = false;
+                worker.taskDurationMilliseconds = 300;
+                worker.crash(50);
+                await new Promise<void>(resolve => void cell.timers.after(400, resolve));
+            }
+            return report;
+        };
+        await cell.advanceUntil(() => !isFirst, 2_000);
+        await cell.advanceTime(700);
+        worker.endKind = EndKind.Done;
+        await cell.submit(owner, sampleJob("00b1"));
+        await cell.advanceTime(6_000);
+        expect(cell.startsOf(TASK)).to.have.length(1);
+        expect(owner.jobState("00b1")).to.equal("completed");
+    });
+});
--- a/packages/coordinator/__tests__/shrunkCapacity.spec.ts
+++ b/packages/coordinator/__tests__/shrunkCapacity.spec.ts
@@ -6,6 +6,7 @@
 import { JobState } from "@tanagerlink/workflow";
 import { expect } from "chai";
 import type { Coordinator } from "../src/coordinator.ts";
+import { FencingTokens } from "../src/fencingTokens.ts";
 import { Cell } from "./support/cell.ts";
 import { sampleJob, sampleStep } from "./support/samples.ts";
 
@@ -265,7 +266,7 @@
             else {
                 worker.stop = () => ({ kind: "unanswered" });
                 const order = {
-                    epoch: coordinator.epoch,
+                    fencingToken: new FencingTokens(coordinator.epoch).current,
                     task: "00f1.0.0.0",
                     attempt: 1,
                     leaseUntil: worker.clock + 6_000,
--- a/packages/coordinator/__tests__/support/cell.ts
+++ b/packages/coordinator/__tests__/support/cell.ts
@@ -9,6 +9,7 @@
 import type { CellPolicy, QueueRule, TeamRule } from "../../src/cellPolicy.ts";
 import { Coordinator } from "../../src/coordinator.ts";
 import { CoordinatorMetrics } from "../../src/coordinatorMetrics.ts";
+import { nextEpoch } from "../../src/fencingTokens.ts";
 import { JOBS_TABLE, partitionOf } from "../../src/jobTables.ts";
 import { initialLeaseTerms } from "../../src/leaseTerms.ts";
 import { decodeOwnerRecord, encodeJson, type OwnerRecord, ownerRecordName } from "../../src/ownerRecord.ts";
@@ -81,7 +82,7 @@
         const record: OwnerRecord = {
             node,
             incarnation: node,
-            epoch: (previous?.record.epoch ?? 0) + 1,
+            epoch: nextEpoch(previous?.record.epoch),
             renewals: 0,
             leaseTerms: initialLeaseTerms(this.leaseMilliseconds),
             ...inheritLeases({
--- a/packages/coordinator/__tests__/support/fakeWorkers.ts
+++ b/packages/coordinator/__tests__/support/fakeWorkers.ts
@@ -6,6 +6,7 @@
 import { sleep, type Timers } from "@tanagerlink/timers";
 import { EndKind } from "@tanagerlink/workflow";
 import { err, ok, type Result } from "neverthrow";
+import { isTokenOf } from "../../src/fencingTokens.ts";
 import {
     type AttemptOrder,
     type EndReport,
@@ -20,6 +21,11 @@
 } from "../../src/workerPort.ts";
 
 const POLL_INTERVAL_MILLISECONDS = 10;
+/** Age of a new worker, so that its clock is ahead of that of a later incarnation. */
+const INITIAL_CLOCK_MILLISECONDS = 5_000;
+/** How long a call that gets no response waits, beyond the wait that it requests. */
+const CALL_TIMEOUT_MILLISECONDS = 400;
+const REPORT_TIMEOUT_MILLISECONDS = 500;
 
 /** Faults of start orders. */
 export const StartFault = {
@@ -41,7 +47,7 @@
     readonly worker: string;
     readonly task: string;
     readonly attempt: number;
-    readonly epoch: number;
+    readonly fencingToken: number;
     readonly checkpoint: string;
 }
 
@@ -66,11 +72,24 @@
     endKind: EndKind = EndKind.Done;
     /** Highest end number that the owner has acknowledged. */
     acknowledgedEnd = 0;
+    /** Longest lease that the worker grants. */
+    maximumLeaseMilliseconds = 10_000;
+    /** Whether calls without a response time out instead of failing at once. */
+    timesOut = false;
+    /** Whether calls get no response and are executed only by `executeDelayedCalls`, by the incarnation of that time. */
+    delaysCalls = false;
+    /** Time from the start of a later incarnation to its record in the platform's list. */
+    registrationMilliseconds = 0;
+    /** Number of incarnations before the current one. */
+    crashCount = 0;
     readonly running = new Map<string, RunningAttempt>();
     protected readonly ends: EndReport[] = [];
     private readonly highestEndedAttempts = new Map<string, number>();
     protected readonly delayedStarts: StartOrder[] = [];
-    private epoch = 0;
+    private readonly delayedCalls: (() => void)[] = [];
+    /** Monotonic time of the start of the current incarnation. */
+    private bornAt = -INITIAL_CLOCK_MILLISECONDS;
+    private fencingToken = 0;
     protected leaseUntil = -Infinity;
     private lastEndNumber = 0;
     /** Called when a crashed worker has written its record again under the same identifier. */
@@ -84,9 +103,9 @@
         this.observer = observer;
     }
 
-    /** The worker's own clock. */
+    /** The clock of the current incarnation. */
     get clock(): number {
-        return Math.round(this.timers.now()) + 5_000;
+        return Math.round(this.timers.now() - this.bornAt);
     }
 
     get pendingEndCount(): number {
@@ -100,21 +119,34 @@
         this.running.clear();
         this.ends.length = 0;
         this.highestEndedAttempts.clear();
-        this.epoch = 0;
+        this.fencingToken = 0;
         this.leaseUntil = -Infinity;
         this.lastEndNumber = 0;
+        this.crashCount++;
         void sleep(this.timers, downMilliseconds).then(() => {
             this.entry = { ...this.entry, boot: this.entry.boot + 1 };
+            this.bornAt = this.timers.now();
             this.isReachable = true;
             this.isReplaced = returnsAsOther;
             if (!returnsAsOther) {
-                this.onRegistered();
+                void sleep(this.timers, this.registrationMilliseconds).then(() => this.onRegistered());
             }
         });
     }
 
-    isReachableIn(epoch: number): boolean {
-        return this.isReachable && (this.reachableEpoch ?? epoch) === epoch;
+    isReachableBy(fencingToken: number): boolean {
+        return this.isReachable && (this.reachableEpoch === undefined || isTokenOf(this.reachableEpoch, fencingToken));
+    }
+
+    /** Keeps a call without a response for `executeDelayedCalls`. */
+    delayCall(call: () => void): void {
+        if (this.delaysCalls) {
+            this.delayedCalls.push(call);
+        }
+    }
+
+    executeDelayedCalls(): void {
+        this.delayedCalls.splice(0).forEach(call => call());
     }
 
     executeDelayedStarts(): void {
@@ -137,17 +169,17 @@
     }
 
     executeStart(order: StartOrder): OrderOutcome {
-        if (order.epoch < this.epoch) {
-            return { kind: "refused", reason: RefusalReason.Epoch };
+        if (order.fencingToken < this.fencingToken) {
+            return { kind: "refused", reason: RefusalReason.Epoch, clock: this.clock };
         }
-        this.epoch = order.epoch;
+        this.fencingToken = order.fencingToken;
         if (order.attempt <= (this.highestEndedAttempts.get(order.task) ?? 0)) {
-            return { kind: "refused", reason: RefusalReason.OldAttempt };
+            return { kind: "refused", reason: RefusalReason.OldAttempt, clock: this.clock };
         }
         if (order.leaseUntil < this.clock) {
-            return { kind: "refused", reason: RefusalReason.LeaseExpired };
+            return { kind: "refused", reason: RefusalReason.LeaseExpired, clock: this.clock };
         }
-        this.leaseUntil = Math.max(this.leaseUntil, order.leaseUntil);
+        this.extendLease(order.leaseUntil);
         if (!this.running.has(order.task)) {
             this.running.set(order.task, { order, startedAt: this.timers.now() });
             this.observer.onStart(this, order);
@@ -169,10 +201,10 @@
     }
 
     stop(order: AttemptOrder): OrderOutcome {
-        if (order.epoch < this.epoch) {
-            return { kind: "refused", reason: RefusalReason.Epoch };
+        if (order.fencingToken < this.fencingToken) {
+            return { kind: "refused", reason: RefusalReason.Epoch, clock: this.clock };
         }
-        this.epoch = order.epoch;
+        this.fencingToken = order.fencingToken;
         this.highestEndedAttempts.set(
             order.task,
             Math.max(order.attempt, this.highestEndedAttempts.get(order.task) ?? 0),
@@ -185,11 +217,11 @@
     }
 
     requestReport(request: ReportRequest): Result<WorkerReport, ServiceError> {
-        if (request.epoch < this.epoch) {
+        if (request.fencingToken < this.fencingToken) {
             return err(serviceError(ErrorKind.StaleEpoch, "a higher epoch was seen"));
         }
-        this.epoch = request.epoch;
-        this.leaseUntil = Math.max(this.leaseUntil, request.leaseUntil ?? -Infinity);
+        this.fencingToken = request.fencingToken;
+        this.extendLease(request.leaseUntil ?? -Infinity);
         this.acknowledgedEnd = Math.max(this.acknowledgedEnd, request.acknowledgedEnd);
         while ((this.ends[0]?.number ?? Infinity) <= request.acknowledgedEnd) {
             this.ends.shift();
@@ -209,6 +241,11 @@
         });
     }
 
+    /** A lease is never shortened, and one beyond the maximum is shortened to it. */
+    private extendLease(leaseUntil: number): void {
+        this.leaseUntil = Math.max(this.leaseUntil, Math.min(leaseUntil, this.clock + this.maximumLeaseMilliseconds));
+    }
+
     protected end(task: string, attempt: number, kind: EndKind, checkpoint: string): void {
         this.running.delete(task);
         this.highestEndedAttempts.set(task, Math.max(attempt, this.highestEndedAttempts.get(task) ?? 0));
@@ -264,14 +301,19 @@
     async requestReport(worker: WorkerTarget, request: ReportRequest): Promise<Result<WorkerReport, ServiceError>> {
         const target = this.workers.get(worker.id);
         const deadline = this.timers.now() + request.waitMilliseconds;
-        while (
-            target?.isReachableIn(request.epoch) === true && target.pendingEndCount === 0 &&
-            this.timers.now() < deadline
-        ) {
+        const crashCount = target?.crashCount;
+        const isAnswering = (): boolean =>
+            target?.isReachableBy(request.fencingToken) === true && target.crashCount === crashCount &&
+            !target.delaysCalls;
+        while (isAnswering() && target?.pendingEndCount === 0 && this.timers.now() < deadline) {
             await sleep(this.timers, POLL_INTERVAL_MILLISECONDS);
             target.tick();
         }
-        if (target?.isReachableIn(request.epoch) !== true) {
+        if (target === undefined || !isAnswering()) {
+            target?.delayCall(() => void target.requestReport(request));
+            if (target?.timesOut === true) {
+                await sleep(this.timers, deadline + REPORT_TIMEOUT_MILLISECONDS - this.timers.now());
+            }
             return err(serviceError(ErrorKind.TargetUnreachable, "no response"));
         }
         return target.isReplaced
@@ -279,18 +321,22 @@
             : target.requestReport(request);
     }
 
-    start(worker: WorkerTarget, order: StartOrder): Promise<OrderOutcome> {
+    async start(worker: WorkerTarget, order: StartOrder): Promise<OrderOutcome> {
         const target = this.workers.get(worker.id);
-        if (target?.isReachableIn(order.epoch) !== true) {
-            return Promise.resolve({ kind: "unanswered" });
+        if (target?.isReachableBy(order.fencingToken) !== true || target.delaysCalls) {
+            target?.delayCall(() => void target.executeStart(order));
+            if (target?.timesOut === true) {
+                await sleep(this.timers, CALL_TIMEOUT_MILLISECONDS);
+            }
+            return { kind: "unanswered" };
         }
         const outcome = target.start(order);
-        return Promise.resolve(target.isReachable ? outcome : { kind: "unanswered" });
+        return target.isReachable ? outcome : { kind: "unanswered" };
     }
 
     onStart(worker: FakeWorker, order: StartOrder): void {
-        const { task, attempt, epoch, checkpoint } = order;
-        this.starts.push({ worker: worker.entry.id, task, attempt, epoch, checkpoint });
+        const { task, attempt, fencingToken, checkpoint } = order;
+        this.starts.push({ worker: worker.entry.id, task, attempt, fencingToken, checkpoint });
         if ((this.crashes.get(task) ?? 0) >= 3) {
             increment(this.startsAfterThreeCrashes, task);
         }
@@ -315,7 +361,9 @@
     stop(worker: WorkerTarget, order: AttemptOrder): Promise<OrderOutcome> {
         const target = this.workers.get(worker.id);
         return Promise.resolve(
-            target?.isReachableIn(order.epoch) === true ? target.stop(order) : { kind: "unanswered" },
+            target?.isReachableBy(order.fencingToken) === true && !target.delaysCalls
+                ? target.stop(order)
+                : { kind: "unanswered" },
         );
     }
 
--- a/packages/coordinator/__tests__/support/leasesOnReceipt.ts
+++ b/packages/coordinator/__tests__/support/leasesOnReceipt.ts
@@ -5,7 +5,7 @@
     const requestReport = workers.requestReport.bind(workers);
     workers.requestReport = (target, request) => {
         const worker = workers.workers.get(target.id);
-        if (worker?.isReachableIn(request.epoch) === true && !worker.isReplaced) {
+        if (worker?.isReachableBy(request.fencingToken) === true && !worker.isReplaced && !worker.delaysCalls) {
             worker.requestReport(request);
         }
         return requestReport(target, request);
--- a/packages/coordinator/__tests__/unrenewedOwners.spec.ts
+++ b/packages/coordinator/__tests__/unrenewedOwners.spec.ts
@@ -61,7 +61,7 @@
             return cell.timers.every(500, () => {
                 if (cell.timers.now() - confirmedAt < 8_000) {
                     worker.requestReport({
-                        epoch,
+                        fencingToken: epoch,
                         acknowledgedEnd: 0,
                         leaseUntil: worker.clock + 10_000,
                         waitMilliseconds: 0,
--- a/packages/coordinator/__tests__/workerExclusion.spec.ts
+++ b/packages/coordinator/__tests__/workerExclusion.spec.ts
@@ -3,6 +3,7 @@
 import { ManualTimers } from "@tanagerlink/timers";
 import { Attempt, JobRun } from "@tanagerlink/workflow";
 import { expect } from "chai";
+import { nextEpoch } from "../src/fencingTokens.ts";
 import type { SessionOwner } from "../src/sessionOwner.ts";
 import { WorkerExclusion } from "../src/workerExclusion.ts";
 import { WorkerSession } from "../src/workerSession.ts";
@@ -19,7 +20,7 @@
         const port = new FakeWorkers(timers);
         worker = port.add("w1");
         const owner: Partial<SessionOwner> = {
-            epoch: 1,
+            epoch: nextEpoch(),
             workerCount: () => 1,
             leaseMilliseconds: 6_000,
             canExtendLease: () => true,
@@ -63,7 +64,7 @@
         [WorkerExclusion.UnexpectedAttempts]: async () => {
             worker.taskDurationMilliseconds = undefined;
             const leaseUntil = worker.clock + 60_000;
-            const order = { epoch: 1, task: "other", attempt: 1, payload: "", leaseUntil, checkpoint: "" };
+            const order = { fencingToken: 1, task: "other", attempt: 1, payload: "", leaseUntil, checkpoint: "" };
             worker.executeStart({ ...order, ticket: undefined });
             addAttempt(false);
             session.stop([...session.liveAttempts][0]!);
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -6,6 +6,7 @@
 import type { RecordStore } from "@tanagerlink/platform";
 import type { Logger } from "@tanagerlink/telemetry";
 import type { Subscription, Timers } from "@tanagerlink/timers";
+import { nextEpoch } from "./fencingTokens.ts";
 import { initialLeaseTerms } from "./leaseTerms.ts";
 import {
     decodeOwnerRecord,
@@ -143,7 +144,7 @@
         const record: OwnerRecord = {
             node,
             incarnation,
-            epoch: (previous?.record.epoch ?? 0) + 1,
+            epoch: nextEpoch(previous?.record.epoch),
             renewals: 0,
             leaseTerms: initialLeaseTerms(maximumLeaseMilliseconds),
             ...inheritLeases({
--- a/packages/coordinator/src/ownerRecord.ts
+++ b/packages/coordinator/src/ownerRecord.ts
@@ -17,7 +17,7 @@
     node: z.string(),
     /** Identifier of one run of the owner's process; a restarted process is another owner. */
     incarnation: z.string(),
-    /** Fencing token sent to workers; increases with each change of owner. */
+    /** Highest fencing token that the owner sends to workers; increases with each change of owner. */
     epoch: z.int(),
     /** Number of renewals in this epoch. */
     renewals: z.int(),
--- a/packages/coordinator/src/workerPort.ts
+++ b/packages/coordinator/src/workerPort.ts
@@ -58,7 +58,7 @@
 
 /** Requests a report and renews the lease of all attempts on the worker. */
 export interface ReportRequest {
-    readonly epoch: number;
+    readonly fencingToken: number;
     /** Ends up to this number are stored, so that the worker may discard them. */
     readonly acknowledgedEnd: number;
     /** New end of the lease on the worker's clock; without it, the lease is not renewed. */
@@ -68,7 +68,7 @@
 }
 
 export interface StartOrder {
-    readonly epoch: number;
+    readonly fencingToken: number;
     readonly task: string;
     readonly attempt: number;
     readonly payload: string;
@@ -78,14 +78,14 @@
 }
 
 export interface AttemptOrder {
-    readonly epoch: number;
+    readonly fencingToken: number;
     readonly task: string;
     readonly attempt: number;
 }
 
 /** Why a worker refused an order. A refused order has no effect. */
 export const RefusalReason = {
-    /** The worker has seen a higher epoch. */
+    /** The worker has seen a higher fencing token. */
     Epoch: "epoch",
     /** An equal or higher attempt of the task has been stopped or has ended on the worker. */
     OldAttempt: "old_attempt",
@@ -104,7 +104,7 @@
 /** Outcome of an order. */
 export type OrderOutcome =
     | { readonly kind: "done"; readonly clock: number | undefined; }
-    | { readonly kind: "refused"; readonly reason: RefusalReason; }
+    | { readonly kind: "refused"; readonly reason: RefusalReason; readonly clock?: number | undefined; }
     /** The order has certainly not arrived. */
     | { readonly kind: "not_sent"; }
     /** No response; the order may have been executed, or may be executed later. */
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -2,18 +2,24 @@
  * The owner's session with one worker. A long poll fetches reports and renews the lease; start and stop orders are sent
  * beside it, and orders whose responses were lost are reconciled with the reports. The first report in an epoch fences
  * out previous owners.
+ *
+ * A worker can start again under its id at any time, and no call names the incarnation that it is meant for. Calls hold
+ * leases, starts and acknowledged ends only while the last one was answered by the known incarnation. After a restart, a
+ * report request with a new fencing token and without such values comes first: once the new incarnation has answered it,
+ * it refuses all calls that were meant for the former one.
  */
 import { describeUnknown, ErrorKind, type ServiceError } from "@tanagerlink/errors";
 import { fitsInto, noResources, type Resources, subtractResources } from "@tanagerlink/model";
 import { sleep } from "@tanagerlink/timers";
 import { type Attempt, AttemptStatus, EndKind, type StepRun } from "@tanagerlink/workflow";
 import { FRESH_START_MILLISECONDS } from "./crashSuspicion.ts";
+import { FencingTokens } from "./fencingTokens.ts";
 import { reportWaitMilliseconds } from "./leaseTerms.ts";
 import { CrashEvidence, type SessionOptions } from "./sessionOwner.ts";
 import { attemptKey, WorkerAttempts } from "./workerAttempts.ts";
 import { WorkerExclusion } from "./workerExclusion.ts";
 import { WorkerHealth } from "./workerHealth.ts";
-import { WorkerLease } from "./workerLease.ts";
+import { WorkerIncarnation } from "./workerIncarnation.ts";
 import {
     type OrderOutcome,
     RefusalReason,
@@ -39,6 +45,15 @@
 /** Time for which an unlisted worker is asked whether it has crashed; workers are back some seconds after a crash. */
 const EVIDENCE_MILLISECONDS = 10_000;
 
+/** A report request on its way. */
+interface ReportCall {
+    readonly sentAt: number;
+    readonly token: number;
+    /** Incarnation that the values of the request are meant for; `undefined` if it has none. */
+    readonly incarnation: WorkerIncarnation | undefined;
+    readonly acknowledgedEnd: number;
+}
+
 export class WorkerSession {
     entry: WorkerEntry;
     /** Whether the worker is in the platform's list. */
@@ -52,9 +67,15 @@
     wasLostOnTrial = false;
     private readonly options: SessionOptions;
     private readonly attempts = new WorkerAttempts();
-    private readonly lease = new WorkerLease();
-    /** Whether the worker has seen the epoch of this owner. */
+    private readonly tokens: FencingTokens;
+    /** The last incarnation that has answered; `undefined` before the first report. */
+    private incarnation: WorkerIncarnation | undefined;
+    /** Whether that incarnation has seen the current fencing token, and nothing shows that the worker has restarted. */
     private isFenced = false;
+    /** Whether the last report did not count; further ones are requested with a delay. */
+    private hasDiscardedReport = false;
+    /** Ends the wait for the response to the current report request. */
+    private abandonReport: (() => void) | undefined;
     /** Whether the last poll succeeded; reset when a start order gets no response from the worker. */
     private isReachable = false;
     /** Whether the last poll renewed the lease. */
@@ -62,14 +83,8 @@
     /** Whether the last poll got no usable response. */
     private hasPollFailed = false;
     private unexpectedAttemptCount = 0;
-    private bootTime: number;
     /** Address at which the worker last answered. */
     private answeredAddress: string | undefined;
-    private lastEndNumber = 0;
-    /** Ends up to this number are stored. */
-    private storedEndNumber = 0;
-    /** Last end number that the worker has received as acknowledgement. */
-    private acknowledgedEndNumber = 0;
     /** Monotonic time after which the entry was written; `Infinity` if the list does not say. */
     private entryWrittenAfter = Infinity;
     private isClosed = false;
@@ -87,16 +102,16 @@
     constructor(options: SessionOptions) {
         this.options = options;
         this.entry = options.entry;
-        this.bootTime = options.entry.boot;
+        this.tokens = new FencingTokens(options.owner.epoch);
     }
 
     get id(): string {
         return this.entry.id;
     }
 
-    /** Identifies the worker's current incarnation. */
+    /** Identifies the last incarnation that has answered. */
     get currentBoot(): number {
-        return this.bootTime;
+        return this.incarnation?.boot ?? this.entry.boot;
     }
 
     get liveAttempts(): IterableIterator<Attempt> {
@@ -124,7 +139,7 @@
      */
     private isEntryCurrent(now: number): boolean {
         return now - this.entryWrittenAfter <= this.options.workerEntryMilliseconds
-            && (this.entry.boot === UNKNOWN_BOOT || this.entry.boot >= this.bootTime);
+            && (this.entry.boot === UNKNOWN_BOOT || this.entry.boot >= this.currentBoot);
     }
 
     /** Why the capacity or what occupies it is not known; `undefined` if both are. */
@@ -229,7 +244,7 @@
     /** Updates the worker's entry from the platform's list. */
     updateEntry(entry: WorkerEntry, writtenAfter = Infinity): void {
         this.entryWrittenAfter = writtenAfter;
-        const hasRestarted = entry.boot > this.bootTime;
+        const hasRestarted = this.incarnation !== undefined && entry.boot > this.incarnation.boot;
         const hasChanged = entry !== this.entry || !this.isListed;
         this.entry = entry;
         this.isListed = true;
@@ -241,32 +256,34 @@
             this.options.owner.onEntryChanged(this);
         }
         if (hasRestarted) {
-            // The new incarnation has another clock and does not know the epoch.
-            this.isFenced = false;
-            this.wakeUp();
+            this.expectRestart();
         }
     }
 
     /** Sends the start order of an attempt that is already stored. */
     async start(attempt: Attempt, ticket: string | undefined): Promise<void> {
         const { owner, port, timers } = this.options;
+        const now = timers.now();
+        const incarnation = this.reachableIncarnation;
         const isWanted = attempt.isLive && attempt.status !== AttemptStatus.Stopping;
-        const hasRoom = this.unknownRoom(timers.now()) === undefined && !this.isOverCapacity;
+        const hasRoom = this.unknownRoom(now) === undefined && !this.isOverCapacity;
         const canStart = isWanted && !this.isClosed && hasRoom && owner.canExtendLease(this.id);
-        const leaseUntil = canStart ? this.lease.issue(timers.now(), START_LEASE_MILLISECONDS) : undefined;
-        if (leaseUntil === undefined) {
+        const leaseUntil = canStart ? incarnation?.lease.issue(now, START_LEASE_MILLISECONDS) : undefined;
+        if (incarnation === undefined || leaseUntil === undefined) {
             this.endAttempt(attempt, EndKind.Lost, "");
             return;
         }
-        attempt.startedAt = timers.now();
-        attempt.startSentAt = attempt.startedAt;
-        attempt.workerBoot = this.bootTime;
-        attempt.progressedAt = timers.now();
+        attempt.startedAt = now;
+        attempt.startSentAt = now;
+        attempt.workerBoot = incarnation.boot;
+        attempt.progressedAt = now;
         this.wakeUp();
+        const token = this.tokens.current;
+        this.tokens.recordBoundCall();
         let outcome: OrderOutcome;
         try {
             outcome = await port.start(this.entry, {
-                epoch: owner.epoch,
+                fencingToken: token,
                 task: attempt.task.name,
                 attempt: attempt.number,
                 payload: attempt.task.step.job.specification.payload,
@@ -278,8 +295,12 @@
         catch (failure) {
             outcome = this.recordUnexpectedError(failure);
         }
-        if (!this.isClosed && attempt.isLive) {
-            this.handleStartOutcome(attempt, outcome);
+        if (this.isClosed) {
+            return;
+        }
+        this.recordOrderClock(incarnation, outcome, now);
+        if (attempt.isLive) {
+            this.handleStartOutcome(attempt, outcome, token);
         }
     }
 
@@ -298,9 +319,13 @@
 
     /** Stops a reported attempt that is not recorded on this worker. */
     async stopUnexpectedAttempt(report: RunningReport): Promise<void> {
-        const { owner, port } = this.options;
+        const { port } = this.options;
         try {
-            await port.stop(this.entry, { epoch: owner.epoch, task: report.task, attempt: report.attempt });
+            await port.stop(this.entry, {
+                fencingToken: this.tokens.current,
+                task: report.task,
+                attempt: report.attempt,
+            });
         }
         catch (failure) {
             this.recordUnexpectedError(failure);
@@ -308,9 +333,14 @@
     }
 
     async setPace(attempt: Attempt, percent: number): Promise<void> {
-        const { owner, port } = this.options;
+        const { port } = this.options;
         attempt.pace = percent;
-        const order = { epoch: owner.epoch, task: attempt.task.name, attempt: attempt.number, percent };
+        const order = {
+            fencingToken: this.tokens.current,
+            task: attempt.task.name,
+            attempt: attempt.number,
+            percent,
+        };
         let outcome: OrderOutcome;
         try {
             outcome = await port.pace(this.entry, order);
@@ -329,15 +359,29 @@
         if (this.isReachable) {
             return undefined;
         }
-        const ownExpiresAt = this.lease.hasClockReading ? this.lease.expiresAt : -Infinity;
-        const expiresAt = Math.max(ownExpiresAt, this.options.owner.previousLeasesExpireAt(this.id));
+        const expiresAt = Math.max(this.ownLeasesExpireAt, this.previousLeasesExpireAt);
         return Math.max(0, Math.ceil(expiresAt - now));
     }
 
+    /** Monotonic time at which all leases have expired that this owner has given. */
+    private get ownLeasesExpireAt(): number {
+        const lease = this.incarnation?.lease;
+        return lease?.hasClockReading === true ? lease.expiresAt : -Infinity;
+    }
+
+    /** Same for the leases of previous owners. */
+    private get previousLeasesExpireAt(): number {
+        return this.options.owner.previousLeasesExpireAt(this.id);
+    }
+
     /** Whether all leases on the worker have expired, those of previous owners included. */
     private haveLeasesExpired(now: number): boolean {
-        return now >= this.options.owner.previousLeasesExpireAt(this.id)
-            && (!this.lease.hasClockReading || this.lease.hasExpired(now));
+        return now >= this.previousLeasesExpireAt && now > this.ownLeasesExpireAt;
+    }
+
+    /** The incarnation that calls may hold values for; `undefined` while the worker is lost or may have restarted. */
+    private get reachableIncarnation(): WorkerIncarnation | undefined {
+        return this.isFenced && this.isReachable ? this.incarnation : undefined;
     }
 
     describe(): unknown {
@@ -368,7 +412,27 @@
         return { kind: "unanswered" };
     }
 
-    private handleStartOutcome(attempt: Attempt, outcome: OrderOutcome): void {
+    /**
+     * Records the clock in the response to an order. Returns false if it cannot be that of the incarnation that the order
+     * was meant for.
+     */
+    private recordOrderClock(incarnation: WorkerIncarnation, outcome: OrderOutcome, sentAt: number): boolean {
+        const clock = outcome.kind === "done" || outcome.kind === "refused" ? outcome.clock : undefined;
+        if (clock === undefined) {
+            return true;
+        }
+        const isExpected = incarnation.lease.canRead(clock, sentAt);
+        if (isExpected) {
+            incarnation.lease.recordClock(clock, this.options.timers.now());
+        }
+        else if (incarnation === this.incarnation) {
+            this.options.logger.info({ worker: this.id, clock }, "the clock of the worker has started anew");
+            this.expectRestart();
+        }
+        return isExpected;
+    }
+
+    private handleStartOutcome(attempt: Attempt, outcome: OrderOutcome, token: number): void {
         const { timers, owner, logger } = this.options;
         const now = timers.now();
         const isStopping = attempt.status === AttemptStatus.Stopping;
@@ -377,9 +441,6 @@
         }
         if (outcome.kind === "done") {
             attempt.isConfirmed = true;
-            if (outcome.clock !== undefined) {
-                this.lease.recordClock(outcome.clock, now);
-            }
             if (isStopping) {
                 void this.sendStop(attempt);
             }
@@ -403,13 +464,15 @@
             { task: attempt.task.name, attempt: attempt.number, worker: this.id, reason },
             "start order not executed",
         );
-        if (reason === RefusalReason.Epoch) {
+        // A start that a later token of this owner has overtaken is refused, too.
+        const isOvertaken = reason === RefusalReason.Epoch && token !== this.tokens.current;
+        if (reason === RefusalReason.Epoch && !isOvertaken) {
             owner.confirmOwnership();
         }
         if (reason === RefusalReason.Ticket) {
             owner.onTicketRejected(attempt);
         }
-        else {
+        else if (!isOvertaken) {
             this.health.recordRefusal(now);
         }
         this.endAttempt(attempt, EndKind.Lost, "");
@@ -445,8 +508,8 @@
 
     /** Whether polling can pause: no attempts, no ends to acknowledge, and the last poll succeeded. */
     private isIdle(): boolean {
-        return this.isFenced && this.isReachable && this.attempts.size === 0 && this.unexpectedAttemptCount === 0
-            && this.acknowledgedEndNumber === this.lastEndNumber;
+        return this.reachableIncarnation?.hasUnacknowledgedEnds === false && this.attempts.size === 0
+            && this.unexpectedAttemptCount === 0;
     }
 
     private wakeUp(): void {
@@ -472,18 +535,32 @@
     private async poll(): Promise<void> {
         const { owner, port, timers } = this.options;
         const sentAt = timers.now();
-        const shouldRenew = this.isReachable && owner.canExtendLease(this.id);
-        const leaseUntil = shouldRenew ? this.lease.issue(sentAt, owner.leaseMilliseconds) : undefined;
-        const acknowledgedEnd = this.storedEndNumber;
+        const incarnation = this.reachableIncarnation;
+        const shouldRenew = incarnation !== undefined && owner.canExtendLease(this.id);
+        const leaseUntil = shouldRenew ? incarnation.lease.issue(sentAt, owner.leaseMilliseconds) : undefined;
+        // A start without a response may run on another incarnation, whose ends are not those known here.
+        const acknowledgedEnd = this.hasUnconfirmedStart ? 0 : incarnation?.endToAcknowledge ?? 0;
+        const call: ReportCall = {
+            sentAt,
+            token: this.tokens.current,
+            incarnation,
+            acknowledgedEnd,
+        };
+        if (leaseUntil !== undefined || acknowledgedEnd > 0) {
+            this.tokens.recordBoundCall();
+        }
         const { address } = this.entry;
-        const report = await port.requestReport(this.entry, {
-            epoch: owner.epoch,
+        const request = port.requestReport(this.entry, {
+            fencingToken: call.token,
             acknowledgedEnd,
             ...(leaseUntil === undefined ? {} : { leaseUntil }),
             waitMilliseconds: this.pollWaitMilliseconds(shouldRenew),
         });
+        const abandoned = new Promise<undefined>(resolve => this.abandonReport = () => resolve(undefined));
+        const report = await Promise.race([request, abandoned]);
+        this.abandonReport = undefined;
         this.isLeaseRenewed = shouldRenew;
-        if (this.isClosed) {
+        if (this.isClosed || report === undefined) {
             return;
         }
         if (report.isErr()) {
@@ -491,14 +568,26 @@
             return;
         }
         this.answeredAddress = address;
-        this.acknowledgedEndNumber = acknowledgedEnd;
-        this.applyReport(report.value, sentAt);
-        if (this.lastEndNumber !== this.storedEndNumber) {
-            const endNumber = this.lastEndNumber;
-            if (await owner.waitUntilStored()) {
-                this.storedEndNumber = Math.max(this.storedEndNumber, endNumber);
+        if (this.applyReport(report.value, call)) {
+            this.hasDiscardedReport = false;
+            await this.incarnation?.storeEnds(() => owner.waitUntilStored());
+        }
+        else if (this.hasDiscardedReport) {
+            await sleep(timers, RETRY_DELAY_MILLISECONDS);
+        }
+        else {
+            this.hasDiscardedReport = true;
+        }
+    }
+
+    /** Whether a start was sent whose response has not come. */
+    private get hasUnconfirmedStart(): boolean {
+        for (const { startSentAt, isConfirmed } of this.attempts.all()) {
+            if (startSentAt !== undefined && !isConfirmed) {
+                return true;
             }
         }
+        return false;
     }
 
     private pollWaitMilliseconds(isRenewal: boolean): number {
@@ -549,19 +638,21 @@
         await sleep(timers, RETRY_DELAY_MILLISECONDS);
     }
 
-    private applyReport(report: WorkerReport, sentAt: number): void {
+    /** Returns false if the report does not count. */
+    private applyReport(report: WorkerReport, call: ReportCall): boolean {
         const { owner, timers, logger } = this.options;
         const now = timers.now();
+        const incarnation = this.identify(report, call);
+        if (incarnation === undefined) {
+            return false;
+        }
         if (!this.isReachable) {
             logger.info({ worker: this.id, attempts: this.attempts.size }, "worker answers");
         }
-        if (report.boot !== undefined) {
-            if (report.boot !== this.bootTime) {
-                this.handleRestart(report.boot);
-            }
-            this.settleEarlierAttempts(report, report.boot);
+        incarnation.lease.recordClock(report.clock, now);
+        if (call.incarnation === incarnation) {
+            incarnation.recordAcknowledged(call.acknowledgedEnd);
         }
-        this.lease.recordClock(report.clock, now);
         this.lastHeardAt = now;
         this.isFenced = true;
         this.isReachable = true;
@@ -579,19 +670,63 @@
                 applyRunningReport(attempt, runningReport, now);
             }
         }
-        for (const end of report.ended) {
-            if (end.number > this.lastEndNumber) {
-                this.lastEndNumber = end.number;
-                const attempt = this.attempts.get(end.task, end.attempt);
-                if (attempt !== undefined) {
-                    this.endAttempt(attempt, end.kind, end.checkpoint);
-                }
+        for (const end of incarnation.recordEnds(report.ended)) {
+            const attempt = this.attempts.get(end.task, end.attempt);
+            if (attempt !== undefined) {
+                this.endAttempt(attempt, end.kind, end.checkpoint);
             }
         }
         if (report.ended.length < MAXIMUM_ENDS_PER_REPORT) {
-            this.reconcileAttempts(runningKeys, sentAt);
+            this.reconcileAttempts(runningKeys, call.sentAt);
         }
         owner.onReport(this);
+        return true;
+    }
+
+    /**
+     * The incarnation that a report is from; `undefined` if the report does not count, since the incarnation has ended or
+     * may still execute calls that were meant for a former one.
+     */
+    private identify(report: WorkerReport, call: ReportCall): WorkerIncarnation | undefined {
+        const { logger } = this.options;
+        const known = this.incarnation;
+        const boot = report.boot ?? UNKNOWN_BOOT;
+        if (boot !== UNKNOWN_BOOT && boot < Math.max(known?.boot ?? 0, this.entry.boot)) {
+            logger.info({ worker: this.id, boot, latest: this.entry.boot }, "report of a former incarnation");
+            this.expectRestart();
+            return undefined;
+        }
+        const isKnown = known !== undefined && known.boot === boot
+            && (boot !== UNKNOWN_BOOT || known.lease.canRead(report.clock, call.sentAt));
+        if (isKnown) {
+            if (boot !== UNKNOWN_BOOT) {
+                this.settlePresumedCrash(boot);
+            }
+            return known;
+        }
+        if (this.tokens.mustAdvance || call.token !== this.tokens.current) {
+            this.expectRestart();
+            return undefined;
+        }
+        if (known !== undefined) {
+            logger.info({ worker: this.id, from: known.boot, to: boot }, "worker restarted");
+        }
+        return this.adopt(new WorkerIncarnation(boot), report, known !== undefined);
+    }
+
+    /** Takes over an incarnation that refuses all calls which were meant for former ones. */
+    private adopt(incarnation: WorkerIncarnation, report: WorkerReport, isRestart: boolean): WorkerIncarnation {
+        this.incarnation = incarnation;
+        this.settleEarlierAttempts(report, incarnation.boot, isRestart);
+        return incarnation;
+    }
+
+    /** Lets the next report request, which is sent at once, find out which incarnation answers. */
+    private expectRestart(): void {
+        this.isFenced = false;
+        this.tokens.advance();
+        this.abandonReport?.();
+        this.wakeUp();
     }
 
     /** Reconciles attempts with a report that was requested after their last change of status. */
@@ -633,6 +768,7 @@
             this.wasLostOnTrial = this.isOnTrial(now);
         }
         this.isReachable = false;
+        this.tokens.advance();
     }
 
     /**
@@ -649,23 +785,20 @@
         }
     }
 
-    /** Ends the attempts of incarnations before the reported one, apart from those that it may run. */
-    private settleEarlierAttempts({ running, ended }: WorkerReport, boot: number): void {
-        const earlier = [...this.attempts.all()].filter(({ workerBoot }) => workerBoot < boot);
+    /** Ends the attempts of incarnations before the reported one, apart from those that it runs or has run. */
+    private settleEarlierAttempts({ running, ended }: WorkerReport, boot: number, isRestart: boolean): void {
+        const earlier = [...this.attempts.all()].filter(({ workerBoot }) => isRestart || workerBoot < boot);
         const reported = new Set(
             earlier.length === 0 ? [] : [...running, ...ended].map(({ task, attempt }) => attemptKey(task, attempt)),
         );
         const missing = earlier.filter(({ task, number }) => !reported.has(attemptKey(task.name, number)));
         this.reportCrash(missing, boot);
         for (const attempt of earlier) {
-            // A start without a response may have reached the current incarnation.
-            const isUnconfirmed = attempt.status === AttemptStatus.Starting ||
-                attempt.status === AttemptStatus.Unsettled;
-            if (isUnconfirmed || !missing.includes(attempt)) {
-                attempt.workerBoot = boot;
+            if (missing.includes(attempt)) {
+                this.endAttempt(attempt, EndKind.Lost, "");
             }
             else {
-                this.endAttempt(attempt, EndKind.Lost, "");
+                attempt.workerBoot = boot;
             }
         }
     }
@@ -695,23 +828,16 @@
         }
     }
 
-    private handleRestart(boot: number): void {
-        const { logger } = this.options;
-        logger.info({ worker: this.id, from: this.bootTime, to: boot }, "worker restarted");
-        this.bootTime = boot;
-        this.lease.reset();
-        this.lastEndNumber = 0;
-        this.storedEndNumber = 0;
-        this.acknowledgedEndNumber = 0;
-    }
-
     private async sendStop(attempt: Attempt): Promise<void> {
         const { owner, port, timers } = this.options;
+        const { incarnation } = this;
         if (this.stopsInFlight.has(attempt) || attempt.stopConfirmedAt !== undefined || !attempt.isLive) {
             return;
         }
         this.stopsInFlight.add(attempt);
-        const order = { epoch: owner.epoch, task: attempt.task.name, attempt: attempt.number };
+        const sentAt = timers.now();
+        const token = this.tokens.current;
+        const order = { fencingToken: token, task: attempt.task.name, attempt: attempt.number };
         let outcome: OrderOutcome;
         try {
             outcome = await port.stop(this.entry, order);
@@ -720,10 +846,13 @@
             outcome = this.recordUnexpectedError(failure);
         }
         this.stopsInFlight.delete(attempt);
-        if (outcome.kind === "done") {
+        const isFromIncarnation = incarnation === undefined || this.recordOrderClock(incarnation, outcome, sentAt);
+        if (outcome.kind === "done" && isFromIncarnation) {
             attempt.stopConfirmedAt = timers.now();
         }
-        else if (outcome.kind === "refused" && outcome.reason === RefusalReason.Epoch) {
+        else if (
+            outcome.kind === "refused" && outcome.reason === RefusalReason.Epoch && token === this.tokens.current
+        ) {
             owner.confirmOwnership();
         }
     }
