fix(coordinator): count with leases that were meant for a worker's former incarnation

Cause: the deadline of a lease is a time on the worker's clock, which begins anew with each incarnation.

Change: calls with a lease are kept until the incarnation that they were meant for has answered them, for 12.5 s, since the platform executes unanswered calls up to 12 s later. If there are any when the owner takes over a new incarnation, which from then on refuses them, it counts with the longest lease from that moment on. A worker under a lease of more than 7.5 s gets no tasks meanwhile, so that tasks do not wait for it if the worker is lost.

--- a/packages/coordinator/__tests__/restartedWorkers.spec.ts
+++ b/packages/coordinator/__tests__/restartedWorkers.spec.ts
@@ -53,6 +53,20 @@
         worker.crash(downMilliseconds);
     }
 
+    /** Cuts the worker off; it runs on. Its tasks may be started on another one. */
+    function cutOff(): void {
+        cell.workers.add("w2").taskDurationMilliseconds = undefined;
+        cell.listWorkers();
+        worker.isReachable = false;
+    }
+
+    async function expectExpiredAtSecondStart(task = TASK): Promise<void> {
+        await cell.advanceUntil(() => cell.startsOf(task).length > 1, 30_000);
+        expect(cell.startsOf(task).map(start => start.worker)).to.deep.equal(["w1", "w2"]);
+        worker.tick();
+        expect([...worker.running.keys()], "still running on w1 at the second start").to.deep.equal([]);
+    }
+
     describe("while the owner waits for a report", () => {
         beforeEach(async () => {
             await runShortTasks(3);
@@ -100,6 +114,58 @@
             expect(cell.startsOf(TASK)).to.have.length(1);
             expect(owner.jobState("00b1")).to.equal("completed");
         });
+
+        // Guards against TWICE: the owner counts a late lease that was meant for the former incarnation as its own.
+        it("keeps a lease that the new incarnation took from the request, and the owner counts with it", async () => {
+            worker.delaysCalls = true;
+            crashSilently(300);
+            await cell.advanceTime(350);
+            worker.executeDelayedCalls();
+            worker.delaysCalls = false;
+            await cell.advanceTime(2_000);
+            await startLastingTask("00b1");
+            await cell.advanceUntil(() => worker.running.has(TASK), 15_000);
+            await cell.advanceTime(300);
+            cutOff();
+            await expectExpiredAtSecondStart();
+        });
+    });
+
+    describe("while nothing runs on it", () => {
+        // Guards against TWICE: a lease on the clock of the former incarnation is as long as the new one grants.
+        it("gets no lease on the clock of the former incarnation", async () => {
+            await runShortTasks(1);
+            worker.crash(1_000);
+            await cell.advanceTime(1_700);
+            await startLastingTask("00b1");
+            await cell.advanceTime(1_000);
+            cutOff();
+            await expectExpiredAtSecondStart();
+        });
+
+        // Guards against TWICE: a start that the owner sends before it knows of the restart has the same effect.
+        it("keeps the lease of a start that was meant for the former incarnation, and the owner counts with it", async () => {
+            await runShortTasks(1);
+            crashSilently(300);
+            await cell.advanceTime(400);
+            await startLastingTask("00b1");
+            await cell.advanceTime(300);
+            cutOff();
+            await expectExpiredAtSecondStart();
+        });
+
+        // Guards against TWICE: same, while the response to the start is lost.
+        it("keeps the lease of a start without a response, and the owner counts with it", async () => {
+            await runShortTasks(1);
+            crashSilently(300);
+            await cell.advanceTime(400);
+            worker.startFault = StartFault.ResponseLost;
+            await startLastingTask("00b1");
+            await cell.advanceTime(600);
+            worker.startFault = StartFault.None;
+            cutOff();
+            await expectExpiredAtSecondStart();
+        });
     });
 
     // Guards against TWICE: the new incarnation executes a start that was meant for the former one.
--- a/packages/coordinator/__tests__/workerExclusion.spec.ts
+++ b/packages/coordinator/__tests__/workerExclusion.spec.ts
@@ -36,6 +36,7 @@
             timers,
             logger: silentLogger,
             stopMilliseconds: 200,
+            maximumLeaseMilliseconds: 10_000,
             workerEntryMilliseconds: 4_000,
         });
     });
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -124,6 +124,7 @@
             logger,
             workerEntryMilliseconds: options.workerEntryMilliseconds,
             stopMilliseconds: options.stopMilliseconds,
+            maximumLeaseMilliseconds: options.maximumLeaseMilliseconds,
         });
         this.quarantines = new Quarantines(this.fleet, logger);
         this.scheduler = new Scheduler({
--- a/packages/coordinator/src/leaseTerms.ts
+++ b/packages/coordinator/src/leaseTerms.ts
@@ -25,6 +25,9 @@
 /** Covers orders in flight when the previous owner stopped. */
 const EXPIRY_MARGIN_MILLISECONDS = 200;
 
+/** A worker under a longer lease gets no tasks: they would wait too long after a loss of the worker. */
+export const MAXIMUM_WAIT_FOR_LEASE_MILLISECONDS = 7_500;
+
 /** Keeps the owner record within a row of the store. */
 export const MAXIMUM_STATED_LEASES = 200;
 
--- a/packages/coordinator/src/sessionOwner.ts
+++ b/packages/coordinator/src/sessionOwner.ts
@@ -56,6 +56,8 @@
     readonly logger: Logger;
     /** Maximum duration of a stop on a worker. */
     readonly stopMilliseconds: number;
+    /** The longest leases that workers grant. */
+    readonly maximumLeaseMilliseconds: number;
     /** Age of a worker's entry beyond which the worker gets nothing, since its capacity may have shrunk unseen. */
     readonly workerEntryMilliseconds: number;
 }
--- a/packages/coordinator/src/workerExclusion.ts
+++ b/packages/coordinator/src/workerExclusion.ts
@@ -10,6 +10,8 @@
     /** The worker has not answered under the epoch of this owner yet. */
     NotFenced: "not_fenced",
     Unreachable: "unreachable",
+    /** The worker may hold a lease that was meant for its former incarnation and lasts longer than the terms say. */
+    LongLease: "long_lease",
     Leaving: "leaving",
     Quarantined: "quarantined",
     /** The worker has just refused an order. */
--- a/packages/coordinator/src/workerLease.ts
+++ b/packages/coordinator/src/workerLease.ts
@@ -45,6 +45,13 @@
         return end;
     }
 
+    /** Counts with a lease that was not issued on this clock, of at most `milliseconds` from the last reading on. */
+    assume(milliseconds: number): void {
+        if (this.clockReading !== undefined) {
+            this.latestEnd = Math.max(this.latestEnd, this.clockReading.clock + milliseconds);
+        }
+    }
+
     /**
      * Monotonic time at which all leases have expired on the worker, even with the slowest permitted clock; `Infinity`
      * before the first clock reading.
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -14,8 +14,9 @@
 import { type Attempt, AttemptStatus, EndKind, type StepRun } from "@tanagerlink/workflow";
 import { FRESH_START_MILLISECONDS } from "./crashSuspicion.ts";
 import { FencingTokens } from "./fencingTokens.ts";
-import { reportWaitMilliseconds } from "./leaseTerms.ts";
+import { expiryMilliseconds, MAXIMUM_WAIT_FOR_LEASE_MILLISECONDS, reportWaitMilliseconds } from "./leaseTerms.ts";
 import { CrashEvidence, type SessionOptions } from "./sessionOwner.ts";
+import { type LeaseCall, UnsettledLeases } from "./unsettledLeases.ts";
 import { attemptKey, WorkerAttempts } from "./workerAttempts.ts";
 import { WorkerExclusion } from "./workerExclusion.ts";
 import { WorkerHealth } from "./workerHealth.ts";
@@ -52,6 +53,7 @@
     /** Incarnation that the values of the request are meant for; `undefined` if it has none. */
     readonly incarnation: WorkerIncarnation | undefined;
     readonly acknowledgedEnd: number;
+    readonly lease: LeaseCall | undefined;
 }
 
 export class WorkerSession {
@@ -68,10 +70,13 @@
     private readonly options: SessionOptions;
     private readonly attempts = new WorkerAttempts();
     private readonly tokens: FencingTokens;
+    private readonly unsettledLeases = new UnsettledLeases();
     /** The last incarnation that has answered; `undefined` before the first report. */
     private incarnation: WorkerIncarnation | undefined;
     /** Whether that incarnation has seen the current fencing token, and nothing shows that the worker has restarted. */
     private isFenced = false;
+    /** Monotonic time at which leases have expired that an incarnation may have which has not reported yet. */
+    private unreportedLeasesExpireAt = -Infinity;
     /** Whether the last report did not count; further ones are requested with a delay. */
     private hasDiscardedReport = false;
     /** Ends the wait for the response to the current report request. */
@@ -170,6 +175,9 @@
         if (!this.isReachable) {
             return WorkerExclusion.Unreachable;
         }
+        if (!this.mayStartUnderLease(now)) {
+            return WorkerExclusion.LongLease;
+        }
         if (this.entry.leaving) {
             return WorkerExclusion.Leaving;
         }
@@ -278,6 +286,7 @@
         attempt.workerBoot = incarnation.boot;
         attempt.progressedAt = now;
         this.wakeUp();
+        const lease = this.unsettledLeases.record(now);
         const token = this.tokens.current;
         this.tokens.recordBoundCall();
         let outcome: OrderOutcome;
@@ -298,7 +307,9 @@
         if (this.isClosed) {
             return;
         }
-        this.recordOrderClock(incarnation, outcome, now);
+        if (outcome.kind !== "unanswered" && this.recordOrderClock(incarnation, outcome, now)) {
+            this.unsettledLeases.settle(lease);
+        }
         if (attempt.isLive) {
             this.handleStartOutcome(attempt, outcome, token);
         }
@@ -363,10 +374,22 @@
         return Math.max(0, Math.ceil(expiresAt - now));
     }
 
-    /** Monotonic time at which all leases have expired that this owner has given. */
+    /** Time until leases on the worker have expired that last longer than the terms say; `undefined` if none do. */
+    longerLeaseMilliseconds(now: number): number | undefined {
+        const { owner } = this.options;
+        const remaining = Math.ceil(this.ownLeasesExpireAt - now);
+        return remaining > expiryMilliseconds(owner.leaseMilliseconds) ? remaining : undefined;
+    }
+
+    /** Whether tasks may start under the present leases. */
+    private mayStartUnderLease(now: number): boolean {
+        return (this.longerLeaseMilliseconds(now) ?? 0) <= MAXIMUM_WAIT_FOR_LEASE_MILLISECONDS;
+    }
+
+    /** Monotonic time at which all leases have expired that this owner has given, or that it assumes. */
     private get ownLeasesExpireAt(): number {
         const lease = this.incarnation?.lease;
-        return lease?.hasClockReading === true ? lease.expiresAt : -Infinity;
+        return Math.max(lease?.hasClockReading === true ? lease.expiresAt : -Infinity, this.unreportedLeasesExpireAt);
     }
 
     /** Same for the leases of previous owners. */
@@ -545,6 +568,7 @@
             token: this.tokens.current,
             incarnation,
             acknowledgedEnd,
+            lease: leaseUntil === undefined ? undefined : this.unsettledLeases.record(sentAt),
         };
         if (leaseUntil !== undefined || acknowledgedEnd > 0) {
             this.tokens.recordBoundCall();
@@ -652,6 +676,7 @@
         incarnation.lease.recordClock(report.clock, now);
         if (call.incarnation === incarnation) {
             incarnation.recordAcknowledged(call.acknowledgedEnd);
+            this.unsettledLeases.settle(call.lease);
         }
         this.lastHeardAt = now;
         this.isFenced = true;
@@ -716,15 +741,26 @@
 
     /** Takes over an incarnation that refuses all calls which were meant for former ones. */
     private adopt(incarnation: WorkerIncarnation, report: WorkerReport, isRestart: boolean): WorkerIncarnation {
+        const { timers, maximumLeaseMilliseconds } = this.options;
+        const now = timers.now();
         this.incarnation = incarnation;
+        incarnation.lease.recordClock(report.clock, now);
+        if (this.unsettledLeases.mayBeExecutedBefore(now)) {
+            incarnation.lease.assume(maximumLeaseMilliseconds);
+        }
+        this.unreportedLeasesExpireAt = -Infinity;
         this.settleEarlierAttempts(report, incarnation.boot, isRestart);
         return incarnation;
     }
 
     /** Lets the next report request, which is sent at once, find out which incarnation answers. */
     private expectRestart(): void {
+        const now = this.options.timers.now();
         this.isFenced = false;
         this.tokens.advance();
+        if (this.unsettledLeases.mayBeExecutedBefore(now)) {
+            this.unreportedLeasesExpireAt = now + expiryMilliseconds(this.options.maximumLeaseMilliseconds);
+        }
         this.abandonReport?.();
         this.wakeUp();
     }
