fix(coordinator): pass on leases that were meant for a worker's former incarnation

A worker that has restarted may hold the longest lease that it grants, of which a successor knew nothing. An owner that was killed before it had noticed the restart could not even tell.

Change: the record states leases that last longer than the terms, and the claim inherits them. A worker under such a lease gets tasks only once the stored record states it. A new owner counts with the longest lease on workers that started within 7 s before its claim, which its predecessor may have missed, and, before their first report, on workers whose entry is newer than the attempts recorded there. A log line names each worker with such a lease, and one says if ends were acknowledged before they were read.

--- a/packages/coordinator/__tests__/previousLeases.spec.ts
+++ b/packages/coordinator/__tests__/previousLeases.spec.ts
@@ -41,6 +41,16 @@
         expect(remainingLeases).to.deep.equal({ w1: 4_200 - PASSED, w2: 0 });
     });
 
+    // Guards against TWICE: a worker that the owner reached may hold a longer lease, for its former incarnation.
+    it("last as long as the record says on workers under longer leases, and as those on others at least", () => {
+        const { remainingLeases } = inherit({ remainingLeases: { w1: 4_200 }, longerLeases: { w2: 9_500, w3: 6_000 } });
+        expect(remainingLeases).to.deep.equal({
+            w1: 4_200 - PASSED,
+            w2: 9_500 - PASSED,
+            w3: 2_500 + LEASE - PASSED,
+        });
+    });
+
     it("last for one lease after the release of the cell", () => {
         expect(inherit({ node: "", remainingLeases: {} }).otherLeasesMilliseconds).to.equal(LEASE - PASSED);
     });
--- a/packages/coordinator/__tests__/restartedWorkers.spec.ts
+++ b/packages/coordinator/__tests__/restartedWorkers.spec.ts
@@ -13,6 +13,8 @@
 
 const TASK = "00b1.0.0.0";
 const LONGEST_LEASE_MILLISECONDS = 10_000;
+/** Time in which a killed owner is replaced. */
+const TAKEOVER_MILLISECONDS = 2_700;
 
 describe("a worker that starts again under its id", () => {
     let cell: Cell;
@@ -60,6 +62,12 @@
         worker.isReachable = false;
     }
 
+    async function replaceOwner(): Promise<void> {
+        owner[Symbol.dispose]();
+        await cell.advanceTime(TAKEOVER_MILLISECONDS);
+        owner = await cell.claim("two");
+    }
+
     async function expectExpiredAtSecondStart(task = TASK): Promise<void> {
         await cell.advanceUntil(() => cell.startsOf(task).length > 1, 30_000);
         expect(cell.startsOf(task).map(start => start.worker)).to.deep.equal(["w1", "w2"]);
@@ -168,6 +176,81 @@
         });
     });
 
+    describe("and whose owner is killed soon after", () => {
+        // Guards against TWICE: the owner record states shorter leases than the new incarnation has.
+        it("gets no lease on the clock of the former incarnation", async () => {
+            await runShortTasks(1);
+            worker.crash(1_000);
+            await cell.advanceTime(1_300);
+            await startLastingTask("00b1");
+            cutOff();
+            await replaceOwner();
+            await expectExpiredAtSecondStart();
+        });
+
+        // Guards against TWICE: same, for a start that was sent before the owner knew of the restart.
+        it("keeps the lease of a start that was meant for the former incarnation, and the successor waits for it", async () => {
+            await runShortTasks(1);
+            crashSilently(300);
+            await cell.advanceTime(400);
+            await startLastingTask("00b1");
+            await cell.advanceTime(500);
+            cutOff();
+            await replaceOwner();
+            await expectExpiredAtSecondStart();
+        });
+
+        // Guards against TWICE: same, when the successor is killed too, and knows the lease from the record only.
+        it("keeps that lease, and the successor of the successor waits for it", async () => {
+            await runShortTasks(1);
+            crashSilently(300);
+            await cell.advanceTime(400);
+            await startLastingTask("00b1");
+            await cell.advanceTime(500);
+            cutOff();
+            await replaceOwner();
+            await replaceOwner();
+            await expectExpiredAtSecondStart();
+        });
+
+        // Guards against TWICE: same, when the owner ends before it has noticed the restart.
+        it("keeps the lease of a start by an owner that never knew of the restart", async () => {
+            await runShortTasks(1);
+            crashSilently(300);
+            await cell.advanceTime(400);
+            await startLastingTask("00b1");
+            owner[Symbol.dispose]();
+            await cell.advanceTime(1_000);
+            cutOff();
+            await replaceOwner();
+            await expectExpiredAtSecondStart();
+        });
+
+        // Guards against TWICE: the new owner starts a task on a worker whose lease its predecessor has extended unawares.
+        it("counts with the lease that the predecessor gave the new incarnation unawares", async () => {
+            await runShortTasks(3);
+            await startLastingTask("00c1");
+            await cell.advanceTime(1_500);
+            cell.workers.add("w0").taskDurationMilliseconds = undefined;
+            cell.listWorkers();
+            worker.delaysCalls = true;
+            crashSilently(300);
+            await cell.advanceTime(350);
+            owner[Symbol.dispose]();
+            await cell.advanceTime(TAKEOVER_MILLISECONDS - 100);
+            worker.executeDelayedCalls();
+            worker.delaysCalls = false;
+            owner = await cell.claim("two");
+            cell.workers.workers.get("w0")!.entry = { ...cell.workers.workers.get("w0")!.entry, leaving: true };
+            cell.listWorkers();
+            await startLastingTask("00b1");
+            await cell.advanceUntil(() => worker.running.has(TASK), 10_000);
+            await cell.advanceTime(300);
+            cutOff();
+            await expectExpiredAtSecondStart();
+        });
+    });
+
     // Guards against TWICE: the new incarnation executes a start that was meant for the former one.
     it("refuses a late start that was meant for the former incarnation", async () => {
         worker.delaysCalls = true;
--- a/packages/coordinator/__tests__/workerLease.spec.ts
+++ b/packages/coordinator/__tests__/workerLease.spec.ts
@@ -20,6 +20,17 @@
         expect(lease.hasExpired(3_000)).to.equal(false);
     });
 
+    // Guards against a restart that is not noticed, and against one that is seen in a slow clock or an overtaken response.
+    it("is on a clock that reads less only if the worker has restarted", () => {
+        const lease = new WorkerLease();
+        expect(lease.canRead(3, 0)).to.equal(true);
+        lease.recordClock(20_000, 50_000);
+        expect(lease.canRead(29_800, 60_000), "a slow clock").to.equal(true);
+        expect(lease.canRead(29_600, 60_000)).to.equal(false);
+        expect(lease.canRead(19_500, 49_500), "a response that was overtaken").to.equal(true);
+        expect(lease.canRead(19_300, 49_500)).to.equal(false);
+    });
+
     it("cannot be issued before the first clock reading and does not expire", () => {
         const lease = new WorkerLease();
         expect(lease.issue(0, 6_000)).to.equal(undefined);
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -27,7 +27,7 @@
 import { CANCELLATIONS_TABLE, JOB_PARTITIONS, JOBS_TABLE } from "./jobTables.ts";
 import { Journal } from "./journal.ts";
 import { initialLeaseTerms, leaseTermsFor } from "./leaseTerms.ts";
-import { OWNER_PARTITION, type OwnerRecord } from "./ownerRecord.ts";
+import { type LeaseStatement, OWNER_PARTITION } from "./ownerRecord.ts";
 import { shortenLeases } from "./previousLeases.ts";
 import { PROGRESS_SEGMENTS_TABLE, PROGRESS_TABLE, progressName } from "./progressRows.ts";
 import { Quarantines } from "./quarantines.ts";
@@ -44,6 +44,8 @@
 const ROUND_INTERVAL_MILLISECONDS = 200;
 /** Maximum estimated work left with which a task finishes on a leaving worker although it has checkpoints. */
 const MAXIMUM_DRAIN_MILLISECONDS = 1_500;
+/** Longest time from a restart of a worker that the previous owner had not noticed at its end to the next claim. */
+const MISSED_START_MILLISECONDS = 7_000;
 
 export interface CoordinatorOptions {
     readonly claim: WonClaim;
@@ -70,7 +72,7 @@
 export class Coordinator implements SessionOwner, Disposable {
     readonly epoch: number;
     private readonly options: CoordinatorOptions;
-    private readonly claimedAt: number;
+    readonly claimedAt: number;
     private readonly journal: Journal;
     private readonly jobs: CellJobs;
     private readonly expiredJobs: ExpiredJobs;
@@ -95,7 +97,7 @@
         const { timers, logger, store, claim } = options;
         this.options = options;
         this.epoch = claim.record.epoch;
-        this.claimedAt = timers.now();
+        this.claimedAt = claim.sentAt;
         this.jobs = new CellJobs(timers);
         this.pacing = new BestEffortPacing(timers);
         this.journal = new Journal({
@@ -451,8 +453,22 @@
         return sentAt + (record.remainingLeases?.[worker] ?? record.otherLeasesMilliseconds ?? 0);
     }
 
+    listedLeaseExpiresAt(worker: string): number {
+        const { sentAt, record } = this.options.claim;
+        return sentAt + (record.remainingLeases?.[worker] ?? -Infinity);
+    }
+
+    isLongerLeaseStored(worker: string, expiresAt: number): boolean {
+        return this.journal.leaseAuthority.statesLongerLease(worker, expiresAt);
+    }
+
+    mayHaveMissedStart(startedAt: number): boolean {
+        return this.options.claim.previousOwner !== undefined
+            && startedAt > this.claimedAt - MISSED_START_MILLISECONDS;
+    }
+
     /** What a successor has to know. */
-    private describeLeases(): Pick<OwnerRecord, "leaseTerms" | "remainingLeases" | "otherLeasesMilliseconds"> {
+    private describeLeases(): LeaseStatement {
         const { claim, timers, maximumLeaseMilliseconds } = this.options;
         if (!this.hasRecovered) {
             return shortenLeases(claim.record, timers.now() - claim.sentAt);
@@ -464,7 +480,7 @@
                 leaseMilliseconds: Math.max(leaseMilliseconds, this.leaseMilliseconds),
                 authorityMilliseconds,
             },
-            ...this.fleet.unreachableLeases(),
+            ...this.fleet.statedLeases(),
         };
     }
 
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -3,7 +3,7 @@
 import { addResources, noResources, subtractResources } from "@tanagerlink/model";
 import type { Attempt } from "@tanagerlink/workflow";
 import { MAXIMUM_STATED_LEASES } from "./leaseTerms.ts";
-import type { InheritedLeases } from "./previousLeases.ts";
+import type { LeaseStatement } from "./ownerRecord.ts";
 import type { SessionOptions } from "./sessionOwner.ts";
 import type { WorkerEntry } from "./workerPort.ts";
 import { WorkerSession } from "./workerSession.ts";
@@ -115,20 +115,28 @@
         return lostTogether.length >= minimum;
     }
 
-    /** Leases on workers with attempts that do not respond. The shortest are listed by worker, as many as permitted. */
-    unreachableLeases(): InheritedLeases {
+    /** Leases that a successor cannot know from the terms. The shortest are listed by worker, as many as permitted. */
+    statedLeases(): LeaseStatement {
         const now = this.sessionOptions.timers.now();
-        const leases: [string, number][] = [];
+        const unreachable: [string, number][] = [];
+        const longer: [string, number][] = [];
         for (const session of this.sessions.values()) {
             const remaining = session.attemptCount === 0 ? undefined : session.remainingLeaseMilliseconds(now);
+            const longerMilliseconds = session.longerLeaseMilliseconds(now);
             if (remaining !== undefined) {
-                leases.push([session.id, remaining]);
+                unreachable.push([session.id, remaining]);
+            }
+            else if (longerMilliseconds !== undefined) {
+                longer.push([session.id, longerMilliseconds]);
             }
         }
-        leases.sort(([, left], [, right]) => left - right);
+        unreachable.sort(([, left], [, right]) => left - right);
+        longer.sort(([, left], [, right]) => left - right);
+        const unlisted = [...unreachable.slice(MAXIMUM_STATED_LEASES), ...longer.slice(MAXIMUM_STATED_LEASES)];
         return {
-            remainingLeases: Object.fromEntries(leases.slice(0, MAXIMUM_STATED_LEASES)),
-            otherLeasesMilliseconds: leases.length > MAXIMUM_STATED_LEASES ? leases.at(-1)?.[1] : 0,
+            remainingLeases: Object.fromEntries(unreachable.slice(0, MAXIMUM_STATED_LEASES)),
+            longerLeases: Object.fromEntries(longer.slice(0, MAXIMUM_STATED_LEASES)),
+            otherLeasesMilliseconds: Math.max(0, ...unlisted.map(([, remaining]) => remaining)),
         };
     }
 
--- a/packages/coordinator/src/journal.ts
+++ b/packages/coordinator/src/journal.ts
@@ -14,6 +14,7 @@
     decodeOwnerRecord,
     encodeJson,
     isSameOwnerAndEpoch,
+    type LeaseStatement,
     type OwnerRecord,
     ownerRecordName,
     type VersionedOwnerRecord,
@@ -36,7 +37,7 @@
     readonly logger: Logger;
     readonly claim: VersionedOwnerRecord;
     /** Describes the leases on the workers for the next owner record. */
-    readonly describeLeases: () => Pick<OwnerRecord, "leaseTerms" | "remainingLeases" | "otherLeasesMilliseconds">;
+    readonly describeLeases: () => LeaseStatement;
     /** Interval at which the claim is renewed. */
     readonly renewalMilliseconds: number;
     /** Called once when another process has claimed the cell. */
--- a/packages/coordinator/src/leaseAuthority.ts
+++ b/packages/coordinator/src/leaseAuthority.ts
@@ -11,6 +11,9 @@
     readonly wallClock: number;
 }
 
+/** The estimated end of a lease moves with the duration of the calls by which the worker's clock is read. */
+const STATEMENT_TOLERANCE_MILLISECONDS = 50;
+
 export class LeaseAuthority {
     private readonly timers: Timers;
     /** The record that is known to be stored. */
@@ -33,6 +36,13 @@
         return this.stored.leaseTerms?.leaseMilliseconds;
     }
 
+    /** Whether the stored record states that a lease on the worker lasts until then, longer than the terms say. */
+    statesLongerLease(worker: string, expiresAt: number): boolean {
+        const stated = this.stored.longerLeases?.[worker];
+        return stated !== undefined && this.storedSentAt !== undefined
+            && this.storedSentAt.monotonic + stated + STATEMENT_TOLERANCE_MILLISECONDS >= expiresAt;
+    }
+
     /** Whether the worker may get a longer lease. */
     canExtend(worker: string): boolean {
         if (this.storedSentAt === undefined || this.unreachableWorkers.has(worker)) {
--- a/packages/coordinator/src/ownerRecord.ts
+++ b/packages/coordinator/src/ownerRecord.ts
@@ -31,12 +31,23 @@
      * record. It extends none of them before a record without the worker is stored.
      */
     remainingLeases: z.record(z.string(), z.number().min(0)).optional(),
+    /**
+     * Remaining milliseconds of leases that last longer than the terms say, on workers that the owner reaches. A worker
+     * that has restarted may hold one that was meant for its former incarnation.
+     */
+    longerLeases: z.record(z.string(), z.number().min(0)).optional(),
     /** Milliseconds after which all leases of previous owners on other workers have expired. */
     otherLeasesMilliseconds: z.number().min(0).optional(),
 });
 
 export type OwnerRecord = z.infer<typeof ownerRecordSchema>;
 
+/** What the record says of leases. */
+export type LeaseStatement = Pick<
+    OwnerRecord,
+    "leaseTerms" | "remainingLeases" | "longerLeases" | "otherLeasesMilliseconds"
+>;
+
 /** The owner record and its version in the store. */
 export interface VersionedOwnerRecord {
     readonly record: OwnerRecord;
--- a/packages/coordinator/src/previousLeases.ts
+++ b/packages/coordinator/src/previousLeases.ts
@@ -25,10 +25,15 @@
 /** The leases of previous owners that may be in force at the claim. */
 export function inheritLeases(takeover: Takeover): InheritedLeases {
     const { claimedAt, previousOwner, previousOwnerSeenAt } = takeover;
-    return {
-        ...shortenLeases(previousOwner ?? {}, claimedAt - previousOwnerSeenAt),
-        otherLeasesMilliseconds: Math.max(0, Math.ceil(otherLeasesExpireAt(takeover) - claimedAt)),
-    };
+    const passed = claimedAt - previousOwnerSeenAt;
+    const otherLeasesMilliseconds = Math.max(0, Math.ceil(otherLeasesExpireAt(takeover) - claimedAt));
+    const { remainingLeases } = shortenLeases(previousOwner ?? {}, passed);
+    const longer = Object.entries(previousOwner?.longerLeases ?? {}).map(([worker, remaining]): [string, number] => [
+        worker,
+        // The previous owner may have renewed this lease after the record, as those on other workers.
+        Math.max(otherLeasesMilliseconds, Math.ceil(remaining - passed)),
+    ]);
+    return { remainingLeases: { ...remainingLeases, ...Object.fromEntries(longer) }, otherLeasesMilliseconds };
 }
 
 /** The leases that are left some time after they were stated. */
--- a/packages/coordinator/src/sessionOwner.ts
+++ b/packages/coordinator/src/sessionOwner.ts
@@ -42,6 +42,17 @@
      * owner.
      */
     previousLeasesExpireAt(worker: string): number;
+    /** Same for the lease that the claim lists for the worker; `-Infinity` if it lists none. */
+    listedLeaseExpiresAt(worker: string): number;
+    /** Whether the stored owner record states that a lease on the worker lasts until then, longer than the terms say. */
+    isLongerLeaseStored(worker: string, expiresAt: number): boolean;
+    /** Monotonic time at which the claim on the cell was sent. */
+    readonly claimedAt: number;
+    /**
+     * Whether previous owners may have taken an incarnation of a worker that started at this monotonic time for the one
+     * before, so that it has got leases which no owner record states.
+     */
+    mayHaveMissedStart(startedAt: number): boolean;
     /** Checks ownership with the store after a worker has seen a higher epoch. */
     confirmOwnership(): void;
     /** The worker has rejected the ticket of a start order. */
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -377,13 +377,16 @@
     /** Time until leases on the worker have expired that last longer than the terms say; `undefined` if none do. */
     longerLeaseMilliseconds(now: number): number | undefined {
         const { owner } = this.options;
-        const remaining = Math.ceil(this.ownLeasesExpireAt - now);
+        const remaining = Math.ceil(Math.max(this.ownLeasesExpireAt, owner.listedLeaseExpiresAt(this.id)) - now);
         return remaining > expiryMilliseconds(owner.leaseMilliseconds) ? remaining : undefined;
     }
 
-    /** Whether tasks may start under the present leases. */
+    /** Whether tasks may start under the present leases: a successor has to know how long these last. */
     private mayStartUnderLease(now: number): boolean {
-        return (this.longerLeaseMilliseconds(now) ?? 0) <= MAXIMUM_WAIT_FOR_LEASE_MILLISECONDS;
+        const { owner } = this.options;
+        const longer = this.longerLeaseMilliseconds(now);
+        return longer === undefined
+            || longer <= MAXIMUM_WAIT_FOR_LEASE_MILLISECONDS && owner.isLongerLeaseStored(this.id, now + longer);
     }
 
     /** Monotonic time at which all leases have expired that this owner has given, or that it assumes. */
@@ -394,7 +397,14 @@
 
     /** Same for the leases of previous owners. */
     private get previousLeasesExpireAt(): number {
-        return this.options.owner.previousLeasesExpireAt(this.id);
+        const { owner, maximumLeaseMilliseconds } = this.options;
+        const expiresAt = owner.previousLeasesExpireAt(this.id);
+        const hasRestarted = this.incarnation === undefined
+            && [...this.attempts.all()].some(({ workerBoot }) => workerBoot < this.entry.boot);
+        // The previous owner may have sent the new incarnation leases for the former one, and no record says so.
+        return hasRestarted
+            ? Math.max(expiresAt, owner.claimedAt + expiryMilliseconds(maximumLeaseMilliseconds))
+            : expiresAt;
     }
 
     /** Whether all leases on the worker have expired, those of previous owners included. */
@@ -741,12 +751,25 @@
 
     /** Takes over an incarnation that refuses all calls which were meant for former ones. */
     private adopt(incarnation: WorkerIncarnation, report: WorkerReport, isRestart: boolean): WorkerIncarnation {
-        const { timers, maximumLeaseMilliseconds } = this.options;
+        const { owner, timers, logger, maximumLeaseMilliseconds } = this.options;
         const now = timers.now();
         this.incarnation = incarnation;
         incarnation.lease.recordClock(report.clock, now);
-        if (this.unsettledLeases.mayBeExecutedBefore(now)) {
+        const hasForeignLease = isRestart
+            ? this.unsettledLeases.mayBeExecutedBefore(now)
+            : owner.mayHaveMissedStart(now - report.clock);
+        if (hasForeignLease) {
+            logger.info(
+                { worker: this.id, boot: incarnation.boot },
+                "worker may hold a lease for its former incarnation",
+            );
             incarnation.lease.assume(maximumLeaseMilliseconds);
+            // The owner record has to state the longer lease.
+            owner.confirmOwnership();
+        }
+        const firstEnd = report.ended[0]?.number ?? 1;
+        if (isRestart && firstEnd > 1) {
+            logger.error({ worker: this.id, firstEnd }, "ends of the worker were acknowledged before they were read");
         }
         this.unreportedLeasesExpireAt = -Infinity;
         this.settleEarlierAttempts(report, incarnation.boot, isRestart);
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -8,6 +8,8 @@
 import { copyFileSync, mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { planRun } from "../platform/soak/plan.ts";
+import { planRestarts } from "../platform/soak/restartPlan.ts";
 import { runSoak, type SoakResult } from "../platform/soak/runSoak.ts";
 import { readSoakArguments, type SoakArguments } from "../platform/soak/soakArguments.ts";
 import { describeFindings, describeRun } from "../platform/soak/soakReport.ts";
@@ -22,6 +24,10 @@
         .option("--first <seed>", "First seed; 1 by default")
         .option("--seed <seed>", "One seed only")
         .option("--minutes <minutes>", "Fresh seeds for this long")
+        .option(
+            "--restarts",
+            "Executors that start again under their ids and are cut off, instead of all kinds of faults",
+        )
         .option("--jobs <count>", "Seeds that run at the same time; 2 by default")
         .option("--program <file>", "Start script of another build; by default, the program is built first")
         .option("--logs <folder>", "Folder for the logs of seeds with findings; a new one by default");
@@ -62,13 +68,13 @@
             rmSync(built, { recursive: true, force: true });
         }
     }
-    console.log(describeFindings(results, given.program));
+    console.log(describeFindings(results, given.program, given.restarts));
     return results.some(({ findings }) => findings.length > 0) || abortController.signal.aborted ? 1 : 0;
 }
 
 /** Takes seeds until there are none left, or until the soak is interrupted. */
 async function runSeeds(
-    { seeds }: SoakArguments,
+    { seeds, restarts }: SoakArguments,
     program: string,
     folder: string,
     abortSignal: AbortSignal,
@@ -77,7 +83,13 @@
     for (let next = seeds.next(); next.done !== true && !abortSignal.aborted; next = seeds.next()) {
         const seed = next.value;
         try {
-            const result = await runSoak({ seed, program, folder: join(folder, `seed-${seed}`), abortSignal });
+            const result = await runSoak({
+                seed,
+                program,
+                plan: restarts ? planRestarts(seed) : planRun(seed),
+                folder: join(folder, `seed-${seed}`),
+                abortSignal,
+            });
             results.push(result);
             console.log(describeRun(result));
             if (result.findings.length === 0) {
