perf(coordinator): acknowledge ends beside starts in flight, keep the token after a lost response

Cause: a report request that acknowledges nothing is answered at once while ends are pending. And a new token after each lost response refused calls that the worker would have executed late, among them renewals of leases.

Change: ends are withheld beside an unconfirmed start only if the worker was last heard over 100 ms before, since it cannot restart and do a task in less. The token changes after signs of a restart only.

--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -32,6 +32,8 @@
 
 /** Wait of a long poll while attempts are to be reconciled; longer than a stop takes. */
 const RECONCILIATION_WAIT_MILLISECONDS = 250;
+/** A worker does not start again and do a task within this time. */
+const SHORTEST_RESTART_MILLISECONDS = 100;
 /** Delay after a failed poll. */
 const RETRY_DELAY_MILLISECONDS = 150;
 /**
@@ -571,8 +573,7 @@
         const incarnation = this.reachableIncarnation;
         const shouldRenew = incarnation !== undefined && owner.canExtendLease(this.id);
         const leaseUntil = shouldRenew ? incarnation.lease.issue(sentAt, owner.leaseMilliseconds) : undefined;
-        // A start without a response may run on another incarnation, whose ends are not those known here.
-        const acknowledgedEnd = this.hasUnconfirmedStart ? 0 : incarnation?.endToAcknowledge ?? 0;
+        const acknowledgedEnd = this.mayHaveDoneUnconfirmedStart(sentAt) ? 0 : incarnation?.endToAcknowledge ?? 0;
         const call: ReportCall = {
             sentAt,
             token: this.tokens.current,
@@ -614,8 +615,11 @@
         }
     }
 
-    /** Whether a start was sent whose response has not come. */
-    private get hasUnconfirmedStart(): boolean {
+    /** Whether the worker may have restarted since it was last heard, and have done a task whose start has no response. */
+    private mayHaveDoneUnconfirmedStart(now: number): boolean {
+        if (now - this.lastHeardAt <= SHORTEST_RESTART_MILLISECONDS) {
+            return false;
+        }
         for (const { startSentAt, isConfirmed } of this.attempts.all()) {
             if (startSentAt !== undefined && !isConfirmed) {
                 return true;
@@ -827,7 +831,6 @@
             this.wasLostOnTrial = this.isOnTrial(now);
         }
         this.isReachable = false;
-        this.tokens.advance();
     }
 
     /**
