fix(coordinator): check the required label again before a start is sent

Cause: an attempt that was not sent yet was handed over to the next incarnation of the worker, and the label was checked at the placement only.

This commit also compares the label with the record in force when the start is sent.

--- a/packages/coordinator/__tests__/restartedWorkers.spec.ts
+++ b/packages/coordinator/__tests__/restartedWorkers.spec.ts
@@ -267,6 +267,28 @@
         expect(cell.startsOf(TASK).map(start => start.worker)).to.deep.equal(["w2"]);
     });
 
+    // Guards against ROUTE: a start that waited for the store is sent although the worker has returned as another kind.
+    for (const isRestart of [true, false]) {
+        const cause = isRestart ? "it returned" : "its record was written again";
+        it(`gets no start that was placed before ${cause} without the required label`, async () => {
+            worker.entry = { ...worker.entry, labels: ["a", "b"] };
+            cell.listWorkers();
+            cell.store.holdCommits();
+            const requiring = sampleStep({ requiredLabel: "b", lasting: true });
+            owner.accept(sampleJob("00b1", { steps: [requiring] }));
+            await cell.advanceTime(100);
+            worker.entry = { ...worker.entry, labels: ["a"] };
+            if (isRestart) {
+                worker.crash(50);
+                await cell.advanceTime(800);
+            }
+            cell.listWorkers();
+            cell.store.releaseCommits();
+            await cell.advanceTime(1_000);
+            expect(cell.startsOf(TASK)).to.deep.equal([]);
+        });
+    }
+
     // Guards against reports of the former incarnation that arrive after the restart is known.
     it("is not taken for the former incarnation because of a report that arrives late", async () => {
         await startLastingTask("00c1");
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -275,7 +275,9 @@
         const { owner, port, timers } = this.options;
         const now = timers.now();
         const incarnation = this.reachableIncarnation;
-        const isWanted = attempt.isLive && attempt.status !== AttemptStatus.Stopping;
+        const { requiredLabel } = attempt.task.step.specification;
+        const isWanted = attempt.isLive && attempt.status !== AttemptStatus.Stopping
+            && (requiredLabel === undefined || this.entry.labels.includes(requiredLabel));
         const hasRoom = this.unknownRoom(now) === undefined && !this.isOverCapacity;
         const canStart = isWanted && !this.isClosed && hasRoom && owner.canExtendLease(this.id);
         const leaseUntil = canStart ? incarnation?.lease.issue(now, START_LEASE_MILLISECONDS) : undefined;
