fix(coordinator): end attempts after a 421 only where the worker has answered this owner

Callers could see a task run on two workers (TWICE, the test of wrongAddressAfterTakeover.spec.ts, listed in KNOWN-RED.txt): after a change of the owner, an entry with a wrong address made the new owner end the attempts on the worker at once.

Cause: what the previous owner knew, that the worker answers at an address, was taken for granted by the next one: at an address at which the worker had not answered this owner, the answer of another executor counted as its end.

Change: such an answer ends attempts only at an address at which the worker has answered this owner. Elsewhere they end with their leases.

--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -668,7 +668,7 @@
             owner.confirmOwnership();
         }
         // At an address at which this worker has never answered, another one says nothing about it: the entry may be wrong.
-        if (error.kind === ErrorKind.StaleBoot && (this.answeredAddress ?? address) === address) {
+        if (error.kind === ErrorKind.StaleBoot && this.answeredAddress === address) {
             this.reportCrash([...this.attempts.all()], Infinity);
             this.endAllAttempts(EndKind.Lost);
         }
