refactor(coordinator): leases and crashes of a worker out of its session

The leases that a worker may hold and the crashes counted against its attempts have modules of their own; no behaviour changes.

--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -14,13 +14,15 @@
 import { type Attempt, AttemptStatus, EndKind, type StepRun } from "@tanagerlink/workflow";
 import { FRESH_START_MILLISECONDS } from "./crashSuspicion.ts";
 import { FencingTokens } from "./fencingTokens.ts";
-import { expiryMilliseconds, MAXIMUM_WAIT_FOR_LEASE_MILLISECONDS, reportWaitMilliseconds } from "./leaseTerms.ts";
-import { CrashEvidence, type SessionOptions } from "./sessionOwner.ts";
-import { type LeaseCall, UnsettledLeases } from "./unsettledLeases.ts";
+import { reportWaitMilliseconds } from "./leaseTerms.ts";
+import type { SessionOptions } from "./sessionOwner.ts";
+import type { LeaseCall } from "./unsettledLeases.ts";
 import { attemptKey, WorkerAttempts } from "./workerAttempts.ts";
+import { WorkerCrashes } from "./workerCrashes.ts";
 import { WorkerExclusion } from "./workerExclusion.ts";
 import { WorkerHealth } from "./workerHealth.ts";
 import { WorkerIncarnation } from "./workerIncarnation.ts";
+import { WorkerLeases } from "./workerLeases.ts";
 import {
     type OrderOutcome,
     RefusalReason,
@@ -72,13 +74,12 @@
     private readonly options: SessionOptions;
     private readonly attempts = new WorkerAttempts();
     private readonly tokens: FencingTokens;
-    private readonly unsettledLeases = new UnsettledLeases();
+    private readonly leases: WorkerLeases;
+    private readonly crashes: WorkerCrashes;
     /** The last incarnation that has answered; `undefined` before the first report. */
     private incarnation: WorkerIncarnation | undefined;
     /** Whether that incarnation has seen the current fencing token, and nothing shows that the worker has restarted. */
     private isFenced = false;
-    /** Monotonic time at which leases have expired that an incarnation may have which has not reported yet. */
-    private unreportedLeasesExpireAt = -Infinity;
     /** Whether the last report did not count; further ones are requested with a delay. */
     private hasDiscardedReport = false;
     /** Ends the wait for the response to the current report request. */
@@ -101,15 +102,13 @@
     /** Cached until the capacity or the attempts change. */
     private cachedFreeCapacity: Resources | undefined;
     private readonly stopsInFlight = new Set<Attempt>();
-    /** Attempts of the presumed crash; see `presumeCrash`. */
-    private readonly unresolvedAttempts = new Set<Attempt>();
-    /** Incarnation whose end was announced. */
-    private leavingBoot: number | undefined;
 
     constructor(options: SessionOptions) {
         this.options = options;
         this.entry = options.entry;
         this.tokens = new FencingTokens(options.owner.epoch);
+        this.leases = new WorkerLeases(options);
+        this.crashes = new WorkerCrashes(options.owner, this);
     }
 
     get id(): string {
@@ -177,7 +176,7 @@
         if (!this.isReachable) {
             return WorkerExclusion.Unreachable;
         }
-        if (!this.mayStartUnderLease(now)) {
+        if (!this.leases.allowStarts(now)) {
             return WorkerExclusion.LongLease;
         }
         if (this.entry.leaving) {
@@ -239,7 +238,7 @@
 
     /** Whether it may still turn out if the worker has crashed under attempts that have ended with their lease. */
     awaitsEvidence(now: number): boolean {
-        return this.unresolvedAttempts.size > 0 && now - (this.lostAt ?? -Infinity) < EVIDENCE_MILLISECONDS;
+        return this.crashes.isUnresolved && now - (this.lostAt ?? -Infinity) < EVIDENCE_MILLISECONDS;
     }
 
     startPolling(): void {
@@ -259,7 +258,7 @@
         this.entry = entry;
         this.isListed = true;
         if (entry.leaving) {
-            this.leavingBoot = entry.boot;
+            this.crashes.recordLeaving(entry.boot);
         }
         if (hasChanged) {
             this.cachedFreeCapacity = undefined;
@@ -290,7 +289,7 @@
         attempt.workerBoot = incarnation.boot;
         attempt.progressedAt = now;
         this.wakeUp();
-        const lease = this.unsettledLeases.record(now);
+        const lease = this.leases.recordCall(now);
         const token = this.tokens.current;
         this.tokens.recordBoundCall();
         let outcome: OrderOutcome;
@@ -312,7 +311,7 @@
             return;
         }
         if (outcome.kind !== "unanswered" && this.recordOrderClock(incarnation, outcome, now)) {
-            this.unsettledLeases.settle(lease);
+            this.leases.settle(lease);
         }
         if (attempt.isLive) {
             this.handleStartOutcome(attempt, outcome, token);
@@ -371,49 +370,18 @@
 
     /** Time until all leases on a worker that does not respond have expired; `undefined` if it responds. */
     remainingLeaseMilliseconds(now: number): number | undefined {
-        if (this.isReachable) {
-            return undefined;
-        }
-        const expiresAt = Math.max(this.ownLeasesExpireAt, this.previousLeasesExpireAt);
-        return Math.max(0, Math.ceil(expiresAt - now));
+        return this.isReachable ? undefined : this.leases.remainingMilliseconds(now, this.mayHaveRestartedUnnoticed);
     }
 
     /** Time until leases on the worker have expired that last longer than the terms say; `undefined` if none do. */
     longerLeaseMilliseconds(now: number): number | undefined {
-        const { owner } = this.options;
-        const remaining = Math.ceil(Math.max(this.ownLeasesExpireAt, owner.listedLeaseExpiresAt(this.id)) - now);
-        return remaining > expiryMilliseconds(owner.leaseMilliseconds) ? remaining : undefined;
-    }
-
-    /** Whether tasks may start under the present leases: a successor has to know how long these last. */
-    private mayStartUnderLease(now: number): boolean {
-        const { owner } = this.options;
-        const longer = this.longerLeaseMilliseconds(now);
-        return longer === undefined
-            || longer <= MAXIMUM_WAIT_FOR_LEASE_MILLISECONDS && owner.isLongerLeaseStored(this.id, now + longer);
-    }
-
-    /** Monotonic time at which all leases have expired that this owner has given, or that it assumes. */
-    private get ownLeasesExpireAt(): number {
-        const lease = this.incarnation?.lease;
-        return Math.max(lease?.hasClockReading === true ? lease.expiresAt : -Infinity, this.unreportedLeasesExpireAt);
+        return this.leases.longerMilliseconds(now);
     }
 
-    /** Same for the leases of previous owners. */
-    private get previousLeasesExpireAt(): number {
-        const { owner, maximumLeaseMilliseconds } = this.options;
-        const expiresAt = owner.previousLeasesExpireAt(this.id);
-        const hasRestarted = this.incarnation === undefined
+    /** Whether the worker has restarted since a previous owner has recorded an attempt there, and has not reported yet. */
+    private get mayHaveRestartedUnnoticed(): boolean {
+        return this.incarnation === undefined
             && [...this.attempts.all()].some(({ workerBoot }) => workerBoot < this.entry.boot);
-        // The previous owner may have sent the new incarnation leases for the former one, and no record says so.
-        return hasRestarted
-            ? Math.max(expiresAt, owner.claimedAt + expiryMilliseconds(maximumLeaseMilliseconds))
-            : expiresAt;
-    }
-
-    /** Whether all leases on the worker have expired, those of previous owners included. */
-    private haveLeasesExpired(now: number): boolean {
-        return now >= this.previousLeasesExpireAt && now > this.ownLeasesExpireAt;
     }
 
     /** The incarnation that calls may hold values for; `undefined` while the worker is lost or may have restarted. */
@@ -581,7 +549,7 @@
             token: this.tokens.current,
             incarnation,
             acknowledgedEnd,
-            lease: leaseUntil === undefined ? undefined : this.unsettledLeases.record(sentAt),
+            lease: leaseUntil === undefined ? undefined : this.leases.recordCall(sentAt),
         };
         if (leaseUntil !== undefined || acknowledgedEnd > 0) {
             this.tokens.recordBoundCall();
@@ -650,8 +618,8 @@
     endExpiredAttempts(): void {
         const now = this.options.timers.now();
         const isLost = !this.isReachable && this.hasPollFailed && this.attempts.size > 0;
-        if (isLost && this.haveLeasesExpired(now)) {
-            this.presumeCrash();
+        if (isLost && this.leases.haveExpired(now, this.mayHaveRestartedUnnoticed)) {
+            this.crashes.presume([...this.attempts.all()]);
             this.endAllAttempts(EndKind.LeaseExpired);
         }
     }
@@ -669,7 +637,7 @@
         }
         // At an address at which this worker has never answered, another one says nothing about it: the entry may be wrong.
         if (error.kind === ErrorKind.StaleBoot && this.answeredAddress === address) {
-            this.reportCrash([...this.attempts.all()], Infinity);
+            this.crashes.recordObserved([...this.attempts.all()], Infinity);
             this.endAllAttempts(EndKind.Lost);
         }
         else {
@@ -692,7 +660,7 @@
         incarnation.lease.recordClock(report.clock, now);
         if (call.incarnation === incarnation) {
             incarnation.recordAcknowledged(call.acknowledgedEnd);
-            this.unsettledLeases.settle(call.lease);
+            this.leases.settle(call.lease);
         }
         this.lastHeardAt = now;
         this.isFenced = true;
@@ -741,7 +709,7 @@
             && (boot !== UNKNOWN_BOOT || known.lease.canRead(report.clock, call.sentAt));
         if (isKnown) {
             if (boot !== UNKNOWN_BOOT) {
-                this.settlePresumedCrash(boot);
+                this.crashes.settlePresumed(boot);
             }
             return known;
         }
@@ -757,19 +725,13 @@
 
     /** Takes over an incarnation that refuses all calls which were meant for former ones. */
     private adopt(incarnation: WorkerIncarnation, report: WorkerReport, isRestart: boolean): WorkerIncarnation {
-        const { owner, timers, logger, maximumLeaseMilliseconds } = this.options;
-        const now = timers.now();
+        const { owner, logger } = this.options;
         this.incarnation = incarnation;
-        incarnation.lease.recordClock(report.clock, now);
-        const hasForeignLease = isRestart
-            ? this.unsettledLeases.mayBeExecutedBefore(now)
-            : owner.mayHaveMissedStart(now - report.clock);
-        if (hasForeignLease) {
+        if (this.leases.adopt(incarnation, report.clock, isRestart)) {
             logger.info(
                 { worker: this.id, boot: incarnation.boot },
                 "worker may hold a lease for its former incarnation",
             );
-            incarnation.lease.assume(maximumLeaseMilliseconds);
             // The owner record has to state the longer lease.
             owner.confirmOwnership();
         }
@@ -777,19 +739,15 @@
         if (isRestart && firstEnd > 1) {
             logger.error({ worker: this.id, firstEnd }, "ends of the worker were acknowledged before they were read");
         }
-        this.unreportedLeasesExpireAt = -Infinity;
         this.settleEarlierAttempts(report, incarnation.boot, isRestart);
         return incarnation;
     }
 
     /** Lets the next report request, which is sent at once, find out which incarnation answers. */
     private expectRestart(): void {
-        const now = this.options.timers.now();
         this.isFenced = false;
         this.tokens.advance();
-        if (this.unsettledLeases.mayBeExecutedBefore(now)) {
-            this.unreportedLeasesExpireAt = now + expiryMilliseconds(this.options.maximumLeaseMilliseconds);
-        }
+        this.leases.expectRestart(this.options.timers.now());
         this.abandonReport?.();
         this.wakeUp();
     }
@@ -835,20 +793,6 @@
         this.isReachable = false;
     }
 
-    /**
-     * Reports attempts of an earlier incarnation to the owner, unless its end was planned or no start order was sent to
-     * it.
-     */
-    private reportCrash(earlier: readonly Attempt[], boot: number): void {
-        const crashed = earlier.filter(({ startSentAt, workerBoot }) =>
-            startSentAt !== undefined && workerBoot !== this.leavingBoot
-        );
-        this.settlePresumedCrash(boot);
-        if (crashed.length > 0) {
-            this.options.owner.onWorkerCrashed(this, crashed, CrashEvidence.Observed);
-        }
-    }
-
     /** Ends the attempts of incarnations before the reported one, apart from those that it runs or has run. */
     private settleEarlierAttempts({ running, ended }: WorkerReport, boot: number, isRestart: boolean): void {
         const earlier = [...this.attempts.all()].filter(({ workerBoot }) => isRestart || workerBoot < boot);
@@ -856,7 +800,7 @@
             earlier.length === 0 ? [] : [...running, ...ended].map(({ task, attempt }) => attemptKey(task, attempt)),
         );
         const missing = earlier.filter(({ task, number }) => !reported.has(attemptKey(task.name, number)));
-        this.reportCrash(missing, boot);
+        this.crashes.recordObserved(missing, boot);
         for (const attempt of earlier) {
             if (missing.includes(attempt)) {
                 this.endAttempt(attempt, EndKind.Lost, "");
@@ -867,31 +811,6 @@
         }
     }
 
-    /**
-     * Counts a crash against attempts whose lease has expired without word from the worker, before they are placed
-     * again. It is taken back if the same incarnation answers later.
-     */
-    private presumeCrash(): void {
-        const silent = [...this.attempts.all()].filter(({ startSentAt, workerBoot }) =>
-            startSentAt !== undefined && workerBoot !== this.leavingBoot
-        );
-        if (silent.length > 0) {
-            this.options.owner.onWorkerCrashed(this, silent, CrashEvidence.Presumed);
-            silent.forEach(attempt => this.unresolvedAttempts.add(attempt));
-        }
-    }
-
-    private settlePresumedCrash(boot: number): void {
-        const unresolved = [...this.unresolvedAttempts];
-        this.unresolvedAttempts.clear();
-        if (unresolved.length > 0) {
-            this.options.owner.onCrashSettled(
-                unresolved.filter(({ workerBoot }) => workerBoot === boot),
-                unresolved.filter(({ workerBoot }) => workerBoot !== boot),
-            );
-        }
-    }
-
     private async sendStop(attempt: Attempt): Promise<void> {
         const { owner, port, timers } = this.options;
         const { incarnation } = this;
