fix(coordinator): discard a report that was requested before a sign of a restart

Found by reading: a response that arrives in the same moment as a sign of a restart made the known incarnation count as fenced again, so that the next calls held its values. Such a report is discarded, and the next one is requested with the new token.

--- a/packages/coordinator/src/unsettledLeases.ts
+++ b/packages/coordinator/src/unsettledLeases.ts
@@ -28,8 +28,8 @@
         }
     }
 
-    /** Whether a call was executed, or can be, by another incarnation than the one it was meant for. */
-    mayBeExecutedBefore(now: number): boolean {
+    /** Whether there are calls that another incarnation than the one they were meant for may have executed, or still may. */
+    hasCalls(now: number): boolean {
         this.prune(now);
         return this.calls.size > 0;
     }
--- a/packages/coordinator/src/workerLeases.ts
+++ b/packages/coordinator/src/workerLeases.ts
@@ -30,7 +30,7 @@
 
     /** Counts with leases that a new incarnation may have taken from calls for the former one. */
     expectRestart(now: number): void {
-        if (this.unsettled.mayBeExecutedBefore(now)) {
+        if (this.unsettled.hasCalls(now)) {
             this.unreportedExpireAt = now + expiryMilliseconds(this.options.maximumLeaseMilliseconds);
         }
     }
@@ -46,7 +46,7 @@
         this.unreportedExpireAt = -Infinity;
         incarnation.lease.recordClock(clock, now);
         const mayHoldForeignLease = isRestart
-            ? this.unsettled.mayBeExecutedBefore(now)
+            ? this.unsettled.hasCalls(now)
             : owner.mayHaveMissedStart(now - clock);
         if (mayHoldForeignLease) {
             incarnation.lease.assume(maximumLeaseMilliseconds);
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -705,7 +705,8 @@
             this.expectRestart();
             return undefined;
         }
-        const isKnown = known !== undefined && known.boot === boot
+        // A report that was requested before a sign of a restart says nothing about it.
+        const isKnown = known !== undefined && known.boot === boot && call.token === this.tokens.current
             && (boot !== UNKNOWN_BOOT || known.lease.canRead(report.clock, call.sentAt));
         if (isKnown) {
             if (boot !== UNKNOWN_BOOT) {
