--- a/packages/coordinator/src/workerIncarnation.ts
+++ b/packages/coordinator/src/workerIncarnation.ts
@@ -40,8 +40,8 @@
         this.acknowledgedEndNumber = Math.max(this.acknowledgedEndNumber, endNumber);
     }
 
-    /** Stores the ends that have been reported so far, as `waitUntilStored` resolves to true. */
-    async storeEnds(waitUntilStored: () => Promise<boolean>): Promise<void> {
+    /** Lets the ends reported so far be acknowledged once `waitUntilStored` resolves to true. */
+    async awaitStoredEnds(waitUntilStored: () => Promise<boolean>): Promise<void> {
         const endNumber = this.lastEndNumber;
         if (endNumber !== this.storedEndNumber && await waitUntilStored()) {
             this.storedEndNumber = Math.max(this.storedEndNumber, endNumber);
--- a/packages/coordinator/src/workerSession.ts
+++ b/packages/coordinator/src/workerSession.ts
@@ -575,7 +575,7 @@
         this.answeredAddress = address;
         if (this.applyReport(report.value, call)) {
             this.hasDiscardedReport = false;
-            await this.incarnation?.storeEnds(() => owner.waitUntilStored());
+            await this.incarnation?.awaitStoredEnds(() => owner.waitUntilStored());
         }
         else if (this.hasDiscardedReport) {
             await sleep(timers, RETRY_DELAY_MILLISECONDS);
